--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Targets: build, lint, test, demo, up, down.
+BIN := build/bin
+GOFUMPT := $(BIN)/gofumpt-0.12.0
+LINT := $(BIN)/golangci-lint-2.15.0
+
+.PHONY: build
+build:
+	@mkdir -p build
+	go build -o build/ ./cmd/...
+
+.PHONY: lint
+lint: $(GOFUMPT) $(LINT)
+	@unformatted=$$($(GOFUMPT) -l cmd internal pkg); \
+	  if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+	go vet ./...
+	$(LINT) run ./...
+
+.PHONY: test
+test:
+	go test -race -count=1 ./...
+
+.PHONY: demo
+demo: build
+	@demo/run.sh
+
+.PHONY: up
+up: build
+	@demo/up.sh
+
+.PHONY: down
+down:
+	@demo/down.sh
+
+$(GOFUMPT):
+	GOBIN=$(abspath $(BIN)) go install mvdan.cc/gofumpt@v0.12.0
+	mv $(BIN)/gofumpt $@
+
+$(LINT):
+	GOBIN=$(abspath $(BIN)) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+	mv $(BIN)/golangci-lint $@
--- /dev/null
+++ b/internal/cell/baseline.go
@@ -0,0 +1,51 @@
+package cell
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trailshed/trailshed/internal/catalog"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// grantBlindly is the baselines: it grants at once, without queue, admission
+// or a look at free slots.
+func (c *Cell) grantBlindly(now clock.Millis, w *waiting) {
+	p := placement{terms: Terms{Budget: w.ask.Budget}}
+	p.decode = c.pick(now, w, func(s *server) bool { return s.Role != catalog.RolePrefill })
+	if w.ask.Tokens > 0 {
+		p.prefill = c.pick(now, w, func(s *server) bool { return s.Role == catalog.RolePrefill })
+	}
+	if p.decode == nil || (w.ask.Tokens > 0 && p.prefill == nil) {
+		c.refuse(now, w, ReasonNoEndpoint, p.terms)
+		return
+	}
+	c.grant(now, w, p)
+}
+
+// pick takes the next endpoint in turn, or the one with the least reported
+// load; ties go in turn.
+func (c *Cell) pick(now clock.Millis, w *waiting, fits func(*server) bool) *server {
+	c.next++
+	var best *server
+	for i := range c.order {
+		s := c.order[(i+c.next)%len(c.order)]
+		if !fits(s) || !s.open(now, w.ask.Avoid) {
+			continue
+		}
+		if best == nil {
+			best = s
+			if c.options.Policy == PolicyRoundRobin {
+				return best
+			}
+		}
+		if s.report.Running+s.report.Waiting < best.report.Running+best.report.Waiting {
+			best = s
+		}
+	}
+	return best
+}
+
+// spreadOf returns a number from 0 to a half that depends on the attempt alone.
+func spreadOf(id AttemptID) float64 {
+	return float64(xxhash.Sum64String(string(id))%1000) / 2000
+}
--- /dev/null
+++ b/internal/cell/lengths.go
@@ -0,0 +1,38 @@
+package cell
+
+import "slices"
+
+const (
+	lengthsKept     = 32
+	lengthQuantile  = 0.75
+	defaultLength   = 64 // tokens, until an answer has been seen
+	lengthKeysLimit = 4096
+)
+
+// lengths predicts how long answers are, by workspace and kind.
+type lengths struct {
+	seen map[string][]int
+}
+
+func newLengths() lengths { return lengths{seen: map[string][]int{}} }
+
+func lengthKey(workspace, kind string) string { return workspace + "\x00" + kind }
+
+func (l *lengths) learn(key string, tokens int) {
+	if _, ok := l.seen[key]; !ok && len(l.seen) >= lengthKeysLimit {
+		clear(l.seen)
+	}
+	s := append(l.seen[key], tokens)
+	if len(s) > lengthsKept {
+		s = s[1:]
+	}
+	l.seen[key] = s
+}
+
+func (l *lengths) predict(key string, most int) int {
+	s := slices.Sorted(slices.Values(l.seen[key]))
+	if len(s) == 0 {
+		return min(defaultLength, most)
+	}
+	return min(s[int(lengthQuantile*float64(len(s)-1))], most)
+}
--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,341 @@
+// Package dispatcher runs the cells that this process dispatches: it feeds
+// messages, endpoints' reports and time into each cell's decisions and carries
+// out their effects.
+package dispatcher
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/trailshed/trailshed/internal/catalog"
+	"github.com/trailshed/trailshed/internal/cell"
+	"github.com/trailshed/trailshed/internal/endpoint"
+	"github.com/trailshed/trailshed/internal/member"
+	"github.com/trailshed/trailshed/internal/peer"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// The topics between entries and dispatchers.
+const (
+	TopicAsk      = "cell.ask"
+	TopicProgress = "cell.progress"
+	TopicAnnounce = "cell.announce"
+	TopicGrant    = "cell.grant"
+	TopicRefusal  = "cell.refusal"
+	TopicFenced   = "cell.fenced"
+	TopicUnknown  = "cell.unknown"
+)
+
+const (
+	tick          = 10 * time.Millisecond
+	cancelWorkers = 16
+	cancelQueue   = 4096
+)
+
+// Options are the settings and seams of a dispatcher.
+type Options struct {
+	Cell    cell.Options
+	Listing time.Duration
+	Node    string
+	Zone    string
+	Now     func() clock.Millis
+	// Mine says whether this process is to dispatch a cell.
+	Mine func(catalog.Cell) bool
+}
+
+// Dispatcher runs cells. Lock order: Dispatcher, then one cell.
+type Dispatcher struct {
+	options   Options
+	transport *peer.Transport
+	client    *endpoint.Client
+	scope     tally.Scope
+	log       zerolog.Logger
+	cancels   chan cell.Cancel
+
+	mu      sync.Mutex
+	catalog *catalog.Catalog
+	layout  map[catalog.Cell][]catalog.Member
+	cells   map[catalog.Cell]*running
+}
+
+// running is one cell with its lock.
+type running struct {
+	mu      sync.Mutex
+	cell    *cell.Cell
+	reading map[string]bool  // endpoints whose report is being read
+	after   map[string]int64 // last cache event read
+}
+
+// New returns a dispatcher without cells.
+func New(o Options, t *peer.Transport, c *endpoint.Client, scope tally.Scope, log zerolog.Logger) *Dispatcher {
+	return &Dispatcher{
+		options: o, transport: t, client: c, scope: scope, log: log,
+		cancels: make(chan cell.Cancel, cancelQueue), catalog: catalog.New(),
+		cells: map[catalog.Cell]*running{},
+	}
+}
+
+// Register adds the handlers of entries' messages.
+func (d *Dispatcher) Register(r *message.Router) {
+	peer.Handle(r, d.transport, TopicAsk, func(_ peer.Sender, a cell.Ask) {
+		if c := d.find(a.Cell); c != nil {
+			d.apply(c, a)
+			return
+		}
+		d.send(a.Owner.Address, TopicRefusal, cell.Refusal{Attempt: a.Attempt, Reason: cell.ReasonMoved})
+	})
+	peer.Handle(r, d.transport, TopicProgress, func(_ peer.Sender, p cell.Progress) {
+		if c := d.find(p.Cell); c != nil {
+			d.apply(c, p)
+		}
+	})
+	peer.Handle(r, d.transport, TopicAnnounce, func(_ peer.Sender, a cell.Announce) {
+		if c := d.find(a.Cell); c != nil {
+			d.apply(c, a)
+		}
+	})
+}
+
+// Configure takes a newer catalog.
+func (d *Dispatcher) Configure(c *catalog.Catalog) {
+	layout := c.Layout()
+	d.mu.Lock()
+	if c.Revision < d.catalog.Revision {
+		d.mu.Unlock()
+		return
+	}
+	d.catalog, d.layout = c, layout
+	cells := d.snapshot()
+	d.mu.Unlock()
+	for name, r := range cells {
+		d.apply(r, cell.Configured{Catalog: c, Members: layout[name]})
+	}
+}
+
+// Run lets time pass in all cells until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	for range cancelWorkers {
+		group.Go(func() { d.cancelLoop(ctx) })
+	}
+	group.Go(func() { Every(ctx, tick, d.tick) })
+	group.Go(func() { Every(ctx, d.options.Listing, func() { d.readReports(ctx) }) })
+	group.Wait()
+}
+
+// Every calls do at each interval until ctx ends.
+func Every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do()
+		}
+	}
+}
+
+// Reconcile takes up the cells that are this process's and drops the others.
+// Whoever waited in a dropped cell is sent on to its new dispatcher.
+func (d *Dispatcher) Reconcile() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name := range d.layout {
+		if name.Zone != d.options.Zone {
+			continue
+		}
+		_, have := d.cells[name]
+		if mine := d.options.Mine(name); mine && !have {
+			d.take(name)
+		} else if !mine && have {
+			d.drop(name)
+		}
+	}
+	for name := range d.cells {
+		if _, ok := d.layout[name]; !ok {
+			d.drop(name)
+		}
+	}
+}
+
+// take starts a cell; the caller holds the lock.
+func (d *Dispatcher) take(name catalog.Cell) {
+	now := d.options.Now()
+	r := &running{cell: cell.New(name, now, d.options.Cell), reading: map[string]bool{}, after: map[string]int64{}}
+	r.cell.Apply(now, cell.Configured{Catalog: d.catalog, Members: d.layout[name]})
+	d.cells[name] = r
+	d.log.Info().Stringer("cell", name).Msg("dispatching cell")
+}
+
+// drop ends a cell; the caller holds the lock.
+func (d *Dispatcher) drop(name catalog.Cell) {
+	r := d.cells[name]
+	delete(d.cells, name)
+	d.log.Info().Stringer("cell", name).Msg("no longer dispatching cell")
+	r.mu.Lock()
+	waiting := r.cell.Waiting(d.options.Now())
+	r.mu.Unlock()
+	for _, w := range waiting {
+		d.send(w.Ask.Owner.Address, TopicRefusal, cell.Refusal{Attempt: w.Ask.Attempt, Reason: cell.ReasonMoved})
+	}
+}
+
+// Statuses returns the headroom of the cells dispatched here.
+func (d *Dispatcher) Statuses() []member.CellStatus {
+	now := d.options.Now()
+	var all []member.CellStatus
+	d.Each(func(name catalog.Cell, c *cell.Cell) {
+		all = append(all, member.CellStatus{
+			Cell: name, Node: d.options.Node, Address: d.transport.Address(), Stamp: now, Digest: c.Digest(now),
+		})
+	})
+	return all
+}
+
+// Each calls do with every cell under its lock.
+func (d *Dispatcher) Each(do func(catalog.Cell, *cell.Cell)) {
+	d.mu.Lock()
+	cells := d.snapshot()
+	d.mu.Unlock()
+	for name, r := range cells {
+		r.mu.Lock()
+		do(name, r.cell)
+		r.mu.Unlock()
+	}
+}
+
+// snapshot copies the cells; the caller holds the lock.
+func (d *Dispatcher) snapshot() map[catalog.Cell]*running {
+	cells := make(map[catalog.Cell]*running, len(d.cells))
+	for name, r := range d.cells {
+		cells[name] = r
+	}
+	return cells
+}
+
+func (d *Dispatcher) find(name catalog.Cell) *running {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cells[name]
+}
+
+func (d *Dispatcher) tick() {
+	d.mu.Lock()
+	cells := d.snapshot()
+	d.mu.Unlock()
+	for _, r := range cells {
+		d.apply(r, cell.Tick{})
+	}
+}
+
+func (d *Dispatcher) apply(r *running, e cell.Event) {
+	r.mu.Lock()
+	effects := r.cell.Apply(d.options.Now(), e)
+	r.mu.Unlock()
+	for _, effect := range effects {
+		d.carryOut(effect)
+	}
+}
+
+func (d *Dispatcher) carryOut(e cell.Effect) {
+	switch e := e.(type) {
+	case cell.SendGrant:
+		d.send(e.To.Address, TopicGrant, e.Grant)
+	case cell.SendRefusal:
+		d.send(e.To.Address, TopicRefusal, e.Refusal)
+	case cell.SendFenced:
+		d.send(e.To.Address, TopicFenced, e.Fenced)
+	case cell.SendUnknown:
+		d.send(e.To.Address, TopicUnknown, e.Unknown)
+	case cell.Cancel:
+		select {
+		case d.cancels <- e:
+		default: // the next listing shows the attempt again
+			d.scope.Counter("cancel_queue_full").Inc(1)
+		}
+	}
+}
+
+func (d *Dispatcher) send(to netip.AddrPort, topic string, v any) {
+	if err := peer.Send(d.transport, to, topic, v); err != nil {
+		d.scope.Counter("dispatcher_send_failed").Inc(1)
+	}
+}
+
+// cancelLoop is one worker of the pool that carries cancels to endpoints. A
+// cancel that fails is not repeated here: the endpoint's listing decides.
+func (d *Dispatcher) cancelLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-d.cancels:
+			known, err := d.client.Cancel(ctx, e.Address, string(e.Attempt))
+			d.scope.Counter("cancels").Inc(1)
+			if err != nil {
+				d.scope.Counter("cancels_failed").Inc(1)
+				continue
+			}
+			d.each(func(r *running) {
+				d.apply(r, cell.Cancelled{Endpoint: e.Endpoint, Attempt: e.Attempt, Known: known})
+			})
+		}
+	}
+}
+
+// each calls do with every cell, without its lock.
+func (d *Dispatcher) each(do func(*running)) {
+	d.mu.Lock()
+	cells := d.snapshot()
+	d.mu.Unlock()
+	for _, r := range cells {
+		do(r)
+	}
+}
+
+// readReports starts reading every endpoint whose last reading has come back.
+func (d *Dispatcher) readReports(ctx context.Context) {
+	d.each(func(r *running) {
+		r.mu.Lock()
+		endpoints := r.cell.Endpoints()
+		r.mu.Unlock()
+		for _, s := range endpoints {
+			r.mu.Lock()
+			busy := r.reading[s.Name]
+			r.reading[s.Name] = true
+			r.mu.Unlock()
+			if !busy {
+				go d.readReport(ctx, r, s.Member)
+			}
+		}
+	})
+}
+
+func (d *Dispatcher) readReport(ctx context.Context, r *running, m catalog.Member) {
+	began := d.options.Now()
+	r.mu.Lock()
+	after := r.after[m.Name]
+	r.mu.Unlock()
+	report, err := d.client.Report(ctx, m.Address, after)
+	d.scope.Counter("reports").Inc(1)
+	r.mu.Lock()
+	r.reading[m.Name] = false
+	if n := len(report.Events); n > 0 {
+		r.after[m.Name] = report.Events[n-1].Sequence
+	}
+	r.mu.Unlock()
+	if err != nil {
+		d.scope.Counter("reports_failed").Inc(1)
+		d.apply(r, cell.Unreachable{Endpoint: m.Name})
+		return
+	}
+	d.apply(r, cell.Reported{Endpoint: m.Name, Report: report, Began: began})
+}
--- /dev/null
+++ b/internal/member/table.go
@@ -0,0 +1,316 @@
+// Package member keeps a process's view of the live processes and cells. The
+// view spreads by heartbeats to a few random peers, each with a sample of what
+// its sender knows, so that bytes per process stay flat as the fleet grows. Of
+// its own zone a process knows every member, of another zone a few contacts.
+package member
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trailshed/trailshed/internal/catalog"
+	"github.com/trailshed/trailshed/internal/cell"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+const (
+	// contacts is how many members of another zone are known.
+	contacts = 3
+	// sampleMembers and sampleCells bound what a heartbeat passes on.
+	sampleMembers = 16
+	sampleCells   = 12
+	// foreignPatience is how many times longer another zone's news may take.
+	foreignPatience = 5
+)
+
+// Member is one live process.
+type Member struct {
+	ID          string         `cbor:"1,keyasint" json:"id"`
+	Zone        string         `cbor:"2,keyasint" json:"zone"`
+	Address     netip.AddrPort `cbor:"3,keyasint" json:"address"`
+	Incarnation int64          `cbor:"4,keyasint" json:"incarnation"` // start time in milliseconds
+	Beat        int64          `cbor:"5,keyasint" json:"beat"`        // counts its heartbeats
+	Leaving     bool           `cbor:"6,keyasint" json:"leaving"`
+	Revision    int64          `cbor:"7,keyasint" json:"revision"` // of its configuration
+}
+
+// newer says whether m tells more than o of the same process.
+func (m Member) newer(o Member) bool {
+	if m.Incarnation != o.Incarnation {
+		return m.Incarnation > o.Incarnation
+	}
+	return m.Beat > o.Beat
+}
+
+// CellStatus is the headroom of a cell as its dispatcher last told it.
+type CellStatus struct {
+	Cell    catalog.Cell   `cbor:"1,keyasint"`
+	Node    string         `cbor:"2,keyasint"`
+	Address netip.AddrPort `cbor:"3,keyasint"`
+	Stamp   clock.Millis   `cbor:"4,keyasint"` // by the dispatcher's clock
+	Digest  cell.Digest    `cbor:"5,keyasint"`
+}
+
+// Heartbeat is the message between processes.
+type Heartbeat struct {
+	From    Member       `cbor:"1,keyasint"`
+	Members []Member     `cbor:"2,keyasint"`
+	Cells   []CellStatus `cbor:"3,keyasint"`
+}
+
+type known struct {
+	Member
+	heard clock.Millis
+	gone  bool // kept for a while so that old news does not revive it
+}
+
+type knownCell struct {
+	CellStatus
+	heard clock.Millis
+}
+
+// Table is the view. It is not safe for concurrent use.
+type Table struct {
+	self      Member
+	goneAfter time.Duration
+	members   map[string]*known
+	cells     map[catalog.Cell]*knownCell
+	random    *rand.Rand
+}
+
+// NewTable returns the view of a process that knows only itself.
+func NewTable(self Member, goneAfter time.Duration, seed uint64) *Table {
+	return &Table{
+		self: self, goneAfter: goneAfter, members: map[string]*known{},
+		cells: map[catalog.Cell]*knownCell{}, random: rand.New(rand.NewPCG(seed, uint64(self.Incarnation))),
+	}
+}
+
+// Self returns this process's own row.
+func (t *Table) Self() Member { return t.self }
+
+// Leave announces in all further heartbeats that this process will stop.
+func (t *Table) Leave() { t.self.Leaving = true }
+
+// Beat prepares the next heartbeat; own are the cells dispatched here.
+func (t *Table) Beat(now clock.Millis, revision int64, own []CellStatus) Heartbeat {
+	t.self.Beat++
+	t.self.Revision = revision
+	for _, s := range own {
+		t.cells[s.Cell] = &knownCell{CellStatus: s, heard: now}
+	}
+	h := Heartbeat{From: t.self, Cells: slices.Clone(own[:min(len(own), sampleCells)])}
+	rows := t.Live()
+	t.random.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
+	for _, m := range rows[:min(len(rows), sampleMembers)] {
+		if m.ID != t.self.ID {
+			h.Members = append(h.Members, m)
+		}
+	}
+	cells := t.Cells()
+	t.random.Shuffle(len(cells), func(i, j int) { cells[i], cells[j] = cells[j], cells[i] })
+	for _, s := range cells[:min(len(cells), sampleCells)] {
+		if s.Node != t.self.ID {
+			h.Cells = append(h.Cells, s)
+		}
+	}
+	return h
+}
+
+// Targets picks the peers for a heartbeat: fanout of the own zone and one of
+// another zone.
+func (t *Table) Targets(fanout int) []netip.AddrPort {
+	var own, foreign []netip.AddrPort
+	for _, m := range t.Live() {
+		switch {
+		case m.ID == t.self.ID:
+		case m.Zone == t.self.Zone:
+			own = append(own, m.Address)
+		default:
+			foreign = append(foreign, m.Address)
+		}
+	}
+	t.random.Shuffle(len(own), func(i, j int) { own[i], own[j] = own[j], own[i] })
+	targets := own[:min(len(own), fanout)]
+	if len(foreign) > 0 {
+		targets = append(targets, foreign[t.random.IntN(len(foreign))])
+	}
+	return targets
+}
+
+// Hear takes a heartbeat and returns the ids of members that are new.
+func (t *Table) Hear(now clock.Millis, h Heartbeat) (joined []string) {
+	for _, m := range append([]Member{h.From}, h.Members...) {
+		if t.observe(now, m) {
+			joined = append(joined, m.ID)
+		}
+	}
+	for _, s := range h.Cells {
+		old, ok := t.cells[s.Cell]
+		if !ok || s.Stamp > old.Stamp {
+			t.cells[s.Cell] = &knownCell{CellStatus: s, heard: now}
+		}
+	}
+	return joined
+}
+
+func (t *Table) observe(now clock.Millis, m Member) (joined bool) {
+	if m.ID == t.self.ID {
+		return false
+	}
+	old, ok := t.members[m.ID]
+	if ok && !m.newer(old.Member) {
+		return false
+	}
+	t.members[m.ID] = &known{Member: m, heard: now}
+	t.trim(m.Zone)
+	return !ok || old.gone
+}
+
+// trim forgets the members of another zone but its contacts.
+func (t *Table) trim(zone string) {
+	if zone == t.self.Zone {
+		return
+	}
+	keep := t.Contacts(zone)
+	for id, k := range t.members {
+		kept := slices.ContainsFunc(keep, func(m Member) bool { return m.ID == id })
+		if k.Zone == zone && !k.gone && !kept {
+			delete(t.members, id)
+		}
+	}
+}
+
+// Expire drops who was not heard of in time and returns their ids.
+func (t *Table) Expire(now clock.Millis) (gone []string) {
+	for id, k := range t.members {
+		silent := now.Sub(k.heard)
+		switch {
+		case !k.gone && silent > t.patience(k.Zone):
+			k.gone = true
+			gone = append(gone, id)
+		case k.gone && silent > 4*t.patience(k.Zone):
+			delete(t.members, id)
+		}
+	}
+	for name, k := range t.cells {
+		if now.Sub(k.heard) > t.patience(name.Zone) {
+			delete(t.cells, name)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
+func (t *Table) patience(zone string) time.Duration {
+	if zone == t.self.Zone {
+		return t.goneAfter
+	}
+	return foreignPatience * t.goneAfter
+}
+
+// Suspect drops a member whose connection was lost until it is heard again.
+func (t *Table) Suspect(address netip.AddrPort) {
+	for _, k := range t.members {
+		if k.Address == address {
+			k.gone = true
+		}
+	}
+}
+
+// Live returns the known live members with this process, by id.
+func (t *Table) Live() []Member {
+	live := []Member{t.self}
+	for _, k := range t.members {
+		if !k.gone {
+			live = append(live, k.Member)
+		}
+	}
+	slices.SortFunc(live, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return live
+}
+
+// Cells returns the known cells with their headroom, by name.
+func (t *Table) Cells() []CellStatus {
+	all := make([]CellStatus, 0, len(t.cells))
+	for _, k := range t.cells {
+		all = append(all, k.CellStatus)
+	}
+	slices.SortFunc(all, func(a, b CellStatus) int { return cmp.Compare(a.Cell.String(), b.Cell.String()) })
+	return all
+}
+
+// Status returns what is known of one cell.
+func (t *Table) Status(name catalog.Cell) (CellStatus, bool) {
+	k, ok := t.cells[name]
+	if !ok {
+		return CellStatus{}, false
+	}
+	return k.CellStatus, true
+}
+
+// Dispatcher returns the member that dispatches a cell of the own zone: the
+// first of the zone by rendezvous hashing among those that are not leaving.
+func (t *Table) Dispatcher(name catalog.Cell) (Member, bool) {
+	return first(name.String(), t.inZone(t.self.Zone))
+}
+
+// Watchers returns the members of the own zone that watch the platform.
+func (t *Table) Watchers(n int) []Member {
+	ranked := rank("watch", t.inZone(t.self.Zone))
+	return ranked[:min(n, len(ranked))]
+}
+
+// Contacts returns the members of a zone that other zones know.
+func (t *Table) Contacts(zone string) []Member {
+	ranked := rank("contact", t.inZone(zone))
+	return ranked[:min(contacts, len(ranked))]
+}
+
+// ClaimOwner returns the member that batches the claims of a shard, one of the
+// contacts of all zones, so that every process names the same.
+func (t *Table) ClaimOwner(shard string) (Member, bool) {
+	zones := map[string]bool{}
+	for _, m := range t.Live() {
+		zones[m.Zone] = true
+	}
+	var all []Member
+	for zone := range zones {
+		all = append(all, t.Contacts(zone)...)
+	}
+	return first(shard, all)
+}
+
+// inZone returns the members of a zone that may take roles: those that are not
+// leaving, or all of them when nobody else is left.
+func (t *Table) inZone(zone string) []Member {
+	all := slices.DeleteFunc(t.Live(), func(m Member) bool { return m.Zone != zone })
+	staying := slices.DeleteFunc(slices.Clone(all), func(m Member) bool { return m.Leaving })
+	if len(staying) == 0 {
+		return all
+	}
+	return staying
+}
+
+func first(key string, members []Member) (Member, bool) {
+	ranked := rank(key, members)
+	if len(ranked) == 0 {
+		return Member{}, false
+	}
+	return ranked[0], true
+}
+
+// rank orders members by rendezvous hashing for key.
+func rank(key string, members []Member) []Member {
+	weight := func(m Member) uint64 { return xxhash.Sum64String(key + "\x00" + m.ID) }
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.ID, b.ID))
+	})
+	return ranked
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,227 @@
+// Package node joins all parts of one trailshed process and runs them until it
+// is told to stop.
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/ThreeDotsLabs/watermill/message/router/middleware"
+	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
+
+	"github.com/trailshed/trailshed/internal/caller"
+	"github.com/trailshed/trailshed/internal/catalog"
+	"github.com/trailshed/trailshed/internal/cell"
+	"github.com/trailshed/trailshed/internal/changelog"
+	"github.com/trailshed/trailshed/internal/counter"
+	"github.com/trailshed/trailshed/internal/dispatcher"
+	"github.com/trailshed/trailshed/internal/endpoint"
+	"github.com/trailshed/trailshed/internal/entry"
+	"github.com/trailshed/trailshed/internal/ledger"
+	"github.com/trailshed/trailshed/internal/member"
+	"github.com/trailshed/trailshed/internal/operator"
+	"github.com/trailshed/trailshed/internal/peer"
+	"github.com/trailshed/trailshed/internal/platform"
+	"github.com/trailshed/trailshed/internal/settings"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// Error marks every error of this package.
+var Error = errs.Class("node")
+
+const reconcileInterval = 100 * time.Millisecond
+
+// Node is one process. Lock order: mu is taken last and never held while
+// another part is called.
+type Node struct {
+	settings *settings.Settings
+	log      zerolog.Logger
+	now      func() clock.Millis
+	counters *counter.Registry
+
+	store      *platform.Store
+	transport  *peer.Transport
+	router     *message.Router
+	changes    *changelog.Log
+	dispatcher *dispatcher.Dispatcher
+	entry      *entry.Entry
+	ledger     *ledger.Ledger
+	desk       *operator.Desk
+	front      *caller.Front
+
+	mu      sync.Mutex // guards table
+	table   *member.Table
+	leaving atomic.Bool
+	pulling atomic.Bool
+}
+
+// New opens a node's listeners between processes; Run serves.
+func New(s *settings.Settings, log zerolog.Logger) (*Node, error) {
+	n := &Node{settings: s, log: log, now: clock.System()}
+	n.counters = counter.Open(map[string]string{"node": s.Node.ID, "zone": s.Node.Zone})
+	certificates, err := peer.Certificates(s.Peers.CA, s.Peers.Certificate, s.Peers.Key)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	n.transport, err = peer.Listen(s.Node.ID, s.Peers.Address(), certificates, n.counters.Scope)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	n.router, err = message.NewRouter(message.RouterConfig{CloseTimeout: time.Second}, watermill.NopLogger{})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	n.router.AddMiddleware(middleware.Recoverer)
+	n.build()
+	return n, nil
+}
+
+// build makes the parts and joins them by function fields.
+func (n *Node) build() {
+	s, scope := n.settings, n.counters.Scope
+	incarnation := int64(n.now())
+	self := member.Member{ID: s.Node.ID, Zone: s.Node.Zone, Address: n.transport.Address(), Incarnation: incarnation}
+	n.table = member.NewTable(self, s.Peers.GoneAfter, uint64(incarnation))
+	n.store = platform.Connect(s.Platform.AddrPort(), s.Platform.Timeout, scope)
+	n.changes = changelog.New(n.store, scope, n.log)
+	n.changes.Changed = n.changed
+	client := endpoint.NewClient()
+	n.dispatcher = dispatcher.New(dispatcher.Options{
+		Node: s.Node.ID, Zone: s.Node.Zone, Listing: s.Dispatch.Listing, Now: n.now, Mine: n.dispatches,
+		Cell: cell.Options{
+			Policy: s.Dispatch.Policy, OwnerExpiry: s.Dispatch.OwnerExpiry, RetryShare: s.Dispatch.RetryShare,
+			Violated: n.violated,
+			Counted:  func(what string) { scope.Tagged(map[string]string{"what": what}).Counter("decisions").Inc(1) },
+		},
+	}, n.transport, client, scope, n.log)
+	n.ledger = ledger.New(ledger.Options{
+		Shards: s.Claims.Shards, Interval: s.Claims.Interval, Now: n.now, Owner: n.claimOwner,
+	}, n.store, n.transport, scope)
+	n.entry = entry.New(entry.Options{
+		Owner: cell.Owner{Node: s.Node.ID, Incarnation: incarnation, Address: n.transport.Address()},
+		Zone:  s.Node.Zone, Announce: s.Dispatch.Announce, OwnerExpiry: s.Dispatch.OwnerExpiry,
+		HeldAnswers: s.Callers.HeldAnswers, Now: n.now, Catalog: n.changes.Current,
+		Dispatcher: n.dispatcherOf, Cells: n.cells, Claim: n.ledger.Claim, Abandon: n.ledger.Abandon,
+	}, n.transport, client, scope)
+	n.desk = operator.New(operator.Options{
+		Zone: s.Node.Zone, Now: n.now, Members: n.members, Cells: n.cells,
+	}, n.changes, n.dispatcher, n.transport)
+	n.front = caller.New(s.Callers, n.entry, n.changes.Current, n.now, n.changes.Loaded, scope)
+	n.register()
+}
+
+func (n *Node) register() {
+	n.dispatcher.Register(n.router)
+	n.entry.Register(n.router)
+	n.ledger.Register(n.router)
+	n.desk.Register(n.router)
+	peer.Handle(n.router, n.transport, topicHeartbeat, n.hear)
+	peer.Answer(n.router, n.transport, topicPull, func(_ context.Context, _ peer.Sender, p changelog.Pull) changelog.Delta {
+		return n.changes.Delta(p)
+	})
+}
+
+// Run serves until ctx ends, then stops without cutting a request.
+func (n *Node) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.Background())
+	defer stop()
+	callers, err := listen(n.settings.Callers.Address())
+	if err != nil {
+		return err
+	}
+	admin, err := listen(n.settings.Admin.Address())
+	if err != nil {
+		return err
+	}
+	var group sync.WaitGroup
+	group.Go(func() { _ = n.router.Run(serving) })
+	<-n.router.Running()
+	group.Go(func() { n.dispatcher.Run(serving) })
+	group.Go(func() { n.entry.Run(serving) })
+	group.Go(func() { n.ledger.Run(serving) })
+	group.Go(func() { n.beatLoop(serving) })
+	group.Go(func() { n.reconcileLoop(serving) })
+	group.Go(func() { n.load(serving) })
+	group.Go(func() { n.changes.Watch(serving, n.settings.Platform.Watch, n.watches) })
+
+	front := &http.Server{Handler: n.front.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	desk := &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: 5 * time.Second}
+	group.Go(func() { serve(front, callers, n.log) })
+	group.Go(func() { serve(desk, admin, n.log) })
+	n.log.Info().Str("callers", n.settings.Callers.Listen).Str("peers", n.settings.Peers.Listen).Msg("serving")
+
+	<-ctx.Done()
+	n.leave(front)
+	_ = desk.Close()
+	stop()
+	_ = n.transport.Close()
+	group.Wait()
+	n.log.Info().Msg("stopped")
+	return Error.Wrap(n.counters.Close())
+}
+
+// leave hands the roles over and lets every running request finish.
+func (n *Node) leave(front *http.Server) {
+	n.log.Info().Msg("leaving")
+	n.leaving.Store(true)
+	n.mu.Lock()
+	n.table.Leave()
+	n.mu.Unlock()
+	n.beat()
+	n.dispatcher.Reconcile()
+	time.Sleep(n.settings.Callers.LeaveDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Callers.DrainTimeout)
+	defer cancel()
+	if err := front.Shutdown(ctx); err != nil {
+		n.log.Warn().Int("attempts", n.entry.Attempts()).Msg("drain timeout passed with requests running")
+	}
+}
+
+func listen(address netip.AddrPort) (net.Listener, error) {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
+	return l, Error.Wrap(err)
+}
+
+func serve(s *http.Server, l net.Listener, log zerolog.Logger) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		log.Error().Err(err).Msg("listener failed")
+	}
+}
+
+// load reads the configuration at the start, from the platform or, in an
+// outage, from whichever peer is heard first.
+func (n *Node) load(ctx context.Context) {
+	for ctx.Err() == nil && !n.changes.Loaded() {
+		if err := n.changes.CatchUp(ctx); err == nil {
+			n.log.Info().Int64("revision", n.changes.Current().Revision).Msg("configuration loaded")
+			return
+		}
+		wait(ctx, time.Second)
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+func (n *Node) changed(c *catalog.Catalog) {
+	n.dispatcher.Configure(c)
+	go n.beat() // peers hear of the revision at once
+}
+
+func (n *Node) violated(what string) {
+	n.counters.Scope.Counter("invariants_violated").Inc(1)
+	n.log.Error().Str("what", what).Msg("invariant violated")
+}
--- /dev/null
+++ b/internal/peer/transport.go
@@ -0,0 +1,280 @@
+// Package peer carries watermill messages between trailshed processes: CBOR
+// frames on QUIC streams under mutual TLS. Messages of one sender arrive in
+// order on a topic; a message may be lost when its connection is, never
+// doubled. The sender's name is the common name of its certificate.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/quic-go/quic-go"
+	"github.com/uber-go/tally/v4"
+	"github.com/zeebo/errs"
+)
+
+// Error marks every error of this package.
+var Error = errs.Class("peer")
+
+// Metadata keys of a watermill message.
+const (
+	To      = "to"       // address of the receiver, set by the sender
+	From    = "from"     // certified name of the sender
+	Address = "address"  // listening address of the sender
+	replyTo = "reply_to" // UUID of the message that this one answers
+)
+
+const (
+	handshakeTimeout = 2 * time.Second
+	idleTimeout      = 6 * time.Second
+	keepAlive        = 2 * time.Second
+	queueLength      = 4096
+	protocol         = "trailshed/1"
+)
+
+// Transport is a watermill publisher and subscriber over QUIC.
+type Transport struct {
+	name    string
+	address netip.AddrPort
+	tls     *tls.Config
+	quic    *quic.Transport
+	listen  *quic.Listener
+	scope   tally.Scope
+	ctx     context.Context
+	stop    context.CancelFunc
+	group   sync.WaitGroup
+
+	// Lock order: lanes, then asks; neither is held while sending.
+	lanesMu sync.Mutex
+	lanes   map[netip.AddrPort]*lane
+	asksMu  sync.Mutex
+	asks    map[string]ask
+	subsMu  sync.RWMutex
+	subs    map[string]*subscription
+}
+
+// ask is a question that waits for its reply.
+type ask struct {
+	to    netip.AddrPort
+	reply chan answer
+}
+
+type answer struct {
+	payload []byte
+	err     error
+}
+
+// Listen opens the transport of the node called name on address.
+func Listen(name string, address netip.AddrPort, certificates *tls.Config, scope tally.Scope) (*Transport, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	t := &Transport{
+		name: name, address: address, tls: certificates, scope: scope,
+		quic:  &quic.Transport{Conn: conn},
+		lanes: map[netip.AddrPort]*lane{}, asks: map[string]ask{},
+		subs: map[string]*subscription{},
+	}
+	t.ctx, t.stop = context.WithCancel(context.Background())
+	t.listen, err = t.quic.Listen(certificates, quicConfig())
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	t.group.Go(t.accept)
+	return t, nil
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout: handshakeTimeout,
+		MaxIdleTimeout:       idleTimeout,
+		KeepAlivePeriod:      keepAlive,
+	}
+}
+
+// Address returns the listening address.
+func (t *Transport) Address() netip.AddrPort { return t.address }
+
+// Publish sends messages to the address in their metadata under To. It queues
+// and returns; an error says that a message was certainly not sent.
+func (t *Transport) Publish(topic string, messages ...*message.Message) error {
+	for _, m := range messages {
+		to, err := netip.ParseAddrPort(m.Metadata.Get(To))
+		if err != nil {
+			return Error.New("message to %q: %v", m.Metadata.Get(To), err)
+		}
+		f := frame{
+			UUID: m.UUID, Topic: topic, ReplyTo: m.Metadata.Get(replyTo),
+			Address: t.address.String(), Payload: m.Payload,
+		}
+		if err := t.lane(to).push(f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Subscribe returns the messages that arrive on topic, until ctx ends.
+func (t *Transport) Subscribe(ctx context.Context, topic string) (<-chan *message.Message, error) {
+	t.subsMu.Lock()
+	defer t.subsMu.Unlock()
+	if _, taken := t.subs[topic]; taken {
+		return nil, Error.New("topic %q has a subscriber", topic)
+	}
+	sub := &subscription{in: make(chan *message.Message), out: make(chan *message.Message)}
+	sub.ctx, sub.stop = context.WithCancel(ctx)
+	t.subs[topic] = sub
+	t.group.Go(func() { sub.forward(t.ctx) })
+	return sub.out, nil
+}
+
+// Ask sends payload and waits for the reply, at most until ctx ends.
+func (t *Transport) Ask(ctx context.Context, to netip.AddrPort, topic string, payload []byte) ([]byte, error) {
+	id := watermill.NewUUID()
+	reply := make(chan answer, 1)
+	t.asksMu.Lock()
+	t.asks[id] = ask{to: to, reply: reply}
+	t.asksMu.Unlock()
+	defer t.forget(id)
+	m := message.NewMessage(id, payload)
+	m.Metadata.Set(To, to.String())
+	if err := t.Publish(topic, m); err != nil {
+		return nil, err
+	}
+	select {
+	case a := <-reply:
+		return a.payload, a.err
+	case <-ctx.Done():
+		return nil, Error.Wrap(ctx.Err())
+	case <-t.ctx.Done():
+		return nil, Error.New("closed")
+	}
+}
+
+// Reply answers a message that came through Ask.
+func (t *Transport) Reply(asked *message.Message, payload []byte) error {
+	m := message.NewMessage(watermill.NewUUID(), payload)
+	m.Metadata.Set(To, asked.Metadata.Get(Address))
+	m.Metadata.Set(replyTo, asked.UUID)
+	return t.Publish("reply", m)
+}
+
+// Close stops listening and drops what is queued.
+func (t *Transport) Close() error {
+	t.stop()
+	_ = t.listen.Close()
+	_ = t.quic.Close()
+	_ = t.quic.Conn.Close()
+	t.group.Wait()
+	return nil
+}
+
+func (t *Transport) forget(id string) {
+	t.asksMu.Lock()
+	defer t.asksMu.Unlock()
+	delete(t.asks, id)
+}
+
+// fail ends every question to an address whose connection broke.
+func (t *Transport) fail(to netip.AddrPort, cause error) {
+	t.asksMu.Lock()
+	defer t.asksMu.Unlock()
+	for id, a := range t.asks {
+		if a.to == to {
+			a.reply <- answer{err: cause}
+			delete(t.asks, id)
+		}
+	}
+}
+
+func (t *Transport) lane(to netip.AddrPort) *lane {
+	t.lanesMu.Lock()
+	defer t.lanesMu.Unlock()
+	l, ok := t.lanes[to]
+	if !ok {
+		l = &lane{transport: t, to: to, queue: make(chan frame, queueLength)}
+		t.lanes[to] = l
+		t.group.Go(l.run)
+	}
+	return l
+}
+
+func (t *Transport) accept() {
+	for {
+		conn, err := t.listen.Accept(t.ctx)
+		if err != nil {
+			return
+		}
+		t.group.Go(func() { t.receive(conn) })
+	}
+}
+
+func (t *Transport) receive(conn *quic.Conn) {
+	name := certifiedName(conn)
+	for {
+		s, err := conn.AcceptUniStream(t.ctx)
+		if err != nil {
+			return
+		}
+		t.group.Go(func() { t.drain(name, s) })
+	}
+}
+
+func (t *Transport) drain(from string, s *quic.ReceiveStream) {
+	for {
+		f, err := readFrame(s)
+		if err != nil {
+			return
+		}
+		t.scope.Counter("peer_received_bytes").Inc(int64(len(f.Payload)))
+		t.deliver(from, f)
+	}
+}
+
+func (t *Transport) deliver(from string, f frame) {
+	t.scope.Tagged(map[string]string{"topic": f.Topic}).Counter("peer_received").Inc(1)
+	if f.ReplyTo != "" {
+		t.settle(f)
+		return
+	}
+	m := message.NewMessage(f.UUID, f.Payload)
+	m.Metadata.Set(From, from)
+	m.Metadata.Set(Address, f.Address)
+	t.subsMu.RLock()
+	sub, ok := t.subs[f.Topic]
+	t.subsMu.RUnlock()
+	if !ok {
+		t.scope.Counter("peer_no_subscriber").Inc(1)
+		return
+	}
+	if !sub.deliver(m) {
+		t.scope.Counter("peer_nacked").Inc(1)
+	}
+}
+
+func (t *Transport) settle(f frame) {
+	t.asksMu.Lock()
+	defer t.asksMu.Unlock()
+	a, ok := t.asks[f.ReplyTo]
+	if !ok {
+		t.scope.Counter("peer_late_reply").Inc(1)
+		return
+	}
+	a.reply <- answer{payload: f.Payload}
+	delete(t.asks, f.ReplyTo)
+}
+
+func certifiedName(conn *quic.Conn) string {
+	chain := conn.ConnectionState().TLS.PeerCertificates
+	if len(chain) == 0 {
+		return ""
+	}
+	return chain[0].Subject.CommonName
+}
--- /dev/null
+++ b/internal/peer/typed.go
@@ -0,0 +1,81 @@
+package peer
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Send publishes v as CBOR to one address.
+func Send[T any](t *Transport, to netip.AddrPort, topic string, v T) error {
+	payload, err := cbor.Marshal(v)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	m := message.NewMessage(watermill.NewUUID(), payload)
+	m.Metadata.Set(To, to.String())
+	return t.Publish(topic, m)
+}
+
+// Ask sends a question as CBOR and decodes the reply.
+func Ask[Q, A any](ctx context.Context, t *Transport, to netip.AddrPort, topic string, question Q) (A, error) {
+	var a A
+	payload, err := cbor.Marshal(question)
+	if err != nil {
+		return a, Error.Wrap(err)
+	}
+	reply, err := t.Ask(ctx, to, topic, payload)
+	if err != nil {
+		return a, err
+	}
+	return a, Error.Wrap(cbor.Unmarshal(reply, &a))
+}
+
+// Sender is who sent a message.
+type Sender struct {
+	Name    string
+	Address netip.AddrPort
+}
+
+// Handle adds a handler of one-way messages. It must return quickly: the next
+// message of the same sender waits for it.
+func Handle[T any](r *message.Router, t *Transport, topic string, do func(Sender, T)) {
+	r.AddConsumerHandler(topic, topic, t, func(m *message.Message) error {
+		var v T
+		if err := cbor.Unmarshal(m.Payload, &v); err != nil {
+			t.scope.Counter("peer_malformed").Inc(1)
+			return nil // a retry would not mend it
+		}
+		do(sender(m), v)
+		return nil
+	})
+}
+
+// Answer adds a handler of questions. Each runs apart from the stream it came
+// on, so that a slow answer delays no other message.
+func Answer[Q, A any](r *message.Router, t *Transport, topic string, do func(context.Context, Sender, Q) A) {
+	r.AddConsumerHandler(topic, topic, t, func(m *message.Message) error {
+		var q Q
+		if err := cbor.Unmarshal(m.Payload, &q); err != nil {
+			t.scope.Counter("peer_malformed").Inc(1)
+			return nil
+		}
+		t.group.Go(func() {
+			payload, err := cbor.Marshal(do(t.ctx, sender(m), q))
+			if err != nil {
+				t.scope.Counter("peer_malformed").Inc(1)
+				return
+			}
+			_ = t.Reply(m, payload) // a lost reply is the asker's timeout
+		})
+		return nil
+	})
+}
+
+func sender(m *message.Message) Sender {
+	address, _ := netip.ParseAddrPort(m.Metadata.Get(Address))
+	return Sender{Name: m.Metadata.Get(From), Address: address}
+}
--- /dev/null
+++ b/internal/query/table.go
@@ -0,0 +1,63 @@
+package query
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// Table is the answer to a statement.
+type Table struct {
+	Columns  []string   `cbor:"1,keyasint" json:"columns"`
+	Rows     [][]string `cbor:"2,keyasint" json:"rows"`
+	Unheard  []string   `cbor:"3,keyasint" json:"unheard"` // nodes whose rows are missing
+	Revision int64      `cbor:"4,keyasint" json:"revision"`
+}
+
+// Add appends a row.
+func (t *Table) Add(values ...string) { t.Rows = append(t.Rows, values) }
+
+// Merge takes over the rows of another node's answer.
+func (t *Table) Merge(o Table) {
+	if len(t.Columns) == 0 {
+		t.Columns = o.Columns
+	}
+	t.Rows = append(t.Rows, o.Rows...)
+	t.Unheard = append(t.Unheard, o.Unheard...)
+}
+
+// Filter keeps the rows that match and at most limit of them, sorted.
+func (t *Table) Filter(where []Condition, limit int) error {
+	for _, c := range where {
+		column := slices.Index(t.Columns, c.Column)
+		if column < 0 {
+			return Error.New("no column %q; there are %s", c.Column, strings.Join(t.Columns, ", "))
+		}
+		t.Rows = slices.DeleteFunc(t.Rows, func(r []string) bool { return r[column] != c.Value })
+	}
+	slices.SortStableFunc(t.Rows, slices.Compare)
+	if limit > 0 && len(t.Rows) > limit {
+		t.Rows = t.Rows[:limit]
+	}
+	return nil
+}
+
+// Write prints the table for people.
+func (t *Table) Write(w io.Writer) error {
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	if len(t.Columns) > 0 {
+		_, _ = fmt.Fprintln(out, strings.ToUpper(strings.Join(t.Columns, "\t")))
+	}
+	for _, r := range t.Rows {
+		_, _ = fmt.Fprintln(out, strings.Join(r, "\t"))
+	}
+	if err := out.Flush(); err != nil {
+		return Error.Wrap(err)
+	}
+	if len(t.Unheard) > 0 {
+		_, _ = fmt.Fprintln(w, "not heard:", strings.Join(t.Unheard, ", "))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/engine/decode.go
@@ -0,0 +1,187 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/trailshed/trailshed/internal/endpoint"
+)
+
+var errKV = errors.New("kv cache cannot be fetched")
+
+func (e *Engine) decode(w http.ResponseWriter, r *http.Request) {
+	var d endpoint.DecodeRequest
+	if e.traits.Role != Decode || json.NewDecoder(r.Body).Decode(&d) != nil {
+		http.Error(w, "malformed", http.StatusBadRequest)
+		return
+	}
+	j := newJob(d.Attempt, phaseWaiting)
+	if !e.takeSlot(j) {
+		http.Error(w, "no slot came free", http.StatusServiceUnavailable)
+		return
+	}
+	cache, err := e.pull(j, d)
+	if err != nil {
+		e.mu.Lock()
+		e.free(j)
+		e.mu.Unlock()
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	e.start(j, d, cache)
+	e.stream(w, r, j)
+}
+
+// takeSlot waits for memory, at most as long as a prefill result is kept.
+func (e *Engine) takeSlot(j *job) bool {
+	deadline := time.Now().Add(e.traits.KVHold)
+	for time.Now().Before(deadline) {
+		e.mu.Lock()
+		if _, taken := e.jobs[j.attempt]; !taken && len(e.jobs) < e.traits.Slots {
+			j.phase = phaseTransfer
+			e.jobs[j.attempt] = j
+			e.mu.Unlock()
+			return true
+		}
+		e.mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+	}
+	return false
+}
+
+// pull fetches the KV cache from the prefill engine; a cancel ends it.
+func (e *Engine) pull(j *job, d endpoint.DecodeRequest) (kv, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-j.gone:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	url := "http://" + d.Source.String() + "/kv/" + d.Attempt
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(nil))
+	if err != nil {
+		return kv{}, err
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return kv{}, errKV
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var cache kv
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&cache) != nil {
+		return kv{}, errKV
+	}
+	return cache, nil
+}
+
+// start lets a job join the batch.
+func (e *Engine) start(j *job, d endpoint.DecodeRequest, cache kv) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	j.words = Answer(cache.Prompt, d.MaxTokens)
+	j.next = min(d.Offset, len(j.words))
+	j.out = make(chan endpoint.Token, 2*len(j.words)+2)
+	j.run = e.began(Run{Attempt: j.attempt, Phase: phaseDecode})
+	j.phase = phaseDecode
+	e.poke()
+}
+
+// decodeLoop makes one token for every running job at each step. A job goes on
+// when its reader is gone, as an engine does that is not told.
+func (e *Engine) decodeLoop() {
+	for {
+		running := e.running()
+		if len(running) == 0 {
+			select {
+			case <-e.wake:
+				continue
+			case <-e.done:
+				return
+			}
+		}
+		step := e.scaled(e.traits.StepBase + time.Duration(len(running))*e.traits.StepPerSlot)
+		select {
+		case <-time.After(step):
+		case <-e.done:
+			return
+		}
+		e.advance(running, step)
+	}
+}
+
+func (e *Engine) running() []*job {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var running []*job
+	for _, j := range e.jobs {
+		if j.phase == phaseDecode {
+			running = append(running, j)
+		}
+	}
+	return running
+}
+
+func (e *Engine) advance(running []*job, step time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.step = step
+	for _, j := range running {
+		if e.jobs[j.attempt] != j {
+			continue
+		}
+		if j.next < len(j.words) {
+			t := endpoint.Token{Index: j.next, Text: j.words[j.next]}
+			j.out <- t
+			if e.faults.RepeatTokens {
+				j.out <- t
+			}
+			j.next++
+			j.run.Tokens++
+		}
+		if j.next == len(j.words) {
+			j.run.Used = true
+			j.out <- endpoint.Token{Index: j.next, Done: true, Total: len(j.words)}
+			e.free(j)
+		}
+	}
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, j *job) {
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	flusher := http.NewResponseController(w)
+	lines := json.NewEncoder(w)
+	for sent := 0; ; sent++ {
+		var t endpoint.Token
+		select {
+		case t = <-j.out:
+		default:
+			select {
+			case t = <-j.out:
+			case <-j.gone:
+				if len(j.out) == 0 {
+					return
+				}
+				t = <-j.out
+			case <-r.Context().Done():
+				return
+			}
+		}
+		e.mu.Lock()
+		cut := e.faults.CutAfter
+		e.mu.Unlock()
+		if cut > 0 && sent == cut {
+			panic(http.ErrAbortHandler)
+		}
+		if lines.Encode(t) != nil || t.Done {
+			return
+		}
+		_ = flusher.Flush()
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/service.go
@@ -0,0 +1,41 @@
+package engine
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// call serves one request of a plain service. Its answer depends on the body,
+// so that a caller can tell its own from another's.
+func (e *Engine) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the request never arrived whole, so it does not run
+	}
+	j := newJob(r.Header.Get("X-Attempt"), phaseCall)
+	e.mu.Lock()
+	if e.traits.Role != Service || len(e.jobs) >= e.traits.Slots {
+		e.mu.Unlock()
+		w.Header().Set("X-Not-Run", "1")
+		http.Error(w, "busy", http.StatusTooManyRequests)
+		return
+	}
+	e.jobs[j.attempt] = j
+	run := e.began(Run{Attempt: j.attempt, Phase: phaseCall, Key: r.Header.Get("Idempotency-Key")})
+	e.mu.Unlock()
+	select {
+	case <-time.After(e.scaled(e.traits.CallTime)):
+	case <-j.gone:
+	}
+	e.mu.Lock()
+	run.Used = true
+	e.free(j)
+	e.mu.Unlock()
+	reply(w, map[string]any{"confirmed": true, "digest": Digest(body)})
+}
+
+// Digest is what a plain service answers for a body.
+func Digest(body []byte) uint64 { return xxhash.Sum64(body) >> 12 } // exact in JSON numbers
--- /dev/null
+++ b/internal/standin/engine/text.go
@@ -0,0 +1,42 @@
+package engine
+
+import (
+	"encoding/binary"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// defaultWords is the length of an answer whose prompt asks for none.
+const defaultWords = 24
+
+// wanted lets a prompt set the length of its answer.
+var wanted = regexp.MustCompile(`\[out=(\d+)\]`)
+
+var syllables = strings.Fields("ka lo mi re su ta ve no pi da")
+
+// Answer returns the words that an engine generates for a prompt; they depend
+// on nothing else, so that a reader can check them.
+func Answer(prompt string, most int) []string {
+	n := defaultWords
+	if m := wanted.FindStringSubmatch(prompt); m != nil {
+		n, _ = strconv.Atoi(m[1])
+	}
+	seed := xxhash.Sum64String(prompt)
+	words := make([]string, min(n, most))
+	for i := range words {
+		words[i] = word(seed, i)
+	}
+	return words
+}
+
+func word(seed uint64, i int) string {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], seed)
+	binary.LittleEndian.PutUint64(b[8:], uint64(i))
+	h := xxhash.Sum64(b[:])
+	n := uint64(len(syllables))
+	return syllables[h%n] + syllables[h/n%n] + syllables[h/n/n%n] + " "
+}
--- /dev/null
+++ b/pkg/clock/clock.go
@@ -0,0 +1,35 @@
+// Package clock gives trailshed its one representation of a moment.
+package clock
+
+import "time"
+
+// Millis is a moment in milliseconds since the Unix epoch. Within one process
+// it never runs backwards, because System counts it on the monotonic clock.
+type Millis int64
+
+// Never is the moment that no deadline reaches.
+const Never = Millis(1<<63 - 1)
+
+// Add returns the moment d later, rounded down to a millisecond.
+func (m Millis) Add(d time.Duration) Millis {
+	return m + Millis(d.Milliseconds())
+}
+
+// Sub returns the time from o to m; it is negative when m is the earlier.
+func (m Millis) Sub(o Millis) time.Duration {
+	return time.Duration(m-o) * time.Millisecond
+}
+
+// Time returns the moment as wall-clock time in UTC.
+func (m Millis) Time() time.Time {
+	return time.UnixMilli(int64(m)).UTC()
+}
+
+// System returns a function that reads the present moment. It fixes the offset
+// to wall-clock time once and counts on the monotonic clock from there, so that
+// a step of the wall clock moves no deadline.
+func System() func() Millis {
+	start := time.Now()
+	offset := Millis(start.UnixMilli())
+	return func() Millis { return offset.Add(time.Since(start)) }
+}
