claim: answer each ask once

A goroutine dump showed the ledger blocked on a send to a nil channel under its shard's lock: Loaded built its result with append(s.effects, s.step(now)...), where Go leaves open whether the first operand is read before or after the call; it was read after, so every effect came back twice and the second reply found no waiter. Ruled out: QUIC flow control (streams moved), lock order between dispatcher and members (no cycle in the dump).

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		return err
 	}
-	found := f.Inspect()
+	found := f.Inspect(context.Background())
 	fmt.Printf("endpoints: %d prompt tokens computed, %d wasted (%.2f%%); %d answers decoded; %d calls\n",
 		found.Prefilled, found.Wasted, 100*float64(found.Wasted)/float64(max(found.Prefilled, 1)), found.Decoded, found.Calls)
 	fmt.Printf("endpoints: ran twice %d, still held %d, unreadable %d\n",
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -89,7 +89,7 @@
 	case Announce:
 		c.announce(now, e)
 	case Configured:
-		c.configure(now, e)
+		c.configure(e)
 	case Reported:
 		c.reported(now, e)
 	case Unreachable:
@@ -108,7 +108,7 @@
 
 // configure takes over new members; those that are gone from the catalog keep
 // their server while attempts run there.
-func (c *Cell) configure(now clock.Millis, e Configured) {
+func (c *Cell) configure(e Configured) {
 	if e.Catalog.Revision < c.catalog.Revision {
 		return // a configuration never reverts
 	}
--- a/internal/cell/lengths.go
+++ b/internal/cell/lengths.go
@@ -22,11 +22,10 @@
 	if _, ok := l.seen[key]; !ok && len(l.seen) >= lengthKeysLimit {
 		clear(l.seen)
 	}
-	s := append(l.seen[key], tokens)
-	if len(s) > lengthsKept {
-		s = s[1:]
+	l.seen[key] = append(l.seen[key], tokens)
+	if n := len(l.seen[key]); n > lengthsKept {
+		l.seen[key] = l.seen[key][n-lengthsKept:]
 	}
-	l.seen[key] = s
 }
 
 func (l *lengths) predict(key string, most int) int {
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -162,7 +162,7 @@
 	s.busy, s.loaded = false, true
 	s.version, s.head = 0, head{}
 	s.known = map[Key]Claim{}
-	s.effects = nil
+	var deletes []Effect
 	for _, e := range entries {
 		var h head
 		if err := cbor.Unmarshal(e.Value, &h); err != nil {
@@ -171,7 +171,7 @@
 		if e.Key == s.headKey() {
 			s.version, s.head = e.Version, h
 		} else if !slices.ContainsFunc(h.Claims, func(c Claim) bool { return c.Ends > now }) {
-			s.effects = append(s.effects, Delete{Key: e.Key, Version: e.Version})
+			deletes = append(deletes, Delete{Key: e.Key, Version: e.Version})
 		}
 		for _, c := range h.Claims {
 			s.learn(now, c)
@@ -180,7 +180,7 @@
 	for _, c := range s.head.Claims {
 		s.learn(now, c) // the head is newer than any segment
 	}
-	return append(s.effects, s.step(now)...)
+	return append(deletes, s.step(now)...)
 }
 
 func (s *Shard) learn(now clock.Millis, c Claim) {
--- a/internal/command/remote.go
+++ b/internal/command/remote.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"os/user"
@@ -28,13 +29,14 @@
 	if err != nil {
 		return t, Error.Wrap(err)
 	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+r.Admin+"/v1/statements", bytes.NewReader(body))
+	ctx, cancel := context.WithTimeout(context.Background(), remoteTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Admin+"/v1/statements", bytes.NewReader(body))
 	if err != nil {
 		return t, Error.Wrap(err)
 	}
 	req.Header.Set("Authorization", "Bearer "+r.Token)
-	client := &http.Client{Timeout: remoteTimeout}
-	resp, err := client.Do(req)
+	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return t, Error.Wrap(err)
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -101,10 +101,10 @@
 	return o
 }
 
-// errClaim carries the outcome of a claim that was not granted.
-type errClaim struct{ outcome Outcome }
+// claimError carries the outcome of a claim that was not granted.
+type claimError struct{ outcome Outcome }
 
-func (e errClaim) Error() string { return e.outcome.Reason }
+func (e claimError) Error() string { return e.outcome.Reason }
 
 // try runs one granted attempt and tells the dispatcher how it ended.
 func (e *Entry) try(r *request, a *attempt, run runner) error {
@@ -154,7 +154,7 @@
 	if ctx.Err() != nil {
 		return Outcome{Result: CallerGone}, false
 	}
-	var unclaimed errClaim
+	var unclaimed claimError
 	if errors.As(err, &unclaimed) {
 		return r.truthful(unclaimed.outcome), false
 	}
@@ -207,14 +207,14 @@
 	case claim.Granted:
 		if ctx.Err() != nil || e.silent() {
 			e.options.Abandon(c)
-			return errClaim{refused(reasonFenced, defaultRetryAfter)}
+			return claimError{refused(reasonFenced, defaultRetryAfter)}
 		}
 		r.claimed = true
 		return nil
 	case claim.Taken:
-		return errClaim{taken(answer.Claim, r.Digest)}
+		return claimError{taken(answer.Claim, r.Digest)}
 	default:
-		return errClaim{refused(reasonClaim, defaultRetryAfter)}
+		return claimError{refused(reasonClaim, defaultRetryAfter)}
 	}
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -188,8 +188,7 @@
 	effects := step(l.options.Now())
 	for _, e := range effects {
 		if reply, ok := e.(claim.Reply); ok {
-			r.waiters[reply.Ask] <- reply.Answer
-			delete(r.waiters, reply.Ask)
+			l.reply(r, reply)
 		}
 	}
 	r.mu.Unlock()
@@ -205,6 +204,17 @@
 	}
 }
 
+// reply gives an ask its only answer; the caller holds the shard's lock.
+func (l *Ledger) reply(r *running, e claim.Reply) {
+	waiter, ok := r.waiters[e.Ask]
+	if !ok {
+		l.scope.Counter("invariants_violated").Inc(1)
+		return
+	}
+	delete(r.waiters, e.Ask)
+	waiter <- e.Answer
+}
+
 func (l *Ledger) load(r *running, e claim.Load) {
 	var all []platform.Entry
 	after := ""
--- a/internal/peer/typed.go
+++ b/internal/peer/typed.go
@@ -44,12 +44,9 @@
 // message of the same sender waits for it.
 func Handle[T any](r *message.Router, t *Transport, topic string, do func(Sender, T)) {
 	r.AddConsumerHandler(topic, topic, t, func(m *message.Message) error {
-		var v T
-		if err := cbor.Unmarshal(m.Payload, &v); err != nil {
-			t.scope.Counter("peer_malformed").Inc(1)
-			return nil // a retry would not mend it
+		if v, ok := decode[T](t, m); ok {
+			do(sender(m), v)
 		}
-		do(sender(m), v)
 		return nil
 	})
 }
@@ -58,9 +55,8 @@
 // on, so that a slow answer delays no other message.
 func Answer[Q, A any](r *message.Router, t *Transport, topic string, do func(context.Context, Sender, Q) A) {
 	r.AddConsumerHandler(topic, topic, t, func(m *message.Message) error {
-		var q Q
-		if err := cbor.Unmarshal(m.Payload, &q); err != nil {
-			t.scope.Counter("peer_malformed").Inc(1)
+		q, ok := decode[Q](t, m)
+		if !ok {
 			return nil
 		}
 		t.group.Go(func() {
@@ -75,6 +71,15 @@
 	})
 }
 
+// decode counts a malformed message; to take it again would not mend it.
+func decode[T any](t *Transport, m *message.Message) (v T, ok bool) {
+	if err := cbor.Unmarshal(m.Payload, &v); err != nil {
+		t.scope.Counter("peer_malformed").Inc(1)
+		return v, false
+	}
+	return v, true
+}
+
 func sender(m *message.Message) Sender {
 	address, _ := netip.ParseAddrPort(m.Metadata.Get(Address))
 	return Sender{Name: m.Metadata.Get(From), Address: address}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -99,16 +99,34 @@
 	Unreadable []string // endpoints that did not answer
 }
 
+// ledger adds up what the endpoints recorded.
+type ledger struct {
+	prefills map[string]int // tokens computed, by attempt
+	finished map[string]bool
+	keys     map[string]int
+}
+
+func (l *ledger) add(r engine.Run) {
+	switch r.Phase {
+	case "prefill":
+		l.prefills[r.Attempt] += r.Tokens
+	case "decode":
+		l.finished[r.Attempt] = r.Used
+	case "call":
+		if r.Key != "" {
+			l.keys[r.Key]++
+		}
+	}
+}
+
 // Inspect reads all endpoints' own records.
-func (f *Fleet) Inspect() Findings {
+func (f *Fleet) Inspect(ctx context.Context) Findings {
 	var found Findings
-	prefills := map[string]int{}
-	finished := map[string]bool{}
-	keys := map[string]int{}
+	l := ledger{prefills: map[string]int{}, finished: map[string]bool{}, keys: map[string]int{}}
 	for _, e := range f.Endpoints {
 		var runs []engine.Run
 		var report endpoint.Report
-		if get(e.Address, "/control/runs", &runs) != nil || get(e.Address, "/report", &report) != nil {
+		if get(ctx, e.Address, "/control/runs", &runs) != nil || get(ctx, e.Address, "/report", &report) != nil {
 			found.Unreadable = append(found.Unreadable, e.Name)
 			continue
 		}
@@ -116,41 +134,43 @@
 			found.StillHeld = append(found.StillHeld, e.Name+" "+h.Attempt+" "+h.Phase)
 		}
 		for _, r := range runs {
-			switch r.Phase {
-			case "prefill":
-				prefills[r.Attempt] += r.Tokens
-			case "decode":
-				finished[r.Attempt] = r.Used
-			case "call":
+			l.add(r)
+			if r.Phase == "call" {
 				found.Calls++
-				if r.Key != "" {
-					keys[r.Key]++
-				}
 			}
 		}
 	}
-	for attempt, tokens := range prefills {
+	l.sum(&found)
+	return found
+}
+
+func (l *ledger) sum(found *Findings) {
+	for attempt, tokens := range l.prefills {
 		found.Prefilled += tokens
-		if !finished[attempt] {
+		if !l.finished[attempt] {
 			found.Wasted += tokens
 		}
 	}
-	for _, done := range finished {
+	for _, done := range l.finished {
 		if done {
 			found.Decoded++
 		}
 	}
-	for key, n := range keys {
+	for key, n := range l.keys {
 		if n > 1 {
 			found.RanTwice = append(found.RanTwice, key)
 		}
 	}
-	return found
 }
 
-func get(address, path string, into any) error {
-	client := &http.Client{Timeout: 5 * time.Second}
-	resp, err := client.Get("http://" + address + path)
+func get(ctx context.Context, address, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return err
 	}
--- a/internal/trace/report.go
+++ b/internal/trace/report.go
@@ -148,7 +148,7 @@
 		r.Name, sum.Offered, r.Elapsed.Seconds(), sum.Answered,
 		float64(sum.Good)/r.Elapsed.Seconds(), percent(sum.Good, sum.Offered), sum.Lost, sum.Wrong)
 	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(out, "  class\toffered\tanswered\tgood\tgood %\tgave up\tTTFT p50\tp95\tp99 ms\tTBT p50\tp95\tp99 ms")
+	_, _ = fmt.Fprintln(out, "  class\toffered\tanswered\tin time\t%\tgave up\tTTFT p50\tp95\tp99 ms\tTBT p50\tp95\tp99 ms")
 	for _, name := range slices.Sorted(maps.Keys(r.classes)) {
 		t := r.classes[name]
 		_, _ = fmt.Fprintf(out, "  %s\t%d\t%d\t%d\t%.1f\t%d\t%s\t%s\n", name, t.offered, t.answered, t.good,
