member: carry every beat of the zone in few bytes

Cause: with 40 members in a zone, processes took live ones for gone and dispatchers flapped (TestAgreement failed): a heartbeat carried 16 of 55 known members, so that news of a member could come later than the 4 s after which it counts as gone. Ruled out: a longer patience (dead dispatchers would be missed as long), whole rows of all members (75 of 70 bytes, thrice, twice a second is 31 KB/s against 9 KB/s allowed).

Now a heartbeat carries 9 bytes for each member of the own zone and whole rows only of a sample.

Also found by new tests of change log and peers: submits gave up after 20 lost races without a pause (now random, growing pauses), and a question to a process that stopped hung until the idle timeout (now connections say that they close).

--- a/internal/changelog/log.go
+++ b/internal/changelog/log.go
@@ -38,7 +38,8 @@
 	snapshotEvery = 64
 	listPage      = 256
 	retryPause    = 200 * time.Millisecond
-	submitTries   = 20
+	submitPause   = 5 * time.Millisecond // doubled after each lost race, with a random part
+	submitTries   = 40
 )
 
 // Log is a process's copy of the configuration. Its methods may be called
@@ -133,7 +134,7 @@
 // the error tells by whom.
 func (l *Log) Submit(ctx context.Context, ch catalog.Change, base int64) (catalog.Change, error) {
 	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval = 20 * time.Millisecond
+	pause.InitialInterval, pause.MaxInterval = submitPause, retryPause
 	for range submitTries {
 		if other, ok := l.changedSince(base, ch); ok {
 			return ch, Error.Wrap(fmt.Errorf("%w: revision %d by %s", ErrRaced, other.Revision, other.Who))
@@ -153,9 +154,8 @@
 		if errors.Is(err, platform.ErrRefused) {
 			return ch, Error.Wrap(fmt.Errorf("%w: %w", ErrUnavailable, err))
 		}
-		if err := l.CatchUp(ctx); err != nil {
-			time.Sleep(pause.NextBackOff())
-		}
+		_ = l.CatchUp(ctx) // if it fails, so does the next try
+		sleep(ctx, pause.NextBackOff())
 	}
 	return ch, Error.Wrap(ErrUnavailable)
 }
--- /dev/null
+++ b/internal/changelog/log_test.go
@@ -0,0 +1,162 @@
+package changelog_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/trailshed/trailshed/internal/catalog"
+	"github.com/trailshed/trailshed/internal/changelog"
+	"github.com/trailshed/trailshed/internal/platform"
+	standin "github.com/trailshed/trailshed/internal/standin/platform"
+)
+
+// rig is a platform with as many copies of the configuration as wanted.
+type rig struct {
+	platform *standin.Platform
+	store    *platform.Store
+}
+
+func newRig(t testing.TB) *rig {
+	p := standin.New(5000, 5000)
+	server := httptest.NewServer(p.Handler())
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	return &rig{platform: p, store: platform.Connect(address, time.Second, tally.NoopScope)}
+}
+
+func (r *rig) log() *changelog.Log { return changelog.New(r.store, tally.NoopScope, zerolog.Nop()) }
+
+func zone(id, name string) catalog.Change {
+	return catalog.Change{ID: id, Who: id, Verb: catalog.VerbCreate, Noun: catalog.NounZone, Name: name}
+}
+
+// TestRacingOperators lets operators on different processes submit at once:
+// every command gets a revision of its own and every copy ends the same.
+func TestRacingOperators(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t)
+	const operators, each = 4, 30
+	logs := make([]*changelog.Log, operators)
+	var group sync.WaitGroup
+	errs := make(chan error, operators*each)
+	for i := range logs {
+		logs[i] = r.log()
+		group.Go(func() {
+			for n := range each {
+				id := fmt.Sprintf("op%d-%d", i, n)
+				_, err := logs[i].Submit(context.Background(), zone(id, id), logs[i].Current().Revision)
+				errs <- err
+			}
+		})
+	}
+	group.Wait()
+	close(errs)
+	for err := range errs {
+		c.Assert(err, qt.IsNil)
+	}
+	for _, l := range append(logs, r.log()) { // the last one starts from the snapshot
+		c.Assert(l.CatchUp(context.Background()), qt.IsNil)
+		c.Assert(l.Current().Revision, qt.Equals, int64(operators*each))
+		c.Assert(l.Current().Zones, qt.HasLen, operators*each)
+	}
+}
+
+// TestConflictingOperators says that the second of two commands decided on the
+// same state is told who changed it.
+func TestConflictingOperators(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t)
+	first, second := r.log(), r.log()
+	_, err := first.Submit(context.Background(), zone("a", "a"), 0)
+	c.Assert(err, qt.IsNil)
+	_, err = second.Submit(context.Background(), zone("b", "a"), 0)
+	c.Assert(err, qt.ErrorIs, changelog.ErrRaced)
+	c.Assert(err, qt.ErrorMatches, ".*revision 1 by a.*")
+}
+
+func TestSubmitUnderFaults(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults standin.Faults
+		ok     bool
+	}{
+		{"healthy", standin.Faults{}, true},
+		{"answer lost after the write", standin.Faults{LoseAnswers: 1}, true},
+		{"two answers lost", standin.Faults{LoseAnswers: 2}, true},
+		{"outage", standin.Faults{Outage: true}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRig(t)
+			l := r.log()
+			r.platform.SetFaults(test.faults)
+			_, err := l.Submit(context.Background(), zone("a", "a"), 0)
+			r.platform.SetFaults(standin.Faults{})
+			if !test.ok {
+				c.Assert(err, qt.ErrorIs, changelog.ErrUnavailable)
+			} else {
+				c.Assert(err, qt.IsNil)
+			}
+			fresh := r.log()
+			c.Assert(fresh.CatchUp(context.Background()), qt.IsNil)
+			c.Assert(fresh.Current().Revision == 1, qt.Equals, test.ok)
+		})
+	}
+}
+
+// TestNeverReverts feeds a copy old and skipped revisions.
+func TestNeverReverts(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t)
+	l := r.log()
+	for _, n := range []string{"a", "b", "c"} {
+		_, err := l.Submit(context.Background(), zone(n, n), l.Current().Revision)
+		c.Assert(err, qt.IsNil)
+	}
+	history := l.History()
+	c.Assert(l.Take(history[0], history[1]), qt.IsNil)
+	c.Assert(l.TakeDelta(changelog.Delta{Revision: 1, Rows: []catalog.Row{{Noun: "zone", Name: "x"}}}), qt.IsNil)
+	c.Assert(l.Current().Revision, qt.Equals, int64(3))
+	gap := history[2]
+	gap.Revision = 9
+	c.Assert(l.Take(gap), qt.IsNotNil)
+	c.Assert(l.Current().Revision, qt.Equals, int64(3))
+}
+
+// TestStartInAnOutage takes the configuration from a peer, change by change or
+// as a whole when the peer keeps no such old changes.
+func TestStartInAnOutage(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t)
+	peer := r.log()
+	for n := range 5 {
+		id := fmt.Sprint(n)
+		_, err := peer.Submit(context.Background(), zone(id, id), peer.Current().Revision)
+		c.Assert(err, qt.IsNil)
+	}
+	r.platform.SetFaults(standin.Faults{Outage: true})
+	fresh := r.log()
+	c.Assert(fresh.CatchUp(context.Background()), qt.IsNotNil)
+	c.Assert(fresh.Loaded(), qt.IsFalse)
+	c.Assert(fresh.TakeDelta(peer.Delta(changelog.Pull{After: 0})), qt.IsNil)
+	c.Assert(fresh.Loaded(), qt.IsTrue)
+	c.Assert(fresh.Current().Revision, qt.Equals, int64(5))
+	whole := changelog.Delta{Revision: 5, Rows: peer.Current().Rows()}
+	other := r.log()
+	c.Assert(other.TakeDelta(whole), qt.IsNil)
+	c.Assert(other.Current().Rows(), qt.DeepEquals, peer.Current().Rows())
+	c.Assert(other.Delta(changelog.Pull{After: 2}).Revision, qt.Equals, int64(5))
+}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,8 +22,10 @@
 const (
 	// contacts is how many members of another zone are known.
 	contacts = 3
-	// sampleMembers and sampleCells bound what a heartbeat passes on.
-	sampleMembers = 16
+	// sampleMembers, sampleForeign and sampleCells bound what a heartbeat
+	// passes on; of the own zone it carries every member's beat.
+	sampleMembers = 8
+	sampleForeign = 24
 	sampleCells   = 12
 	// foreignPatience is how many times longer another zone's news may take.
 	foreignPatience = 5
@@ -39,6 +42,17 @@
 	Revision    int64          `cbor:"7,keyasint" json:"revision"` // of its configuration
 }
 
+// Pulse is a member's beat in few bytes. Mark stands for its id and incarnation.
+type Pulse struct {
+	_    struct{} `cbor:",toarray"`
+	Mark uint32
+	Beat int64
+}
+
+func (m Member) mark() uint32 {
+	return uint32(xxhash.Sum64String(m.ID + "\x00" + strconv.FormatInt(m.Incarnation, 10)))
+}
+
 // newer says whether m tells more than o of the same process.
 func (m Member) newer(o Member) bool {
 	if m.Incarnation != o.Incarnation {
@@ -59,8 +73,9 @@
 // Heartbeat is the message between processes.
 type Heartbeat struct {
 	From    Member       `cbor:"1,keyasint"`
-	Members []Member     `cbor:"2,keyasint"`
+	Members []Member     `cbor:"2,keyasint"` // a sample
 	Cells   []CellStatus `cbor:"3,keyasint"`
+	Pulses  []Pulse      `cbor:"4,keyasint"`
 }
 
 type known struct {
@@ -79,6 +94,7 @@
 	self      Member
 	goneAfter time.Duration
 	members   map[string]*known
+	marks     map[uint32]*known
 	cells     map[catalog.Cell]*knownCell
 	random    *rand.Rand
 }
@@ -86,7 +102,7 @@
 // NewTable returns the view of a process that knows only itself.
 func NewTable(self Member, goneAfter time.Duration, seed uint64) *Table {
 	return &Table{
-		self: self, goneAfter: goneAfter, members: map[string]*known{},
+		self: self, goneAfter: goneAfter, members: map[string]*known{}, marks: map[uint32]*known{},
 		cells: map[catalog.Cell]*knownCell{}, random: rand.New(rand.NewPCG(seed, uint64(self.Incarnation))),
 	}
 }
@@ -107,6 +123,7 @@
 	h := Heartbeat{From: t.self, Cells: slices.Clone(own[:min(len(own), sampleCells)])}
 	rows := t.Live()
 	t.random.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
+	h.Pulses = t.pulses(rows)
 	for _, m := range rows[:min(len(rows), sampleMembers)] {
 		if m.ID != t.self.ID {
 			h.Members = append(h.Members, m)
@@ -122,6 +139,21 @@
 	return h
 }
 
+// pulses returns the beats of the whole own zone and of a part of the others.
+func (t *Table) pulses(rows []Member) []Pulse {
+	var all []Pulse
+	foreign := 0
+	for _, m := range rows {
+		if m.Zone != t.self.Zone {
+			foreign++
+		}
+		if m.Zone == t.self.Zone || foreign <= sampleForeign {
+			all = append(all, Pulse{Mark: m.mark(), Beat: m.Beat})
+		}
+	}
+	return all
+}
+
 // Targets picks the peers for a heartbeat: fanout of the own zone and one of
 // another zone.
 func (t *Table) Targets(fanout int) []netip.AddrPort {
@@ -150,6 +182,11 @@
 			joined = append(joined, m.ID)
 		}
 	}
+	for _, p := range h.Pulses {
+		if k, ok := t.marks[p.Mark]; ok && p.Beat > k.Beat {
+			k.Beat, k.heard, k.gone = p.Beat, now, false
+		}
+	}
 	for _, s := range h.Cells {
 		old, ok := t.cells[s.Cell]
 		if !ok || s.Stamp > old.Stamp {
@@ -167,9 +204,16 @@
 	if ok && !m.newer(old.Member) {
 		return false
 	}
-	t.members[m.ID] = &known{Member: m, heard: now}
-	t.trim(m.Zone)
-	return !ok || old.gone
+	k := &known{Member: m, heard: now}
+	if ok {
+		delete(t.marks, old.mark())
+	}
+	t.members[m.ID], t.marks[m.mark()] = k, k
+	if !ok || old.gone {
+		t.trim(m.Zone)
+		return true
+	}
+	return false
 }
 
 // trim forgets the members of another zone but its contacts.
@@ -178,14 +222,19 @@
 		return
 	}
 	keep := t.Contacts(zone)
-	for id, k := range t.members {
-		kept := slices.ContainsFunc(keep, func(m Member) bool { return m.ID == id })
+	for _, k := range t.members {
+		kept := slices.ContainsFunc(keep, func(m Member) bool { return m.ID == k.ID })
 		if k.Zone == zone && !k.gone && !kept {
-			delete(t.members, id)
+			t.forget(k)
 		}
 	}
 }
 
+func (t *Table) forget(k *known) {
+	delete(t.members, k.ID)
+	delete(t.marks, k.mark())
+}
+
 // Expire drops who was not heard of in time and returns their ids.
 func (t *Table) Expire(now clock.Millis) (gone []string) {
 	for id, k := range t.members {
@@ -195,7 +244,7 @@
 			k.gone = true
 			gone = append(gone, id)
 		case k.gone && silent > 4*t.patience(k.Zone):
-			delete(t.members, id)
+			t.forget(k)
 		}
 	}
 	for name, k := range t.cells {
@@ -214,15 +263,6 @@
 	return foreignPatience * t.goneAfter
 }
 
-// Suspect drops a member whose connection was lost until it is heard again.
-func (t *Table) Suspect(address netip.AddrPort) {
-	for _, k := range t.members {
-		if k.Address == address {
-			k.gone = true
-		}
-	}
-}
-
 // Live returns the known live members with this process, by id.
 func (t *Table) Live() []Member {
 	live := []Member{t.self}
--- a/internal/peer/lane.go
+++ b/internal/peer/lane.go
@@ -80,12 +80,13 @@
 		return Error.Wrap(err)
 	}
 	l.conn, l.stream = conn, stream
-	go l.watch(conn)
+	l.transport.group.Go(func() { l.watch(conn) })
 	return nil
 }
 
 // watch fails the questions of a connection as soon as it is lost.
 func (l *lane) watch(conn *quic.Conn) {
+	defer l.transport.closeLater(conn)()
 	<-conn.Context().Done()
 	l.transport.fail(l.to, Error.New("connection to %s lost", l.to))
 }
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -170,10 +170,9 @@
 func (t *Transport) Close() error {
 	t.stop()
 	_ = t.listen.Close()
+	t.group.Wait() // connections tell their peers that they close
 	_ = t.quic.Close()
-	_ = t.quic.Conn.Close()
-	t.group.Wait()
-	return nil
+	return Error.Wrap(t.quic.Conn.Close())
 }
 
 func (t *Transport) forget(id string) {
@@ -217,6 +216,7 @@
 }
 
 func (t *Transport) receive(conn *quic.Conn) {
+	defer t.closeLater(conn)()
 	name := certifiedName(conn)
 	for {
 		s, err := conn.AcceptUniStream(t.ctx)
@@ -227,6 +227,12 @@
 	}
 }
 
+// closeLater closes a connection when the transport closes, and says so to the
+// peer, which then need not wait for its idle timeout.
+func (t *Transport) closeLater(conn *quic.Conn) (stop func() bool) {
+	return context.AfterFunc(t.ctx, func() { _ = conn.CloseWithError(0, "closing") })
+}
+
 func (t *Transport) drain(from string, s *quic.ReceiveStream) {
 	for {
 		f, err := readFrame(s)
--- /dev/null
+++ b/internal/peer/transport_test.go
@@ -0,0 +1,158 @@
+package peer_test
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
+
+	"github.com/trailshed/trailshed/internal/peer"
+	"github.com/trailshed/trailshed/internal/standin/cert"
+)
+
+// node is a transport with its router.
+type node struct {
+	*peer.Transport
+	router *message.Router
+	stop   context.CancelFunc
+	ended  chan struct{}
+}
+
+func certificates(t testing.TB, dir, name string, a *cert.Authority) *tls.Config {
+	qt.Assert(t, a.Issue(name), qt.IsNil)
+	file := filepath.Join(dir, name)
+	c, err := peer.Certificates(filepath.Join(dir, "ca.pem"), file+".pem", file+".key")
+	qt.Assert(t, err, qt.IsNil)
+	return c
+}
+
+// open starts a transport; register must add a handler, as a router without
+// any never runs.
+func open(t testing.TB, name string, c *tls.Config, register func(*node)) *node {
+	tr, err := peer.Listen(name, netip.MustParseAddrPort(freeAddress(t)), c, tally.NoopScope)
+	qt.Assert(t, err, qt.IsNil)
+	n := &node{Transport: tr, ended: make(chan struct{})}
+	n.router, err = message.NewRouter(message.RouterConfig{}, watermill.NopLogger{})
+	qt.Assert(t, err, qt.IsNil)
+	register(n)
+	var ctx context.Context
+	ctx, n.stop = context.WithCancel(context.Background())
+	go func() {
+		defer close(n.ended)
+		_ = n.router.Run(ctx)
+	}()
+	<-n.router.Running()
+	return n
+}
+
+func (n *node) close() {
+	n.stop()
+	_ = n.Close()
+	<-n.ended
+}
+
+func freeAddress(t testing.TB) string {
+	l, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	return l.LocalAddr().String()
+}
+
+func silent(n *node) { peer.Handle(n.router, n.Transport, "silent", func(peer.Sender, note) {}) }
+
+type note struct {
+	Number int
+}
+
+func TestOrderAndReplies(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := qt.New(t)
+	dir := t.TempDir()
+	authority, err := cert.NewAuthority(dir)
+	c.Assert(err, qt.IsNil)
+	const notes = 500
+	got := make(chan note, notes)
+	senders := make(chan peer.Sender, notes)
+	server := open(t, "server", certificates(t, dir, "server", authority), func(n *node) {
+		peer.Handle(n.router, n.Transport, "note", func(s peer.Sender, v note) {
+			got <- v
+			senders <- s
+		})
+		peer.Answer(n.router, n.Transport, "double", func(_ context.Context, _ peer.Sender, v note) note {
+			return note{Number: 2 * v.Number}
+		})
+	})
+	client := open(t, "client", certificates(t, dir, "client", authority), silent)
+	for i := range notes {
+		c.Assert(peer.Send(client.Transport, server.Address(), "note", note{Number: i}), qt.IsNil)
+	}
+	for i := range notes {
+		c.Assert((<-got).Number, qt.Equals, i)
+	}
+	c.Assert((<-senders).Name, qt.Equals, "client")
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	reply, err := peer.Ask[note, note](ctx, client.Transport, server.Address(), "double", note{Number: 21})
+	c.Assert(err, qt.IsNil)
+	c.Assert(reply.Number, qt.Equals, 42)
+
+	server.close() // a question to a process that is gone fails before its time is up
+	_, err = peer.Ask[note, note](ctx, client.Transport, server.Address(), "double", note{Number: 1})
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(ctx.Err(), qt.IsNil)
+	client.close()
+}
+
+// TestStrangers says that a process whose certificate another authority signed
+// reaches nobody.
+func TestStrangers(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := qt.New(t)
+	ours, theirs := t.TempDir(), t.TempDir()
+	a, err := cert.NewAuthority(ours)
+	c.Assert(err, qt.IsNil)
+	b, err := cert.NewAuthority(theirs)
+	c.Assert(err, qt.IsNil)
+	server := open(t, "server", certificates(t, ours, "server", a), func(n *node) {
+		peer.Answer(n.router, n.Transport, "double", func(context.Context, peer.Sender, note) note { return note{} })
+	})
+	stranger := open(t, "stranger", certificates(t, theirs, "stranger", b), silent)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err = peer.Ask[note, note](ctx, stranger.Transport, server.Address(), "double", note{})
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(ctx.Err(), qt.IsNil)
+	stranger.close()
+	server.close()
+}
+
+func TestCertificateErrors(t *testing.T) {
+	dir, other := t.TempDir(), t.TempDir()
+	a, err := cert.NewAuthority(dir)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, a.Issue("n"), qt.IsNil)
+	b, err := cert.NewAuthority(other)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, b.Issue("m"), qt.IsNil)
+	tests := []struct{ name, ca, certificate, key, want string }{
+		{"missing", dir + "/none.pem", dir + "/n.pem", dir + "/n.key", ".*none.pem.*"},
+		{"no certificate inside", dir + "/n.key", dir + "/n.pem", dir + "/n.key", ".*no certificate in PEM form.*"},
+		{"key of another", dir + "/ca.pem", dir + "/n.pem", other + "/m.key", ".*n.pem with key.*m.key.*"},
+		{"signed by another", dir + "/ca.pem", other + "/m.pem", other + "/m.key", ".*m.pem.*unknown authority.*"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := peer.Certificates(test.ca, test.certificate, test.key)
+			qt.Assert(t, err, qt.ErrorMatches, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/site/site.go
@@ -0,0 +1,185 @@
+// Package site runs a platform, endpoints and nodes in one process, for tests
+// that need the whole path.
+package site
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/trailshed/trailshed/internal/node"
+	"github.com/trailshed/trailshed/internal/settings"
+	"github.com/trailshed/trailshed/internal/standin/cert"
+	"github.com/trailshed/trailshed/internal/standin/engine"
+	"github.com/trailshed/trailshed/internal/standin/platform"
+)
+
+// Token is the operators' token of all nodes.
+const Token = "operator"
+
+// Site is one set of everything.
+type Site struct {
+	Platform *platform.Platform
+	Engines  map[string]*engine.Engine
+	Nodes    []*Node
+
+	dir       string
+	authority *cert.Authority
+	server    *httptest.Server
+	engines   []*httptest.Server
+	addresses map[string]string
+	seeds     []string
+}
+
+// Node is one node with its addresses.
+type Node struct {
+	ID      string
+	Callers string
+	Admin   string
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+// Open starts a platform that has room for certificates in dir.
+func Open(dir string) (*Site, error) {
+	s := &Site{
+		Platform: platform.New(1000, 4000), Engines: map[string]*engine.Engine{},
+		dir: dir, addresses: map[string]string{},
+	}
+	s.server = httptest.NewServer(s.Platform.Handler())
+	var err error
+	s.authority, err = cert.NewAuthority(dir)
+	return s, err
+}
+
+// Close stops everything, nodes first.
+func (s *Site) Close() {
+	for _, n := range s.Nodes {
+		n.Stop()
+	}
+	for _, e := range s.engines {
+		e.CloseClientConnections()
+		e.Close()
+	}
+	for _, e := range s.Engines {
+		e.Close()
+	}
+	s.server.CloseClientConnections()
+	s.server.Close()
+}
+
+// AddEngine starts an endpoint.
+func (s *Site) AddEngine(name string, t engine.Traits) {
+	e := engine.New(t)
+	server := httptest.NewServer(e.Handler())
+	s.Engines[name], s.addresses[name] = e, server.Listener.Addr().String()
+	s.engines = append(s.engines, server)
+}
+
+// Address returns an endpoint's address.
+func (s *Site) Address(name string) string { return s.addresses[name] }
+
+// AddNode starts a node in a zone; change may alter its settings.
+func (s *Site) AddNode(id, zone string, change func(*settings.Settings)) (*Node, error) {
+	if err := s.authority.Issue(id); err != nil {
+		return nil, err
+	}
+	set, err := s.settings(id, zone)
+	if err != nil {
+		return nil, err
+	}
+	if change != nil {
+		change(set)
+	}
+	running, err := node.New(set, zerolog.New(os.Stderr).Level(zerolog.ErrorLevel))
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n := &Node{ID: id, Callers: set.Callers.Listen, Admin: set.Admin.Listen, stop: stop, done: make(chan struct{})}
+	go func() {
+		defer close(n.done)
+		if err := running.Run(ctx); err != nil {
+			fmt.Fprintln(os.Stderr, id, err)
+		}
+	}()
+	s.Nodes = append(s.Nodes, n)
+	s.seeds = append(s.seeds, set.Peers.Listen)
+	return n, n.await()
+}
+
+// Leave tells the node to stop and does not wait.
+func (n *Node) Leave() { n.stop() }
+
+// Stop tells the node to stop and waits until it has.
+func (n *Node) Stop() {
+	n.stop()
+	<-n.done
+}
+
+// await waits until the node answers health checks.
+func (n *Node) await() error {
+	deadline := time.Now().Add(10 * time.Second)
+	for time.Now().Before(deadline) {
+		resp, err := http.Get("http://" + n.Admin + "/healthz") //nolint:noctx // a test's poll
+		if err == nil {
+			return resp.Body.Close()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return fmt.Errorf("node %s does not answer", n.ID)
+}
+
+func (s *Site) settings(id, zone string) (*settings.Settings, error) {
+	ports, err := freePorts(3)
+	if err != nil {
+		return nil, err
+	}
+	file := filepath.Join(s.dir, id)
+	text := fmt.Sprintf(`
+node: {id: %s, zone: %s}
+peers: {listen: "127.0.0.1:%d", seeds: [%s], ca: %s, certificate: %s.pem, key: %s.key, heartbeat: 100ms, gone_after: 1s}
+callers: {listen: "127.0.0.1:%d", leave_delay: 100ms}
+admin: {listen: "127.0.0.1:%d", token: %s}
+platform: {address: "%s", timeout: 500ms, watch: 2s}
+`, id, zone, ports[0], quoted(s.seeds), filepath.Join(s.dir, "ca.pem"), file, file,
+		ports[1], ports[2], Token, s.server.Listener.Addr())
+	return settings.Parse(id+".yaml", []byte(text))
+}
+
+func quoted(all []string) string {
+	parts := make([]string, 0, len(all))
+	for _, s := range all {
+		parts = append(parts, fmt.Sprintf("%q", s))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// freePorts finds ports that are free for TCP and UDP.
+func freePorts(n int) ([]uint16, error) {
+	var ports []uint16
+	for len(ports) < n {
+		l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // closed at once
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		port := netip.MustParseAddrPort(l.Addr().String()).Port()
+		u, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(l.Addr().String())))
+		if err != nil {
+			continue
+		}
+		_ = u.Close()
+		ports = append(ports, port)
+	}
+	return ports, nil
+}
