--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 .PHONY: test
 test:
-	go test -race -count=1 ./...
+	go test -race -count=1 -timeout 5m ./...
 
 .PHONY: demo
 demo: build
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -23,7 +24,11 @@
 
 // Open returns a registry whose metrics carry the given tags.
 func Open(tags map[string]string) *Registry {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := prom.NewRegistry() // one each, as tests run many nodes in a process
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: registry, Gatherer: registry,
+		OnRegisterError: func(error) {}, // a metric that cannot be shown stops nothing
+	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "trailshed", Tags: tags, CachedReporter: reporter,
 		Separator: prometheus.DefaultSeparator, OmitCardinalityMetrics: true,
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -25,7 +25,6 @@
 	tables []*member.Table
 	frozen map[int]bool
 	cut    map[string]bool // zones without contact to others
-	bytes  int
 }
 
 func newTown(zones, each int) *town {
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,405 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/trailshed/trailshed/internal/query"
+	"github.com/trailshed/trailshed/internal/standin/engine"
+	"github.com/trailshed/trailshed/internal/standin/platform"
+	"github.com/trailshed/trailshed/internal/standin/site"
+	"github.com/trailshed/trailshed/internal/trace"
+)
+
+// patience bounds every wait of these tests; none asserts a time.
+const patience = 20 * time.Second
+
+// open starts a site of two zones: each with a node, a prefill and a decode
+// endpoint and a plain service. The zones' nodes are at index 0 and 1.
+func open(t testing.TB) *site.Site {
+	s, err := site.Open(t.TempDir())
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(s.Close)
+	for _, zone := range []string{"a", "b"} {
+		_, err := s.AddNode("n"+zone, zone, nil)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	statements := []string{
+		"create class gold rank = 0, ttft = 10s, tbt = 1s", // far, so that no verdict hangs on the machine's speed
+		"create workspace w class = gold, key = key-w",
+		"create workspace v class = gold, key = key-v",
+		"create kind chat serves = llm",
+		"create kind assign serves = llm, repeat = never",
+		"create kind confirm serves = bank, repeat = never",
+		"create kind read serves = bank",
+	}
+	for _, zone := range []string{"a", "b"} {
+		statements = append(statements, "create zone "+zone)
+		for _, role := range []engine.Role{engine.Prefill, engine.Decode, engine.Service} {
+			name, serves := zone+"-"+string(role), "llm"
+			if role == engine.Service {
+				serves = "bank"
+			}
+			s.AddEngine(name, engine.Traits{Role: role, StepBase: 2 * time.Millisecond, CallTime: 50 * time.Millisecond})
+			statements = append(statements,
+				fmt.Sprintf("create pool %s zone = %s, role = %s, serves = %s", name, zone, role, serves),
+				fmt.Sprintf("create endpoint %s pool = %s, address = %s", name, name, s.Address(name)))
+		}
+	}
+	for _, text := range statements {
+		_, err := do(s.Nodes[0], text)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	until(t, "every endpoint is heard", func() bool {
+		load, err := do(s.Nodes[1], "show load where state = open")
+		return err == nil && len(load.Rows) == 6
+	})
+	return s
+}
+
+// until polls, as nothing tells when a fact has reached every process.
+func until(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !holds(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("in vain: %s", what)
+		}
+	}
+}
+
+// do runs an operator's statement.
+func do(n *site.Node, text string) (query.Table, error) {
+	var table query.Table
+	body, _ := json.Marshal(map[string]string{"statement": text, "who": "test"})
+	req, _ := http.NewRequest(http.MethodPost, "http://"+n.Admin+"/v1/statements", bytes.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+site.Token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return table, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(resp.Body)
+		return table, fmt.Errorf("%s: %s", resp.Status, text)
+	}
+	return table, json.NewDecoder(resp.Body).Decode(&table)
+}
+
+// call is one caller's request.
+type call struct {
+	path, key, kind, once, body string
+}
+
+// answer is what the caller got.
+type answer struct {
+	status int
+	body   string
+	retry  string
+	id     string
+}
+
+func (c call) send(ctx context.Context, n *site.Node) (answer, error) {
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.Callers+c.path, strings.NewReader(c.body))
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	req.Header.Set("Trailshed-Kind", c.kind)
+	if c.once != "" {
+		req.Header.Set("Idempotency-Key", c.once)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, string(body), resp.Header.Get("Retry-After"), resp.Header.Get("Trailshed-Request")}, err
+}
+
+func completion(prompt string, most int, stream bool) call {
+	body := fmt.Sprintf(`{"model":"llm","prompt":%q,"max_tokens":%d,"stream":%t}`, prompt, most, stream)
+	return call{path: "/v1/completions", key: "key-w", kind: "chat", body: body}
+}
+
+func held(s *site.Site) int {
+	n := 0
+	for _, e := range s.Engines {
+		n += len(e.Held())
+	}
+	return n
+}
+
+func TestBadInput(t *testing.T) {
+	s := open(t)
+	good := completion("hello", 5, false)
+	tests := []struct {
+		name   string
+		change func(*call)
+		status int
+		want   []string
+	}{
+		{"malformed JSON", func(c *call) { c.body = `{"model":` }, 400, []string{"malformed_json", "body"}},
+		{"unknown model", func(c *call) { c.body = `{"model":"x","prompt":"p"}` }, 404, []string{"unknown_model", `"field":"model"`}},
+		{"unknown kind", func(c *call) { c.kind = "x" }, 400, []string{"unknown_kind", "Trailshed-Kind"}},
+		{"kind of another service", func(c *call) { c.kind = "read" }, 400, []string{"kind_mismatch"}},
+		{"unknown key", func(c *call) { c.key = "x" }, 401, []string{"unknown_key", "Authorization"}},
+		{"empty prompt", func(c *call) { c.body = `{"model":"llm"}` }, 400, []string{"empty_prompt", `"field":"prompt"`}},
+		{"too many tokens", func(c *call) { c.body = `{"model":"llm","prompt":"p","max_tokens":1000000}` }, 400, []string{"max_tokens"}},
+		{"over-long prompt", func(c *call) { c.body = completion(strings.Repeat("x", 500_000), 5, false).body }, 400, []string{"prompt_too_long"}},
+		{"oversize body", func(c *call) { c.body = strings.Repeat("x", 2<<20) }, 413, []string{"body_too_large"}},
+		{"key required", func(c *call) { c.kind = "assign" }, 400, []string{"key_required", "Idempotency-Key"}},
+		{"unknown service", func(c *call) { c.path = "/v1/services/x/y" }, 404, []string{"unknown_service"}},
+		{"unknown path", func(c *call) { c.path = "/v2" }, 404, []string{"not_found"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			bad := good
+			test.change(&bad)
+			a, err := bad.send(context.Background(), s.Nodes[0])
+			c.Assert(err, qt.IsNil)
+			c.Assert(a.status, qt.Equals, test.status)
+			for _, part := range append(test.want, `"outcome":"refused_not_run"`) {
+				c.Assert(a.body, qt.Contains, part)
+			}
+		})
+	}
+	for _, e := range s.Engines {
+		qt.Assert(t, e.Runs(), qt.HasLen, 0)
+	}
+}
+
+func TestCompletions(t *testing.T) {
+	s := open(t)
+	c := qt.New(t)
+	prompt := "who takes the parcel? [out=30]"
+	want := strings.Join(engine.Answer(prompt, 30), "")
+	whole, err := completion(prompt, 30, false).send(context.Background(), s.Nodes[0])
+	c.Assert(err, qt.IsNil)
+	c.Assert(whole.body, qt.Contains, want)
+	c.Assert(whole.body, qt.Contains, `"completion_tokens":30`)
+
+	streamed, err := completion(prompt, 30, true).send(context.Background(), s.Nodes[1])
+	c.Assert(err, qt.IsNil)
+	c.Assert(strings.Count(streamed.body, "data: "), qt.Equals, 32) // tokens, the end, [DONE]
+	c.Assert(strings.HasSuffix(streamed.body, "data: [DONE]\n\n"), qt.IsTrue)
+
+	chat := call{
+		path: "/v1/chat/completions", key: "key-w", kind: "chat",
+		body: `{"model":"llm","messages":[{"role":"user","content":"hi [out=3]"}]}`,
+	}
+	talked, err := chat.send(context.Background(), s.Nodes[0])
+	c.Assert(err, qt.IsNil)
+	c.Assert(talked.body, qt.Contains, strings.Join(engine.Answer("user: hi [out=3]\n", 3), ""))
+	c.Assert(talked.body, qt.Contains, `"role":"assistant"`)
+
+	why, err := do(s.Nodes[1], "explain "+whole.id)
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(why.Rows) >= 3, qt.IsTrue)
+}
+
+// TestFaultyEndpoints breaks the endpoints' answers; the caller still gets the
+// whole of its own, or is told that it is not whole.
+func TestFaultyEndpoints(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults map[string]engine.Faults
+	}{
+		{"lines repeated", map[string]engine.Faults{"a-decode": {RepeatTokens: true}}},
+		{"stream cut, resumed elsewhere", map[string]engine.Faults{"a-decode": {CutAfter: 7}}},
+		{"transfer stalled", map[string]engine.Faults{"a-prefill": {StallTransfers: true}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := open(t)
+			for name, f := range test.faults {
+				s.Engines[name].SetFaults(f)
+			}
+			a, err := completion("a long story [out=40]", 40, true).send(context.Background(), s.Nodes[0])
+			c.Assert(err, qt.IsNil)
+			c.Assert(a.status, qt.Equals, 200)
+			var text strings.Builder
+			for _, word := range engine.Answer("a long story [out=40]", 40) {
+				c.Assert(a.body, qt.Contains, fmt.Sprintf("%q", word))
+				text.WriteString(word)
+			}
+			c.Assert(strings.Count(a.body, `"text":`), qt.Equals, 41) // each token once, and the end
+			until(t, "nothing is held", func() bool { return held(s) == 0 })
+		})
+	}
+}
+
+// TestCallerGone lets callers hang up at any time; the engines are freed.
+func TestCallerGone(t *testing.T) {
+	s := open(t)
+	var group sync.WaitGroup
+	for i := range 30 {
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(20+i*10)*time.Millisecond)
+			defer cancel()
+			_, _ = completion(fmt.Sprintf("%d %s [out=4000]", i, strings.Repeat("x ", 2000)), 4000, true).send(ctx, s.Nodes[i%2])
+		})
+	}
+	group.Wait()
+	until(t, "nothing is held", func() bool { return held(s) == 0 })
+	until(t, "nothing is reserved", func() bool {
+		running, err := do(s.Nodes[0], "show running")
+		return err == nil && len(running.Rows) == 0
+	})
+}
+
+// TestAtMostOnce sends a confirmation with the same key to both zones at once,
+// again and again, also while the platform loses answers.
+func TestAtMostOnce(t *testing.T) {
+	c := qt.New(t)
+	s := open(t)
+	s.Platform.SetFaults(platform.Faults{LoseAnswers: 3})
+	const keys, each = 10, 4
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	statuses := map[int]int{}
+	for i := range keys * each {
+		group.Go(func() {
+			key := fmt.Sprintf("key-%d", i%keys)
+			a, err := call{"/v1/services/bank/confirm", "key-w", "confirm", key, key}.send(context.Background(), s.Nodes[i%2])
+			c.Check(err, qt.IsNil)
+			if a.status == 200 {
+				c.Check(a.body, qt.Contains, fmt.Sprint(engine.Digest([]byte(key))))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[a.status]++
+		})
+	}
+	group.Wait()
+	c.Assert(statuses[200] >= keys, qt.IsTrue, qt.Commentf("%v", statuses))
+	runs := map[string]int{}
+	for _, e := range s.Engines {
+		for _, r := range e.Runs() {
+			runs[r.Key]++
+		}
+	}
+	c.Assert(runs, qt.HasLen, keys)
+	for key, n := range runs {
+		c.Assert(n, qt.Equals, 1, qt.Commentf(key))
+	}
+	other, err := call{"/v1/services/bank/confirm", "key-v", "confirm", "key-1", "key-1"}.send(context.Background(), s.Nodes[0])
+	c.Assert(err, qt.IsNil)
+	c.Assert(other.status, qt.Equals, 200) // another workspace's key is another key
+	differs, err := call{"/v1/services/bank/confirm", "key-w", "confirm", "key-1", "another body"}.send(context.Background(), s.Nodes[0])
+	c.Assert(err, qt.IsNil)
+	c.Assert(differs.status, qt.Equals, 422)
+}
+
+// TestPlatformOutage says that repeatable work goes on, that work which may not
+// be repeated is refused as not run, and that it runs when the platform is back.
+func TestPlatformOutage(t *testing.T) {
+	c := qt.New(t)
+	s := open(t)
+	s.Platform.SetFaults(platform.Faults{Outage: true})
+	ctx := context.Background()
+	confirm := call{"/v1/services/bank/confirm", "key-w", "confirm", "k", "b"}
+	refused, err := confirm.send(ctx, s.Nodes[0])
+	c.Assert(err, qt.IsNil)
+	c.Assert(refused.status, qt.Equals, 503)
+	c.Assert(refused.body, qt.Contains, "refused_not_run")
+	c.Assert(refused.retry, qt.Not(qt.Equals), "")
+	c.Assert(s.Engines["a-service"].Runs(), qt.HasLen, 0)
+	served, err := completion("still there?", 5, false).send(ctx, s.Nodes[0])
+	c.Assert(err, qt.IsNil)
+	c.Assert(served.status, qt.Equals, 200)
+	_, err = do(s.Nodes[0], "create zone z")
+	c.Assert(err, qt.ErrorMatches, "(?s)503.*unavailable.*")
+
+	late, err := s.AddNode("late", "a", nil) // takes the configuration from a peer
+	c.Assert(err, qt.IsNil)
+	until(t, "the late node is ready", func() bool {
+		a, err := completion("and here?", 5, false).send(ctx, late)
+		return err == nil && a.status == 200
+	})
+	s.Platform.SetFaults(platform.Faults{})
+	until(t, "the confirmation runs", func() bool {
+		a, err := confirm.send(ctx, s.Nodes[0])
+		return err == nil && a.status == 200
+	})
+	c.Assert(len(s.Engines["a-service"].Runs())+len(s.Engines["b-service"].Runs()), qt.Equals, 1)
+}
+
+// TestPlannedStop replaces every node under load; no request is cut.
+func TestPlannedStop(t *testing.T) {
+	c := qt.New(t)
+	s := open(t)
+	second, err := s.AddNode("na2", "a", nil)
+	c.Assert(err, qt.IsNil)
+	until(t, "the second node is ready", func() bool {
+		a, err := completion("ready?", 5, false).send(context.Background(), second)
+		return err == nil && a.status == 200
+	})
+	var group sync.WaitGroup
+	for i := range 40 {
+		group.Go(func() {
+			prompt := fmt.Sprintf("request %d [out=60]", i)
+			a, err := completion(prompt, 60, true).send(context.Background(), s.Nodes[0])
+			c.Check(err, qt.IsNil)
+			c.Check(a.status, qt.Equals, 200, qt.Commentf(a.body))
+			c.Check(strings.HasSuffix(a.body, "data: [DONE]\n\n"), qt.IsTrue)
+		})
+	}
+	time.Sleep(50 * time.Millisecond) // some wait, some run
+	s.Nodes[0].Leave()
+	group.Wait()
+	s.Nodes[0].Stop()
+	a, err := completion("after", 5, false).send(context.Background(), second)
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.status, qt.Equals, 200)
+	until(t, "nothing is held", func() bool { return held(s) == 0 })
+}
+
+// TestDrainEverywhere says that a drained endpoint gets nothing new from any
+// node, and that its zone is served by the other one.
+func TestDrainEverywhere(t *testing.T) {
+	c := qt.New(t)
+	s := open(t)
+	_, err := do(s.Nodes[1], "drain endpoint a-decode")
+	c.Assert(err, qt.IsNil)
+	until(t, "every node has it in force", func() bool {
+		members, err := do(s.Nodes[0], "show load where state = draining")
+		return err == nil && len(members.Rows) == 1
+	})
+	before := len(s.Engines["a-decode"].Runs())
+	for _, n := range s.Nodes {
+		a, err := completion("elsewhere?", 5, false).send(context.Background(), n)
+		c.Assert(err, qt.IsNil)
+		c.Assert(a.status, qt.Equals, 200, qt.Commentf(a.body))
+	}
+	c.Assert(s.Engines["a-decode"].Runs(), qt.HasLen, before)
+	audit, err := do(s.Nodes[0], "show audit where name = a-decode")
+	c.Assert(err, qt.IsNil)
+	last := audit.Rows[len(audit.Rows)-1]
+	c.Assert(last[2:], qt.DeepEquals, []string{"test", "set", "endpoint", "a-decode", "state=serving", "state=draining"})
+}
+
+// TestReplay replays a small trace and checks every answer.
+func TestReplay(t *testing.T) {
+	c := qt.New(t)
+	s := open(t)
+	tr := &trace.Trace{Header: trace.Header{Name: "test", Classes: []trace.Class{{Name: "gold", TTFTMS: 10_000, TBTMS: 1000}}}}
+	for i := range 60 {
+		r := trace.Request{AtMS: int64(i * 5), Workspace: "w", Class: "gold", Kind: "chat", Model: "llm", Seed: int64(i), Tokens: 200, Out: 20}
+		r.Digest = trace.DigestOf(strings.Join(engine.Answer(r.Prompt(), r.Out), ""))
+		tr.Requests = append(tr.Requests, r)
+	}
+	targets := []netip.AddrPort{netip.MustParseAddrPort(s.Nodes[0].Callers), netip.MustParseAddrPort(s.Nodes[1].Callers)}
+	report := trace.NewPlayer(targets).Play(context.Background(), tr)
+	c.Assert(report.Totals(), qt.Equals, trace.Totals{Offered: 60, Answered: 60, Good: 60})
+}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -147,11 +147,11 @@
 	file := filepath.Join(s.dir, id)
 	text := fmt.Sprintf(`
 node: {id: %s, zone: %s}
-peers: {listen: "127.0.0.1:%d", seeds: [%s], ca: %s, certificate: %s.pem, key: %s.key, heartbeat: 100ms, gone_after: 1s}
+peers: {listen: "127.0.0.1:%d", seeds: [%s], ca: %q, certificate: %q, key: %q, heartbeat: 100ms, gone_after: 1s}
 callers: {listen: "127.0.0.1:%d", leave_delay: 100ms}
 admin: {listen: "127.0.0.1:%d", token: %s}
 platform: {address: "%s", timeout: 500ms, watch: 2s}
-`, id, zone, ports[0], quoted(s.seeds), filepath.Join(s.dir, "ca.pem"), file, file,
+`, id, zone, ports[0], quoted(s.seeds), filepath.Join(s.dir, "ca.pem"), file+".pem", file+".key",
 		ports[1], ports[2], Token, s.server.Listener.Addr())
 	return settings.Parse(id+".yaml", []byte(text))
 }
