peer: tell peers of a stop, and stop for certain

Cause: a node sometimes never stopped, seen under the race detector. A connection was closed by a function bound to the transport's context, and the reader that ended for the same reason could unbind it first; the connection then stayed open as long as the other side kept it alive. Ruled out: router (its handlers had ended), lanes (none left in the goroutine dump). Now whoever reads a connection closes it.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -65,6 +65,15 @@
 		load, err := do(s.Nodes[1], "show load where state = open")
 		return err == nil && len(load.Rows) == 6
 	})
+	until(t, "every cell is known", func() bool {
+		for _, n := range s.Nodes {
+			cells, err := do(n, "show cells where free = 20")
+			if err != nil || len(cells.Rows) != 4 {
+				return false
+			}
+		}
+		return true
+	})
 	return s
 }
 
--- a/internal/peer/lane.go
+++ b/internal/peer/lane.go
@@ -86,8 +86,11 @@
 
 // watch fails the questions of a connection as soon as it is lost.
 func (l *lane) watch(conn *quic.Conn) {
-	defer l.transport.closeLater(conn)()
-	<-conn.Context().Done()
+	select {
+	case <-conn.Context().Done():
+	case <-l.transport.ctx.Done():
+		_ = conn.CloseWithError(0, "closing")
+	}
 	l.transport.fail(l.to, Error.New("connection to %s lost", l.to))
 }
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -216,7 +216,9 @@
 }
 
 func (t *Transport) receive(conn *quic.Conn) {
-	defer t.closeLater(conn)()
+	// It ends with the connection or the transport; the peer is told of the
+	// latter and need not wait for its idle timeout.
+	defer func() { _ = conn.CloseWithError(0, "closing") }()
 	name := certifiedName(conn)
 	for {
 		s, err := conn.AcceptUniStream(t.ctx)
@@ -227,12 +229,6 @@
 	}
 }
 
-// closeLater closes a connection when the transport closes, and says so to the
-// peer, which then need not wait for its idle timeout.
-func (t *Transport) closeLater(conn *quic.Conn) (stop func() bool) {
-	return context.AfterFunc(t.ctx, func() { _ = conn.CloseWithError(0, "closing") })
-}
-
 func (t *Transport) drain(from string, s *quic.ReceiveStream) {
 	for {
 		f, err := readFrame(s)
