cell: make a decision's cost independent of what runs

Profiles and reading: invariants, expiry and settled cancels looked through every reservation at each event; every event tried the whole queue; cells were ordered by formatted names; every change laid out all zones.

Now reservations are kept by owner and by ending, the whole is swept ten times a second, nothing is searched when nothing can begin, and a zone lays out only itself.

The randomised tests pass as before, and still fail with a mechanism taken out.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -11,9 +11,9 @@
   callers+=(--callers "127.0.0.1:$port")
 done
 dir=build/demo
-build/trailshed replay "${callers[@]}" --strict demo/unions.ndjson >"$dir/unions.txt" 2>&1 &
+build/trailshed replay "${callers[@]}" --strict "${TRACES:-demo}/unions.ndjson" >"$dir/unions.txt" 2>&1 &
 unions=$!
-build/trailshed replay "${callers[@]}" --strict demo/couriers.ndjson >"$dir/couriers.txt" 2>&1 &
+build/trailshed replay "${callers[@]}" --strict "${TRACES:-demo}/couriers.ndjson" >"$dir/couriers.txt" 2>&1 &
 couriers=$!
 sleep "${ASK_AT:-9}"
 echo "--- show running limit 3 (during the replay)"
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -25,7 +25,7 @@
 	Pools      map[string]*Pool
 	Endpoints  map[string]*Endpoint
 	byKey      map[string]string // workspace by key hash
-	cells      cells
+	layouts    layouts
 }
 
 // The verbs of a change.
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -77,8 +78,67 @@
 func ExampleCatalog_Layout() {
 	c := small(nil)
 	c, _ = c.Apply(change(6, "set", "pool", "p", "state", "stopped"))
-	for name, members := range c.Layout() {
+	for name, members := range c.Layout("a") {
 		fmt.Println(name, members[0].Name, "draining:", members[0].Draining)
 	}
 	// Output: a/m/0 e draining: true
 }
+
+// BenchmarkCatalog is the configuration at the size that the first letter
+// names: 10,000 endpoints, 720 workspaces, 24 zones, 6 models.
+func BenchmarkCatalog(b *testing.B) {
+	c := catalog.New()
+	apply := func(verb, noun, name string, fields ...string) {
+		next, err := c.Apply(change(c.Revision+1, verb, noun, name, fields...))
+		if err != nil {
+			b.Fatal(err)
+		}
+		c = next
+	}
+	var rows []catalog.Row
+	add := func(noun, name string, fields ...string) {
+		r := catalog.Row{Noun: noun, Name: name}
+		for i := 0; i < len(fields); i += 2 {
+			r.Fields = append(r.Fields, catalog.Field{Name: fields[i], Value: fields[i+1]})
+		}
+		rows = append(rows, r)
+	}
+	add("class", "gold")
+	for i := range 720 {
+		add("workspace", fmt.Sprintf("w%03d", i), "class", "gold", "key_hash", fmt.Sprintf("%064d", i))
+	}
+	for z := range 24 {
+		zone := fmt.Sprintf("zone-%02d", z)
+		add("zone", zone)
+		for m := range 6 {
+			for _, role := range []string{"prefill", "decode"} {
+				add("pool", fmt.Sprintf("%s-model-%d-%s", zone, m, role), "zone", zone, "role", role, "serves", fmt.Sprintf("model-%d", m))
+			}
+		}
+	}
+	for i := range 10_000 {
+		pool := fmt.Sprintf("zone-%02d-model-%d-%s", i%24, i/24%6, []string{"prefill", "decode"}[i%3/2])
+		add("endpoint", fmt.Sprintf("endpoint-%05d", i), "pool", pool, "address", "10.0.0.1:8000")
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	c, err := catalog.FromRows(1, rows)
+	if err != nil {
+		b.Fatal(err)
+	}
+	cells := 0
+	for zone := range c.Zones {
+		cells += len(c.Layout(zone))
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	i := 0
+	for b.Loop() {
+		i++
+		apply("set", "endpoint", fmt.Sprintf("endpoint-%05d", i%10_000), "state", []string{"draining", "serving"}[i%2])
+		_ = c.Layout("zone-00")
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
+	b.ReportMetric(float64(cells), "cells")
+}
--- a/internal/catalog/layout.go
+++ b/internal/catalog/layout.go
@@ -1,8 +1,8 @@
 package catalog
 
 import (
+	"cmp"
 	"fmt"
-	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -21,6 +21,11 @@
 	Part   int    `cbor:"3,keyasint,omitempty" json:"part"`
 }
 
+// Compare orders cells by zone, what they serve and part.
+func (c Cell) Compare(o Cell) int {
+	return cmp.Or(cmp.Compare(c.Zone, o.Zone), cmp.Compare(c.Serves, o.Serves), cmp.Compare(c.Part, o.Part))
+}
+
 // String returns zone/serves/part.
 func (c Cell) String() string { return fmt.Sprintf("%s/%s/%d", c.Zone, c.Serves, c.Part) }
 
@@ -34,56 +39,62 @@
 	Draining bool // takes no new work
 }
 
-// cells is worked out once for each catalog, when first needed.
-type cells struct {
-	once     sync.Once
-	members  map[Cell][]Member
-	byServes map[place][]Cell
+// layouts are worked out once for each zone that asks, which is the own one.
+type layouts struct {
+	mu     sync.Mutex
+	byZone map[string]*layout
 }
 
-// place is what the parts of one cell have in common.
-type place struct{ zone, serves string }
-
-// Layout returns the members of every cell, sorted by name. Callers must not
-// change them.
-func (c *Catalog) Layout() map[Cell][]Member {
-	c.cells.once.Do(c.layOut)
-	return c.cells.members
+type layout struct {
+	members  map[Cell][]Member
+	byServes map[string][]Cell
 }
 
+// Layout returns the members of every cell of a zone, sorted by name. Callers
+// must not change them.
+func (c *Catalog) Layout(zone string) map[Cell][]Member { return c.layout(zone).members }
+
 // CellsOf returns the cells of a zone that serve a model or plain service.
-func (c *Catalog) CellsOf(zone, serves string) []Cell {
-	c.cells.once.Do(c.layOut)
-	return c.cells.byServes[place{zone, serves}]
-}
+func (c *Catalog) CellsOf(zone, serves string) []Cell { return c.layout(zone).byServes[serves] }
 
-func (c *Catalog) layOut() {
-	c.cells.members = c.membersByCell()
-	c.cells.byServes = map[place][]Cell{}
-	for name := range c.cells.members {
-		p := place{name.Zone, name.Serves}
-		c.cells.byServes[p] = append(c.cells.byServes[p], name)
+func (c *Catalog) layout(zone string) *layout {
+	c.layouts.mu.Lock()
+	defer c.layouts.mu.Unlock()
+	l, ok := c.layouts.byZone[zone]
+	if !ok {
+		l = c.layOut(zone)
+		if c.layouts.byZone == nil {
+			c.layouts.byZone = map[string]*layout{}
+		}
+		c.layouts.byZone[zone] = l
 	}
+	return l
 }
 
-func (c *Catalog) membersByCell() map[Cell][]Member {
-	sizes := map[Cell]int{}
-	for _, e := range c.Endpoints {
-		p := c.Pools[e.Pool]
-		sizes[Cell{Zone: p.Zone, Serves: p.Serves}]++
+func (c *Catalog) layOut(zone string) *layout {
+	sizes := map[string]int{}
+	var names []string
+	for name, e := range c.Endpoints {
+		if p := c.Pools[e.Pool]; p.Zone == zone {
+			sizes[p.Serves]++
+			names = append(names, name)
+		}
 	}
-	layout := map[Cell][]Member{}
-	for _, name := range slices.Sorted(maps.Keys(c.Endpoints)) {
+	slices.Sort(names)
+	l := &layout{members: map[Cell][]Member{}, byServes: map[string][]Cell{}}
+	for _, name := range names {
 		e := c.Endpoints[name]
 		p := c.Pools[e.Pool]
-		cell := Cell{Zone: p.Zone, Serves: p.Serves}
-		cell.Part = part(name, (sizes[cell]+cellSize-1)/cellSize)
-		layout[cell] = append(layout[cell], Member{
+		cell := Cell{Zone: zone, Serves: p.Serves, Part: part(name, (sizes[p.Serves]+cellSize-1)/cellSize)}
+		l.members[cell] = append(l.members[cell], Member{
 			Name: name, Role: p.Role, Address: e.Address, Slots: e.Slots, Link: e.Link,
 			Draining: e.State != EndpointServing || p.State != PoolRunning,
 		})
 	}
-	return layout
+	for cell := range l.members {
+		l.byServes[cell.Serves] = append(l.byServes[cell.Serves], cell)
+	}
+	return l
 }
 
 // part places an endpoint by its name alone, so that all nodes agree.
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -44,6 +44,9 @@
 	order        []*server // by name, so that decisions do not depend on map order
 	queue        queue
 	reservations map[AttemptID]*reservation
+	byOwner      map[ownerID]map[AttemptID]*reservation
+	ending       map[AttemptID]*reservation
+	swept        clock.Millis               // when everything was last looked through
 	owners       map[ownerID]clock.Millis   // when last heard
 	over         map[AttemptID]clock.Millis // ended lately
 	lengths      lengths
@@ -72,7 +75,8 @@
 	return &Cell{
 		Name: name, options: o, born: now, catalog: catalog.New(),
 		servers: map[string]*server{}, queue: newQueue(),
-		reservations: map[AttemptID]*reservation{}, owners: map[ownerID]clock.Millis{},
+		reservations: map[AttemptID]*reservation{}, byOwner: map[ownerID]map[AttemptID]*reservation{},
+		ending: map[AttemptID]*reservation{}, owners: map[ownerID]clock.Millis{},
 		over:    map[AttemptID]clock.Millis{},
 		lengths: newLengths(), retries: retryBurst, decisions: newDecisions(),
 	}
@@ -97,13 +101,26 @@
 	case Cancelled:
 		c.cancelled(now, e)
 	case Tick:
-		c.expireOwners(now)
+		c.refuseLate(now)
+		c.sweep(now)
 	}
 	c.dispatch(now)
-	c.checkInvariants()
 	return c.effects
 }
 
+// sweepInterval is how often everything is looked through. It is no event's
+// duty, so that an event's cost does not grow with the cell.
+const sweepInterval = 100 * time.Millisecond
+
+func (c *Cell) sweep(now clock.Millis) {
+	if now.Sub(c.swept) < sweepInterval {
+		return
+	}
+	c.swept = now
+	c.expireOwners(now)
+	c.checkInvariants()
+}
+
 func (c *Cell) emit(e Effect) { c.effects = append(c.effects, e) }
 
 // configure takes over new members; those that are gone from the catalog keep
@@ -161,7 +178,7 @@
 		}
 	}
 	for id, r := range c.reservations {
-		if r.owner.Node == "" {
+		if r.owner.Node == "" || c.byOwner[r.owner.id()][id] != r {
 			c.options.Violated("reservation " + string(id) + " has no owner")
 		}
 		if !r.holdPrefill && !r.holdDecode {
@@ -191,12 +208,6 @@
 
 // Digest returns the cell's headroom.
 func (c *Cell) Digest(now clock.Millis) Digest {
-	d := Digest{Waiting: len(c.queue.items)}
-	for _, s := range c.order {
-		if s.Role != catalog.RolePrefill && s.open(now, nil) {
-			d.Free += s.free()
-		}
-	}
-	d.Wait = c.predictWait(now, len(c.queue.items))
-	return d
+	n := len(c.queue.items)
+	return Digest{Free: c.freeSlots(now), Waiting: n, Wait: c.predictWait(now, n)}
 }
--- a/internal/cell/choose.go
+++ b/internal/cell/choose.go
@@ -214,20 +214,19 @@
 }
 
 func (c *Cell) slotWait(now clock.Millis, before int) time.Duration {
-	free := 0
+	free := c.freeSlots(now)
+	if before < free {
+		return 0
+	}
 	var ends []clock.Millis
 	for _, s := range c.order {
 		if s.Role == catalog.RolePrefill || !s.open(now, nil) {
 			continue
 		}
-		free += s.free()
 		for _, r := range s.used {
 			ends = append(ends, max(r.doneAt, now))
 		}
 	}
-	if before < free {
-		return 0
-	}
 	if len(ends) == 0 {
 		return retryCeiling
 	}
@@ -238,12 +237,41 @@
 	return time.Duration(rounds)*last + ends[need%len(ends)].Sub(now)
 }
 
-// dispatch grants what can begin and refuses what can no longer be in time.
+// freeSlots counts the slots at open endpoints that nobody holds.
+func (c *Cell) freeSlots(now clock.Millis) int {
+	free := 0
+	for _, s := range c.order {
+		if s.Role != catalog.RolePrefill && s.open(now, nil) {
+			free += s.free()
+		}
+	}
+	return free
+}
+
+// anyRoom says whether any request could begin now, to spare the search when
+// none can.
+func (c *Cell) anyRoom(now clock.Millis) bool {
+	if c.freeSlots(now) == 0 {
+		return false
+	}
+	prefill := false
+	for _, s := range c.order {
+		if s.Role != catalog.RolePrefill {
+			continue
+		}
+		prefill = true
+		if s.open(now, nil) && s.backlog(now) <= lookahead {
+			return true
+		}
+	}
+	return !prefill
+}
+
+// dispatch grants what can begin.
 func (c *Cell) dispatch(now clock.Millis) {
-	if len(c.queue.items) == 0 {
+	if len(c.queue.items) == 0 || !c.anyRoom(now) {
 		return
 	}
-	c.refuseLate(now)
 	c.queue.sort()
 	blocked := 0
 	for i := 0; i < len(c.queue.items) && blocked < blockedLimit; {
@@ -260,8 +288,8 @@
 	}
 }
 
-// refuseLate answers at once every request whose first token can no longer be
-// in time, however soon it began.
+// refuseLate answers every request whose first token can no longer be in time,
+// however soon it began. It runs at each tick.
 func (c *Cell) refuseLate(now clock.Millis) {
 	kept := c.queue.items[:0]
 	for _, w := range c.queue.items {
@@ -299,7 +327,7 @@
 	r.doneAt = now.Add(p.terms.Prefill + p.terms.Link + c.answerTime(p.decode, a.Workspace, a.Kind))
 	p.decode.used[a.Attempt] = r
 	p.decode.health.granted()
-	c.reservations[a.Attempt] = r
+	c.add(r)
 	c.options.Counted("granted")
 	c.decide(now, a.Attempt, "granted "+p.describe(), p.terms)
 	c.emit(SendGrant{To: a.Owner, Grant: g})
--- a/internal/cell/explain.go
+++ b/internal/cell/explain.go
@@ -65,7 +65,7 @@
 // Running returns what holds a place, in a fixed order.
 func (c *Cell) Running() []Holding {
 	var all []Holding
-	for _, r := range c.where(func(*reservation) bool { return true }) {
+	for _, r := range where(c.reservations, func(*reservation) bool { return true }) {
 		phase := string(r.phase)
 		if r.ending {
 			phase = "ending"
--- a/internal/cell/reservation.go
+++ b/internal/cell/reservation.go
@@ -115,6 +115,7 @@
 		return
 	}
 	r.ending, r.endingSince = true, now
+	c.ending[r.attempt] = r
 	if s, ok := c.servers[r.prefill]; ok {
 		s.endWork(now, r.attempt)
 	}
@@ -179,11 +180,32 @@
 
 func (c *Cell) forget(now clock.Millis, r *reservation) {
 	if !r.holdPrefill && !r.holdDecode {
-		delete(c.reservations, r.attempt)
+		c.remove(r)
 		c.over[r.attempt] = now
 	}
 }
 
+// add takes up a reservation; remove drops it.
+func (c *Cell) add(r *reservation) {
+	c.reservations[r.attempt] = r
+	owned, ok := c.byOwner[r.owner.id()]
+	if !ok {
+		owned = map[AttemptID]*reservation{}
+		c.byOwner[r.owner.id()] = owned
+	}
+	owned[r.attempt] = r
+}
+
+func (c *Cell) remove(r *reservation) {
+	delete(c.reservations, r.attempt)
+	delete(c.ending, r.attempt)
+	owned := c.byOwner[r.owner.id()]
+	delete(owned, r.attempt)
+	if len(owned) == 0 {
+		delete(c.byOwner, r.owner.id())
+	}
+}
+
 // announce renews an entry's attempts, adopts those of a former dispatcher and
 // ends those that the entry no longer wants.
 func (c *Cell) announce(now clock.Millis, a Announce) {
@@ -200,8 +222,8 @@
 			c.emit(SendFenced{To: a.Owner, Fenced: Fenced{Attempt: run.Attempt}})
 		}
 	}
-	for _, r := range c.where(func(r *reservation) bool {
-		return r.owner.id() == a.Owner.id() && !wanted[r.attempt] && now.Sub(r.granted) > grantGrace
+	for _, r := range where(c.byOwner[a.Owner.id()], func(r *reservation) bool {
+		return !wanted[r.attempt] && now.Sub(r.granted) > grantGrace
 	}) {
 		c.end(now, r, "entry no longer runs it")
 	}
@@ -236,7 +258,7 @@
 	if !ok {
 		return // its endpoint is not in this cell's configuration any more
 	}
-	c.reservations[run.Attempt] = r
+	c.add(r)
 	s.used[run.Attempt] = r
 	for _, server := range c.order {
 		delete(server.strangers, run.Attempt)
@@ -246,7 +268,7 @@
 
 // expireOwners ends the attempts of entries that fell silent.
 func (c *Cell) expireOwners(now clock.Millis) {
-	for _, r := range c.where(func(r *reservation) bool {
+	for _, r := range where(c.reservations, func(r *reservation) bool {
 		return !r.ending && now.Sub(c.lastHeard(r)) > c.options.OwnerExpiry
 	}) {
 		c.options.Counted("owner_expired")
@@ -278,9 +300,9 @@
 }
 
 // where returns the reservations that match, in a fixed order.
-func (c *Cell) where(match func(*reservation) bool) []*reservation {
+func where(all map[AttemptID]*reservation, match func(*reservation) bool) []*reservation {
 	var found []*reservation
-	for _, r := range c.reservations {
+	for _, r := range all {
 		if match(r) {
 			found = append(found, r)
 		}
@@ -305,8 +327,8 @@
 		held[AttemptID(h.Attempt)] = true
 		c.checkHeld(now, s, AttemptID(h.Attempt))
 	}
-	for _, r := range c.where(func(r *reservation) bool {
-		return r.ending && r.holdAt(s.Name) && !held[r.attempt] && e.Began.Sub(r.endingSince) > settle
+	for _, r := range where(c.ending, func(r *reservation) bool {
+		return r.holdAt(s.Name) && !held[r.attempt] && e.Began.Sub(r.endingSince) > settle
 	}) {
 		c.release(now, r, s.Name)
 	}
@@ -349,8 +371,8 @@
 	if !ok {
 		return
 	}
-	for _, r := range c.where(func(r *reservation) bool {
-		return r.ending && r.holdAt(name) && now.Sub(r.endingSince) > goneAfter && now.Sub(s.heard) > goneAfter
+	for _, r := range where(c.ending, func(r *reservation) bool {
+		return r.holdAt(name) && now.Sub(r.endingSince) > goneAfter && now.Sub(s.heard) > goneAfter
 	}) {
 		c.release(now, r, name)
 	}
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -112,7 +112,7 @@
 	}
 	w.catalog = next
 	if w.cell != nil {
-		w.apply(cell.Configured{Catalog: w.catalog, Members: w.catalog.Layout()[name]})
+		w.apply(cell.Configured{Catalog: w.catalog, Members: w.catalog.Layout("a")[name]})
 	}
 }
 
@@ -122,7 +122,7 @@
 		Policy: cell.PolicyJoint, OwnerExpiry: expiry, RetryShare: 0.1,
 		Violated: func(what string) { w.faults = append(w.faults, what) },
 	})
-	w.apply(cell.Configured{Catalog: w.catalog, Members: w.catalog.Layout()[name]})
+	w.apply(cell.Configured{Catalog: w.catalog, Members: w.catalog.Layout("a")[name]})
 }
 
 func (w *world) later(do func()) {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -104,7 +104,7 @@
 
 // Configure takes a newer catalog.
 func (d *Dispatcher) Configure(c *catalog.Catalog) {
-	layout := c.Layout()
+	layout := c.Layout(d.options.Zone)
 	d.mu.Lock()
 	if c.Revision < d.catalog.Revision {
 		d.mu.Unlock()
@@ -149,9 +149,6 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for name := range d.layout {
-		if name.Zone != d.options.Zone {
-			continue
-		}
 		_, have := d.cells[name]
 		if mine := d.options.Mine(name); mine && !have {
 			d.take(name)
--- /dev/null
+++ b/internal/member/bench_test.go
@@ -0,0 +1,58 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/trailshed/trailshed/internal/catalog"
+	"github.com/trailshed/trailshed/internal/cell"
+	"github.com/trailshed/trailshed/internal/member"
+)
+
+// BenchmarkHeartbeat is one member's heartbeat, made, encoded, decoded and
+// heard, in a town of 24 zones with so many members each and 9 cells a zone.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, each := range []int{2, 25, 75} {
+		b.Run(fmt.Sprintf("%d members a zone", each), func(b *testing.B) {
+			w := newTown(24, each)
+			own := w.tables[:each]
+			w.tables = append([]*member.Table{}, own...)
+			w.run(10 * time.Second)
+			table := w.tables[0]
+			foreign := newTown(24, 3)
+			h := member.Heartbeat{From: foreign.tables[0].Self()}
+			for i, f := range foreign.tables[3:] {
+				self := f.Self()
+				self.ID = fmt.Sprintf("far%03d", i)
+				h.Members = append(h.Members, self)
+			}
+			for z := range 24 {
+				for s := range 9 {
+					name := catalog.Cell{Zone: fmt.Sprintf("z%d", z), Serves: fmt.Sprintf("model-%d", s)}
+					h.Cells = append(h.Cells, member.CellStatus{
+						Cell: name, Node: "n000", Address: table.Self().Address, Stamp: w.now,
+						Digest: cell.Digest{Free: 100, Wait: time.Second},
+					})
+				}
+			}
+			table.Hear(w.now, h)
+			size := 0
+			for b.Loop() {
+				data, err := cbor.Marshal(table.Beat(w.now, 1, nil))
+				if err != nil {
+					b.Fatal(err)
+				}
+				var back member.Heartbeat
+				if err := cbor.Unmarshal(data, &back); err != nil {
+					b.Fatal(err)
+				}
+				table.Hear(w.now, back)
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "B/heartbeat")
+		})
+	}
+}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -281,7 +281,7 @@
 	for _, k := range t.cells {
 		all = append(all, k.CellStatus)
 	}
-	slices.SortFunc(all, func(a, b CellStatus) int { return cmp.Compare(a.Cell.String(), b.Cell.String()) })
+	slices.SortFunc(all, func(a, b CellStatus) int { return a.Cell.Compare(b.Cell) })
 	return all
 }
 
