--- a/internal/trace/player.go
+++ b/internal/trace/player.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -89,12 +90,8 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(r.CancelMS)*time.Millisecond)
 		defer cancel()
 	}
-	req, err := p.request(ctx, r, p.Targets[i%len(p.Targets)])
-	if err != nil {
-		return result{lost: true, reason: err.Error()}
-	}
 	began := time.Now()
-	resp, err := p.client.Do(req)
+	resp, err := p.connect(ctx, r, i)
 	if err != nil {
 		return result{lost: ctx.Err() == nil, gone: ctx.Err() != nil, reason: "no answer"}
 	}
@@ -115,6 +112,25 @@
 	return out
 }
 
+// connect sends to the next target that takes the connection, as a balancer
+// does; what was sent is never sent again.
+func (p *Player) connect(ctx context.Context, r Request, i int) (*http.Response, error) {
+	var last error
+	for n := range p.Targets {
+		req, err := p.request(ctx, r, p.Targets[(i+n)%len(p.Targets)])
+		if err != nil {
+			return nil, err
+		}
+		resp, err := p.client.Do(req)
+		var op *net.OpError
+		if err == nil || !errors.As(err, &op) || op.Op != "dial" {
+			return resp, err
+		}
+		last = err
+	}
+	return nil, last
+}
+
 func (p *Player) request(ctx context.Context, r Request, to netip.AddrPort) (*http.Request, error) {
 	url, body := "http://"+to.String()+"/v1/services/"+r.Service+"/confirm", []byte(r.Body())
 	if r.Model != "" {
