--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -108,17 +108,23 @@
 }
 
 type recordCommand struct {
-	Workload string  `long:"workload" choice:"unions" choice:"couriers" required:"true"`
+	Workload string  `long:"workload" choice:"unions" choice:"couriers" choice:"slope" required:"true"`
 	Seconds  float64 `long:"seconds" default:"20"`
 	Scale    float64 `long:"scale" default:"1" description:"multiple of the users' rate"`
 	Seed     uint64  `long:"seed" default:"1"`
+	Rate     float64 `long:"rate" default:"20" description:"slope: requests a second"`
+	Tokens   int     `long:"tokens" description:"slope: tokens of a prompt; 0 for a plain service"`
+	Out      int     `long:"out" description:"slope: tokens of an answer"`
 }
 
 // Execute prints the trace.
 func (c *recordCommand) Execute([]string) error {
 	w := record.Unions()
-	if c.Workload == "couriers" {
+	switch c.Workload {
+	case "couriers":
 		w = record.Couriers()
+	case "slope":
+		w = record.Slope(c.Rate, c.Tokens, c.Out)
 	}
 	return w.Make(c.Seconds, c.Scale, c.Seed).Write(os.Stdout)
 }
--- a/demo/cost.sh
+++ b/demo/cost.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Measures what the nodes themselves spend: processor time, memory and bytes
-# between them, idle for ten seconds and over a replay of both traces.
+# between them, idle for ten seconds, over each trace, and over
+# requests that are all alike.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 demo/up.sh
@@ -31,15 +32,26 @@
 echo "idle, a node and second: $(((cpu1 - cpu0) / 60)) ms processor, $(((bytes1 - bytes0) / 60)) bytes to peers; largest $(resident) KB resident"
 callers=()
 for port in 7101 7102 7103 7104 7105 7106; do callers+=(--callers "127.0.0.1:$port"); done
+
+# measure NAME TRACE: what the replay of a trace costs a request, less the idle cost.
+measure() {
+  local cpu=$(spent) bytes=$(sent) began=$(date +%s%N) requests seconds
+  build/trailshed replay "${callers[@]}" "$2" >"$dir/result.txt"
+  seconds=$((($(date +%s%N) - began) / 1000000000))
+  requests=$(($(wc -l <"$2") - 1))
+  echo "$1: $requests requests; a request $((($(spent) - cpu - seconds * (cpu1 - cpu0) / 10) * 1000 / requests)) us processor, $((($(sent) - bytes - seconds * (bytes1 - bytes0) / 10) / requests)) bytes to peers; largest $(resident) KB resident"
+  head -1 "$dir/result.txt"
+}
+
 before=$(calls)
-build/trailshed replay "${callers[@]}" demo/unions.ndjson >"$dir/unions.txt" &
-u=$!
-build/trailshed replay "${callers[@]}" demo/couriers.ndjson >"$dir/couriers.txt" &
-c=$!
-wait "$u" "$c"
-sleep 1
-cpu2=$(spent) bytes2=$(sent)
-requests=$(($(wc -l <demo/unions.ndjson) + $(wc -l <demo/couriers.ndjson) - 2))
-echo "replay of $requests requests: $(((cpu2 - cpu1) * 1000 / requests)) us processor a request, $(((bytes2 - bytes1) / requests)) bytes to peers a request; largest $(resident) KB resident"
+measure unions demo/unions.ndjson
+measure couriers demo/couriers.ndjson
 echo "platform before $before"
 echo "platform after  $(calls)"
+# Slopes: a request without tokens, more requests a second, longer prompts and answers.
+for slope in 40:0:0 80:0:0 20:500:10 20:500:110 20:4000:10; do
+  IFS=: read -r rate tokens out <<<"$slope"
+  trace=$dir/slope-$rate-$tokens-$out.ndjson
+  build/standin record --workload slope --seconds 12 --rate "$rate" --tokens "$tokens" --out "$out" >"$trace"
+  measure "slope-$rate/s-$tokens-in-$out-out" "$trace"
+done
--- a/internal/standin/record/record.go
+++ b/internal/standin/record/record.go
@@ -80,6 +80,20 @@
 	}
 }
 
+// Slope is requests that are all alike, to measure what one of them costs.
+func Slope(rate float64, tokens, out int) Workload {
+	kind := Kind{Name: "address_check", Model: "dispatch-llm", Rate: rate, Tokens: [2]int{tokens, tokens}, Out: [2]int{out, out}}
+	if tokens == 0 {
+		kind = Kind{Name: "tracking", Service: "tracking", Rate: rate}
+	}
+	return Workload{
+		Name: fmt.Sprintf("%d tokens in, %d out", tokens, out), Peak: 1,
+		Classes:    []trace.Class{{Name: "rider", TTFTMS: 1200, TBTMS: 49}},
+		Workspaces: []Workspace{{"dispatch", "rider", 1}},
+		Kinds:      []Kind{kind},
+	}
+}
+
 // Make records seconds of a workload at a multiple of its rate.
 func (w Workload) Make(seconds, scale float64, seed uint64) *trace.Trace {
 	random := rand.New(rand.NewPCG(seed, 1))
