--- a/internal/caller/front.go
+++ b/internal/caller/front.go
@@ -26,6 +26,8 @@
 	headerKind    = "Trailshed-Kind"
 	headerRequest = "Trailshed-Request"
 	headerKey     = "Idempotency-Key"
+	// headerNotReady marks answers of a process without configuration.
+	headerNotReady = "Trailshed-Not-Ready"
 )
 
 // Front is the HTTP surface.
@@ -69,6 +71,7 @@
 	if !f.ready() {
 		p := bad(http.StatusServiceUnavailable, "not_ready", "", "This process has no configuration yet.")
 		p.RetryAfter = notReadyRetry.Milliseconds()
+		w.Header().Set(headerNotReady, "1")
 		return asked, nil, p
 	}
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 
 import (
 	_ "embed"
+	"errors"
 	"os"
 	"strings"
 
@@ -56,7 +57,7 @@
 		return nil, Error.New("built-in defaults: %v", err)
 	}
 	if err := yaml.UnmarshalWithOptions(data, s, yaml.Strict()); err != nil {
-		return nil, Error.New("%s: %s", file, strings.TrimSpace(yaml.FormatError(err, false, true)))
+		return nil, syntaxError(file, err)
 	}
 	tree, err := parser.ParseBytes(data, 0)
 	if err != nil {
@@ -74,6 +75,16 @@
 	return s, nil
 }
 
+// syntaxError puts the position in front, as in all other errors.
+func syntaxError(file string, err error) error {
+	var at yaml.Error
+	if errors.As(err, &at) && at.GetToken() != nil {
+		t := at.GetToken()
+		return Error.New("%s:%d: %s: %q", file, t.Position.Line, at.GetMessage(), strings.TrimSpace(t.Value))
+	}
+	return Error.New("%s: %v", file, err)
+}
+
 func (s *Settings) rules() []rule {
 	var all []rule
 	all = append(all, s.Node.rules()...)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -39,13 +39,13 @@
 		want []string // parts of the error; none: the file is good
 	}{
 		{"good", "", "", nil},
-		{"unknown key", "  zone: a", "  zoen: a", []string{"f.yaml", "zoen", "3"}},
+		{"unknown key", "  zone: a", "  zoen: a", []string{"f.yaml:3: ", "unknown field", `"zoen"`}},
 		{"name instead of IP number", "127.0.0.1:7101", "localhost:7101", []string{"f.yaml:10", "callers.listen", "localhost:7101"}},
 		{"empty zone", "  zone: a", "  zone: ''", []string{"f.yaml:3", "node.zone", "must not be empty"}},
 		{"missing certificate", "  key: CA", "  key: /nowhere", []string{"f.yaml:8", "peers.key", "/nowhere"}},
 		{"policy", "platform:", "dispatch:\n  policy: best\nplatform:", []string{"f.yaml:15", "dispatch.policy", "best", "joint"}},
 		{"duration", "platform:", "claims:\n  interval: 1h\nplatform:", []string{"f.yaml:15", "claims.interval", "1h0m0s"}},
-		{"wrong type", "platform:", "claims:\n  shards: many\nplatform:", []string{"f.yaml", "many"}},
+		{"wrong type", "platform:", "claims:\n  shards: many\nplatform:", []string{"f.yaml:15: ", `"many"`}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/trace/player.go
+++ b/internal/trace/player.go
@@ -112,8 +112,8 @@
 	return out
 }
 
-// connect sends to the next target that takes the connection, as a balancer
-// does; what was sent is never sent again.
+// connect sends to the next target that takes the connection and is ready, as
+// a balancer does; what was sent is never sent again.
 func (p *Player) connect(ctx context.Context, r Request, i int) (*http.Response, error) {
 	var last error
 	for n := range p.Targets {
@@ -123,12 +123,27 @@
 		}
 		resp, err := p.client.Do(req)
 		var op *net.OpError
-		if err == nil || !errors.As(err, &op) || op.Op != "dial" {
-			return resp, err
+		if err != nil && (!errors.As(err, &op) || op.Op != "dial") {
+			return nil, err
+		}
+		if err == nil && !notReady(resp) {
+			return resp, nil
 		}
 		last = err
 	}
-	return nil, last
+	return nil, errors.Join(errNobody, last)
+}
+
+var errNobody = errors.New("no process takes the request")
+
+// notReady says whether a process answered that it is not ready, which a
+// balancer learns from its health check.
+func notReady(resp *http.Response) bool {
+	if resp.Header.Get("Trailshed-Not-Ready") == "" {
+		return false
+	}
+	_ = resp.Body.Close()
+	return true
 }
 
 func (p *Player) request(ctx context.Context, r Request, to netip.AddrPort) (*http.Request, error) {
