cell: keep every request through a rolling restart

Cause: replacing all six nodes in turn under load (demo/rolling.sh) refused 8 requests as no_endpoint, 2 as claim_unavailable and 1 repeat. A new dispatcher refused what came before its endpoints' first reports; a claim failed with the connection to its owner; and a grant lost with its connection was never said again, so that its entry waited in vain (3 dispatcher_silent, seen once the first two were mended). Ruled out: asks lost on the way (announcements make the entry ask again).

Now requests wait up to a second for endpoints not heard yet, claims fall back to the asking process, and a grant is said again when an announcement shows that it did not arrive.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -93,7 +93,7 @@
 	case Announce:
 		c.announce(now, e)
 	case Configured:
-		c.configure(e)
+		c.configure(now, e)
 	case Reported:
 		c.reported(now, e)
 	case Unreachable:
@@ -125,7 +125,7 @@
 
 // configure takes over new members; those that are gone from the catalog keep
 // their server while attempts run there.
-func (c *Cell) configure(e Configured) {
+func (c *Cell) configure(now clock.Millis, e Configured) {
 	if e.Catalog.Revision < c.catalog.Revision {
 		return // a configuration never reverts
 	}
@@ -135,7 +135,7 @@
 		wanted[m.Name] = true
 		s, ok := c.servers[m.Name]
 		if !ok || s.Address != m.Address || s.Role != m.Role {
-			s = newServer(m)
+			s = newServer(m, now)
 			c.servers[m.Name] = s
 		}
 		s.Member = m
@@ -212,5 +212,5 @@
 // Digest returns the cell's headroom.
 func (c *Cell) Digest(now clock.Millis) Digest {
 	n := len(c.queue.items)
-	return Digest{Free: c.freeSlots(now), Waiting: n, Wait: c.predictWait(now, n)}
+	return Digest{Free: c.openSlots(now), Waiting: n, Wait: c.predictWait(now, n)}
 }
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -189,6 +189,34 @@
 	}
 }
 
+// TestNewDispatcherWaits says that a dispatcher which has not heard its
+// endpoints yet lets requests wait for it and refuses none.
+func TestNewDispatcherWaits(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(8, 1, 1)
+	w.restart()
+	w.ask(w.entries[0], "early", 400, 0)
+	w.run(600 * time.Millisecond)
+	c.Assert(w.cell.Running(), qt.HasLen, 1)
+}
+
+// TestLostGrant says that a grant that did not arrive is said again, and that
+// the endpoints it named are still the ones.
+func TestLostGrant(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(9, 2, 2)
+	w.run(500 * time.Millisecond)
+	w.loss = 1
+	w.ask(w.entries[0], "r", 400, 0)
+	w.run(100 * time.Millisecond)
+	c.Assert(w.answers["r.1"], qt.Equals, 1)
+	c.Assert(w.entries[0].attempts["r.1"].granted, qt.IsFalse)
+	w.loss = 0
+	w.run(700 * time.Millisecond)
+	c.Assert(w.entries[0].attempts["r.1"].grant, qt.Equals, *w.granted["r.1"])
+	c.Assert(w.answers["r.1"], qt.Equals, 1)
+}
+
 // TestRepeatedAndOvertaken gives a dispatcher messages twice and out of order.
 func TestRepeatedAndOvertaken(t *testing.T) {
 	c := qt.New(t)
--- a/internal/cell/choose.go
+++ b/internal/cell/choose.go
@@ -92,7 +92,7 @@
 // fastest returns the terms of the best placement if nothing were in the way;
 // ok is false when no endpoint could ever take the request.
 func (c *Cell) fastest(now clock.Millis, w *waiting) (best Terms, ok bool) {
-	decode := c.emptiest(now, w, func(*server) bool { return true })
+	decode := c.emptiest(func(s *server) bool { return s.promising(now, w.ask.Avoid) })
 	if decode == nil {
 		return best, false
 	}
@@ -100,7 +100,7 @@
 	if w.ask.Tokens == 0 {
 		return best, true
 	}
-	for _, p := range c.prefills(now, w) {
+	for _, p := range c.prefills(func(s *server) bool { return s.promising(now, w.ask.Avoid) }) {
 		cached := p.prefixes.expect(w.ask.Blocks, w.ask.Tokens)
 		took, link := p.prefillTime(w.ask.Tokens, cached), p.linkTime(w.ask.Tokens)
 		if !ok || took+link < best.Prefill+best.Link {
@@ -110,10 +110,10 @@
 	return best, ok
 }
 
-func (c *Cell) prefills(now clock.Millis, w *waiting) []*server {
+func (c *Cell) prefills(fits func(*server) bool) []*server {
 	var open []*server
 	for _, s := range c.order {
-		if s.Role == catalog.RolePrefill && s.open(now, w.ask.Avoid) {
+		if s.Role == catalog.RolePrefill && fits(s) {
 			open = append(open, s)
 		}
 	}
@@ -122,10 +122,10 @@
 
 // emptiest returns the decode or service endpoint with the least taken part of
 // its slots among those that fit.
-func (c *Cell) emptiest(now clock.Millis, w *waiting, fits func(*server) bool) *server {
+func (c *Cell) emptiest(fits func(*server) bool) *server {
 	var best *server
 	for _, s := range c.order {
-		if s.Role == catalog.RolePrefill || !s.open(now, w.ask.Avoid) || !fits(s) {
+		if s.Role == catalog.RolePrefill || !fits(s) {
 			continue
 		}
 		if best == nil || len(s.used)*best.Slots < len(best.used)*s.Slots {
@@ -155,7 +155,7 @@
 // a decode slot is free, and some prefill endpoint is about to be. Prefix
 // affinity needs no weight of its own, as it is saved time like any other.
 func (c *Cell) choose(now clock.Millis, w *waiting) (placement, bool) {
-	decode := c.emptiest(now, w, func(s *server) bool { return s.room(w.tbt) })
+	decode := c.emptiest(func(s *server) bool { return s.open(now, w.ask.Avoid) && s.room(w.tbt) })
 	if decode == nil {
 		return placement{}, false
 	}
@@ -164,7 +164,7 @@
 	if w.ask.Tokens == 0 {
 		return best, true
 	}
-	open := c.prefills(now, w)
+	open := c.prefills(func(s *server) bool { return s.open(now, w.ask.Avoid) })
 	idle := slices.ContainsFunc(open, func(s *server) bool { return s.backlog(now) <= lookahead })
 	if !idle {
 		return placement{}, false
@@ -214,7 +214,7 @@
 }
 
 func (c *Cell) slotWait(now clock.Millis, before int) time.Duration {
-	free := c.freeSlots(now)
+	free := c.freeSlots(func(s *server) bool { return s.promising(now, nil) })
 	if before < free {
 		return 0
 	}
@@ -237,11 +237,15 @@
 	return time.Duration(rounds)*last + ends[need%len(ends)].Sub(now)
 }
 
-// freeSlots counts the slots at open endpoints that nobody holds.
-func (c *Cell) freeSlots(now clock.Millis) int {
+// openSlots counts the slots at open endpoints that nobody holds.
+func (c *Cell) openSlots(now clock.Millis) int {
+	return c.freeSlots(func(s *server) bool { return s.open(now, nil) })
+}
+
+func (c *Cell) freeSlots(fits func(*server) bool) int {
 	free := 0
 	for _, s := range c.order {
-		if s.Role != catalog.RolePrefill && s.open(now, nil) {
+		if s.Role != catalog.RolePrefill && fits(s) {
 			free += s.free()
 		}
 	}
@@ -251,7 +255,7 @@
 // anyRoom says whether any request could begin now, to spare the search when
 // none can.
 func (c *Cell) anyRoom(now clock.Millis) bool {
-	if c.freeSlots(now) == 0 {
+	if c.openSlots(now) == 0 {
 		return false
 	}
 	prefill := false
@@ -327,6 +331,7 @@
 	r.doneAt = now.Add(p.terms.Prefill + p.terms.Link + c.answerTime(p.decode, a.Workspace, a.Kind))
 	p.decode.used[a.Attempt] = r
 	p.decode.health.granted()
+	r.grant = g
 	c.add(r)
 	c.options.Counted("granted")
 	c.decide(now, a.Attempt, "granted "+p.describe(), p.terms)
--- a/internal/cell/reservation.go
+++ b/internal/cell/reservation.go
@@ -13,8 +13,10 @@
 	// settle is how long after a cancel a start may still be on its way, so
 	// that a listing without the attempt proves nothing yet.
 	settle = 1 * time.Second
-	// grantGrace is how long an announcement may still miss a new grant.
+	// grantGrace is how long an announcement may still miss a new grant;
+	// grantWay is how long a grant may be under way.
 	grantGrace = 1 * time.Second
+	grantWay   = 200 * time.Millisecond
 )
 
 // reservation is what an attempt holds at endpoints. It ends only when every
@@ -30,6 +32,7 @@
 	prefill     string
 	decode      string
 	phase       Phase
+	grant       Grant // said again when the entry does not know of it
 	granted     clock.Millis
 	expected    int // prompt tokens expected in the prefix cache
 	blocks      []uint64
@@ -211,6 +214,9 @@
 func (c *Cell) announce(now clock.Millis, a Announce) {
 	c.owners[a.Owner.id()] = now
 	wanted := map[AttemptID]bool{}
+	for _, id := range a.Waiting {
+		wanted[id] = true
+	}
 	for _, run := range a.Running {
 		wanted[run.Attempt] = true
 		r, ok := c.reservations[run.Attempt]
@@ -233,8 +239,13 @@
 func (c *Cell) renewWaiting(now clock.Millis, a Announce) {
 	var unknown []AttemptID
 	for _, id := range a.Waiting {
-		if c.queue.find(id) == nil && c.reservations[id] == nil {
+		r, granted := c.reservations[id]
+		switch {
+		case !granted && c.queue.find(id) == nil:
 			unknown = append(unknown, id)
+		case granted && !r.ending && now.Sub(r.granted) > grantWay:
+			c.options.Counted("granted_again")
+			c.emit(SendGrant{To: a.Owner, Grant: r.grant})
 		}
 	}
 	if len(unknown) > 0 {
--- a/internal/cell/server.go
+++ b/internal/cell/server.go
@@ -28,6 +28,7 @@
 	health health
 	report endpoint.Load
 	heard  clock.Millis // when the last report came
+	added  clock.Millis // when the dispatcher learned of it
 
 	// Prefill: a serial server in front of a serial link.
 	pending   []work
@@ -43,9 +44,9 @@
 	call      time.Duration // plain service: mean time of a call
 }
 
-func newServer(m catalog.Member) *server {
+func newServer(m catalog.Member, now clock.Millis) *server {
 	return &server{
-		Member: m, rate: defaultPrefillRate, call: defaultCall,
+		Member: m, added: now, rate: defaultPrefillRate, call: defaultCall,
 		prefixes: newPrefixes(), used: map[AttemptID]*reservation{},
 		strangers: map[AttemptID]clock.Millis{},
 	}
@@ -57,6 +58,19 @@
 	return s.heard > 0 && !s.Draining && s.health.open(now) && !slices.Contains(avoid, s.Name)
 }
 
+// promising says whether the server is open or, as it is new here, may be as
+// soon as it is heard.
+func (s *server) promising(now clock.Millis, avoid []string) bool {
+	if s.heard > 0 {
+		return s.open(now, avoid)
+	}
+	return !s.Draining && !slices.Contains(avoid, s.Name) && now.Sub(s.added) < unheardPatience
+}
+
+// unheardPatience is how long requests may wait for an endpoint that has not
+// been heard since its dispatcher learned of it.
+const unheardPatience = time.Second
+
 // free returns how many slots nobody holds.
 func (s *server) free() int { return max(s.Slots-len(s.used)-len(s.strangers), 0) }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -110,7 +110,8 @@
 	return all
 }
 
-// Claim asks the shard's owner; it answers Unavailable when none does in time.
+// Claim asks the shard's owner, then this process itself; it answers Unavailable
+// when neither does in time.
 func (l *Ledger) Claim(ctx context.Context, c claim.Claim, wait time.Duration) claim.Answer {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -118,11 +119,18 @@
 	if !ok || owner == l.transport.Address() {
 		return l.claimHere(ctx, c, wait)
 	}
-	answer, err := peer.Ask[question, claim.Answer](ctx, l.transport, owner, topicAsk, question{Claim: c, Wait: wait})
-	if err != nil {
-		l.scope.Counter("claim_owner_silent").Inc(1)
+	asking, stop := context.WithTimeout(ctx, wait/2)
+	defer stop()
+	answer, err := peer.Ask[question, claim.Answer](asking, l.transport, owner, topicAsk, question{Claim: c, Wait: wait / 2})
+	if err == nil {
+		return answer
+	}
+	// The owner is gone, or paused. Any process may claim, since the head's
+	// version decides; should the owner have written this claim, it is read.
+	l.scope.Counter("claim_owner_silent").Inc(1)
+	answer = l.claimHere(ctx, c, wait/2)
+	if answer.Verdict == claim.Unavailable {
 		l.Abandon(c)
-		return claim.Answer{Verdict: claim.Unavailable}
 	}
 	return answer
 }
