cell: take dead endpoints out at once, all of them if need be

Cause: with all endpoints of a zone killed for 6 s at the peak (demo/endpoints.sh), 92 and 65 requests were refused as late: dead endpoints were ejected like slow ones, of which half a pool must stay, so that half of the dead pool went on getting work. Ruled out: retry budget (no refusal named it), headroom of other zones (free slots).

Now an endpoint that misses three reports in a row gets nothing until its next report, and its cell refuses at once, so that entries go to another zone.

Tests for a slow endpoint (ejected, probed, readmitted) and the retry budget.

--- a/internal/cell/explain.go
+++ b/internal/cell/explain.go
@@ -108,6 +108,7 @@
 	Strange  int // held there for nobody known
 	Pending  int
 	Ejected  bool
+	Silent   bool         // counts as dead
 	Urgent   bool         // its next report settles something
 	Reported int          // attempts running by its own lagging report
 	Heard    clock.Millis // 0: never
@@ -117,7 +118,7 @@
 // never heard or gave cause for doubt, what ended there is not confirmed, or it
 // holds what nobody claims. The baselines know nothing but reports.
 func (c *Cell) urgent(s *server) bool {
-	if s.heard == 0 || s.health.strikes > 0 || len(s.strangers) > 0 || c.options.Policy != PolicyJoint {
+	if s.heard == 0 || s.missed > 0 || s.health.strikes > 0 || len(s.strangers) > 0 || c.options.Policy != PolicyJoint {
 		return true
 	}
 	for _, r := range c.ending {
@@ -134,7 +135,7 @@
 	for _, s := range c.order {
 		all = append(all, Status{
 			Member: s.Member, Used: len(s.used), Strange: len(s.strangers), Pending: len(s.pending),
-			Ejected: s.health.ejected, Urgent: c.urgent(s), Reported: s.report.Running, Heard: s.heard,
+			Ejected: s.health.ejected, Silent: s.missed >= missedToClose, Urgent: c.urgent(s), Reported: s.report.Running, Heard: s.heard,
 		})
 	}
 	return all
--- /dev/null
+++ b/internal/cell/health_test.go
@@ -0,0 +1,172 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/trailshed/trailshed/internal/catalog"
+	"github.com/trailshed/trailshed/internal/cell"
+	"github.com/trailshed/trailshed/internal/endpoint"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// ward is a cell whose endpoints' behaviour the test decides.
+type ward struct {
+	cell    *cell.Cell
+	now     clock.Millis
+	counted map[string]int
+	refused int
+	next    int
+	step    map[string]time.Duration
+}
+
+func newWard(decodes int) *ward {
+	w := &ward{now: 1_000_000, counted: map[string]int{}, step: map[string]time.Duration{}}
+	members := []catalog.Member{{Name: "p0", Role: catalog.RolePrefill, Slots: 20, Link: 1_000_000}}
+	for i := range decodes {
+		members = append(members, catalog.Member{Name: fmt.Sprintf("d%d", i), Role: catalog.RoleDecode, Slots: 4, Link: 1})
+	}
+	w.cell = cell.New(name, w.now, cell.Options{
+		Policy: cell.PolicyJoint, OwnerExpiry: time.Minute, RetryShare: 0.1,
+		Counted: func(what string) { w.counted[what]++ },
+	})
+	w.cell.Apply(w.now, cell.Configured{Catalog: catalog.New(), Members: members})
+	for _, m := range members {
+		w.step[m.Name] = 20 * time.Millisecond
+		w.cell.Apply(w.now, cell.Reported{Endpoint: m.Name, Began: w.now, Report: endpoint.Report{
+			Load: endpoint.Load{Running: 1, StepUS: 20_000},
+		}})
+	}
+	return w
+}
+
+// serve asks for one request and lets the granted endpoint answer at its speed;
+// it returns that endpoint, or nothing when refused.
+func (w *ward) serve(retry bool) string {
+	w.next++
+	id := cell.NewAttemptID(fmt.Sprint(w.next), 1)
+	w.now = w.now.Add(100 * time.Millisecond)
+	for _, e := range w.cell.Apply(w.now, cell.Ask{
+		Cell: name, Attempt: id, Owner: cell.Owner{Node: "e"}, Workspace: "w", Kind: "k",
+		Tokens: 10, MaxTokens: 50, Budget: time.Second, Retry: retry,
+	}) {
+		if g, ok := e.(cell.SendGrant); ok {
+			return w.answer(id, g.Grant.Decode)
+		}
+		w.refused++
+	}
+	return ""
+}
+
+func (w *ward) answer(id cell.AttemptID, at string) string {
+	const tokens = 10
+	for _, p := range []cell.Progress{
+		{Phase: cell.Prefilled, Took: time.Millisecond},
+		{Phase: cell.Streaming},
+		{Phase: cell.Finished, Took: tokens * w.step[at], Tokens: tokens},
+	} {
+		p.Cell, p.Attempt = name, id
+		w.cell.Apply(w.now, p)
+	}
+	return at
+}
+
+// TestGrayEndpoint makes one of three endpoints ten times slower, still
+// answering. It is ejected, probed, and readmitted when it is well again.
+func TestGrayEndpoint(t *testing.T) {
+	c := qt.New(t)
+	w := newWard(3)
+	served := func(n int) map[string]int {
+		at := map[string]int{}
+		for range n {
+			at[w.serve(false)]++
+		}
+		return at
+	}
+	c.Assert(served(30)["d0"] > 0, qt.IsTrue)
+	w.step["d0"] = 200 * time.Millisecond
+	served(10)
+	c.Assert(w.counted["ejected"], qt.Equals, 1)
+	c.Assert(served(30)["d0"], qt.Equals, 0)
+	c.Assert(served(100)["d0"] <= 3, qt.IsTrue) // probes, one in five seconds
+	w.step["d0"] = 20 * time.Millisecond
+	served(60)
+	c.Assert(w.counted["readmitted"], qt.Equals, 1)
+	c.Assert(served(30)["d0"] >= 5, qt.IsTrue)
+	c.Assert(w.refused, qt.Equals, 0)
+}
+
+// TestNeverBelowHalf says that not more than half of a pool is ejected, however
+// bad it looks.
+func TestNeverBelowHalf(t *testing.T) {
+	c := qt.New(t)
+	w := newWard(4)
+	for i := range 80 {
+		id := cell.NewAttemptID(fmt.Sprint(i), 1)
+		w.now = w.now.Add(10 * time.Millisecond)
+		for _, e := range w.cell.Apply(w.now, cell.Ask{
+			Cell: name, Attempt: id, Owner: cell.Owner{Node: "e"}, Tokens: 10, MaxTokens: 50, Budget: time.Second,
+		}) {
+			if g, ok := e.(cell.SendGrant); ok {
+				w.cell.Apply(w.now, cell.Progress{Cell: name, Attempt: id, Phase: cell.Failed, At: g.Grant.Decode})
+				w.cell.Apply(w.now, cell.Cancelled{Endpoint: g.Grant.Decode, Attempt: id, Known: true})
+				w.cell.Apply(w.now, cell.Cancelled{Endpoint: "p0", Attempt: id, Known: true})
+			}
+		}
+	}
+	ejected := 0
+	for _, s := range w.cell.Endpoints() {
+		if s.Ejected {
+			ejected++
+		}
+	}
+	c.Assert(ejected, qt.Equals, 2)
+}
+
+// TestSilentEndpoints says that endpoints which give no report get nothing, all
+// of them if need be, and work again from their next report on.
+func TestSilentEndpoints(t *testing.T) {
+	c := qt.New(t)
+	w := newWard(2)
+	silence := func(endpoint string) {
+		for range 3 {
+			w.cell.Apply(w.now, cell.Unreachable{Endpoint: endpoint})
+		}
+	}
+	silence("d0")
+	for range 10 {
+		c.Assert(w.serve(false), qt.Equals, "d1")
+	}
+	silence("d1")
+	c.Assert(w.serve(false), qt.Equals, "")
+	c.Assert(w.refused, qt.Equals, 1) // at once, so that its entry asks another zone
+	w.cell.Apply(w.now, cell.Reported{Endpoint: "d0", Began: w.now})
+	c.Assert(w.serve(false), qt.Equals, "d0")
+}
+
+// TestRetryBudget says that retries stay a share of the successes, so that the
+// failure of half a pool does not double the load on the rest.
+func TestRetryBudget(t *testing.T) {
+	c := qt.New(t)
+	w := newWard(2)
+	granted := 0
+	for range 200 {
+		if w.serve(true) != "" {
+			granted++
+		}
+	}
+	c.Assert(granted >= 10 && granted <= 12, qt.IsTrue, qt.Commentf("%d", granted))
+	for range 100 {
+		w.serve(false)
+	}
+	again := 0
+	for range 200 {
+		if w.serve(true) != "" {
+			again++
+		}
+	}
+	c.Assert(again >= 10 && again <= 12, qt.IsTrue, qt.Commentf("%d", again))
+}
--- a/internal/cell/reservation.go
+++ b/internal/cell/reservation.go
@@ -328,7 +328,7 @@
 	if !ok {
 		return
 	}
-	s.report, s.heard = e.Report.Load, now
+	s.report, s.heard, s.missed = e.Report.Load, now, 0
 	s.prefixes.take(e.Report.Events)
 	if s.Role == catalog.RoleDecode && s.report.StepUS > 0 && s.report.Running > 0 {
 		s.step.learn(s.report.Running, s.report.Step())
@@ -374,14 +374,16 @@
 	}
 }
 
-// unreachable counts against an endpoint that gives no report. What it holds
-// stays reserved until it is heard again or its attempts have long ended.
+// unreachable notes that an endpoint gave no report. What it holds stays reserved until it is heard again or its attempts have long ended.
 func (c *Cell) unreachable(now clock.Millis, name string) {
-	c.strike(now, name)
 	s, ok := c.servers[name]
 	if !ok {
 		return
 	}
+	s.missed++
+	if s.missed == missedToClose {
+		c.options.Counted("closed")
+	}
 	for _, r := range where(c.ending, func(r *reservation) bool {
 		return r.holdAt(name) && now.Sub(r.endingSince) > goneAfter && now.Sub(s.heard) > goneAfter
 	}) {
--- a/internal/cell/server.go
+++ b/internal/cell/server.go
@@ -28,6 +28,7 @@
 	health health
 	report endpoint.Load
 	heard  clock.Millis // when the last report came
+	missed int          // reports in a row that did not come
 	added  clock.Millis // when the dispatcher learned of it
 
 	// Prefill: a serial server in front of a serial link.
@@ -55,7 +56,7 @@
 // open says whether the server may be given new work. It must have reported
 // once, so that a new dispatcher knows what a former one gave it.
 func (s *server) open(now clock.Millis, avoid []string) bool {
-	return s.heard > 0 && !s.Draining && s.health.open(now) && !slices.Contains(avoid, s.Name)
+	return s.heard > 0 && s.missed < missedToClose && !s.Draining && s.health.open(now) && !slices.Contains(avoid, s.Name)
 }
 
 // promising says whether the server is open or, as it is new here, may be as
@@ -67,6 +68,10 @@
 	return !s.Draining && !slices.Contains(avoid, s.Name) && now.Sub(s.added) < unheardPatience
 }
 
+// missedToClose is how many reports in a row must fail for an endpoint to count
+// as dead. Unlike a slow one it gets nothing, even when it is the last.
+const missedToClose = 3
+
 // unheardPatience is how long requests may wait for an endpoint that has not
 // been heard since its dispatcher learned of it.
 const unheardPatience = time.Second
--- a/internal/operator/rows.go
+++ b/internal/operator/rows.go
@@ -112,6 +112,8 @@
 		switch {
 		case s.Heard == 0:
 			state = "unheard"
+		case s.Silent:
+			state = "silent"
 		case s.Draining:
 			state = "draining"
 		case s.Ejected:
