--- a/demo/cost.sh
+++ b/demo/cost.sh
@@ -49,7 +49,7 @@
 echo "platform before $before"
 echo "platform after  $(calls)"
 # Slopes: a request without tokens, more requests a second, longer prompts and answers.
-for slope in 40:0:0 80:0:0 20:500:10 20:500:110 20:4000:10; do
+for slope in 40:0:0 80:0:0 400:0:0 20:500:10 20:500:110 20:4000:10; do
   IFS=: read -r rate tokens out <<<"$slope"
   trace=$dir/slope-$rate-$tokens-$out.ndjson
   build/standin record --workload slope --seconds 12 --rate "$rate" --tokens "$tokens" --out "$out" >"$trace"
--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -1,9 +1,15 @@
 package endpoint
 
 import (
+	"context"
 	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -45,3 +51,53 @@
 		})
 	}
 }
+
+// TestCutSend lets a server reset the connection after each number of bytes of
+// a request. However few it read, the client never says that nothing ran; only
+// where nobody listens does it say so. And what may not be repeated is sent on
+// one connection only.
+func TestCutSend(t *testing.T) {
+	c := qt.New(t)
+	call := Call{Attempt: "a.1", Method: "POST", Path: "confirm", Header: http.Header{"Idempotency-Key": {"k"}}, Body: []byte("body"), Once: true}
+	whole := 0
+	for cut := 0; ; cut++ {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		read := make(chan int, 16)
+		go cutAfter(l, cut, read)
+		_, err = NewClient().Call(context.Background(), netip.MustParseAddrPort(l.Addr().String()), call)
+		c.Assert(errors.Is(err, ErrMayHaveRun), qt.IsTrue, qt.Commentf("cut at %d: %v", cut, err))
+		c.Assert(errors.Is(err, ErrNotRun), qt.IsFalse)
+		whole = max(whole, <-read)
+		c.Assert(l.Close(), qt.IsNil)
+		c.Assert(read, qt.HasLen, 0) // no second connection
+		if whole < cut {
+			break // the request was shorter than the cut
+		}
+	}
+	c.Assert(whole > 100, qt.IsTrue)
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	nobody := netip.MustParseAddrPort(l.Addr().String())
+	c.Assert(l.Close(), qt.IsNil)
+	_, err = NewClient().Call(context.Background(), nobody, call)
+	c.Assert(errors.Is(err, ErrNotRun), qt.IsTrue)
+	_, err = NewClient().Prefill(context.Background(), nobody, PrefillRequest{})
+	c.Assert(errors.Is(err, ErrNotRun), qt.IsTrue)
+}
+
+// cutAfter reads so many bytes of each connection, then resets it.
+func cutAfter(l net.Listener, cut int, read chan<- int) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		n, _ := io.ReadFull(conn, make([]byte, cut))
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		read <- n
+		_ = conn.Close()
+	}
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -310,6 +310,30 @@
 	c.Assert(differs.status, qt.Equals, 422)
 }
 
+// TestClaimsOutliveEveryNode stops all nodes and starts others: a confirmation
+// that ran does not run again.
+func TestClaimsOutliveEveryNode(t *testing.T) {
+	c := qt.New(t)
+	s := open(t)
+	confirm := call{"/v1/services/bank/confirm", "key-w", "confirm", "k", "b"}
+	a, err := confirm.send(context.Background(), s.Nodes[0])
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.status, qt.Equals, 200)
+	for _, n := range s.Nodes {
+		n.Stop()
+	}
+	fresh, err := s.AddNode("fresh", "b", nil)
+	c.Assert(err, qt.IsNil)
+	var again answer
+	until(t, "the new node answers for itself", func() bool {
+		again, err = confirm.send(context.Background(), fresh)
+		return err == nil && again.status != 503
+	})
+	c.Assert(again.status, qt.Equals, 409)
+	c.Assert(again.body, qt.Contains, "failed_may_have_run")
+	c.Assert(len(s.Engines["a-service"].Runs())+len(s.Engines["b-service"].Runs()), qt.Equals, 1)
+}
+
 // TestPlatformOutage says that repeatable work goes on, that work which may not
 // be repeated is refused as not run, and that it runs when the platform is back.
 func TestPlatformOutage(t *testing.T) {
