cell: grant only what will be in time

A grant was made on the best placement without asking whether that one was in time, and messages' own way was not counted.

Now the placement's first token and 25 ms for messages must fit the budget, or the request is refused before anything is computed.

The demonstration's scripts now share one file, and make up no longer stumbles over a list of processes that are gone.

--- a/demo/cost.sh
+++ b/demo/cost.sh
@@ -4,9 +4,9 @@
 # requests that are all alike.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. demo/lib.sh
 demo/up.sh
 trap demo/down.sh EXIT
-dir=build/demo
 nodes=$(tail -n 6 "$dir/pids")
 hz=$(getconf CLK_TCK)
 
@@ -30,9 +30,6 @@
 sleep 10
 cpu1=$(spent) bytes1=$(sent)
 echo "idle, a node and second: $(((cpu1 - cpu0) / 60)) ms processor, $(((bytes1 - bytes0) / 60)) bytes to peers; largest $(resident) KB resident"
-callers=()
-for port in 7101 7102 7103 7104 7105 7106; do callers+=(--callers "127.0.0.1:$port"); done
-
 # measure NAME TRACE: what the replay of a trace costs a request, less the idle cost.
 measure() {
   local cpu=$(spent) bytes=$(sent) began=$(date +%s%N) requests seconds
--- a/demo/freed.sh
+++ b/demo/freed.sh
@@ -4,14 +4,13 @@
 # (so the dispatcher too) are killed, an entry freezes.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-dir=build/demo
+. demo/lib.sh
 ports=$(grep -oE 'address: "127.0.0.1:[0-9]+' demo/fleet.yaml | grep -oE '[0-9]+$')
 ms() { date +%s%3N; }
 held() { # attempts on all engines
   local port
   for port in $ports; do curl -fsS "http://127.0.0.1:$port/report"; done | { grep -oE '"attempt"' || true; } | wc -l
 }
-pid() { sed -n "$(($1 + 4))p" "$dir/pids"; }
 streams=()
 open() { # twelve long streams through n1
   streams=()
@@ -38,23 +37,23 @@
   measure "callers hang up" "$n"
   open frozen
   n=$(held)
-  kill -STOP "$(pid 1)"
+  kill -STOP "$(pid 5)"
   measure "entry frozen" "$n"
-  kill -CONT "$(pid 1)"
+  kill -CONT "$(pid 5)"
   wait "${streams[@]}" || true
   sleep 2
   open killed
   n=$(held)
-  kill -KILL "$(pid 1)"
+  kill -KILL "$(pid 5)"
   measure "entry killed" "$n"
   demo/down.sh >/dev/null
   demo/up.sh >/dev/null
   open both
   n=$(held)
-  kill -KILL "$(pid 1)" "$(pid 4)"
+  kill -KILL "$(pid 5)" "$(pid 8)"
   sleep 0.2
   build/trailshed serve --settings "$dir/n4.yaml" >>"$dir/n4.log" 2>&1 &
-  sed -i "8s/.*/$!/" "$dir/pids"
+  restarted 8 "$!"
   measure "entry and dispatcher killed, zone empty, one node started" "$n"
   demo/down.sh >/dev/null
   trap - EXIT
--- a/demo/propagate.sh
+++ b/demo/propagate.sh
@@ -4,13 +4,10 @@
 # under load and, for the drain, also with the platform down after the command.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. demo/lib.sh
 demo/up.sh
 trap demo/down.sh EXIT
-dir=build/demo
-callers=()
-for port in 7101 7102 7103 7104 7105 7106; do callers+=(--callers "127.0.0.1:$port"); done
-build/trailshed replay "${callers[@]}" demo/unions.ndjson >"$dir/unions.txt" &
-replay=$!
+replay_both
 
 ask() { # port statement: the answer's revision
   curl -fsS -H 'Authorization: Bearer demo' -d "{\"statement\":\"$2\",\"who\":\"propagate\"}" \
@@ -40,5 +37,4 @@
 drain a-member-llm-decode-1 7401
 drain b-member-llm-decode-1 7413 outage
 curl -fsS -X PUT -d '{}' http://127.0.0.1:7900/control/faults
-wait "$replay"
-head -1 "$dir/unions.txt"
+await_both
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -3,18 +3,11 @@
 # and stops, asks some questions meanwhile, and prints what came of it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. demo/lib.sh
 demo/up.sh
 trap demo/down.sh EXIT
 export TRAILSHED_ADMIN=127.0.0.1:7202 TRAILSHED_TOKEN=demo TRAILSHED_AS=demo
-callers=()
-for port in 7101 7102 7103 7104 7105 7106; do
-  callers+=(--callers "127.0.0.1:$port")
-done
-dir=build/demo
-build/trailshed replay "${callers[@]}" --strict "${TRACES:-demo}/unions.ndjson" >"$dir/unions.txt" 2>&1 &
-unions=$!
-build/trailshed replay "${callers[@]}" --strict "${TRACES:-demo}/couriers.ndjson" >"$dir/couriers.txt" 2>&1 &
-couriers=$!
+replay_both --strict
 sleep "${ASK_AT:-9}"
 echo "--- show running limit 3 (during the replay)"
 build/trailshed query show running limit 3
@@ -26,9 +19,7 @@
   build/trailshed query explain "$attempt"
 fi
 status=0
-wait "$unions" || status=1
-wait "$couriers" || status=1
-cat "$dir/unions.txt" "$dir/couriers.txt"
+await_both || status=1
 sleep 3 # until what was cancelled last is confirmed
 build/standin inspect --fleet demo/fleet.yaml || status=1
 curl -fsS http://127.0.0.1:7900/control/counts | sed 's/^/platform calls: /'
--- a/demo/up.sh
+++ b/demo/up.sh
@@ -5,8 +5,12 @@
 cd "$(dirname "$0")/.."
 dir=build/demo
 if [ -s "$dir/pids" ]; then
-  echo "the demonstration is up already; use make down" >&2
-  exit 1
+  for pid in $(cat "$dir/pids"); do
+    if kill -0 "$pid" 2>/dev/null; then
+      echo "the demonstration is up already; use make down" >&2
+      exit 1
+    fi
+  done
 fi
 rm -rf "$dir"
 mkdir -p "$dir"
--- a/internal/cell/choose.go
+++ b/internal/cell/choose.go
@@ -59,7 +59,7 @@
 	c.queue.sort()
 	best.Wait = c.predictWait(now, slices.Index(c.queue.items, w))
 	best.Budget = a.Budget
-	if best.FirstToken() > a.Budget {
+	if best.late() {
 		c.queue.remove(a.Attempt)
 		c.refuse(now, w, ReasonLate, best)
 		return
@@ -287,6 +287,10 @@
 			continue
 		}
 		c.queue.items = slices.Delete(c.queue.items, i, i+1)
+		if p.terms.late() {
+			c.refuse(now, w, ReasonLate, p.terms) // sooner it never will be
+			continue
+		}
 		c.queue.charge(now, w)
 		c.grant(now, w, p)
 	}
@@ -302,7 +306,7 @@
 		switch {
 		case !ok:
 			c.refuse(now, w, ReasonNoEndpoint, best)
-		case best.FirstToken() > w.ask.Budget:
+		case best.late():
 			c.refuse(now, w, ReasonLate, best)
 		default:
 			kept = append(kept, w)
--- a/internal/cell/health_test.go
+++ b/internal/cell/health_test.go
@@ -21,10 +21,11 @@
 	refused int
 	next    int
 	step    map[string]time.Duration
+	budget  time.Duration
 }
 
 func newWard(decodes int) *ward {
-	w := &ward{now: 1_000_000, counted: map[string]int{}, step: map[string]time.Duration{}}
+	w := &ward{now: 1_000_000, counted: map[string]int{}, step: map[string]time.Duration{}, budget: time.Second}
 	members := []catalog.Member{{Name: "p0", Role: catalog.RolePrefill, Slots: 20, Link: 1_000_000}}
 	for i := range decodes {
 		members = append(members, catalog.Member{Name: fmt.Sprintf("d%d", i), Role: catalog.RoleDecode, Slots: 4, Link: 1})
@@ -51,7 +52,7 @@
 	w.now = w.now.Add(100 * time.Millisecond)
 	for _, e := range w.cell.Apply(w.now, cell.Ask{
 		Cell: name, Attempt: id, Owner: cell.Owner{Node: "e"}, Workspace: "w", Kind: "k",
-		Tokens: 10, MaxTokens: 50, Budget: time.Second, Retry: retry,
+		Tokens: 10, MaxTokens: 50, Budget: w.budget, Retry: retry,
 	}) {
 		if g, ok := e.(cell.SendGrant); ok {
 			return w.answer(id, g.Grant.Decode)
@@ -170,3 +171,24 @@
 	}
 	c.Assert(again >= 10 && again <= 12, qt.IsTrue, qt.Commentf("%d", again))
 }
+
+// TestGrantedOnlyInTime says that a request whose best placement would be late,
+// the way of messages included, is refused and not computed in vain.
+func TestGrantedOnlyInTime(t *testing.T) {
+	tests := []struct {
+		budget time.Duration
+		want   int // refusals
+	}{
+		{200 * time.Millisecond, 0},
+		{30 * time.Millisecond, 1}, // a step of 20 ms and the way
+	}
+	for _, test := range tests {
+		t.Run(test.budget.String(), func(t *testing.T) {
+			c := qt.New(t)
+			w := newWard(1)
+			w.budget = test.budget
+			w.serve(false)
+			c.Assert(w.refused, qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/cell/message.go
+++ b/internal/cell/message.go
@@ -64,6 +64,11 @@
 // FirstToken returns the predicted time to the first token.
 func (t Terms) FirstToken() time.Duration { return t.Wait + t.Prefill + t.Link + t.Step }
 
+// margin is what messages between processes and their delays take.
+const margin = 25 * time.Millisecond
+
+func (t Terms) late() bool { return t.FirstToken()+margin > t.Budget }
+
 // The reasons of a refusal.
 const (
 	ReasonLate        = "first_token_late"
