--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -130,6 +130,10 @@
 	})
 }
 
+// Cut loses every message to a process at an address for which lost returns
+// true. It is a seam for tests.
+func (n *Node) Cut(lost func(netip.AddrPort) bool) { n.transport.Cut(lost) }
+
 // Run serves until ctx ends, then stops without cutting a request.
 func (n *Node) Run(ctx context.Context) error {
 	serving, stop := context.WithCancel(context.Background())
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -368,6 +368,49 @@
 	c.Assert(len(s.Engines["a-service"].Runs())+len(s.Engines["b-service"].Runs()), qt.Equals, 1)
 }
 
+// TestZoneCut cuts one zone off from the other and both from the platform. Each
+// serves with its own endpoints, and when the cut heals a command given in one
+// is in force in the other.
+func TestZoneCut(t *testing.T) {
+	c := qt.New(t)
+	s := open(t)
+	alone := func(n *site.Node, others int) func() bool {
+		return func() bool {
+			members, err := do(n, "show members")
+			return err == nil && len(members.Rows) == 1+others
+		}
+	}
+	s.Cut(s.Nodes[1])
+	s.Platform.SetFaults(platform.Faults{Outage: true})
+	for i, n := range s.Nodes {
+		until(t, "the zones have lost each other", alone(n, 0))
+		for _, stream := range []bool{false, true} {
+			a, err := completion("alone", 5, stream).send(context.Background(), n)
+			c.Assert(err, qt.IsNil)
+			c.Assert(a.status, qt.Equals, 200, qt.Commentf("zone %d: %s", i, a.body))
+		}
+	}
+	c.Assert(len(s.Engines["a-decode"].Runs()) >= 2, qt.IsTrue)
+	c.Assert(len(s.Engines["b-decode"].Runs()) >= 2, qt.IsTrue)
+	s.Cut()
+	s.Platform.SetFaults(platform.Faults{})
+	for _, n := range s.Nodes {
+		until(t, "the zones have found each other", alone(n, 1))
+	}
+	_, err := do(s.Nodes[0], "drain endpoint b-decode")
+	c.Assert(err, qt.IsNil)
+	until(t, "the command is in force in the other zone", func() bool {
+		load, err := do(s.Nodes[1], "show load where state = draining")
+		return err == nil && len(load.Rows) == 1
+	})
+	before := len(s.Engines["b-decode"].Runs())
+	until(t, "the other zone serves", func() bool {
+		a, err := completion("together", 5, false).send(context.Background(), s.Nodes[1])
+		return err == nil && a.status == 200
+	})
+	c.Assert(s.Engines["b-decode"].Runs(), qt.HasLen, before)
+}
+
 // TestPlannedStop replaces every node under load; no request is cut.
 func TestPlannedStop(t *testing.T) {
 	c := qt.New(t)
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill"
@@ -49,6 +50,7 @@
 	ctx     context.Context
 	stop    context.CancelFunc
 	group   sync.WaitGroup
+	cut     atomic.Pointer[func(netip.AddrPort) bool]
 
 	// Lock order: lanes, then asks; neither is held while sending.
 	lanesMu sync.Mutex
@@ -102,6 +104,10 @@
 // Address returns the listening address.
 func (t *Transport) Address() netip.AddrPort { return t.address }
 
+// Cut loses every message to an address for which lost returns true, as a cut
+// network does. It is a seam for tests.
+func (t *Transport) Cut(lost func(netip.AddrPort) bool) { t.cut.Store(&lost) }
+
 // Publish sends messages to the address in their metadata under To. It queues
 // and returns; an error says that a message was certainly not sent.
 func (t *Transport) Publish(topic string, messages ...*message.Message) error {
@@ -110,6 +116,10 @@
 		if err != nil {
 			return Error.New("message to %q: %v", m.Metadata.Get(To), err)
 		}
+		if cut := t.cut.Load(); cut != nil && (*cut)(to) {
+			t.scope.Counter("peer_cut").Inc(1)
+			continue
+		}
 		f := frame{
 			UUID: m.UUID, Topic: topic, ReplyTo: m.Metadata.Get(replyTo),
 			Address: t.address.String(), Payload: m.Payload,
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -45,6 +46,8 @@
 	ID      string
 	Callers string
 	Admin   string
+	peers   netip.AddrPort
+	running *node.Node
 	stop    context.CancelFunc
 	done    chan struct{}
 }
@@ -106,6 +109,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	n := &Node{ID: id, Callers: set.Callers.Listen, Admin: set.Admin.Listen, stop: stop, done: make(chan struct{})}
+	n.peers, n.running = set.Peers.Address(), running
 	go func() {
 		defer close(n.done)
 		if err := running.Run(ctx); err != nil {
@@ -117,6 +121,17 @@
 	return n, n.await()
 }
 
+// Cut separates two groups of nodes; with none, everyone hears everyone.
+func (s *Site) Cut(group ...*Node) {
+	for _, n := range s.Nodes {
+		inside := slices.Contains(group, n)
+		n.running.Cut(func(to netip.AddrPort) bool {
+			i := slices.IndexFunc(s.Nodes, func(o *Node) bool { return o.peers == to })
+			return i >= 0 && slices.Contains(group, s.Nodes[i]) != inside
+		})
+	}
+}
+
 // Leave tells the node to stop and does not wait.
 func (n *Node) Leave() { n.stop() }
 
