entry: free the key of a request that was refused after its claim

Cause, found by reading: a request that may not be repeated, was claimed and then reached no endpoint on all its attempts, or was refused on its retry, ended as refused_not_run but kept its key. Its caller's repeat was then told 409, may have run, for ever. The key was freed only where one attempt ended without another being allowed.

Now it is freed wherever such a request ends. TestRefusedKeyIsFree failed before (409) and passes.

--- a/internal/cell/reservation.go
+++ b/internal/cell/reservation.go
@@ -43,7 +43,6 @@
 	adopted     bool
 	ending      bool
 	endingSince clock.Millis
-	seen        clock.Millis // last cancel sent
 }
 
 // progress takes an entry's word on how far an attempt is.
@@ -128,7 +127,6 @@
 
 // cancel asks every endpoint that may hold the attempt to free it.
 func (c *Cell) cancel(now clock.Millis, r *reservation) {
-	r.seen = now
 	if r.holdPrefill {
 		c.cancelAt(now, r, r.prefill)
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -59,7 +59,9 @@
 		return e.count(r, refused(reasonLimit, defaultRetryAfter))
 	}
 	defer leave()
-	return e.count(r, e.tryAll(ctx, r, run))
+	o := e.tryAll(ctx, r, run)
+	e.abandonIfNotRun(r, o)
+	return e.count(r, o)
 }
 
 func (e *Entry) count(r *request, o Outcome) Outcome {
@@ -174,11 +176,7 @@
 		o.Result = RefusedNotRun
 	}
 	again = r.repeatable() || o.Result == RefusedNotRun
-	if !again || r.left() <= 0 {
-		e.abandonIfNotRun(r, o)
-		return o, false
-	}
-	return o, true
+	return o, again && r.left() > 0
 }
 
 // abandonIfNotRun frees the key of a request that certainly did not run.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -334,6 +334,30 @@
 	c.Assert(len(s.Engines["a-service"].Runs())+len(s.Engines["b-service"].Runs()), qt.Equals, 1)
 }
 
+// TestRefusedKeyIsFree says that a request which was claimed but then reached no
+// endpoint is refused as not run, and that its key may be used again.
+func TestRefusedKeyIsFree(t *testing.T) {
+	c := qt.New(t)
+	s := open(t)
+	s.KillEngine("a-service")
+	s.KillEngine("b-service")
+	confirm := call{"/v1/services/bank/confirm", "key-w", "confirm", "k", "b"}
+	refused, err := confirm.send(context.Background(), s.Nodes[0])
+	c.Assert(err, qt.IsNil)
+	c.Assert(refused.status, qt.Equals, 503, qt.Commentf(refused.body))
+	c.Assert(refused.body, qt.Contains, "refused_not_run")
+	s.AddEngine("replaced", engine.Traits{Role: engine.Service})
+	_, err = do(s.Nodes[0], "set endpoint a-service address = "+s.Address("replaced"))
+	c.Assert(err, qt.IsNil)
+	var again answer
+	until(t, "it is served or refused for good", func() bool {
+		again, err = confirm.send(context.Background(), s.Nodes[0])
+		return err == nil && again.status != 503
+	})
+	c.Assert(again.status, qt.Equals, 200, qt.Commentf(again.body))
+	c.Assert(s.Engines["replaced"].Runs(), qt.HasLen, 1)
+}
+
 // TestPlatformOutage says that repeatable work goes on, that work which may not
 // be repeated is refused as not run, and that it runs when the platform is back.
 func TestPlatformOutage(t *testing.T) {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -36,7 +36,7 @@
 	dir       string
 	authority *cert.Authority
 	server    *httptest.Server
-	engines   []*httptest.Server
+	engines   map[string]*httptest.Server
 	addresses map[string]string
 	seeds     []string
 }
@@ -55,7 +55,7 @@
 // Open starts a platform that has room for certificates in dir.
 func Open(dir string) (*Site, error) {
 	s := &Site{
-		Platform: platform.New(1000, 4000), Engines: map[string]*engine.Engine{},
+		Platform: platform.New(1000, 4000), Engines: map[string]*engine.Engine{}, engines: map[string]*httptest.Server{},
 		dir: dir, addresses: map[string]string{},
 	}
 	s.server = httptest.NewServer(s.Platform.Handler())
@@ -85,7 +85,13 @@
 	e := engine.New(t)
 	server := httptest.NewServer(e.Handler())
 	s.Engines[name], s.addresses[name] = e, server.Listener.Addr().String()
-	s.engines = append(s.engines, server)
+	s.engines[name] = server
+}
+
+// KillEngine takes an endpoint's listener away.
+func (s *Site) KillEngine(name string) {
+	s.engines[name].CloseClientConnections()
+	s.engines[name].Close()
 }
 
 // Address returns an endpoint's address.
