--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -30,7 +30,7 @@
 func Run(args []string) int {
 	parser := flags.NewNamedParser("trailshed", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "router for separate prefill and decode pools"
-	for _, c := range commands() {
+	for _, c := range commands(parser) {
 		if _, err := parser.AddCommand(c.name, c.short, c.long, c.run); err != nil {
 			fmt.Fprintln(os.Stderr, Error.Wrap(err))
 			return 2
@@ -50,7 +50,7 @@
 	}
 }
 
-func commands() []registered {
+func commands(parser *flags.Parser) []registered {
 	return []registered{
 		{"serve", "run a process", "Runs one trailshed process until it is sent SIGTERM, then lets every running request finish.", &serve{}},
 		{"check", "check a settings file", "Checks a settings file, naming file, line, key and value of everything that is wrong.", &check{}},
@@ -58,6 +58,7 @@
 		{"do", "give a command", "Runs statements that may change the configuration, such as 'drain endpoint NAME'.", &do{}},
 		{"replay", "replay a recorded trace", "Replays a recorded trace of callers against running processes and checks every answer.", &replay{}},
 		{"completion", "print shell completion", "Prints a script that completes commands and options in bash.", &completion{}},
+		{"manual", "print the manual page", "Prints the manual page of all commands; read it with 'trailshed manual | man -l -'.", &manual{parser}},
 		{"version", "print the version", "Prints the version.", &version{}},
 	}
 }
