platform: let the stand-in's list of instances lag, and use it at once

Now the list lags (3 s in the demonstration, which sets it) and a node reads it as it starts. TestFirstContact finds the others without seeds.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -49,11 +49,13 @@
 	Listen string `long:"listen" default:"127.0.0.1:7900"`
 	Writes int    `long:"writes" default:"400" description:"writes taken a second"`
 	Reads  int    `long:"reads" default:"2000" description:"reads taken a second"`
+
+	InstanceLag time.Duration `long:"instance-lag" default:"3s" description:"lag of the list of instances"`
 }
 
 // Execute runs the platform until it is told to stop.
 func (c *platformCommand) Execute([]string) error {
-	s := &http.Server{Addr: c.Listen, Handler: platform.New(c.Writes, c.Reads).Handler(), ReadHeaderTimeout: 5 * time.Second}
+	s := &http.Server{Addr: c.Listen, Handler: platform.New(c.Writes, c.Reads, c.InstanceLag).Handler(), ReadHeaderTimeout: 5 * time.Second}
 	ctx, stop := untilSignal()
 	defer stop()
 	go func() {
--- a/demo/up.sh
+++ b/demo/up.sh
@@ -29,6 +29,13 @@
   start "endpoints-$zone" build/standin endpoint --fleet demo/fleet.yaml --zone "$zone"
 done
 
+until curl -fsS http://127.0.0.1:7900/control/counts >/dev/null 2>&1; do sleep 0.05; done
+curl -fsS -X PUT http://127.0.0.1:7900/control/instances -d "[$(
+  for i in 1 2 3 4 5 6; do
+    echo "{\"name\":\"n$i\",\"address\":\"127.0.0.1:$((7000 + i))\"}"
+  done | paste -sd,
+)]"
+
 zones=(a b c a b c)
 i=0
 for node in $nodes; do
--- a/internal/changelog/log_test.go
+++ b/internal/changelog/log_test.go
@@ -26,7 +26,7 @@
 }
 
 func newRig(t testing.TB) *rig {
-	p := standin.New(5000, 5000)
+	p := standin.New(5000, 5000, 0)
 	server := httptest.NewServer(p.Handler())
 	t.Cleanup(func() {
 		server.CloseClientConnections()
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -59,7 +59,7 @@
 	defer contacts.Stop()
 	instances := time.NewTicker(instancesEvery)
 	defer instances.Stop()
-	known := n.settings.Peers.SeedAddresses()
+	known := n.knownAddresses(ctx)
 	n.contact(known, len(known))
 	for {
 		select {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -15,7 +15,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	shared "github.com/trailshed/trailshed/internal/platform"
 	"github.com/trailshed/trailshed/internal/query"
+	"github.com/trailshed/trailshed/internal/settings"
 	"github.com/trailshed/trailshed/internal/standin/engine"
 	"github.com/trailshed/trailshed/internal/standin/platform"
 	"github.com/trailshed/trailshed/internal/standin/site"
@@ -392,6 +394,24 @@
 	c.Assert(len(s.Engines["a-service"].Runs())+len(s.Engines["b-service"].Runs()), qt.Equals, 1)
 }
 
+// TestFirstContact says that a node without seeds finds the others by the
+// platform's list, whose leaving instances it passes over.
+func TestFirstContact(t *testing.T) {
+	c := qt.New(t)
+	s := open(t)
+	s.Platform.SetInstances([]shared.Instance{
+		{Name: "gone", Zone: "a", Address: netip.MustParseAddrPort("127.0.0.1:9"), Leaving: true},
+		{Name: "na", Zone: "a", Address: s.Nodes[0].Peers()},
+	})
+	time.Sleep(50 * time.Millisecond) // the list lags
+	n, err := s.AddNode("unseeded", "b", func(set *settings.Settings) { set.Peers.Seeds = nil })
+	c.Assert(err, qt.IsNil)
+	until(t, "it knows all three", func() bool {
+		members, err := do(n, "show members")
+		return err == nil && len(members.Rows) == 3
+	})
+}
+
 // TestZoneCut cuts one zone off from the other and both from the platform. Each
 // serves with its own endpoints, and when the cut heals a command given in one
 // is in force in the other.
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -52,13 +52,16 @@
 	faults    Faults
 	counts    Counts
 	instances []platform.Instance
+	lag       time.Duration // until a new list of instances is shown
 	writes    *rate.Limiter
 	reads     *rate.Limiter
 }
 
 // New returns an empty service that takes the given calls a second.
-func New(writesPerSecond, readsPerSecond int) *Platform {
+// Its list of instances lags by the given time.
+func New(writesPerSecond, readsPerSecond int, lag time.Duration) *Platform {
 	return &Platform{
+		lag:     lag,
 		entries: map[string]platform.Entry{}, changed: make(chan struct{}), leases: map[int64]*lease{},
 		writes: rate.NewLimiter(rate.Limit(writesPerSecond), writesPerSecond),
 		reads:  rate.NewLimiter(rate.Limit(readsPerSecond), readsPerSecond),
@@ -333,10 +336,22 @@
 	}
 }
 
-func (p *Platform) setInstances(_ http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_ = json.NewDecoder(r.Body).Decode(&p.instances)
+// SetInstances replaces the list of instances, which is shown after the lag.
+func (p *Platform) SetInstances(list []platform.Instance) {
+	time.AfterFunc(p.lag, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.instances = list
+	})
+}
+
+func (p *Platform) setInstances(w http.ResponseWriter, r *http.Request) {
+	var list []platform.Instance
+	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.SetInstances(list)
 }
 
 func (p *Platform) getCounts(w http.ResponseWriter, _ *http.Request) {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -55,7 +55,7 @@
 // Open starts a platform that has room for certificates in dir.
 func Open(dir string) (*Site, error) {
 	s := &Site{
-		Platform: platform.New(1000, 4000), Engines: map[string]*engine.Engine{}, engines: map[string]*httptest.Server{},
+		Platform: platform.New(1000, 4000, 10*time.Millisecond), Engines: map[string]*engine.Engine{}, engines: map[string]*httptest.Server{},
 		dir: dir, addresses: map[string]string{},
 	}
 	s.server = httptest.NewServer(s.Platform.Handler())
@@ -127,6 +127,9 @@
 	return n, n.await()
 }
 
+// Peers returns the address at which other nodes reach this one.
+func (n *Node) Peers() netip.AddrPort { return n.peers }
+
 // Cut separates two groups of nodes; with none, everyone hears everyone.
 func (s *Site) Cut(group ...*Node) {
 	for _, n := range s.Nodes {
