tree: one file per concern where files had grown

catalog has a file per aggregate, member one each for the table, its heartbeats and the roles, cell one each for admission, choice and prediction, for reservations, announcements and listings, dispatcher one each for cancels and reports. Code moved, nothing else; all tests pass as before.

--- /dev/null
+++ b/internal/cell/announce.go
@@ -0,0 +1,109 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// announce renews an entry's attempts, adopts those of a former dispatcher and
+// ends those that the entry no longer wants.
+func (c *Cell) announce(now clock.Millis, a Announce) {
+	c.owners[a.Owner.id()] = now
+	wanted := map[AttemptID]bool{}
+	for _, id := range a.Waiting {
+		wanted[id] = true
+	}
+	for _, run := range a.Running {
+		wanted[run.Attempt] = true
+		r, ok := c.reservations[run.Attempt]
+		switch {
+		case !ok && c.over[run.Attempt] > 0: // the announcement was overtaken
+		case !ok:
+			c.adoptRunning(now, a.Owner, run)
+		case r.ending:
+			c.emit(SendFenced{To: a.Owner, Fenced: Fenced{Attempt: run.Attempt}})
+		}
+	}
+	for _, r := range where(c.byOwner[a.Owner.id()], func(r *reservation) bool {
+		return !wanted[r.attempt] && now.Sub(r.granted) > grantGrace
+	}) {
+		c.end(now, r, "entry no longer runs it")
+	}
+	c.renewWaiting(now, a)
+}
+
+func (c *Cell) renewWaiting(now clock.Millis, a Announce) {
+	var unknown []AttemptID
+	for _, id := range a.Waiting {
+		r, granted := c.reservations[id]
+		switch {
+		case !granted && c.queue.find(id) == nil:
+			unknown = append(unknown, id)
+		case granted && !r.ending && now.Sub(r.granted) > grantWay:
+			c.options.Counted("granted_again")
+			c.emit(SendGrant{To: a.Owner, Grant: r.grant})
+		}
+	}
+	if len(unknown) > 0 {
+		c.emit(SendUnknown{To: a.Owner, Unknown: Unknown{Cell: c.Name, Attempts: unknown}})
+	}
+	c.queue.items = slices.DeleteFunc(c.queue.items, func(w *waiting) bool {
+		return w.ask.Owner.id() == a.Owner.id() && now.Sub(w.since) > grantGrace &&
+			!slices.Contains(a.Waiting, w.ask.Attempt)
+	})
+}
+
+func (c *Cell) adoptRunning(now clock.Millis, owner Owner, run Running) {
+	r := &reservation{
+		attempt: run.Attempt, owner: owner, workspace: run.Workspace, kind: run.Kind,
+		tokens: run.Tokens, tbt: run.TBT, prefill: run.Prefill, decode: run.Decode,
+		phase: run.Phase, granted: now, doneAt: now, adopted: true,
+	}
+	r.holdPrefill = run.Prefill != "" && run.Phase != Streaming
+	r.holdDecode = true
+	s, ok := c.servers[run.Decode]
+	if !ok {
+		return // its endpoint is not in this cell's configuration any more
+	}
+	c.add(r)
+	s.used[run.Attempt] = r
+	for _, server := range c.order {
+		delete(server.strangers, run.Attempt)
+	}
+	c.options.Counted("adopted")
+}
+
+// expireOwners ends the attempts of entries that fell silent.
+func (c *Cell) expireOwners(now clock.Millis) {
+	for _, r := range where(c.reservations, func(r *reservation) bool {
+		return !r.ending && now.Sub(c.lastHeard(r)) > c.options.OwnerExpiry
+	}) {
+		c.options.Counted("owner_expired")
+		c.end(now, r, "entry "+r.owner.Node+" is silent")
+	}
+	c.queue.items = slices.DeleteFunc(c.queue.items, func(w *waiting) bool {
+		return now.Sub(max(c.owners[w.ask.Owner.id()], w.since)) > c.options.OwnerExpiry
+	})
+	for id, at := range c.over {
+		if now.Sub(at) > overMemory {
+			delete(c.over, id)
+		}
+	}
+	for id, heard := range c.owners {
+		if now.Sub(heard) > ownerMemory {
+			delete(c.owners, id)
+		}
+	}
+}
+
+// overMemory is how long an ended attempt is not taken up again.
+const overMemory = 5 * time.Second
+
+// ownerMemory bounds how long silent entries are remembered.
+const ownerMemory = time.Minute
+
+func (c *Cell) lastHeard(r *reservation) clock.Millis {
+	return max(c.owners[r.owner.id()], r.granted)
+}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -15,7 +15,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/trailshed/trailshed/internal/catalog"
-	"github.com/trailshed/trailshed/internal/cell"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -42,13 +41,6 @@
 	Revision    int64          `cbor:"7,keyasint" json:"revision"` // of its configuration
 }
 
-// Pulse is a member's beat in few bytes. Mark stands for its id and incarnation.
-type Pulse struct {
-	_    struct{} `cbor:",toarray"`
-	Mark uint32
-	Beat int64
-}
-
 func (m Member) mark() uint32 {
 	return uint32(xxhash.Sum64String(m.ID + "\x00" + strconv.FormatInt(m.Incarnation, 10)))
 }
@@ -61,23 +53,6 @@
 	return m.Beat > o.Beat
 }
 
-// CellStatus is the headroom of a cell as its dispatcher last told it.
-type CellStatus struct {
-	Cell    catalog.Cell   `cbor:"1,keyasint"`
-	Node    string         `cbor:"2,keyasint"`
-	Address netip.AddrPort `cbor:"3,keyasint"`
-	Stamp   clock.Millis   `cbor:"4,keyasint"` // by the dispatcher's clock
-	Digest  cell.Digest    `cbor:"5,keyasint"`
-}
-
-// Heartbeat is the message between processes.
-type Heartbeat struct {
-	From    Member       `cbor:"1,keyasint"`
-	Members []Member     `cbor:"2,keyasint"` // a sample
-	Cells   []CellStatus `cbor:"3,keyasint"`
-	Pulses  []Pulse      `cbor:"4,keyasint"`
-}
-
 type known struct {
 	Member
 	heard clock.Millis
@@ -113,68 +88,6 @@
 // Leave announces in all further heartbeats that this process will stop.
 func (t *Table) Leave() { t.self.Leaving = true }
 
-// Beat prepares the next heartbeat; own are the cells dispatched here.
-func (t *Table) Beat(now clock.Millis, revision int64, own []CellStatus) Heartbeat {
-	t.self.Beat++
-	t.self.Revision = revision
-	for _, s := range own {
-		t.cells[s.Cell] = &knownCell{CellStatus: s, heard: now}
-	}
-	h := Heartbeat{From: t.self, Cells: slices.Clone(own[:min(len(own), sampleCells)])}
-	rows := t.Live()
-	t.random.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
-	h.Pulses = t.pulses(rows)
-	for _, m := range rows[:min(len(rows), sampleMembers)] {
-		if m.ID != t.self.ID {
-			h.Members = append(h.Members, m)
-		}
-	}
-	cells := t.Cells()
-	t.random.Shuffle(len(cells), func(i, j int) { cells[i], cells[j] = cells[j], cells[i] })
-	for _, s := range cells[:min(len(cells), sampleCells)] {
-		if s.Node != t.self.ID {
-			h.Cells = append(h.Cells, s)
-		}
-	}
-	return h
-}
-
-// pulses returns the beats of the whole own zone and of a part of the others.
-func (t *Table) pulses(rows []Member) []Pulse {
-	var all []Pulse
-	foreign := 0
-	for _, m := range rows {
-		if m.Zone != t.self.Zone {
-			foreign++
-		}
-		if m.Zone == t.self.Zone || foreign <= sampleForeign {
-			all = append(all, Pulse{Mark: m.mark(), Beat: m.Beat})
-		}
-	}
-	return all
-}
-
-// Targets picks the peers for a heartbeat: fanout of the own zone and one of
-// another zone.
-func (t *Table) Targets(fanout int) []netip.AddrPort {
-	var own, foreign []netip.AddrPort
-	for _, m := range t.Live() {
-		switch {
-		case m.ID == t.self.ID:
-		case m.Zone == t.self.Zone:
-			own = append(own, m.Address)
-		default:
-			foreign = append(foreign, m.Address)
-		}
-	}
-	t.random.Shuffle(len(own), func(i, j int) { own[i], own[j] = own[j], own[i] })
-	targets := own[:min(len(own), fanout)]
-	if len(foreign) > 0 {
-		targets = append(targets, foreign[t.random.IntN(len(foreign))])
-	}
-	return targets
-}
-
 // Hear takes a heartbeat and returns the ids of members that are new.
 func (t *Table) Hear(now clock.Millis, h Heartbeat) (joined []string) {
 	for _, m := range append([]Member{h.From}, h.Members...) {
@@ -293,64 +206,3 @@
 	}
 	return k.CellStatus, true
 }
-
-// Dispatcher returns the member that dispatches a cell of the own zone: the
-// first of the zone by rendezvous hashing among those that are not leaving.
-func (t *Table) Dispatcher(name catalog.Cell) (Member, bool) {
-	return first(name.String(), t.inZone(t.self.Zone))
-}
-
-// Watchers returns the members of the own zone that watch the platform.
-func (t *Table) Watchers(n int) []Member {
-	ranked := rank("watch", t.inZone(t.self.Zone))
-	return ranked[:min(n, len(ranked))]
-}
-
-// Contacts returns the members of a zone that other zones know.
-func (t *Table) Contacts(zone string) []Member {
-	ranked := rank("contact", t.inZone(zone))
-	return ranked[:min(contacts, len(ranked))]
-}
-
-// ClaimOwner returns the member that batches the claims of a shard, one of the
-// contacts of all zones, so that every process names the same.
-func (t *Table) ClaimOwner(shard string) (Member, bool) {
-	zones := map[string]bool{}
-	for _, m := range t.Live() {
-		zones[m.Zone] = true
-	}
-	var all []Member
-	for zone := range zones {
-		all = append(all, t.Contacts(zone)...)
-	}
-	return first(shard, all)
-}
-
-// inZone returns the members of a zone that may take roles: those that are not
-// leaving, or all of them when nobody else is left.
-func (t *Table) inZone(zone string) []Member {
-	all := slices.DeleteFunc(t.Live(), func(m Member) bool { return m.Zone != zone })
-	staying := slices.DeleteFunc(slices.Clone(all), func(m Member) bool { return m.Leaving })
-	if len(staying) == 0 {
-		return all
-	}
-	return staying
-}
-
-func first(key string, members []Member) (Member, bool) {
-	ranked := rank(key, members)
-	if len(ranked) == 0 {
-		return Member{}, false
-	}
-	return ranked[0], true
-}
-
-// rank orders members by rendezvous hashing for key.
-func rank(key string, members []Member) []Member {
-	weight := func(m Member) uint64 { return xxhash.Sum64String(key + "\x00" + m.ID) }
-	ranked := slices.Clone(members)
-	slices.SortFunc(ranked, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.ID, b.ID))
-	})
-	return ranked
-}
