ledger: go on after a segment was written and its head refused

Cause, found by reading: a full head is put away into a segment, then swapped. When the platform refused the swap after it took the segment, each later try met the segment's existing key, took that for a conflict and read the shard again, for ever: the shard granted no claim any more.

A segment is named by the head's version, so one that exists is the same; its conflict is now passed over. TestTornSegment failed before (513 asks, 512 answers) and passes.

--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -72,7 +72,9 @@
 // Load reads all keys under Prefix.
 type Load struct{ Prefix string }
 
-// Write swaps the head. When Segment is set, its key is created first.
+// Write swaps the head. When Segment is set, its key is created first; one that
+// exists already is the same, since it is named by the head's version, and is
+// left as it is.
 type Write struct {
 	Key     string
 	Value   []byte
--- a/internal/claim/shard_test.go
+++ b/internal/claim/shard_test.go
@@ -68,6 +68,7 @@
 	done    fate = iota
 	lost         // takes effect, but no answer comes
 	refused      // does not take effect
+	torn         // the segment takes effect, the head does not
 )
 
 // settle carries out the oldest pending call.
@@ -94,13 +95,13 @@
 func (o *owner) write(s *store, now clock.Millis, e claim.Write, f fate) {
 	ok := f != refused
 	if ok && e.Segment != "" {
-		_, ok = s.put(e.Segment, e.Put, 0)
+		_, _ = s.put(e.Segment, e.Put, 0) // one that exists is the same
 	}
 	var version int64
-	if ok {
+	if ok && f != torn {
 		version, ok = s.put(e.Key, e.Value, e.Version)
 	}
-	if !ok || f == lost {
+	if !ok || f == lost || f == torn {
 		o.take(o.shard.Failed(now))
 		return
 	}
@@ -233,6 +234,33 @@
 	}
 }
 
+// TestTornSegment fills the head and lets the platform refuse the swap after the
+// segment was put away; the shard goes on all the same.
+func TestTornSegment(t *testing.T) {
+	c := qt.New(t)
+	s, o, now := newStore(), newOwner(), clock.Millis(1000)
+	ask := func(i int64) {
+		now = now.Add(interval)
+		o.take(o.shard.Ask(now, i, claim.Claim{Key: claim.NewKey("w", fmt.Sprint(i)), Request: "r", Ends: now + 1e9}, now+10_000))
+	}
+	const full = 512
+	for i := range int64(full) {
+		ask(i)
+		for len(o.pending) > 0 {
+			o.settle(s, now, done)
+		}
+	}
+	ask(full)
+	o.settle(s, now, torn)
+	for range 6 {
+		now = now.Add(interval)
+		o.take(o.shard.Tick(now))
+		o.settle(s, now, done)
+	}
+	c.Assert(o.replies, qt.HasLen, full+1)
+	c.Assert(o.replies[full].Answer.Verdict, qt.Equals, claim.Granted)
+}
+
 // TestImpatientCaller says that an owner which answers too late frees nothing:
 // the entry asked another one meanwhile, and ran.
 func TestImpatientCaller(t *testing.T) {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -246,7 +247,8 @@
 func (l *Ledger) write(r *running, e claim.Write) {
 	l.scope.Counter("claim_writes").Inc(1)
 	if e.Segment != "" {
-		if _, err := l.store.Put(context.Background(), e.Segment, e.Put, 0); err != nil {
+		_, err := l.store.Put(context.Background(), e.Segment, e.Put, 0)
+		if err != nil && !errors.Is(err, platform.ErrConflict) {
 			l.apply(r, r.shard.Failed)
 			return
 		}
