tree: say once what stood twice

Read over the whole change. One fan-out serves both of the operator's gatherings, one loop both walks over cells, one function both ways to make a heartbeat; Every and Sleep stand in package ticker instead of three and two times; what a failure may claim is decided by truthful alone, which gives judge's three results. An entry looks a foreign cell up instead of copying and sorting all cells for each message (Table.Status had no caller). Dead: a channel in the replayer, an error class in claim.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -143,7 +143,7 @@
 	for name, s := range c.servers {
 		if !wanted[name] {
 			s.Draining = true
-			if !c.busy(s) {
+			if !s.busy() {
 				delete(c.servers, name)
 			}
 		}
@@ -155,9 +155,6 @@
 	c.relink()
 }
 
-// busy says whether any attempt holds a place on the server.
-func (c *Cell) busy(s *server) bool { return len(s.used) > 0 || len(s.pending) > 0 }
-
 // relink gives servers that were made anew the reservations of their name.
 func (c *Cell) relink() {
 	for id, r := range c.reservations {
--- a/internal/cell/explain.go
+++ b/internal/cell/explain.go
@@ -135,7 +135,8 @@
 	for _, s := range c.order {
 		all = append(all, Status{
 			Member: s.Member, Used: len(s.used), Strange: len(s.strangers), Pending: len(s.pending),
-			Ejected: s.health.ejected, Silent: s.missed >= missedToClose, Urgent: c.urgent(s), Reported: s.report.Running, Heard: s.heard,
+			Ejected: s.health.ejected, Silent: s.silent(), Urgent: c.urgent(s),
+			Reported: s.report.Running, Heard: s.heard,
 		})
 	}
 	return all
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -59,7 +59,8 @@
 	}
 }
 
-// unreachable notes that an endpoint gave no report. What it holds stays reserved until it is heard again or its attempts have long ended.
+// unreachable notes that an endpoint gave no report. What it holds stays
+// reserved until it is heard again or its attempts have long ended.
 func (c *Cell) unreachable(now clock.Millis, name string) {
 	s, ok := c.servers[name]
 	if !ok {
--- a/internal/cell/server.go
+++ b/internal/cell/server.go
@@ -56,7 +56,7 @@
 // open says whether the server may be given new work. It must have reported
 // once, so that a new dispatcher knows what a former one gave it.
 func (s *server) open(now clock.Millis, avoid []string) bool {
-	return s.heard > 0 && s.missed < missedToClose && !s.Draining && s.health.open(now) && !slices.Contains(avoid, s.Name)
+	return s.heard > 0 && !s.silent() && !s.Draining && s.health.open(now) && !slices.Contains(avoid, s.Name)
 }
 
 // promising says whether the server is open or, as it is new here, may be as
@@ -79,6 +79,12 @@
 // free returns how many slots nobody holds.
 func (s *server) free() int { return max(s.Slots-len(s.used)-len(s.strangers), 0) }
 
+// busy says whether any attempt holds a place.
+func (s *server) busy() bool { return len(s.used) > 0 || len(s.pending) > 0 }
+
+// silent says whether the server counts as dead.
+func (s *server) silent() bool { return s.missed >= missedToClose }
+
 // busyUntil predicts when all given prefills are finished.
 func (s *server) busyUntil(now clock.Millis) clock.Millis {
 	until := s.headSince
--- a/internal/changelog/log.go
+++ b/internal/changelog/log.go
@@ -20,6 +20,7 @@
 
 	"github.com/trailshed/trailshed/internal/catalog"
 	"github.com/trailshed/trailshed/internal/platform"
+	"github.com/trailshed/trailshed/internal/ticker"
 )
 
 // Error marks every error of this package.
@@ -155,7 +156,7 @@
 			return ch, Error.Wrap(fmt.Errorf("%w: %w", ErrUnavailable, err))
 		}
 		_ = l.CatchUp(ctx) // if it fails, so does the next try
-		sleep(ctx, pause.NextBackOff())
+		ticker.Sleep(ctx, pause.NextBackOff())
 	}
 	return ch, Error.Wrap(ErrUnavailable)
 }
@@ -251,18 +252,18 @@
 	index := int64(0)
 	for ctx.Err() == nil {
 		if !wanted() {
-			sleep(ctx, retryPause)
+			ticker.Sleep(ctx, retryPause)
 			continue
 		}
 		entries, next, err := l.store.Watch(ctx, logPrefix, index, wait)
 		if err != nil {
 			l.scope.Counter("config_watch_failed").Inc(1)
-			sleep(ctx, retryPause)
+			ticker.Sleep(ctx, retryPause)
 			continue
 		}
 		if l.takeEntries(entries) != nil {
 			if l.CatchUp(ctx) != nil {
-				sleep(ctx, retryPause)
+				ticker.Sleep(ctx, retryPause)
 				continue
 			}
 		}
@@ -270,11 +271,4 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func logKey(revision int64) string { return fmt.Sprintf("%s%012d", logPrefix, revision) }
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -15,15 +15,11 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
-	"github.com/zeebo/errs"
 
 	"github.com/trailshed/trailshed/internal/platform"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
-// Error marks every error of this package.
-var Error = errs.Class("claim")
-
 // headLimit is the number of claims from which the head is put away into a
 // segment of its own, so that each write stays small.
 const headLimit = 512
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"sync"
 	"time"
@@ -115,11 +116,10 @@
 		return
 	}
 	d.catalog, d.layout = c, layout
-	cells := d.snapshot()
 	d.mu.Unlock()
-	for name, r := range cells {
-		d.apply(r, cell.Configured{Catalog: c, Members: layout[name]})
-	}
+	d.each(func(r *running) {
+		d.apply(r, cell.Configured{Catalog: c, Members: layout[r.cell.Name]})
+	})
 }
 
 // Run lets time pass in all cells until ctx ends.
@@ -129,24 +129,10 @@
 		group.Go(func() { d.cancelLoop(ctx) })
 	}
 	group.Go(func() { d.ticker.Run(ctx, d.tick) })
-	group.Go(func() { Every(ctx, d.options.Listing, func() { d.readReports(ctx) }) })
+	group.Go(func() { ticker.Every(ctx, d.options.Listing, func() { d.readReports(ctx) }) })
 	group.Wait()
 }
 
-// Every calls do at each interval until ctx ends.
-func Every(ctx context.Context, interval time.Duration, do func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			do()
-		}
-	}
-}
-
 // Reconcile takes up the cells that are this process's and drops the others.
 // Whoever waited in a dropped cell is sent on to its new dispatcher.
 func (d *Dispatcher) Reconcile() {
@@ -203,23 +189,21 @@
 
 // Each calls do with every cell under its lock.
 func (d *Dispatcher) Each(do func(catalog.Cell, *cell.Cell)) {
-	d.mu.Lock()
-	cells := d.snapshot()
-	d.mu.Unlock()
-	for name, r := range cells {
+	d.each(func(r *running) {
 		r.mu.Lock()
-		do(name, r.cell)
-		r.mu.Unlock()
-	}
+		defer r.mu.Unlock()
+		do(r.cell.Name, r.cell)
+	})
 }
 
-// snapshot copies the cells; the caller holds the lock.
-func (d *Dispatcher) snapshot() map[catalog.Cell]*running {
-	cells := make(map[catalog.Cell]*running, len(d.cells))
-	for name, r := range d.cells {
-		cells[name] = r
+// each calls do with every cell, without its lock.
+func (d *Dispatcher) each(do func(*running)) {
+	d.mu.Lock()
+	cells := maps.Clone(d.cells)
+	d.mu.Unlock()
+	for _, r := range cells {
+		do(r)
 	}
-	return cells
 }
 
 func (d *Dispatcher) find(name catalog.Cell) *running {
@@ -276,13 +260,3 @@
 		d.scope.Counter("dispatcher_send_failed").Inc(1)
 	}
 }
-
-// each calls do with every cell, without its lock.
-func (d *Dispatcher) each(do func(*running)) {
-	d.mu.Lock()
-	cells := d.snapshot()
-	d.mu.Unlock()
-	for _, r := range cells {
-		do(r)
-	}
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/trailshed/trailshed/internal/endpoint"
 	"github.com/trailshed/trailshed/internal/member"
 	"github.com/trailshed/trailshed/internal/peer"
+	"github.com/trailshed/trailshed/internal/ticker"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -40,6 +41,8 @@
 	Dispatcher func(catalog.Cell) (netip.AddrPort, bool)
 	// Cells lists the cells known with their headroom.
 	Cells func() []member.CellStatus
+	// Status finds one of them.
+	Status func(catalog.Cell) (member.CellStatus, bool)
 	// Claim and Abandon reach the claims of requests that may not be repeated.
 	Claim   func(ctx context.Context, c claim.Claim, wait time.Duration) claim.Answer
 	Abandon func(c claim.Claim)
@@ -103,16 +106,7 @@
 
 // Run announces the attempts until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
-	ticker := time.NewTicker(e.options.Announce)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			e.announce()
-		}
-	}
+	ticker.Every(ctx, e.options.Announce, e.announce)
 }
 
 func (e *Entry) announce() {
@@ -136,12 +130,8 @@
 	if name.Zone == e.options.Zone {
 		return e.options.Dispatcher(name)
 	}
-	for _, s := range e.options.Cells() {
-		if s.Cell == name {
-			return s.Address, true
-		}
-	}
-	return netip.AddrPort{}, false
+	s, ok := e.options.Status(name)
+	return s.Address, ok
 }
 
 func (e *Entry) send(to netip.AddrPort, topic string, v any) {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -90,7 +90,7 @@
 	return last
 }
 
-// truthful never lets a refusal of a retry say that nothing ran.
+// truthful lets a refusal say that nothing ran only if no attempt did.
 func (r *request) truthful(o Outcome) Outcome {
 	if o.Result != RefusedNotRun {
 		return o
@@ -165,16 +165,10 @@
 	if !notRun {
 		r.tried++
 	}
-	o = Outcome{Result: FailedMayHaveRun, Reason: reasonEndpoint, RetryAfter: defaultRetryAfter}
+	o = r.truthful(refused(reasonEndpoint, defaultRetryAfter))
 	if errors.Is(err, errFenced) {
 		o.Reason = reasonFenced
 	}
-	switch {
-	case r.sent > 0:
-		o.Result = FailedAfterStart
-	case notRun && r.tried == 0:
-		o.Result = RefusedNotRun
-	}
 	again = r.repeatable() || o.Result == RefusedNotRun
 	return o, again && r.left() > 0
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -4,13 +4,14 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/trailshed/trailshed/internal/catalog"
 	"github.com/trailshed/trailshed/internal/changelog"
-	"github.com/trailshed/trailshed/internal/dispatcher"
 	"github.com/trailshed/trailshed/internal/member"
 	"github.com/trailshed/trailshed/internal/peer"
+	"github.com/trailshed/trailshed/internal/ticker"
 )
 
 const (
@@ -102,23 +103,25 @@
 
 // beat sends a heartbeat to a few random peers.
 func (n *Node) beat() {
-	own := n.dispatcher.Statuses()
+	h := n.nextBeat()
 	n.mu.Lock()
-	h := n.table.Beat(n.now(), n.changes.Current().Revision, own)
 	targets := n.table.Targets(n.settings.Peers.Fanout)
 	n.mu.Unlock()
 	n.sendBeat(h, targets)
 }
 
-// contact sends a heartbeat to some addresses that may not be known members.
-func (n *Node) contact(addresses []netip.AddrPort, count int) {
+func (n *Node) nextBeat() member.Heartbeat {
 	own := n.dispatcher.Statuses()
 	n.mu.Lock()
-	h := n.table.Beat(n.now(), n.changes.Current().Revision, own)
-	n.mu.Unlock()
-	picked := append([]netip.AddrPort(nil), addresses...)
+	defer n.mu.Unlock()
+	return n.table.Beat(n.now(), n.changes.Current().Revision, own)
+}
+
+// contact sends a heartbeat to some addresses that may not be known members.
+func (n *Node) contact(addresses []netip.AddrPort, count int) {
+	picked := slices.Clone(addresses)
 	rand.Shuffle(len(picked), func(i, j int) { picked[i], picked[j] = picked[j], picked[i] })
-	n.sendBeat(h, picked[:min(count, len(picked))])
+	n.sendBeat(n.nextBeat(), picked[:min(count, len(picked))])
 }
 
 func (n *Node) sendBeat(h member.Heartbeat, targets []netip.AddrPort) {
@@ -133,7 +136,7 @@
 }
 
 func (n *Node) reconcileLoop(ctx context.Context) {
-	dispatcher.Every(ctx, reconcileInterval, n.dispatcher.Reconcile)
+	ticker.Every(ctx, reconcileInterval, n.dispatcher.Reconcile)
 }
 
 func (n *Node) dispatches(name catalog.Cell) bool {
@@ -174,6 +177,12 @@
 	return n.table.Live()
 }
 
+func (n *Node) status(name catalog.Cell) (member.CellStatus, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Status(name)
+}
+
 func (n *Node) cells() []member.CellStatus {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	"github.com/trailshed/trailshed/internal/peer"
 	"github.com/trailshed/trailshed/internal/platform"
 	"github.com/trailshed/trailshed/internal/settings"
+	"github.com/trailshed/trailshed/internal/ticker"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -110,7 +111,7 @@
 		Owner: cell.Owner{Node: s.Node.ID, Incarnation: incarnation, Address: n.transport.Address()},
 		Zone:  s.Node.Zone, Announce: s.Dispatch.Announce, OwnerExpiry: s.Dispatch.OwnerExpiry,
 		HeldAnswers: s.Callers.HeldAnswers, Now: n.now, Catalog: n.changes.Current,
-		Dispatcher: n.dispatcherOf, Cells: n.cells, Claim: n.ledger.Claim, Abandon: n.ledger.Abandon,
+		Dispatcher: n.dispatcherOf, Cells: n.cells, Status: n.status, Claim: n.ledger.Claim, Abandon: n.ledger.Abandon,
 	}, n.transport, client, scope)
 	n.desk = operator.New(operator.Options{
 		Zone: s.Node.Zone, Now: n.now, Members: n.members, Cells: n.cells,
@@ -209,14 +210,7 @@
 			n.log.Info().Int64("revision", n.changes.Current().Revision).Msg("configuration loaded")
 			return
 		}
-		wait(ctx, time.Second)
-	}
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+		ticker.Sleep(ctx, time.Second)
 	}
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -178,21 +178,31 @@
 			byZone[m.Zone] = append(byZone[m.Zone], m)
 		}
 	}
-	var mu sync.Mutex
-	var group sync.WaitGroup
-	all := d.zoneRows(ctx, q)
+	asks := []func() query.Table{func() query.Table { return d.zoneRows(ctx, q) }}
 	spread := q
 	spread.Spread = true
 	for zone, contacts := range byZone {
+		asks = append(asks, func() query.Table { return d.askFirst(ctx, zone, contacts, spread) })
+	}
+	all := together(asks)
+	slices.Sort(all.Unheard)
+	return all
+}
+
+// together asks at the same time and merges the answers.
+func together(asks []func() query.Table) query.Table {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	var all query.Table
+	for _, ask := range asks {
 		group.Go(func() {
-			t := d.askFirst(ctx, zone, contacts, spread)
+			t := ask()
 			mu.Lock()
 			defer mu.Unlock()
 			all.Merge(t)
 		})
 	}
 	group.Wait()
-	slices.Sort(all.Unheard)
 	return all
 }
 
@@ -208,25 +218,20 @@
 
 func (d *Desk) zoneRows(ctx context.Context, q rowsQuestion) query.Table {
 	q.Spread = false
-	all := d.ownRows(q)
-	var mu sync.Mutex
-	var group sync.WaitGroup
+	asks := []func() query.Table{func() query.Table { return d.ownRows(q) }}
 	for _, m := range d.options.Members() {
 		if m.Zone != d.options.Zone || m.Address == d.transport.Address() {
 			continue
 		}
-		group.Go(func() {
+		asks = append(asks, func() query.Table {
 			t, err := d.ask(ctx, m, q)
 			if err != nil {
-				t = query.Table{Unheard: []string{m.ID}}
+				return query.Table{Unheard: []string{m.ID}}
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			all.Merge(t)
+			return t
 		})
 	}
-	group.Wait()
-	return all
+	return together(asks)
 }
 
 func (d *Desk) ask(ctx context.Context, m member.Member, q rowsQuestion) (query.Table, error) {
--- a/internal/ticker/ticker.go
+++ b/internal/ticker/ticker.go
@@ -1,5 +1,6 @@
-// Package ticker calls a function often while there is something to wait for
-// and seldom when there is not, so that an idle process hardly wakes.
+// Package ticker calls functions in time. A Ticker calls often while there is
+// something to wait for and seldom when there is not, so that an idle process
+// hardly wakes; Every and Sleep do the plain things until a context ends.
 package ticker
 
 import (
@@ -52,3 +53,25 @@
 		}
 	}
 }
+
+// Every calls do at each interval until ctx ends.
+func Every(ctx context.Context, interval time.Duration, do func()) {
+	beats := time.NewTicker(interval)
+	defer beats.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-beats.C:
+			do()
+		}
+	}
+}
+
+// Sleep waits for d, or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- a/internal/trace/player.go
+++ b/internal/trace/player.go
@@ -54,7 +54,6 @@
 }
 
 func (p *Player) play(ctx context.Context, report *Report, r Request, i int) {
-	first := make(chan struct{})
 	var group sync.WaitGroup
 	if r.AgainMS > 0 {
 		group.Go(func() { // the caller asks again, elsewhere, with the same key
@@ -66,7 +65,6 @@
 		})
 	}
 	report.add(r, p.send(ctx, r, i))
-	close(first)
 	group.Wait()
 }
 
