changelog: be ready only with the whole configuration

It then served, dispatched with endpoints missing, and handed the part on to peers.

Now a copy is loaded only when it has read to the end, took a loaded peer's answer, or made the next revision itself; until then it hands nothing on and dispatches no cell. TestReadyOnlyWithTheWhole failed before and passes.

--- a/internal/changelog/log.go
+++ b/internal/changelog/log.go
@@ -68,8 +68,8 @@
 // Current returns the newest configuration known here.
 func (l *Log) Current() *catalog.Catalog { return l.current.Load() }
 
-// Loaded says whether the configuration came from the platform or a peer, so
-// that this process may serve.
+// Loaded says whether the whole configuration came from the platform or a peer,
+// so that this process may serve. A first part of it is not enough.
 func (l *Log) Loaded() bool { return l.loaded.Load() }
 
 // History returns the newest changes known here, oldest first.
@@ -106,7 +106,6 @@
 		return nil, Error.Wrap(err)
 	}
 	l.current.Store(next)
-	l.loaded.Store(true)
 	l.history = append(l.history, ch)
 	if len(l.history) > historyKept {
 		l.history = l.history[len(l.history)-historyKept:]
@@ -123,7 +122,6 @@
 		l.current.Store(next)
 		l.history = nil
 	}
-	l.loaded.Store(true)
 	l.mu.Unlock()
 	if newer {
 		l.Changed(next)
@@ -191,6 +189,7 @@
 	if err := l.Take(ch); err != nil {
 		return l.CatchUp(ctx)
 	}
+	l.loaded.Store(true) // what makes the next revision had all before it
 	if ch.Revision%snapshotEvery == 0 {
 		if err := l.writeSnapshot(ctx); err != nil {
 			l.log.Warn().Err(err).Msg("snapshot not written; the log still holds every change")
@@ -267,6 +266,7 @@
 				continue
 			}
 		}
+		l.loaded.Store(true)
 		index = next
 	}
 }
--- a/internal/changelog/log_test.go
+++ b/internal/changelog/log_test.go
@@ -136,6 +136,29 @@
 	c.Assert(l.Current().Revision, qt.Equals, int64(3))
 }
 
+// TestReadyOnlyWithTheWhole says that a copy is not ready while it has only the
+// first part of the configuration, and hands none of that on.
+func TestReadyOnlyWithTheWhole(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t)
+	writer := r.log()
+	for _, n := range []string{"a", "b", "c"} {
+		_, err := writer.Submit(context.Background(), zone(n, n), writer.Current().Revision)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(writer.CatchUp(context.Background()), qt.IsNil)
+	fresh, other := r.log(), r.log()
+	c.Assert(fresh.Take(writer.History()[0]), qt.IsNil)
+	c.Assert(fresh.Loaded(), qt.IsFalse)
+	c.Assert(other.TakeDelta(fresh.Delta(changelog.Pull{After: 0})), qt.IsNil)
+	c.Assert(other.Loaded(), qt.IsFalse)
+	c.Assert(other.Current().Revision, qt.Equals, int64(0))
+	c.Assert(fresh.CatchUp(context.Background()), qt.IsNil)
+	c.Assert(fresh.Loaded(), qt.IsTrue)
+	c.Assert(other.TakeDelta(fresh.Delta(changelog.Pull{After: 0})), qt.IsNil)
+	c.Assert(other.Loaded(), qt.IsTrue)
+}
+
 // TestStartInAnOutage takes the configuration from a peer, change by change or
 // as a whole when the peer keeps no such old changes.
 func TestStartInAnOutage(t *testing.T) {
--- a/internal/changelog/pull.go
+++ b/internal/changelog/pull.go
@@ -8,7 +8,7 @@
 }
 
 // Delta answers a Pull: the changes that follow, or the whole when the peer no
-// longer keeps them all.
+// longer keeps them all. It is empty from a peer that has not the whole itself.
 type Delta struct {
 	Changes  []catalog.Change `cbor:"1,keyasint"`
 	Revision int64            `cbor:"2,keyasint"` // of Rows; 0 without
@@ -20,7 +20,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Current()
-	if p.After >= now.Revision {
+	if p.After >= now.Revision || !l.Loaded() {
 		return Delta{}
 	}
 	first := now.Revision - int64(len(l.history)) + 1
@@ -39,5 +39,11 @@
 		}
 		l.replace(c)
 	}
-	return l.Take(d.Changes...)
+	if err := l.Take(d.Changes...); err != nil {
+		return err
+	}
+	if d.Revision > 0 || len(d.Changes) > 0 {
+		l.loaded.Store(true)
+	}
+	return nil
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -139,7 +139,12 @@
 	ticker.Every(ctx, reconcileInterval, n.dispatcher.Reconcile)
 }
 
+// dispatches says whether a cell is this process's to dispatch, which takes the
+// whole configuration: with a part of it, endpoints would be missing.
 func (n *Node) dispatches(name catalog.Cell) bool {
+	if !n.changes.Loaded() {
+		return false
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	m, ok := n.table.Dispatcher(name)
