--- /dev/null
+++ b/internal/balance/balancer.go
@@ -0,0 +1,256 @@
+// Package balance chooses endpoints. It knows each endpoint by the requests
+// that this instance has there, the load that answers tell, and how recent
+// requests ended; it shares nothing with other instances.
+package balance
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+const (
+	// loadAge is how long an endpoint's word on its load is believed.
+	loadAge = 1500 * time.Millisecond
+	// zonePenalty is added to the predicted wait at endpoints of other zones:
+	// it outweighs the 3 ms round trip because bytes between zones cost, and
+	// cut links strike there.
+	zonePenalty = 40.0 // ms
+	// stagePenalty is added where an engine has another part than wanted.
+	stagePenalty = 400.0 // ms
+	// ejectBase doubles with each ejection in a row, up to ejectMost.
+	ejectBase = time.Second
+	ejectMost = 8 * time.Second
+	// failureWeight is the weight of one result in the running failure rate;
+	// half of a rate is forgotten in about four results.
+	failureWeight = 0.15
+	// ejectRate is the failure rate at which an endpoint is ejected. Some
+	// kinds fail by themselves (one in seven); four failures of five reach it.
+	ejectRate = 0.45
+	// startWork is the assumed work of one request before any was measured.
+	startWork = 60.0 // ms
+)
+
+// Ask is what a request wants.
+type Ask struct {
+	Service string
+	Work    float64 // predicted work at the endpoint in ms, 0 if unknown
+	Stage   directory.Stage
+	Exclude []string // ids of endpoints already tried
+}
+
+// Result is how a send ended.
+type Result int
+
+// Results of a send.
+const (
+	Good        Result = iota // an answer, whatever its status
+	Failed                    // a failure that another endpoint might not have had
+	Rejected                  // the endpoint said that it did not run the request
+	Unreachable               // no connection
+	Abandoned                 // we ended it; says nothing about the endpoint
+)
+
+// Load is an endpoint's own word.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Balancer is the table of endpoints.
+type Balancer struct {
+	zone string
+	mu   sync.Mutex
+	byID map[string]*state
+}
+
+type state struct {
+	pending  float64 // predicted ms of work that has not begun to answer
+	running  int     // requests of this instance
+	load     Load
+	loadAt   clock.Millis
+	work     float64 // running mean of a request's time, ms
+	failures float64 // running rate of failures
+	row      int     // ejections in a row
+	ejected  clock.Millis
+	usedAt   clock.Millis
+}
+
+// New returns a balancer for an instance of zone.
+func New(zone string) *Balancer {
+	return &Balancer{zone: zone, byID: map[string]*state{}}
+}
+
+// Reservation is a request's place at an endpoint, until Done.
+type Reservation struct {
+	Endpoint *directory.Endpoint
+	balancer *Balancer
+	work     float64
+	began    clock.Millis
+	begun    bool
+	done     bool
+}
+
+// Reserve picks the endpoint with the least predicted wait. Ejected endpoints
+// are taken only if no other is left. It returns nil if there is none at all.
+func (b *Balancer) Reserve(now clock.Millis, view *directory.View, a Ask) *Reservation {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var best *directory.Endpoint
+	bestScore, bestEjected := 0.0, true
+	list := view.Endpoints[a.Service]
+	from := rand.IntN(len(list) + 1)
+	for i := range list {
+		e := list[(from+i)%len(list)]
+		if e.State != directory.Ready || contains(a.Exclude, e.ID) {
+			continue
+		}
+		s := b.state(e.ID)
+		score, out := b.score(now, e, s, a), now < s.ejected
+		if best == nil || bestEjected && !out || bestEjected == out && score < bestScore {
+			best, bestScore, bestEjected = e, score, out
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return b.reserve(now, best, a)
+}
+
+func (b *Balancer) reserve(now clock.Millis, e *directory.Endpoint, a Ask) *Reservation {
+	s := b.state(e.ID)
+	r := &Reservation{Endpoint: e, balancer: b, work: a.Work, began: now}
+	if r.work == 0 {
+		r.work = s.work
+	}
+	s.pending += r.work
+	s.running++
+	s.usedAt = now
+	return r
+}
+
+// score predicts the wait at an endpoint in ms.
+func (b *Balancer) score(now clock.Millis, e *directory.Endpoint, s *state, a Ask) float64 {
+	running, waiting := s.running, 0
+	if now.Sub(s.loadAt) < loadAge {
+		running = max(running, s.load.Running)
+		waiting = s.load.Waiting
+	}
+	slots := max(e.Slots, 1)
+	score := s.work * float64(waiting) / float64(slots)
+	if a.Work > 0 {
+		score += s.pending + float64(running)
+	} else {
+		score += s.work * float64(max(running+1-slots, 0)) / float64(slots)
+		score += s.work * float64(running) / float64(slots) / 4
+	}
+	if e.Zone != b.zone {
+		score += zonePenalty
+	}
+	if e.Stage != a.Stage && e.Stage != directory.Whole {
+		score += stagePenalty
+	}
+	return score
+}
+
+func (b *Balancer) state(id string) *state {
+	s := b.byID[id]
+	if s == nil {
+		s = &state{work: startWork}
+		b.byID[id] = s
+	}
+	return s
+}
+
+// Begun says that the endpoint has begun to answer.
+func (r *Reservation) Begun() {
+	r.balancer.mu.Lock()
+	defer r.balancer.mu.Unlock()
+	r.begin()
+}
+
+func (r *Reservation) begin() {
+	if r.begun {
+		return
+	}
+	r.begun = true
+	s := r.balancer.state(r.Endpoint.ID)
+	s.pending = max(s.pending-r.work, 0)
+}
+
+// Told takes the load that an answer tells.
+func (r *Reservation) Told(now clock.Millis, l Load) {
+	r.balancer.mu.Lock()
+	defer r.balancer.mu.Unlock()
+	s := r.balancer.state(r.Endpoint.ID)
+	s.load, s.loadAt = l, now
+}
+
+// Done gives the place back and learns from the result. It returns how long
+// the endpoint is ejected for, 0 if it is not ejected now.
+func (r *Reservation) Done(now clock.Millis, result Result) time.Duration {
+	b := r.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.done {
+		return 0
+	}
+	r.done = true
+	r.begin()
+	s := b.state(r.Endpoint.ID)
+	s.running--
+	switch result {
+	case Good:
+		s.failures *= 1 - failureWeight
+		s.work += (float64(now.Sub(r.began).Milliseconds()) - s.work) * failureWeight
+		s.row = 0
+	case Failed:
+		s.failures += (1 - s.failures) * failureWeight
+		if s.failures >= ejectRate {
+			return s.eject(now)
+		}
+	case Unreachable:
+		return s.eject(now)
+	case Rejected, Abandoned:
+	}
+	return 0
+}
+
+func (s *state) eject(now clock.Millis) time.Duration {
+	if now < s.ejected {
+		return 0 // it was ejected while this request was there
+	}
+	length := min(ejectBase<<s.row, ejectMost)
+	s.row = min(s.row+1, 3)
+	s.ejected = now.Add(length)
+	s.failures = ejectRate / 2 // one more failure in a few ejects again
+	return length
+}
+
+// Forget drops endpoints that the view no longer holds and nothing uses.
+func (b *Balancer) Forget(view *directory.View) {
+	known := map[string]bool{}
+	for _, list := range view.Endpoints {
+		for _, e := range list {
+			known[e.ID] = true
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.byID {
+		if !known[id] && s.running == 0 {
+			delete(b.byID, id)
+		}
+	}
+}
+
+func contains(list []string, id string) bool {
+	for _, l := range list {
+		if l == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/budget/budget.go
@@ -0,0 +1,98 @@
+// Package budget bounds how often requests are sent again. All instances share
+// one allowance for each service; each takes a fixed part of it, so that no
+// message is needed and instances that lost touch cannot overdraw the sum.
+package budget
+
+import (
+	"sync"
+	"time"
+
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// steps divides the window; a step's counts leave together.
+const steps = 20
+
+// Rule is the allowance of all instances together.
+type Rule struct {
+	Ratio  float64       // extra sends for each request
+	Slack  float64       // extra sends besides, in a window
+	Window time.Duration // any span of this length is counted
+}
+
+// margin is the part of the allowance that is used. The rest covers sends
+// that arrive in a later window than they were counted in.
+const margin = 0.8
+
+// Budget is one instance's part for one service.
+type Budget struct {
+	mu       sync.Mutex
+	rule     Rule
+	shares   int
+	requests [steps]float64
+	extras   [steps]float64
+	at       int64 // step that the counts end at
+}
+
+// New returns a budget that is one of shares equal parts of rule.
+func New(rule Rule, shares int) *Budget {
+	return &Budget{rule: rule, shares: max(shares, 1)}
+}
+
+// Share sets how many instances divide the slack.
+func (b *Budget) Share(shares int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.shares = max(shares, 1)
+}
+
+// Request counts a request, which earns its ratio.
+func (b *Budget) Request(now clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.requests[b.slot()]++
+}
+
+// Take counts an extra send if the budget allows it.
+func (b *Budget) Take(now clock.Millis) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	if b.left() < 1 {
+		return false
+	}
+	b.extras[b.slot()]++
+	return true
+}
+
+// Left is how many extra sends are allowed now.
+func (b *Budget) Left(now clock.Millis) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	return b.left()
+}
+
+func (b *Budget) left() float64 {
+	requests, extras := 0.0, 0.0
+	for i := range steps {
+		requests += b.requests[i]
+		extras += b.extras[i]
+	}
+	return margin*(b.rule.Slack/float64(b.shares)+b.rule.Ratio*requests) - extras
+}
+
+func (b *Budget) slot() int { return int(b.at % steps) }
+
+func (b *Budget) advance(now clock.Millis) {
+	step := int64(now) / max(b.rule.Window.Milliseconds()/(steps-1), 1)
+	if step-b.at > steps {
+		b.at = step - steps
+	}
+	for b.at < step {
+		b.at++
+		b.requests[b.slot()] = 0
+		b.extras[b.slot()] = 0
+	}
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -53,6 +53,7 @@
 func commands(parser *flags.Parser) []registered {
 	return []registered{
 		{"serve", "run a process", "Runs one trailshed process until it is sent SIGTERM, then lets every running request finish.", &serve{}},
+		{"gateway", "route on a platform", "Runs one process that routes requests on the users' platform until it is sent SIGTERM, then lets running requests finish.", &gatewayCommand{}},
 		{"check", "check a settings file", "Checks a settings file, naming file, line, key and value of everything that is wrong.", &check{}},
 		{"query", "ask what is running", "Runs a statement that changes nothing, such as 'show running' or 'explain REQUEST'.", &ask{}},
 		{"do", "give a command", "Runs statements that may change the configuration, such as 'drain endpoint NAME'.", &do{}},
--- /dev/null
+++ b/internal/command/gateway.go
@@ -0,0 +1,42 @@
+package command
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/gateway"
+	"github.com/trailshed/trailshed/platform"
+)
+
+type gatewayCommand struct {
+	Settings string `short:"s" long:"settings" env:"TRAILSHED_BOOT" required:"true" value-name:"FILE" description:"settings of this process"`
+}
+
+// Execute routes requests on the users' platform until it is told to stop.
+func (c *gatewayCommand) Execute([]string) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Ignore(syscall.SIGPIPE)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	set, err := gateway.LoadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	log := eventlog.Open(os.Stdout, set.Instance.Name)
+	defer func() { _ = log.Close() }()
+	store := platform.NewStore(set.StoreAddress(), set.Store.Timeout, tally.NoopScope)
+	g := gateway.New(set, gateway.Platform{
+		Dialect: platform.Dialect(), Source: platform.Source(store), ReadyPath: platform.ReadyPath,
+	}, log)
+	stop := make(chan struct{})
+	go func() {
+		<-signals
+		close(stop)
+	}()
+	return g.Run(stop)
+}
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,236 @@
+// Package directory keeps what an instance believes of the configuration and
+// of the endpoints. Facts come from the platform's store and, while that is out
+// of reach, from peers; each carries the store's revision, and an older fact
+// never replaces a newer one. Apply is pure apart from the lock: the caller
+// gives the time, and learns from the returned changes what to log.
+package directory
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/trailshed/trailshed/internal/route"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// settle is how long an endpoint that is missing after an outage of the store
+// still counts as present. The users' second letter: entries of endpoints that
+// live are back within about two seconds of the store's return.
+const settle = 2200 * time.Millisecond
+
+// State is an endpoint's own word on whether it takes new work.
+type State int
+
+// States of an endpoint.
+const (
+	Ready State = iota
+	Draining
+)
+
+// Stage is the part an engine plays.
+type Stage int
+
+// Stages of an engine.
+const (
+	Whole Stage = iota // reads and decodes; also every plain service
+	Prefill
+	Decode
+)
+
+// Endpoint is one replica of a service, as its entry in the store tells.
+type Endpoint struct {
+	ID       string
+	Service  string
+	Address  netip.AddrPort
+	Zone     string
+	Slots    int
+	State    State
+	Stage    Stage
+	Revision int64 // of the store, when this was written
+}
+
+// View is what requests read: immutable, replaced at each change.
+type View struct {
+	Table     *route.Table // nil while no configuration is known
+	Endpoints map[string][]*Endpoint
+	Revision  int64 // up to which this view is complete
+}
+
+// Directory is the aggregate.
+type Directory struct {
+	view atomic.Pointer[View]
+
+	mu         sync.Mutex
+	table      *route.Table
+	tableRev   int64
+	endpoints  map[string]*held
+	removed    map[string]int64 // id: revision of its removal
+	revision   int64
+	storeLost  bool
+	returnedAt clock.Millis // when the store was last reached again; 0 at first
+}
+
+// held is an endpoint with what is doubted of it.
+type held struct {
+	endpoint Endpoint
+	missing  clock.Millis // since when the store does not list it; 0 if it does
+}
+
+// New returns a directory that knows nothing.
+func New() *Directory {
+	d := &Directory{endpoints: map[string]*held{}, removed: map[string]int64{}}
+	d.view.Store(&View{Endpoints: map[string][]*Endpoint{}})
+	return d
+}
+
+// View returns the present beliefs.
+func (d *Directory) View() *View { return d.view.Load() }
+
+// Apply takes one event and returns what it changed.
+func (d *Directory) Apply(now clock.Millis, e Event) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var changes []Change
+	switch e := e.(type) {
+	case Configured:
+		changes = d.configure(e)
+	case Listed:
+		changes = d.list(now, e)
+	case Seen:
+		changes = d.see(e.Endpoint)
+		d.revision = max(d.revision, e.Endpoint.Revision)
+	case Removed:
+		changes = d.remove(now, e)
+		d.revision = max(d.revision, e.Revision)
+	case Denied:
+		changes = d.deny(e)
+	case StoreLost:
+		d.storeLost = true
+	case StoreReached:
+		if d.storeLost {
+			d.storeLost = false
+			d.returnedAt = now
+		}
+	case Tick:
+		changes = d.expire(now)
+	}
+	if len(changes) > 0 {
+		d.publish()
+	}
+	return changes
+}
+
+func (d *Directory) configure(e Configured) []Change {
+	if d.table != nil && e.Table.Version <= d.table.Version {
+		return nil
+	}
+	d.table, d.tableRev = e.Table, e.Revision
+	return []Change{{What: ConfigurationChanged, Version: e.Table.Version, Revision: e.Revision}}
+}
+
+// list takes a whole listing of the store: what it lacks is gone, at once or,
+// shortly after an outage, once it has stayed missing.
+func (d *Directory) list(now clock.Millis, e Listed) []Change {
+	var changes []Change
+	present := make(map[string]bool, len(e.Endpoints))
+	for _, p := range e.Endpoints {
+		present[p.ID] = true
+		changes = append(changes, d.see(p)...)
+	}
+	for id, h := range d.endpoints {
+		if present[id] || h.endpoint.Revision > e.Revision {
+			continue
+		}
+		changes = append(changes, d.remove(now, Removed{ID: id, Revision: e.Revision})...)
+	}
+	d.revision = max(d.revision, e.Revision)
+	return changes
+}
+
+func (d *Directory) see(p Endpoint) []Change {
+	if d.removed[p.ID] >= p.Revision {
+		return nil
+	}
+	h := d.endpoints[p.ID]
+	if h == nil {
+		d.endpoints[p.ID] = &held{endpoint: p}
+		return []Change{{What: EndpointJoined, Endpoint: p, Revision: p.Revision}}
+	}
+	if p.Revision < h.endpoint.Revision {
+		return nil
+	}
+	before := h.endpoint
+	wasMissing := h.missing != 0
+	h.endpoint, h.missing = p, 0
+	if before.State != p.State {
+		return []Change{{What: EndpointLeaving, Endpoint: p, Revision: p.Revision}}
+	}
+	before.Revision = p.Revision
+	if before == p && !wasMissing {
+		return nil
+	}
+	return []Change{{What: EndpointChanged, Endpoint: p, Revision: p.Revision}}
+}
+
+func (d *Directory) remove(now clock.Millis, e Removed) []Change {
+	h := d.endpoints[e.ID]
+	if h == nil {
+		d.removed[e.ID] = max(d.removed[e.ID], e.Revision)
+		return nil
+	}
+	if e.Revision < h.endpoint.Revision {
+		return nil
+	}
+	if h.endpoint.State == Ready && d.unsettled(now) {
+		if h.missing == 0 {
+			h.missing = now
+			return []Change{{What: EndpointMissing, Endpoint: h.endpoint, Revision: e.Revision}}
+		}
+		return nil
+	}
+	return d.drop(h, e.Revision)
+}
+
+func (d *Directory) drop(h *held, revision int64) []Change {
+	delete(d.endpoints, h.endpoint.ID)
+	d.removed[h.endpoint.ID] = max(d.removed[h.endpoint.ID], revision)
+	return []Change{{What: EndpointGone, Endpoint: h.endpoint, Revision: revision}}
+}
+
+// deny drops an endpoint whose address turned out to belong to another one.
+func (d *Directory) deny(e Denied) []Change {
+	h := d.endpoints[e.ID]
+	if h == nil {
+		return nil
+	}
+	return d.drop(h, h.endpoint.Revision)
+}
+
+// unsettled says that entries may be absent only because the store was away.
+func (d *Directory) unsettled(now clock.Millis) bool {
+	return d.storeLost || d.returnedAt != 0 && now.Sub(d.returnedAt) < settle
+}
+
+func (d *Directory) expire(now clock.Millis) []Change {
+	if d.unsettled(now) {
+		return nil
+	}
+	var changes []Change
+	for _, h := range d.endpoints {
+		if h.missing != 0 && now.Sub(h.missing) >= settle {
+			changes = append(changes, d.drop(h, d.revision)...)
+		}
+	}
+	return changes
+}
+
+func (d *Directory) publish() {
+	v := &View{Table: d.table, Endpoints: map[string][]*Endpoint{}, Revision: d.revision}
+	for _, h := range d.endpoints {
+		p := h.endpoint
+		v.Endpoints[p.Service] = append(v.Endpoints[p.Service], &p)
+	}
+	d.view.Store(v)
+}
--- /dev/null
+++ b/internal/directory/event.go
@@ -0,0 +1,69 @@
+package directory
+
+import "github.com/trailshed/trailshed/internal/route"
+
+// Event is something learned; the types below are all of them.
+type Event interface{ event() }
+
+// Configured brings a version of the configuration.
+type Configured struct {
+	Table    *route.Table
+	Revision int64
+}
+
+// Listed brings all endpoints, complete up to Revision.
+type Listed struct {
+	Endpoints []Endpoint
+	Revision  int64
+}
+
+// Seen brings one endpoint's new entry.
+type Seen struct{ Endpoint Endpoint }
+
+// Removed says that an endpoint's entry is gone from the store.
+type Removed struct {
+	ID       string
+	Revision int64
+}
+
+// Denied says that another endpoint answered at this one's address.
+type Denied struct{ ID string }
+
+// StoreLost says that the store stopped answering this instance.
+type StoreLost struct{}
+
+// StoreReached says that the store answers this instance.
+type StoreReached struct{}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Configured) event()   {}
+func (Listed) event()       {}
+func (Seen) event()         {}
+func (Removed) event()      {}
+func (Denied) event()       {}
+func (StoreLost) event()    {}
+func (StoreReached) event() {}
+func (Tick) event()         {}
+
+// What names a change of belief, as log lines show it.
+type What string
+
+// The changes of belief.
+const (
+	ConfigurationChanged What = "configuration_changed"
+	EndpointJoined       What = "endpoint_joined"
+	EndpointChanged      What = "endpoint_changed"
+	EndpointLeaving      What = "endpoint_leaving"
+	EndpointMissing      What = "endpoint_missing"
+	EndpointGone         What = "endpoint_gone"
+)
+
+// Change is one change of belief.
+type Change struct {
+	What     What
+	Endpoint Endpoint // of endpoint changes
+	Version  int64    // of configuration changes
+	Revision int64    // of the store, that brought it
+}
--- /dev/null
+++ b/internal/eventlog/event.go
@@ -0,0 +1,38 @@
+package eventlog
+
+// Event names what a line tells.
+type Event string
+
+// Events of the process.
+const (
+	Started        Event = "started"
+	Stopping       Event = "stopping"
+	Stopped        Event = "stopped"
+	Reloaded       Event = "reloaded"
+	ReloadRefused  Event = "reload_refused"
+	LinesDropped   Event = "lines_dropped"
+	StoreLost      Event = "store_lost"
+	StoreRegained  Event = "store_regained"
+	HistoryLost    Event = "history_lost"
+	PeerLost       Event = "peer_lost"
+	PeerRegained   Event = "peer_regained"
+	PeerTold       Event = "peer_told"
+	Registered     Event = "registered"
+	RegisterFailed Event = "register_failed"
+	Unreadable     Event = "unreadable"
+	Believed       Event = "believed"
+)
+
+// Events of requests and endpoints.
+const (
+	Sent            Event = "sent"
+	EndpointFailed  Event = "endpoint_failed"
+	EndpointEjected Event = "endpoint_ejected"
+	Repeated        Event = "repeated"
+	Resumed         Event = "resumed"
+	Answered        Event = "answered"
+	Refused         Event = "refused"
+	GaveUp          Event = "gave_up"
+	Broken          Event = "broken"
+	Cancelled       Event = "cancelled"
+)
--- /dev/null
+++ b/internal/eventlog/log.go
@@ -0,0 +1,100 @@
+// Package eventlog writes the process's log: JSON lines to one writer, one for
+// each decision that touches a request or changes what the process believes.
+// Writing never blocks: lines wait in a bounded ring, and what the reader of
+// the output is too slow for is dropped and counted.
+package eventlog
+
+import (
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+)
+
+// ringLines is how many lines may wait for the reader of the output; at about
+// 300 bytes each they hold 300 kB.
+const ringLines = 1000
+
+// Log writes lines. Its methods may be called from any goroutine.
+type Log struct {
+	logger  zerolog.Logger
+	ring    diode.Writer
+	dropped atomic.Int64
+	told    atomic.Int64
+}
+
+// Open returns a log of the instance called name that writes to out.
+func Open(out io.Writer, name string) *Log {
+	l := &Log{}
+	l.ring = diode.NewWriter(out, ringLines, 0, func(missed int) { l.dropped.Add(int64(missed)) })
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	l.logger = zerolog.New(l.ring).With().Str("instance", name).Logger()
+	return l
+}
+
+// Line is one decision or change. Zero fields are left out.
+type Line struct {
+	Event    Event
+	Request  string        // id of the request it touches
+	Attempt  int           // send within the request, from 1
+	Route    string        //
+	Service  string        //
+	Endpoint string        // id of the endpoint
+	Address  string        // of the endpoint or peer
+	Outcome  string        //
+	Reason   string        // why; a fixed word
+	Detail   string        // free text, such as an error
+	Status   int           // HTTP status
+	Took     time.Duration // since the request arrived, or the length of what ended
+	Left     time.Duration // until the request's limit
+	Age      time.Duration // of the input that decided
+	Version  int64         // of the configuration
+	Revision int64         // of the store
+	Count    int64         //
+}
+
+// Write writes one line.
+func (l *Log) Write(n Line) {
+	if dropped := l.dropped.Load(); dropped > l.told.Load() {
+		l.told.Store(dropped)
+		l.logger.Log().Timestamp().Str("event", string(LinesDropped)).Int64("count", dropped).Send()
+	}
+	e := l.logger.Log().Timestamp().Str("event", string(n.Event))
+	text(e, "request", n.Request)
+	number(e, "attempt", int64(n.Attempt))
+	text(e, "route", n.Route)
+	text(e, "service", n.Service)
+	text(e, "endpoint", n.Endpoint)
+	text(e, "address", n.Address)
+	text(e, "outcome", n.Outcome)
+	text(e, "reason", n.Reason)
+	text(e, "detail", n.Detail)
+	number(e, "status", int64(n.Status))
+	number(e, "took_ms", n.Took.Milliseconds())
+	number(e, "left_ms", n.Left.Milliseconds())
+	number(e, "age_ms", n.Age.Milliseconds())
+	number(e, "version", n.Version)
+	number(e, "revision", n.Revision)
+	number(e, "count", n.Count)
+	e.Send()
+}
+
+// Dropped is how many lines were lost because the output was too slow.
+func (l *Log) Dropped() int64 { return l.dropped.Load() }
+
+// Close writes what waits.
+func (l *Log) Close() error { return l.ring.Close() }
+
+func text(e *zerolog.Event, key, value string) {
+	if value != "" {
+		e.Str(key, value)
+	}
+}
+
+func number(e *zerolog.Event, key string, value int64) {
+	if value != 0 {
+		e.Int64(key, value)
+	}
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,142 @@
+// Package feed follows the platform's store and tells the directory what it
+// says. It lists once, then waits for changes; it lists anew when the store has
+// forgotten the changes in between.
+package feed
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// ErrHistoryLost says that the store no longer has the changes asked for.
+var ErrHistoryLost = errors.New("history is lost")
+
+// News is what the store told, up to Revision.
+type News struct {
+	Events   []directory.Event
+	Problems []error // entries that could not be read
+	Revision int64
+}
+
+// Source reads the store.
+type Source struct {
+	// List reads everything.
+	List func(ctx context.Context) (News, error)
+	// Watch waits for changes after revision.
+	Watch func(ctx context.Context, revision int64, wait time.Duration) (News, error)
+}
+
+const (
+	// watchWait is how long one watch waits; each ends as one priced call.
+	watchWait = 20 * time.Second
+	// retryFirst and retryMost bound the pause after a failed call. The store
+	// takes 2,000 reads a second from all instances together.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+)
+
+// Feed follows the store for one instance.
+type Feed struct {
+	Source    Source
+	Directory *directory.Directory
+	Log       *eventlog.Log
+	Scope     tally.Scope
+	Now       func() clock.Millis
+	// Lost and Regained are told of each change of the store's reach.
+	Lost, Regained func()
+
+	lost    bool
+	restart context.CancelFunc
+}
+
+// Run follows until ctx ends.
+func (f *Feed) Run(ctx context.Context) {
+	revision := int64(0)
+	pause := retryFirst
+	for ctx.Err() == nil {
+		news, err := f.next(ctx, revision)
+		switch {
+		case errors.Is(err, ErrHistoryLost):
+			f.Log.Write(eventlog.Line{Event: eventlog.HistoryLost, Revision: revision})
+			revision = 0
+			continue
+		case err != nil:
+			f.failed(err)
+			wait(ctx, pause)
+			pause = min(2*pause, retryMost)
+			continue
+		}
+		pause = retryFirst
+		f.reached()
+		f.Take(news)
+		revision = max(revision, news.Revision)
+	}
+}
+
+func (f *Feed) next(ctx context.Context, revision int64) (News, error) {
+	if revision == 0 {
+		return f.Source.List(ctx)
+	}
+	return f.Source.Watch(ctx, revision, watchWait)
+}
+
+// Take applies news to the directory and logs what it changed.
+func (f *Feed) Take(n News) {
+	for _, err := range n.Problems {
+		f.Scope.Counter("store_unreadable").Inc(1)
+		f.Log.Write(eventlog.Line{Event: eventlog.Unreadable, Detail: err.Error(), Revision: n.Revision})
+	}
+	for _, e := range n.Events {
+		f.Tell(e)
+	}
+}
+
+// Tell applies one event to the directory and logs what it changed.
+func (f *Feed) Tell(e directory.Event) {
+	for _, c := range f.Directory.Apply(f.Now(), e) {
+		n := eventlog.Line{
+			Event: eventlog.Believed, Outcome: string(c.What), Version: c.Version, Revision: c.Revision,
+			Endpoint: c.Endpoint.ID, Service: c.Endpoint.Service,
+		}
+		if c.Endpoint.ID != "" {
+			n.Address = c.Endpoint.Address.String()
+		}
+		f.Log.Write(n)
+	}
+}
+
+func (f *Feed) failed(err error) {
+	f.Tell(directory.StoreLost{})
+	if f.lost {
+		return
+	}
+	f.lost = true
+	f.Scope.Gauge("store_reached").Update(0)
+	f.Log.Write(eventlog.Line{Event: eventlog.StoreLost, Detail: err.Error()})
+	f.Lost()
+}
+
+func (f *Feed) reached() {
+	f.Tell(directory.StoreReached{})
+	if !f.lost {
+		return
+	}
+	f.lost = false
+	f.Scope.Gauge("store_reached").Update(1)
+	f.Log.Write(eventlog.Line{Event: eventlog.StoreRegained})
+	f.Regained()
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/forward/attempt.go
@@ -0,0 +1,225 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/trailshed/trailshed/internal/balance"
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/route"
+	"github.com/trailshed/trailshed/internal/uplink"
+)
+
+// spare is an endpoint's whole answer in memory.
+type spare struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+const (
+	// wholeAnswer is the size up to which an answer is taken whole before any
+	// of it is passed on, so that a broken one can be replaced.
+	wholeAnswer = 256 << 10
+	// restRepeatable and restOnce bound the idle time of kept connections: an
+	// endpoint may close one at any moment, and a request that may run only
+	// once is lost if that crosses it.
+	restRepeatable = 3 * time.Second
+	restOnce       = 400 * time.Millisecond
+	// silencePart of the target is how long a repeatable request waits for an
+	// answer to begin before it is sent to another endpoint.
+	silencePart = 0.8
+	// silenceEngine bounds the same for engines, whose prompts take time.
+	silenceEngine = 1500 * time.Millisecond
+	// silenceGaps is how many of the longest good pauses between events a
+	// resumable stream waits before it goes on elsewhere.
+	silenceGaps = 3
+)
+
+// attempt makes one send. It returns true when the request is answered.
+func (p *passage) attempt(parent context.Context, r *balance.Reservation) bool {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	silence := p.watchSilence(cancel)
+	defer silence.stop()
+	exchange, answer, err := p.send(ctx, r)
+	if err != nil {
+		p.sendFailed(parent, r, err)
+		return false
+	}
+	if answer.HasLoad {
+		r.Told(p.Now(), answer.Load)
+	}
+	silence.heard()
+	if answer.NotRun {
+		p.runs--
+		exchange.Close(p.drainSmall(exchange))
+		p.rejected(r, answer)
+		return false
+	}
+	if answer.Streamed && exchange.Response.StatusCode < http.StatusMultipleChoices {
+		return p.stream(parent, r, exchange, answer, silence)
+	}
+	return p.plain(parent, r, exchange, answer)
+}
+
+func (p *passage) send(ctx context.Context, r *balance.Reservation) (*uplink.Exchange, Answer, error) {
+	m := p.message
+	m.To = r.Endpoint.Address
+	m.Rest = restOnce
+	if p.route.Kind == route.Idempotent {
+		m.Rest = restRepeatable
+	}
+	m.Header = p.Dialect.Encode(p.call, Send{
+		Endpoint: r.Endpoint, Wait: max(p.left(), 0), LastEvent: p.last, Priority: p.route.Priority,
+	})
+	p.sends++
+	p.runs++
+	n := p.line(eventlog.Sent, "", nil)
+	n.Endpoint = r.Endpoint.ID
+	p.Log.Write(n)
+	var answer Answer
+	exchange, err := p.Pool.Do(ctx, m, func(resp *http.Response) bool {
+		answer = p.Dialect.Read(resp)
+		return answer.ID == p.call.ID
+	})
+	if errors.Is(err, uplink.ErrNotSent) {
+		p.sends--
+		p.runs--
+	}
+	return exchange, answer, err
+}
+
+// sendFailed judges a send that brought no answer.
+func (p *passage) sendFailed(parent context.Context, r *balance.Reservation, err error) {
+	result := balance.Failed
+	p.failure = "no_answer"
+	switch {
+	case parent.Err() != nil:
+		result = balance.Abandoned
+		if errors.Is(parent.Err(), context.DeadlineExceeded) {
+			result = balance.Failed
+		}
+	case errors.Is(err, uplink.ErrNotSent):
+		result = balance.Unreachable
+		p.failure = "unreachable"
+	}
+	p.endpointFailed(r, result, err)
+}
+
+func (p *passage) endpointFailed(r *balance.Reservation, result balance.Result, err error) {
+	p.tried = append(p.tried, r.Endpoint.ID)
+	ejected := r.Done(p.Now(), result)
+	n := p.line(eventlog.EndpointFailed, p.failure, err)
+	n.Endpoint, n.Address = r.Endpoint.ID, r.Endpoint.Address.String()
+	p.Log.Write(n)
+	if ejected > 0 {
+		p.Scope.Counter("endpoints_ejected").Inc(1)
+		p.Log.Write(eventlog.Line{Event: eventlog.EndpointEjected, Endpoint: r.Endpoint.ID, Service: p.service, Reason: p.failure, Took: ejected})
+	}
+}
+
+// rejected takes an endpoint's word that it did not run the request.
+func (p *passage) rejected(r *balance.Reservation, a Answer) {
+	p.failure = "endpoints_full"
+	if a.Other {
+		p.failure = "address_reused"
+		p.Gone(r.Endpoint.ID)
+	}
+	p.endpointFailed(r, balance.Rejected, nil)
+}
+
+// plain takes an answer that is no stream.
+func (p *passage) plain(parent context.Context, r *balance.Reservation, x *uplink.Exchange, a Answer) bool {
+	resp := x.Response
+	header := p.Dialect.Passed(resp.Header)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeAnswer+1))
+	if err == nil && len(body) > wholeAnswer {
+		r.Begun()
+		return p.passLong(r, x, header, body)
+	}
+	good := resp.StatusCode < http.StatusMultipleChoices
+	if err == nil && good && (!a.Signed || a.Encoded) {
+		err = Error.New("the answer is not the endpoint's own")
+	}
+	if err != nil {
+		x.Close(false)
+		p.sendFailed(parent, r, err)
+		return false
+	}
+	x.Close(true)
+	answer := &spare{status: resp.StatusCode, header: header, body: body}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		p.failure = "endpoint_status"
+		p.spare = answer
+		p.endpointFailed(r, balance.Failed, nil)
+		return false
+	}
+	r.Done(p.Now(), balance.Good)
+	p.pass(answer)
+	return true
+}
+
+// pass gives the caller a whole answer.
+func (p *passage) pass(s *spare) {
+	if p.headSent {
+		p.failure = "answer_after_events"
+		p.spare = nil
+		p.giveUp()
+		return
+	}
+	copyHeader(p.w.Header(), s.header)
+	p.w.Header().Set("Content-Length", strconv.Itoa(len(s.body)))
+	p.w.WriteHeader(s.status)
+	_, err := p.w.Write(s.body)
+	p.answered(s.status, err)
+}
+
+// passLong passes on an answer that is too long to take whole first.
+func (p *passage) passLong(r *balance.Reservation, x *uplink.Exchange, header http.Header, begin []byte) bool {
+	copyHeader(p.w.Header(), header)
+	if x.Response.ContentLength >= 0 {
+		p.w.Header().Set("Content-Length", strconv.FormatInt(x.Response.ContentLength, 10))
+	}
+	p.w.WriteHeader(x.Response.StatusCode)
+	p.headSent = true
+	_, err := io.Copy(p.w, io.MultiReader(bytes.NewReader(begin), x.Response.Body))
+	x.Close(err == nil)
+	if err != nil {
+		r.Done(p.Now(), balance.Failed)
+		p.failure = "answer_cut"
+		p.giveUp()
+	}
+	r.Done(p.Now(), balance.Good)
+	p.answered(x.Response.StatusCode, nil)
+	return true
+}
+
+func (p *passage) answered(status int, err error) {
+	n := p.line(eventlog.Answered, "", err)
+	n.Status = status
+	p.Log.Write(n)
+	p.Scope.Counter("requests_answered").Inc(1)
+}
+
+// drainSmall reads a short body to its end, so that the connection can be kept.
+func (p *passage) drainSmall(x *uplink.Exchange) bool {
+	_, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, wholeAnswer))
+	return err == nil
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, ok := from[name]; !ok {
+			to[name] = nil // keep the server from adding its own
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/forwarder.go
@@ -0,0 +1,353 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/zeebo/errs"
+
+	"github.com/trailshed/trailshed/internal/balance"
+	"github.com/trailshed/trailshed/internal/budget"
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/route"
+	"github.com/trailshed/trailshed/internal/uplink"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// Error marks every error of this package.
+var Error = errs.Class("forward")
+
+// Options are what a Forwarder works with.
+type Options struct {
+	Dialect   Dialect
+	Directory *directory.Directory
+	Balancer  *balance.Balancer
+	Pool      *uplink.Pool
+	Log       *eventlog.Log
+	Scope     tally.Scope
+	Now       func() clock.Millis
+	// Retry is the allowance of all instances together.
+	Retry budget.Rule
+	// BodyMemory bounds the bytes of all bodies held at once.
+	BodyMemory int64
+	// Gone is told of an endpoint whose address another one has.
+	Gone func(id string)
+}
+
+// Forwarder serves callers' requests.
+type Forwarder struct {
+	Options
+	leaving atomic.Bool
+	bodies  atomic.Int64
+	running atomic.Int64
+
+	mu      sync.Mutex
+	budgets map[string]*budget.Budget // by service
+	shares  int
+}
+
+// New returns a Forwarder.
+func New(o Options) *Forwarder {
+	return &Forwarder{Options: o, budgets: map[string]*budget.Budget{}, shares: 1}
+}
+
+// Leave makes answers tell callers to close their connections.
+func (f *Forwarder) Leave() { f.leaving.Store(true) }
+
+// Running is the number of requests in progress.
+func (f *Forwarder) Running() int64 { return f.running.Load() }
+
+// Share sets how many instances divide the retry allowance.
+func (f *Forwarder) Share(shares int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.shares = shares
+	for _, b := range f.budgets {
+		b.Share(shares)
+	}
+}
+
+func (f *Forwarder) budget(service string) *budget.Budget {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := f.budgets[service]
+	if b == nil {
+		b = budget.New(f.Retry, f.shares)
+		f.budgets[service] = b
+	}
+	return b
+}
+
+// Waits that refusals tell callers to come back after.
+const (
+	// comeBackStarting: a configuration arrives within a few store calls.
+	comeBackStarting = 300 * time.Millisecond
+	// comeBackBusy: about one request's time at an endpoint.
+	comeBackBusy = 200 * time.Millisecond
+)
+
+// ServeHTTP serves one request.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.running.Add(1)
+	defer f.running.Add(-1)
+	if f.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	p := &passage{Forwarder: f, w: w, arrived: f.Now(), view: f.Directory.View()}
+	if p.admit(r) {
+		p.run(r.Context())
+	}
+}
+
+// passage is one request on its way.
+type passage struct {
+	*Forwarder
+	w       http.ResponseWriter
+	arrived clock.Millis
+	view    *directory.View
+	call    Call
+	route   *route.Route
+	service string
+	limit   clock.Millis // the request's end: the caller's wait or the route's time-out
+	message uplink.Message
+
+	sends    int      // messages that may have reached an endpoint
+	runs     int      // sends that may have run
+	tried    []string // endpoints that failed this request
+	failure  string   // reason of the last failure
+	spare    *spare   // an endpoint's own failing answer, kept in case no better one comes
+	headSent bool
+	last     string // id of the last event passed on
+}
+
+// admit checks the request and reads its body. It answers what it refuses.
+func (p *passage) admit(r *http.Request) bool {
+	if p.view.Table == nil {
+		p.refuse("no_configuration", comeBackStarting)
+		return false
+	}
+	call, err := p.Dialect.Decode(r)
+	if err != nil {
+		p.reject(http.StatusBadRequest, "malformed", err)
+		return false
+	}
+	p.call, p.last = call, call.LastEvent
+	match, ok := p.view.Table.Match(r.Host, r.URL.EscapedPath())
+	if !ok {
+		p.reject(http.StatusNotFound, "no_route", Error.New("no route for host %q and path %q", r.Host, r.URL.Path))
+		return false
+	}
+	p.route, p.service = match, match.Service(call.ID)
+	p.limit = p.arrived.Add(match.Timeout)
+	if call.Wait > 0 {
+		p.limit = min(p.limit, p.arrived.Add(call.Wait))
+	}
+	p.message = uplink.Message{Method: r.Method, Target: r.RequestURI, Host: r.Host}
+	if !p.readBody(r) {
+		return false
+	}
+	p.budget(p.service).Request(p.arrived)
+	return true
+}
+
+// readBody takes the body into memory, as it may have to be sent again.
+func (p *passage) readBody(r *http.Request) bool {
+	p.message.HasBody = r.ContentLength != 0
+	if !p.message.HasBody {
+		return true
+	}
+	most := p.view.Table.Limits.BodyBytes
+	if r.ContentLength > most {
+		p.reject(http.StatusRequestEntityTooLarge, "body_too_large", Error.New("the body is over %d bytes", most))
+		return false
+	}
+	if p.bodies.Load()+max(r.ContentLength, 0) > p.BodyMemory {
+		p.refuse("body_memory_full", comeBackBusy)
+		return false
+	}
+	var err error
+	if r.ContentLength > 0 {
+		p.message.Body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(r.Body, p.message.Body)
+		if err == nil {
+			_, err = r.Body.Read(make([]byte, 1)) // see the end, so that the server watches for the caller's leaving
+			if errors.Is(err, io.EOF) {
+				err = nil
+			}
+		}
+	} else {
+		p.message.Body, err = io.ReadAll(io.LimitReader(r.Body, most+1))
+	}
+	if err != nil {
+		p.Log.Write(p.line(eventlog.Cancelled, "body_unfinished", err))
+		panic(http.ErrAbortHandler)
+	}
+	if int64(len(p.message.Body)) > most {
+		p.reject(http.StatusRequestEntityTooLarge, "body_too_large", Error.New("the body is over %d bytes", most))
+		return false
+	}
+	return true
+}
+
+// run sends the request until it is answered or given up.
+func (p *passage) run(ctx context.Context) {
+	size := int64(len(p.message.Body))
+	p.bodies.Add(size)
+	defer p.bodies.Add(-size)
+	ctx, cancel := context.WithTimeout(ctx, p.left()+finalGrace)
+	defer cancel()
+	for {
+		if ctx.Err() != nil {
+			p.ended(ctx)
+			return
+		}
+		reservation, ok := p.reserve()
+		if !ok {
+			p.giveUp()
+			return
+		}
+		if p.attempt(ctx, reservation) {
+			return
+		}
+	}
+}
+
+// finalGrace is how long an endpoint may take to say itself that the time is
+// over, before we say so. The operators' bound is 500 ms past the time-out.
+const finalGrace = 120 * time.Millisecond
+
+// reserve decides whether the request may be sent (again), and where to.
+func (p *passage) reserve() (*balance.Reservation, bool) {
+	now := p.Now()
+	if p.runs > 0 && (!p.route.Repeatable() || p.runs >= p.route.Attempts) {
+		return nil, false
+	}
+	if p.limit.Sub(now) < leastLeft {
+		p.failure = "no_time_left"
+		return nil, false
+	}
+	p.view = p.Directory.View()
+	r := p.Balancer.Reserve(now, p.view, p.ask())
+	if r == nil {
+		if p.failure == "" {
+			p.failure = "no_endpoint"
+		}
+		return nil, false
+	}
+	if p.sends > 0 && !p.budget(p.service).Take(now) {
+		p.failure = "budget_spent"
+		r.Done(now, balance.Abandoned)
+		return nil, false
+	}
+	return r, true
+}
+
+// leastLeft is the time below which a send is pointless.
+const leastLeft = 30 * time.Millisecond
+
+func (p *passage) ask() balance.Ask {
+	a := balance.Ask{Service: p.service, Exclude: p.tried}
+	if s := p.view.Table.Service(p.service); s != nil && s.Engine != nil {
+		a.Stage = directory.Decode
+		a.Work = predictWork(p.call)
+	}
+	return a
+}
+
+// Costs of a request at a decode engine that also reads the prompt, in ms, from
+// the engines' data sheet: half of 55.6 prompt tokens a ms, 4 ms a token out.
+const (
+	promptCost = 1 / 27.8
+	outputCost = 4.0
+	baseCost   = 40.0
+)
+
+func predictWork(c Call) float64 {
+	return baseCost + promptCost*float64(c.Prompt)
+}
+
+// left is the time until the request's limit.
+func (p *passage) left() time.Duration { return p.limit.Sub(p.Now()) }
+
+// ended answers a request whose time is over or whose caller has left.
+func (p *passage) ended(ctx context.Context) {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		p.Log.Write(p.line(eventlog.Cancelled, "caller_left", nil))
+		p.Scope.Counter("requests_cancelled").Inc(1)
+		return
+	}
+	p.failure = "time_over"
+	p.giveUp()
+}
+
+// giveUp ends a request that will not be sent again.
+func (p *passage) giveUp() {
+	switch {
+	case p.headSent:
+		p.Log.Write(p.line(eventlog.Broken, p.failure, nil))
+		p.Scope.Counter("requests_broken").Inc(1)
+		panic(http.ErrAbortHandler)
+	case p.spare != nil:
+		p.pass(p.spare)
+	case p.runs > 0 && p.left() < leastLeft:
+		p.fail(http.StatusGatewayTimeout)
+	case p.runs > 0:
+		p.fail(http.StatusBadGateway)
+	default:
+		p.refuse(p.failure, comeBackBusy)
+	}
+}
+
+// refuse tells the caller that the request did not run and when to come back.
+func (p *passage) refuse(reason string, after time.Duration) {
+	p.failure = reason
+	p.Log.Write(p.line(eventlog.Refused, reason, nil))
+	p.Scope.Counter("requests_refused").Inc(1)
+	p.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	http.Error(p.w, "not run: "+reason, http.StatusServiceUnavailable)
+}
+
+// fail tells the caller that the request may have run.
+func (p *passage) fail(status int) {
+	n := p.line(eventlog.GaveUp, p.failure, nil)
+	n.Status = status
+	p.Log.Write(n)
+	p.Scope.Counter("requests_failed").Inc(1)
+	http.Error(p.w, "may have run: "+p.failure, status)
+}
+
+// reject tells the caller what is wrong with the request.
+func (p *passage) reject(status int, reason string, err error) {
+	n := p.line(eventlog.Refused, reason, err)
+	n.Status = status
+	p.Log.Write(n)
+	p.Scope.Counter("requests_rejected").Inc(1)
+	http.Error(p.w, err.Error(), status)
+}
+
+// line begins a log line of this request.
+func (p *passage) line(e eventlog.Event, reason string, err error) eventlog.Line {
+	n := eventlog.Line{
+		Event: e, Request: p.call.ID, Attempt: p.sends, Reason: reason,
+		Service: p.service, Took: p.Now().Sub(p.arrived),
+	}
+	if p.view.Table != nil {
+		n.Version = p.view.Table.Version
+	}
+	if p.route != nil {
+		n.Route = p.route.Name
+		n.Left = p.left()
+	}
+	if err != nil {
+		n.Detail = err.Error()
+	}
+	return n
+}
--- /dev/null
+++ b/internal/forward/stream.go
@@ -0,0 +1,144 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/trailshed/trailshed/internal/balance"
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/route"
+	"github.com/trailshed/trailshed/internal/uplink"
+)
+
+// eventBytes bounds one event of a stream.
+const eventBytes = 64 << 10
+
+// silence ends an attempt whose endpoint has said nothing for too long. It is
+// set only for what may go on elsewhere; a nil silence never ends anything.
+type silence struct {
+	timer *time.Timer
+	gap   time.Duration
+	fired atomic.Bool
+}
+
+// watchSilence arms the silence of this attempt.
+func (p *passage) watchSilence(cancel context.CancelFunc) *silence {
+	if !p.route.Repeatable() || p.runs+1 >= p.route.Attempts {
+		return nil
+	}
+	first := time.Duration(silencePart * float64(p.route.Target))
+	if p.route.Kind == route.Streaming {
+		first = max(p.route.Target, silenceEngine)
+	}
+	s := &silence{gap: silenceGaps * p.route.GapTarget}
+	s.timer = time.AfterFunc(first, func() {
+		s.fired.Store(true)
+		cancel()
+	})
+	return s
+}
+
+// heard starts the time anew.
+func (s *silence) heard() {
+	if s != nil && s.gap > 0 {
+		s.timer.Reset(s.gap)
+	}
+}
+
+func (s *silence) stop() {
+	if s != nil {
+		s.timer.Stop()
+	}
+}
+
+// stream passes events on as they come. It returns false if the stream broke
+// and may go on at another endpoint.
+func (p *passage) stream(parent context.Context, r *balance.Reservation, x *uplink.Exchange, a Answer, s *silence) bool {
+	if !a.Signed || a.Encoded {
+		x.Close(false)
+		p.sendFailed(parent, r, Error.New("the stream is not the endpoint's own"))
+		return false
+	}
+	events := bufio.NewReader(x.Response.Body)
+	for {
+		event, id, err := readEvent(events)
+		if err != nil {
+			return p.streamEnded(parent, r, x, event, err)
+		}
+		s.heard()
+		r.Begun()
+		if !p.passEvent(x, event) {
+			x.Close(false)
+			r.Done(p.Now(), balance.Abandoned)
+			p.Log.Write(p.line(eventlog.Cancelled, "caller_left", nil))
+			return true
+		}
+		if id != "" {
+			p.last = id
+		}
+	}
+}
+
+func (p *passage) passEvent(x *uplink.Exchange, event []byte) bool {
+	if !p.headSent {
+		copyHeader(p.w.Header(), p.Dialect.Passed(x.Response.Header))
+		p.w.WriteHeader(x.Response.StatusCode)
+		p.headSent = true
+		p.Scope.Timer("first_event").Record(p.Now().Sub(p.arrived))
+	}
+	if _, err := p.w.Write(event); err != nil {
+		return false
+	}
+	return http.NewResponseController(p.w).Flush() == nil
+}
+
+// streamEnded judges the end of an endpoint's stream: whole only if it ended
+// where HTTP says it does, between two events.
+func (p *passage) streamEnded(parent context.Context, r *balance.Reservation, x *uplink.Exchange, rest []byte, err error) bool {
+	if !errors.Is(err, io.EOF) || len(rest) > 0 {
+		x.Close(false)
+		p.sendFailed(parent, r, err)
+		p.failure = "stream_cut"
+		return false
+	}
+	if !p.headSent {
+		p.passEvent(x, nil)
+	}
+	x.Close(true)
+	r.Done(p.Now(), balance.Good)
+	p.answered(x.Response.StatusCode, nil)
+	return true
+}
+
+// readEvent reads up to and with the empty line that ends an event, and finds
+// its id. What it read of an unfinished event comes with the error.
+func readEvent(r *bufio.Reader) (event []byte, id string, err error) {
+	partial := false
+	for {
+		line, err := r.ReadSlice('\n')
+		event = append(event, line...)
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			return event, "", err
+		}
+		if len(event) > eventBytes {
+			return event, "", Error.New("an event is over %d bytes", eventBytes)
+		}
+		whole := !partial
+		partial = err != nil
+		if partial || !whole {
+			continue
+		}
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(value))
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return event, id, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,193 @@
+// Package gateway joins the parts of one process that routes requests on a
+// platform: listeners, the feed from the store, forwarding, and stopping.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/zeebo/errs"
+
+	"github.com/trailshed/trailshed/internal/balance"
+	"github.com/trailshed/trailshed/internal/budget"
+	"github.com/trailshed/trailshed/internal/counter"
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/feed"
+	"github.com/trailshed/trailshed/internal/forward"
+	"github.com/trailshed/trailshed/internal/uplink"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// Error marks every error of this package.
+var Error = errs.Class("gateway")
+
+// Platform is how a gateway meets the platform it runs on.
+type Platform struct {
+	Dialect   forward.Dialect
+	Source    feed.Source
+	ReadyPath string
+}
+
+const (
+	// balancerDelay is how long after SIGTERM new connections may come: the
+	// balancer asks each second and takes an instance out after two misses.
+	balancerDelay = 3200 * time.Millisecond
+	// exitMargin is kept of the grace period for the process's own end.
+	exitMargin = 400 * time.Millisecond
+	// sweepInterval is how often idle connections and old beliefs are looked at.
+	sweepInterval = 250 * time.Millisecond
+	// bodyPart of the memory limit may hold callers' bodies.
+	bodyPart = 0.25
+	// heapPart of the memory limit is the heap that the collector aims below.
+	heapPart = 0.7
+	// collectAt is the growth in percent at which the collector runs: memory
+	// costs more than the processor time here.
+	collectAt = 60
+	// headerBytes bounds a request's head before a configuration says so.
+	headerBytes = 64 << 10
+	// headerTimeout does the same for the time that a head may take.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is how long a caller's connection may rest. Callers use one
+	// again only after less than the operators' limit, which is far below.
+	idleTimeout = 75 * time.Second
+)
+
+// Gateway is one process.
+type Gateway struct {
+	settings *Settings
+	platform Platform
+	log      *eventlog.Log
+	counters *counter.Registry
+	now      func() clock.Millis
+
+	directory *directory.Directory
+	balancer  *balance.Balancer
+	pool      *uplink.Pool
+	forwarder *forward.Forwarder
+	feed      *feed.Feed
+	leaving   atomic.Bool
+}
+
+// New returns a gateway that does not run yet.
+func New(s *Settings, p Platform, log *eventlog.Log) *Gateway {
+	debug.SetMemoryLimit(int64(heapPart * float64(s.Memory.LimitMB<<20)))
+	debug.SetGCPercent(collectAt)
+	g := &Gateway{
+		settings: s, platform: p, log: log, now: clock.System(),
+		counters:  counter.Open(map[string]string{"instance": s.Instance.Name}),
+		directory: directory.New(), balancer: balance.New(s.Instance.Zone),
+	}
+	scope := g.counters.Scope
+	g.pool = uplink.NewPool(scope)
+	g.feed = &feed.Feed{
+		Source: p.Source, Directory: g.directory, Log: log, Scope: scope, Now: g.now,
+		Lost: func() {}, Regained: func() {},
+	}
+	g.forwarder = forward.New(forward.Options{
+		Dialect: p.Dialect, Directory: g.directory, Balancer: g.balancer, Pool: g.pool,
+		Log: log, Scope: scope, Now: g.now,
+		Retry:      budget.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window},
+		BodyMemory: int64(bodyPart * float64(s.Memory.LimitMB<<20)),
+		Gone:       func(id string) { g.feed.Tell(directory.Denied{ID: id}) },
+	})
+	return g
+}
+
+// Run serves until stop is closed and the stop is done.
+func (g *Gateway) Run(stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	defer g.pool.Close()
+
+	callers := &http.Server{
+		Handler: g.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+	}
+	side := []*http.Server{
+		{Addr: g.settings.Callers.Ready, Handler: g.readiness(), ReadHeaderTimeout: headerTimeout},
+		{Addr: g.settings.Admin.Listen, Handler: g.admin(), ReadHeaderTimeout: headerTimeout},
+	}
+	failed := make(chan error, len(side)+1)
+	callers.Addr = g.settings.Callers.Listen
+	for _, s := range append(side, callers) {
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Addr)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		group.Go(func() { failed <- s.Serve(listener) })
+	}
+	group.Go(func() { g.feed.Run(ctx) })
+	group.Go(func() { g.sweep(ctx) })
+	g.log.Write(eventlog.Line{Event: eventlog.Started, Address: g.settings.Callers.Listen})
+	var err error
+	select {
+	case <-stop:
+		g.stop(callers)
+	case err = <-failed:
+		g.log.Write(eventlog.Line{Event: eventlog.Stopping, Reason: "listener_failed", Detail: err.Error()})
+	}
+	for _, s := range append(side, callers) {
+		_ = s.Close()
+	}
+	g.log.Write(eventlog.Line{Event: eventlog.Stopped, Count: g.forwarder.Running()})
+	return Error.Wrap(err)
+}
+
+// stop goes on serving until the balancer has taken this instance out, then
+// finishes what runs.
+func (g *Gateway) stop(callers *http.Server) {
+	started := time.Now()
+	g.leaving.Store(true)
+	g.forwarder.Leave()
+	g.log.Write(eventlog.Line{Event: eventlog.Stopping, Reason: "told_to_stop", Count: g.forwarder.Running()})
+	delay := min(balancerDelay, g.settings.Stop.Grace/2)
+	time.Sleep(delay)
+	left := g.settings.Stop.Grace - time.Since(started) - exitMargin
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	_ = callers.Shutdown(ctx) // its only error is that time ran out, which Stopped shows by its count
+}
+
+func (g *Gateway) sweep(ctx context.Context) {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			g.pool.Sweep()
+			g.feed.Tell(directory.Tick{})
+			g.balancer.Forget(g.directory.View())
+		}
+	}
+}
+
+// ready says whether new connections should come here.
+func (g *Gateway) ready() bool {
+	return !g.leaving.Load() && g.directory.View().Table != nil
+}
+
+func (g *Gateway) readiness() http.Handler {
+	r := chi.NewRouter()
+	r.Get(g.platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
+
+func (g *Gateway) admin() http.Handler {
+	r := chi.NewRouter()
+	r.Handle("/metrics", g.counters.Handler)
+	return r
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	_ "embed"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+)
+
+// Default is the commented file of defaults.
+//
+//go:embed default.yaml
+var Default []byte
+
+// Settings are those of one gateway process.
+type Settings struct {
+	Instance Instance `yaml:"instance"`
+	Callers  Callers  `yaml:"callers"`
+	Peers    Peers    `yaml:"peers"`
+	Admin    Admin    `yaml:"admin"`
+	Store    Store    `yaml:"store"`
+	Retry    Retry    `yaml:"retry"`
+	Stop     Stop     `yaml:"stop"`
+	Memory   Memory   `yaml:"memory"`
+}
+
+// Instance says which instance this is.
+type Instance struct {
+	Name string `yaml:"name" validate:"required"`
+	Zone string `yaml:"zone" validate:"required"`
+}
+
+// Callers is where requests and the balancer's question arrive.
+type Callers struct {
+	Listen string `yaml:"listen" validate:"required,tcp_addr"`
+	Ready  string `yaml:"ready" validate:"required,tcp_addr"`
+}
+
+// Peers is the QUIC listener between our own processes.
+type Peers struct {
+	Listen string `yaml:"listen" validate:"required,udp_addr"`
+}
+
+// Admin is where metrics are served.
+type Admin struct {
+	Listen string `yaml:"listen" validate:"required,tcp_addr"`
+}
+
+// Store is the platform's store.
+type Store struct {
+	Address string        `yaml:"address" validate:"required,tcp_addr"`
+	Timeout time.Duration `yaml:"timeout" validate:"min=10ms,max=1m"`
+}
+
+// Retry is the allowance of extra sends of all instances together.
+type Retry struct {
+	Ratio  float64       `yaml:"ratio" validate:"min=0,max=10"`
+	Slack  float64       `yaml:"slack" validate:"min=0"`
+	Window time.Duration `yaml:"window" validate:"min=100ms,max=10m"`
+}
+
+// Stop bounds a planned stop.
+type Stop struct {
+	Grace time.Duration `yaml:"grace" validate:"min=100ms,max=1h"`
+}
+
+// Memory is what this process may use.
+type Memory struct {
+	LimitMB int64 `yaml:"limit_mb" validate:"min=16"`
+}
+
+// LoadSettings reads, fills with defaults and checks file. Keys that it does
+// not know are skipped, because the platform's settings may gain new ones.
+func LoadSettings(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return ParseSettings(file, data)
+}
+
+// ParseSettings checks data as LoadSettings does; file only names it in errors.
+func ParseSettings(file string, data []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := yaml.Unmarshal(Default, s); err != nil {
+		return nil, Error.New("built-in defaults: %v", err)
+	}
+	check := validator.New(validator.WithRequiredStructEnabled())
+	if err := yaml.Unmarshal(data, s); err != nil {
+		return nil, Error.New("%s: %v", file, err)
+	}
+	if err := check.Struct(s); err != nil {
+		return nil, Error.New("%s: %v", file, err)
+	}
+	return s, nil
+}
+
+// StoreAddress is the parsed address of the store.
+func (s *Settings) StoreAddress() netip.AddrPort { return netip.MustParseAddrPort(s.Store.Address) }
