--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -19,8 +19,6 @@
 	// it outweighs the 3 ms round trip because bytes between zones cost, and
 	// cut links strike there.
 	zonePenalty = 40.0 // ms
-	// stagePenalty is added where an engine has another part than wanted.
-	stagePenalty = 400.0 // ms
 	// ejectBase doubles with each ejection in a row, up to ejectMost.
 	ejectBase = time.Second
 	ejectMost = 8 * time.Second
@@ -104,7 +102,7 @@
 	from := rand.IntN(len(list) + 1)
 	for i := range list {
 		e := list[(from+i)%len(list)]
-		if e.State != directory.Ready || contains(a.Exclude, e.ID) {
+		if e.State != directory.Ready || !plays(e, a.Stage) || contains(a.Exclude, e.ID) {
 			continue
 		}
 		s := b.state(e.ID)
@@ -149,9 +147,6 @@
 	if e.Zone != b.zone {
 		score += zonePenalty
 	}
-	if e.Stage != a.Stage && e.Stage != directory.Whole {
-		score += stagePenalty
-	}
 	return score
 }
 
@@ -246,6 +241,12 @@
 	}
 }
 
+// plays says whether an endpoint takes requests of a stage; it turns away those
+// of the other one.
+func plays(e *directory.Endpoint, s directory.Stage) bool {
+	return e.Stage == s || e.Stage == directory.Whole && s == directory.Decode
+}
+
 func contains(list []string, id string) bool {
 	for _, l := range list {
 		if l == id {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -77,6 +77,7 @@
 	}
 	m.Header = p.Dialect.Encode(p.call, Send{
 		Endpoint: r.Endpoint, Wait: max(p.left(), 0), LastEvent: p.last, Priority: p.route.Priority,
+		PrefillAt: p.prefill.take(),
 	})
 	p.sends++
 	p.runs++
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -58,6 +58,10 @@
 	Encode func(Call, Send) http.Header
 	// Read reads the head of an endpoint's answer.
 	Read func(*http.Response) Answer
+	// Handle reads the body of an answer to a prefill: the id of the KV cache.
+	Handle func([]byte) (string, error)
+	// Free makes the request that frees a KV cache.
+	Free func(Handle) (method, target string)
 	// Passed returns what of an answer's header goes to the caller.
 	Passed func(http.Header) http.Header
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -126,6 +126,7 @@
 	spare    *spare   // an endpoint's own failing answer, kept in case no better one comes
 	headSent bool
 	last     string // id of the last event passed on
+	prefill  prefill
 }
 
 // admit checks the request and reads its body. It answers what it refuses.
@@ -209,8 +210,10 @@
 			p.ended(ctx)
 			return
 		}
+		p.readPrompt(ctx)
 		reservation, ok := p.reserve()
 		if !ok {
+			p.freeHandle()
 			p.giveUp()
 			return
 		}
@@ -257,23 +260,21 @@
 	a := balance.Ask{Service: p.service, Exclude: p.tried}
 	if s := p.view.Table.Service(p.service); s != nil && s.Engine != nil {
 		a.Stage = directory.Decode
-		a.Work = predictWork(p.call)
+		a.Work = decodeWork
+		if p.prefill.handle == nil {
+			a.Work += 2 * promptWork * float64(p.call.Prompt)
+		}
 	}
 	return a
 }
 
-// Costs of a request at a decode engine that also reads the prompt, in ms, from
-// the engines' data sheet: half of 55.6 prompt tokens a ms, 4 ms a token out.
+// Work of engines in ms, from their data sheet: 55.6 prompt tokens a ms at a
+// prefill engine and half of that at a decode engine, 31 ms to a first token.
 const (
-	promptCost = 1 / 27.8
-	outputCost = 4.0
-	baseCost   = 40.0
+	promptWork = 1 / 55.6
+	decodeWork = 35.0
 )
 
-func predictWork(c Call) float64 {
-	return baseCost + promptCost*float64(c.Prompt)
-}
-
 // left is the time until the request's limit.
 func (p *passage) left() time.Duration { return p.limit.Sub(p.Now()) }
 
--- /dev/null
+++ b/internal/forward/prefill.go
@@ -0,0 +1,165 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/trailshed/trailshed/internal/balance"
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/uplink"
+)
+
+const (
+	// prefillSends bounds how often one request's prompt is sent to prefill
+	// engines; after that a decode engine reads it.
+	prefillSends = 2
+	// prefillWait bounds one prefill: a prompt takes 100 ms, and a longer
+	// queue than this costs the first event more than it saves.
+	prefillWait = 700 * time.Millisecond
+	// freeWait bounds the call that frees a KV cache.
+	freeWait = 500 * time.Millisecond
+	// handleAnswer bounds the body that names a handle, in bytes.
+	handleAnswer = 4 << 10
+)
+
+// prefill is where a request's prompt was read apart.
+type prefill struct {
+	handle *Handle
+	sends  int
+	tried  []string
+	source *directory.Endpoint
+}
+
+// take returns the handle for one use.
+func (p *prefill) take() *Handle {
+	h := p.handle
+	p.handle = nil
+	return h
+}
+
+// readPrompt has a prefill engine read the prompt, where there is one. Without a
+// handle the decode engine reads the prompt itself.
+func (p *passage) readPrompt(ctx context.Context) {
+	if p.call.Prompt == 0 {
+		return
+	}
+	for p.prefill.handle == nil && p.prefill.sends < prefillSends && ctx.Err() == nil {
+		r := p.reservePrefill()
+		if r == nil {
+			return
+		}
+		p.prefillAt(ctx, r)
+	}
+}
+
+func (p *passage) reservePrefill() *balance.Reservation {
+	now := p.Now()
+	p.view = p.Directory.View()
+	if s := p.view.Table.Service(p.service); s == nil || s.Engine == nil {
+		return nil
+	}
+	r := p.Balancer.Reserve(now, p.view, balance.Ask{
+		Service: p.service, Stage: directory.Prefill, Exclude: p.prefill.tried,
+		Work: promptWork * float64(p.call.Prompt),
+	})
+	if r == nil {
+		return nil
+	}
+	if p.prefill.sends > 0 && !p.budget(p.service).Take(now) {
+		r.Done(now, balance.Abandoned)
+		return nil
+	}
+	return r
+}
+
+// prefillAt sends the prompt to one prefill engine and keeps the handle.
+func (p *passage) prefillAt(parent context.Context, r *balance.Reservation) {
+	ctx, cancel := context.WithTimeout(parent, prefillWait)
+	defer cancel()
+	m := p.message
+	m.To, m.Rest = r.Endpoint.Address, restRepeatable
+	m.Header = p.Dialect.Encode(p.call, Send{
+		Endpoint: r.Endpoint, Wait: max(p.left(), 0), Priority: p.route.Priority, Stage: directory.Prefill,
+	})
+	p.prefill.sends++
+	id, answer, err := p.askHandle(ctx, m)
+	if errors.Is(err, uplink.ErrNotSent) {
+		p.prefill.sends--
+	}
+	if answer.HasLoad {
+		r.Told(p.Now(), answer.Load)
+	}
+	if err == nil {
+		r.Done(p.Now(), balance.Good)
+		p.prefill.handle = &Handle{At: r.Endpoint.Address, ID: id}
+		p.prefill.source = r.Endpoint
+		return
+	}
+	p.prefill.tried = append(p.prefill.tried, r.Endpoint.ID)
+	result := balance.Failed
+	switch {
+	case answer.Other:
+		p.Gone(r.Endpoint.ID)
+		result = balance.Rejected
+	case answer.NotRun:
+		result = balance.Rejected
+	case parent.Err() != nil:
+		result = balance.Abandoned
+	case errors.Is(err, uplink.ErrNotSent):
+		result = balance.Unreachable
+	}
+	r.Done(p.Now(), result)
+	n := p.line(eventlog.PrefillFailed, "", err)
+	n.Endpoint, n.Address = r.Endpoint.ID, r.Endpoint.Address.String()
+	p.Log.Write(n)
+}
+
+func (p *passage) askHandle(ctx context.Context, m uplink.Message) (string, Answer, error) {
+	var answer Answer
+	x, err := p.Pool.Do(ctx, m, func(resp *http.Response) bool {
+		answer = p.Dialect.Read(resp)
+		return answer.ID == p.call.ID || answer.ID == ""
+	})
+	if err != nil {
+		return "", answer, err
+	}
+	body, err := io.ReadAll(io.LimitReader(x.Response.Body, handleAnswer))
+	if err != nil {
+		x.Close(false)
+		return "", answer, Error.Wrap(err)
+	}
+	x.Close(true)
+	if x.Response.StatusCode != http.StatusOK || answer.NotRun {
+		return "", answer, Error.New("prefill answered %s", x.Response.Status)
+	}
+	id, err := p.Dialect.Handle(body)
+	return id, answer, err
+}
+
+// freeHandle gives back a KV cache that will not be used. It lapses by itself
+// if the call fails, so the call's outcome is only counted.
+func (p *passage) freeHandle() {
+	h := p.prefill.take()
+	if h == nil {
+		return
+	}
+	source := p.prefill.source
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeWait)
+		defer cancel()
+		method, target := p.Dialect.Free(*h)
+		x, err := p.Pool.Do(ctx, uplink.Message{
+			To: source.Address, Method: method, Target: target, Host: source.Address.String(), Rest: restRepeatable,
+		}, func(*http.Response) bool { return true })
+		if err != nil {
+			p.Scope.Counter("handle_free_failed").Inc(1)
+			return
+		}
+		_, err = io.Copy(io.Discard, x.Response.Body)
+		x.Close(err == nil)
+	}()
+}
