--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -117,6 +117,26 @@
 	return b.reserve(now, best, a)
 }
 
+// ReserveAt takes a place at an endpoint that was chosen elsewhere.
+func (b *Balancer) ReserveAt(now clock.Millis, e *directory.Endpoint, work float64) *Reservation {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reserve(now, e, Ask{Work: work})
+}
+
+// Ejected returns the ids of the endpoints that are ejected now.
+func (b *Balancer) Ejected(now clock.Millis) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ids []string
+	for id, s := range b.byID {
+		if now < s.ejected {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 func (b *Balancer) reserve(now clock.Millis, e *directory.Endpoint, a Ask) *Reservation {
 	s := b.state(e.ID)
 	r := &Reservation{Endpoint: e, balancer: b, work: a.Work, began: now}
--- /dev/null
+++ b/internal/broker/broker.go
@@ -0,0 +1,393 @@
+// Package broker finds places for requests: it runs the planner of this
+// instance's zone for those who ask it, and asks the planners of all zones for
+// this instance's own requests. Any instance may serve as planner; the first of
+// the zone by rendezvous order usually does, and when it is silent the next one
+// is asked and, in the end, this instance's own planner, which then knows its
+// own requests only.
+package broker
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/peer"
+	"github.com/trailshed/trailshed/internal/placement"
+	"github.com/trailshed/trailshed/internal/roster"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// The topics between instances.
+const (
+	topicAsk      = "place.ask"
+	topicVerdict  = "place.verdict"
+	topicRelease  = "place.release"
+	topicAnnounce = "place.announce"
+)
+
+const (
+	// firstWord is how long a planner may take for its first word. A round
+	// trip between zones takes 3 ms; a slowed instance takes some tens.
+	firstWord = 60 * time.Millisecond
+	// downFor is how long a silent planner is not asked again.
+	downFor = time.Second
+	// announceEvery renews this instance's places; planners keep them for
+	// 2.5 s of silence.
+	announceEvery = 400 * time.Millisecond
+	// tickEvery lets time pass in the own planner.
+	tickEvery = 10 * time.Millisecond
+	// zoneMemory is how long a zone hears announcements after the last place.
+	zoneMemory = 3 * time.Second
+	// verdictSlack is how much longer than a planner's queue a verdict may take.
+	verdictSlack = 50 * time.Millisecond
+)
+
+// Options are what a Broker works with.
+type Options struct {
+	Name, Zone string
+	Transport  *peer.Transport
+	Roster     *roster.Roster
+	Directory  *directory.Directory
+	Log        *eventlog.Log
+	Scope      tally.Scope
+	Now        func() clock.Millis
+}
+
+// Broker finds places. Lock order: planner, then tables.
+type Broker struct {
+	Options
+
+	plannerMu sync.Mutex
+	planner   *placement.Planner
+	view      *directory.View
+
+	mu      sync.Mutex
+	holds   map[string]*Place
+	pending map[string]chan placement.Verdict
+	down    map[string]clock.Millis // by instance
+	used    map[string]clock.Millis // by zone
+}
+
+// Place is what a request holds until Release.
+type Place struct {
+	placement.Grant
+	Zone    string
+	ask     placement.Ask
+	planner roster.Instance
+	granted clock.Millis
+}
+
+// New returns a broker.
+func New(o Options) *Broker {
+	return &Broker{
+		Options: o, planner: placement.New(o.Zone), view: &directory.View{},
+		holds: map[string]*Place{}, pending: map[string]chan placement.Verdict{},
+		down: map[string]clock.Millis{}, used: map[string]clock.Millis{},
+	}
+}
+
+// Register adds the handlers of other instances' messages.
+func (b *Broker) Register(r *message.Router) {
+	peer.Answer(r, b.Transport, topicAsk, func(_ context.Context, _ peer.Sender, a placement.Ask) placement.Verdict {
+		return b.decide(a)
+	})
+	peer.Handle(r, b.Transport, topicVerdict, func(_ peer.Sender, v placement.Verdict) { b.deliver(v) })
+	peer.Handle(r, b.Transport, topicRelease, func(_ peer.Sender, m placement.Release) { b.apply(m) })
+	peer.Handle(r, b.Transport, topicAnnounce, func(_ peer.Sender, m placement.Announce) { b.apply(m) })
+}
+
+// Run announces and lets time pass until ctx ends.
+func (b *Broker) Run(ctx context.Context) {
+	tick := time.NewTicker(announceEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			b.announce()
+			b.apply(placement.Tick{})
+		}
+	}
+}
+
+// Find asks for places: the own zone first, then the others, then the own zone
+// with patience.
+func (b *Broker) Find(ctx context.Context, a placement.Ask) (*Place, *placement.Refusal) {
+	a.Owner = b.Name
+	var last *placement.Refusal
+	for _, zone := range b.zones() {
+		if p, refusal := b.findIn(ctx, zone, a); p != nil {
+			return p, nil
+		} else if zone == b.Zone || last == nil {
+			last = refusal
+		}
+	}
+	if last != nil && last.Reason == placement.ReasonNoEndpoint {
+		return nil, last
+	}
+	a.Patient = true
+	p, refusal := b.findIn(ctx, b.Zone, a)
+	return p, refusal
+}
+
+// zones returns the own zone and those where others are known.
+func (b *Broker) zones() []string {
+	list := []string{b.Zone}
+	seen := map[string]bool{b.Zone: true}
+	for _, i := range b.Roster.All() {
+		if !seen[i.Zone] {
+			seen[i.Zone] = true
+			list = append(list, i.Zone)
+		}
+	}
+	return list
+}
+
+// findIn asks the planner of a zone, and the next one when it is silent.
+func (b *Broker) findIn(ctx context.Context, zone string, a placement.Ask) (*Place, *placement.Refusal) {
+	for _, i := range b.Roster.Ranked(zone, "planner") {
+		if b.isDown(i.Name) {
+			continue
+		}
+		if i.Name == b.Name {
+			return b.findHere(ctx, a)
+		}
+		v, heard := b.askAt(ctx, i, a)
+		if heard {
+			return b.conclude(i, zone, a, v)
+		}
+		if ctx.Err() != nil {
+			return nil, &placement.Refusal{Reason: placement.ReasonMoved, After: downFor}
+		}
+		b.silent(i)
+		b.send(i.Address, topicRelease, placement.Release{ID: a.ID, Owner: b.Name})
+	}
+	if zone == b.Zone {
+		b.apply(b.announcement(zone))
+		return b.findHere(ctx, a)
+	}
+	return nil, &placement.Refusal{Reason: placement.ReasonNoEndpoint, After: downFor}
+}
+
+func (b *Broker) findHere(ctx context.Context, a placement.Ask) (*Place, *placement.Refusal) {
+	waiting := b.await(a.ID)
+	defer b.forget(a.ID)
+	v := b.decide(a)
+	if v.Queued {
+		v = b.wait(ctx, waiting, a)
+	}
+	return b.conclude(roster.Instance{Name: b.Name}, b.Zone, a, v)
+}
+
+// askAt asks one planner. It returns false if it did not say a word.
+func (b *Broker) askAt(ctx context.Context, i roster.Instance, a placement.Ask) (placement.Verdict, bool) {
+	waiting := b.await(a.ID)
+	defer b.forget(a.ID)
+	first, cancel := context.WithTimeout(ctx, firstWord)
+	defer cancel()
+	v, err := peer.Ask[placement.Ask, placement.Verdict](first, b.Transport, i.Address, topicAsk, a)
+	if err != nil {
+		return placement.Verdict{}, false
+	}
+	if v.Queued {
+		v = b.wait(ctx, waiting, a)
+	}
+	return v, true
+}
+
+// wait waits for the verdict on a queued ask.
+func (b *Broker) wait(ctx context.Context, waiting chan placement.Verdict, a placement.Ask) placement.Verdict {
+	timer := time.NewTimer(a.Budget + verdictSlack)
+	defer timer.Stop()
+	select {
+	case v := <-waiting:
+		return v
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return placement.Verdict{}
+}
+
+// conclude turns a verdict into a place or a refusal.
+func (b *Broker) conclude(i roster.Instance, zone string, a placement.Ask, v placement.Verdict) (*Place, *placement.Refusal) {
+	switch {
+	case v.Grant != nil:
+		p := &Place{Grant: *v.Grant, Zone: zone, ask: a, planner: i, granted: b.Now()}
+		b.mu.Lock()
+		b.holds[a.ID] = p
+		b.used[zone] = b.Now()
+		b.mu.Unlock()
+		return p, nil
+	case v.Refusal != nil:
+		return nil, v.Refusal
+	default: // no verdict came
+		b.tell(i, placement.Release{ID: a.ID, Owner: b.Name})
+		return nil, &placement.Refusal{ID: a.ID, Reason: placement.ReasonMoved, After: downFor}
+	}
+}
+
+// Release gives a place back. full says that the decode engine turned the
+// request away; failed names an endpoint that failed.
+func (b *Broker) Release(p *Place, full bool, failed string) {
+	b.mu.Lock()
+	delete(b.holds, p.ID)
+	b.mu.Unlock()
+	b.tell(p.planner, placement.Release{ID: p.ID, Owner: b.Name, Full: full, Failed: failed})
+}
+
+func (b *Broker) tell(i roster.Instance, r placement.Release) {
+	if i.Name == b.Name {
+		b.apply(r)
+		return
+	}
+	b.send(i.Address, topicRelease, r)
+}
+
+// decide asks the own planner and returns its first word.
+func (b *Broker) decide(a placement.Ask) placement.Verdict {
+	for _, answer := range b.step(a) {
+		if answer.ID == a.ID {
+			return answer.Verdict
+		}
+		b.pass(answer)
+	}
+	return placement.Verdict{Queued: true} // asked again while it waits
+}
+
+// apply feeds the own planner and passes its words on.
+func (b *Broker) apply(e placement.Event) {
+	for _, answer := range b.step(e) {
+		b.pass(answer)
+	}
+}
+
+func (b *Broker) step(e placement.Event) []placement.Answer {
+	b.plannerMu.Lock()
+	defer b.plannerMu.Unlock()
+	now := b.Now()
+	var answers []placement.Answer
+	if v := b.Directory.View(); v != b.view {
+		b.view = v
+		answers = b.planner.Apply(now, placement.Known{View: v})
+	}
+	answers = append(answers, b.planner.Apply(now, e)...)
+	b.Scope.Gauge("placement_queue").Update(float64(b.planner.Queued()))
+	return answers
+}
+
+func (b *Broker) pass(a placement.Answer) {
+	if a.Owner == b.Name {
+		b.deliver(a.Verdict)
+		return
+	}
+	for _, i := range b.Roster.All() {
+		if i.Name == a.Owner {
+			b.send(i.Address, topicVerdict, a.Verdict)
+		}
+	}
+}
+
+func (b *Broker) await(id string) chan placement.Verdict {
+	waiting := make(chan placement.Verdict, 1)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pending[id] = waiting
+	return waiting
+}
+
+func (b *Broker) forget(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.pending, id)
+}
+
+func (b *Broker) deliver(v placement.Verdict) {
+	id := ""
+	switch {
+	case v.Grant != nil:
+		id = v.Grant.ID
+	case v.Refusal != nil:
+		id = v.Refusal.ID
+	}
+	b.mu.Lock()
+	waiting := b.pending[id]
+	b.mu.Unlock()
+	if waiting == nil {
+		b.Scope.Counter("placement_late_verdicts").Inc(1)
+		return // the announcements free what it gave
+	}
+	select {
+	case waiting <- v:
+	default:
+	}
+}
+
+func (b *Broker) isDown(name string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Now() < b.down[name]
+}
+
+func (b *Broker) silent(i roster.Instance) {
+	b.mu.Lock()
+	b.down[i.Name] = b.Now().Add(downFor)
+	b.mu.Unlock()
+	b.Scope.Counter("planner_silent").Inc(1)
+	b.Log.Write(eventlog.Line{Event: eventlog.PeerLost, Address: i.Address.String(), Reason: "planner_silent", Detail: i.Name})
+}
+
+// announce tells each zone's planner what this instance holds there.
+func (b *Broker) announce() {
+	for _, zone := range b.zones() {
+		a := b.announcement(zone)
+		if !b.usedLately(zone) && len(a.Holds) == 0 {
+			continue
+		}
+		for _, i := range b.Roster.Ranked(zone, "planner") {
+			if b.isDown(i.Name) {
+				continue
+			}
+			if i.Name == b.Name {
+				b.apply(a)
+			} else {
+				b.send(i.Address, topicAnnounce, a)
+			}
+			break
+		}
+	}
+}
+
+func (b *Broker) usedLately(zone string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at, ok := b.used[zone]
+	return ok && b.Now().Sub(at) < zoneMemory
+}
+
+func (b *Broker) announcement(zone string) placement.Announce {
+	a := placement.Announce{Owner: b.Name, Zone: zone}
+	now := b.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.holds {
+		if p.Zone == zone {
+			a.Holds = append(a.Holds, placement.Hold{
+				ID: p.ID, Decode: p.Decode, Prompt: p.ask.Prompt, Output: p.ask.Output, Running: now.Sub(p.granted),
+			})
+		}
+	}
+	return a
+}
+
+func (b *Broker) send(to netip.AddrPort, topic string, v any) {
+	if err := peer.Send(b.Transport, to, topic, v); err != nil {
+		b.Scope.Counter("broker_send_failed").Inc(1)
+	}
+}
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -30,9 +30,13 @@
 	log := eventlog.Open(os.Stdout, set.Instance.Name)
 	defer func() { _ = log.Close() }()
 	store := platform.NewStore(set.StoreAddress(), set.Store.Timeout, tally.NoopScope)
-	g := gateway.New(set, gateway.Platform{
-		Dialect: platform.Dialect(), Source: platform.Source(store), ReadyPath: platform.ReadyPath,
+	g, err := gateway.New(set, gateway.Platform{
+		Dialect: platform.Dialect(), Source: platform.Source(store), Registry: platform.Registry(store),
+		ReadyPath: platform.ReadyPath,
 	}, log)
+	if err != nil {
+		return err
+	}
 	stop := make(chan struct{})
 	go func() {
 		<-signals
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -56,6 +56,7 @@
 	Table     *route.Table // nil while no configuration is known
 	Endpoints map[string][]*Endpoint
 	Revision  int64 // up to which this view is complete
+	TableRev  int64 // of the store, when Table was written
 }
 
 // Directory is the aggregate.
@@ -98,6 +99,8 @@
 		changes = d.configure(e)
 	case Listed:
 		changes = d.list(now, e)
+	case Relayed:
+		changes = d.relay(e)
 	case Seen:
 		changes = d.see(e.Endpoint)
 		d.revision = max(d.revision, e.Endpoint.Revision)
@@ -116,7 +119,7 @@
 	case Tick:
 		changes = d.expire(now)
 	}
-	if len(changes) > 0 {
+	if len(changes) > 0 || d.view.Load().Revision != d.revision {
 		d.publish()
 	}
 	return changes
@@ -149,6 +152,24 @@
 	return changes
 }
 
+// relay takes a peer's complete view. The peer has judged what was doubtful, so
+// what it lacks is gone.
+func (d *Directory) relay(e Relayed) []Change {
+	var changes []Change
+	present := make(map[string]bool, len(e.Endpoints))
+	for _, p := range e.Endpoints {
+		present[p.ID] = true
+		changes = append(changes, d.see(p)...)
+	}
+	for id, h := range d.endpoints {
+		if !present[id] && h.endpoint.Revision <= e.Revision {
+			changes = append(changes, d.drop(h, e.Revision)...)
+		}
+	}
+	d.revision = max(d.revision, e.Revision)
+	return changes
+}
+
 func (d *Directory) see(p Endpoint) []Change {
 	if d.removed[p.ID] >= p.Revision {
 		return nil
@@ -227,7 +248,7 @@
 }
 
 func (d *Directory) publish() {
-	v := &View{Table: d.table, Endpoints: map[string][]*Endpoint{}, Revision: d.revision}
+	v := &View{Table: d.table, TableRev: d.tableRev, Endpoints: map[string][]*Endpoint{}, Revision: d.revision}
 	for _, h := range d.endpoints {
 		p := h.endpoint
 		v.Endpoints[p.Service] = append(v.Endpoints[p.Service], &p)
--- a/internal/directory/event.go
+++ b/internal/directory/event.go
@@ -17,6 +17,12 @@
 	Revision  int64
 }
 
+// Relayed brings a peer's whole view of the endpoints, complete up to Revision.
+type Relayed struct {
+	Endpoints []Endpoint
+	Revision  int64
+}
+
 // Seen brings one endpoint's new entry.
 type Seen struct{ Endpoint Endpoint }
 
@@ -40,6 +46,7 @@
 
 func (Configured) event()   {}
 func (Listed) event()       {}
+func (Relayed) event()      {}
 func (Seen) event()         {}
 func (Removed) event()      {}
 func (Denied) event()       {}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -6,12 +6,14 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/roster"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -23,6 +25,10 @@
 	Events   []directory.Event
 	Problems []error // entries that could not be read
 	Revision int64
+
+	Instances     []roster.Instance // of our own
+	GoneInstances []string
+	Complete      bool // Instances are all there are
 }
 
 // Source reads the store.
@@ -46,14 +52,18 @@
 type Feed struct {
 	Source    Source
 	Directory *directory.Directory
+	Roster    *roster.Roster
 	Log       *eventlog.Log
 	Scope     tally.Scope
 	Now       func() clock.Millis
 	// Lost and Regained are told of each change of the store's reach.
 	Lost, Regained func()
+	// Changed is told when the roster may have changed.
+	Changed func()
 
-	lost    bool
-	restart context.CancelFunc
+	mu     sync.Mutex
+	lost   bool
+	cancel context.CancelFunc // ends the call in progress
 }
 
 // Run follows until ctx ends.
@@ -81,6 +91,11 @@
 }
 
 func (f *Feed) next(ctx context.Context, revision int64) (News, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.Lock()
+	f.cancel = cancel
+	f.mu.Unlock()
 	if revision == 0 {
 		return f.Source.List(ctx)
 	}
@@ -96,6 +111,37 @@
 	for _, e := range n.Events {
 		f.Tell(e)
 	}
+	f.takeInstances(n)
+}
+
+func (f *Feed) takeInstances(n News) {
+	if !n.Complete && len(n.Instances)+len(n.GoneInstances) == 0 {
+		return
+	}
+	if n.Complete {
+		f.Roster.Replace(n.Instances, n.Revision)
+	}
+	for _, i := range n.Instances {
+		f.Roster.See(i)
+	}
+	for _, name := range n.GoneInstances {
+		f.Roster.Remove(name, n.Revision)
+	}
+	f.Changed()
+}
+
+// Heard takes the outcome of another call to the store. A failure ends the
+// watch in progress, which may wait on a connection that is dead.
+func (f *Feed) Heard(err error) {
+	if err == nil {
+		return
+	}
+	f.mu.Lock()
+	cancel := f.cancel
+	f.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
 }
 
 // Tell applies one event to the directory and logs what it changed.
@@ -114,10 +160,9 @@
 
 func (f *Feed) failed(err error) {
 	f.Tell(directory.StoreLost{})
-	if f.lost {
+	if f.change(true) {
 		return
 	}
-	f.lost = true
 	f.Scope.Gauge("store_reached").Update(0)
 	f.Log.Write(eventlog.Line{Event: eventlog.StoreLost, Detail: err.Error()})
 	f.Lost()
@@ -125,15 +170,23 @@
 
 func (f *Feed) reached() {
 	f.Tell(directory.StoreReached{})
-	if !f.lost {
+	if !f.change(false) {
 		return
 	}
-	f.lost = false
 	f.Scope.Gauge("store_reached").Update(1)
 	f.Log.Write(eventlog.Line{Event: eventlog.StoreRegained})
 	f.Regained()
 }
 
+// change sets whether the store is lost and returns what was the case before.
+func (f *Feed) change(lost bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.lost
+	f.lost = lost
+	return before
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -18,6 +18,7 @@
 	Wait      time.Duration // how long the caller waits; 0 if it does not say
 	Prompt    int           // tokens of the prompt; 0 if it does not say
 	Output    int           // most tokens of the answer
+	Hint      int           // tokens of the answer that the caller expects; 0 if it does not say
 	LastEvent string        // the stream goes on after this event
 	Header    http.Header   // what goes to endpoints besides what Send adds
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -14,9 +14,11 @@
 	"github.com/zeebo/errs"
 
 	"github.com/trailshed/trailshed/internal/balance"
+	"github.com/trailshed/trailshed/internal/broker"
 	"github.com/trailshed/trailshed/internal/budget"
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/placement"
 	"github.com/trailshed/trailshed/internal/route"
 	"github.com/trailshed/trailshed/internal/uplink"
 	"github.com/trailshed/trailshed/pkg/clock"
@@ -38,6 +40,9 @@
 	Retry budget.Rule
 	// BodyMemory bounds the bytes of all bodies held at once.
 	BodyMemory int64
+	// FindPlace asks for places at engines; ReleasePlace gives them back.
+	FindPlace    func(context.Context, placement.Ask) (*broker.Place, *placement.Refusal)
+	ReleasePlace func(p *broker.Place, full bool, failed string)
 	// Gone is told of an endpoint whose address another one has.
 	Gone func(id string)
 }
@@ -119,14 +124,17 @@
 	limit   clock.Millis // the request's end: the caller's wait or the route's time-out
 	message uplink.Message
 
-	sends    int      // messages that may have reached an endpoint
-	runs     int      // sends that may have run
-	tried    []string // endpoints that failed this request
-	failure  string   // reason of the last failure
-	spare    *spare   // an endpoint's own failing answer, kept in case no better one comes
+	sends    int           // messages that may have reached an endpoint
+	runs     int           // sends that may have run
+	tried    []string      // endpoints that failed this request
+	failure  string        // reason of the last failure
+	comeBack time.Duration // what a refused caller is told
+	spare    *spare        // an endpoint's own failing answer, kept in case no better one comes
 	headSent bool
 	last     string // id of the last event passed on
 	prefill  prefill
+	asks     int  // for places
+	full     bool // the last endpoint had no room
 }
 
 // admit checks the request and reads its body. It answers what it refuses.
@@ -210,70 +218,93 @@
 			p.ended(ctx)
 			return
 		}
-		p.readPrompt(ctx)
-		reservation, ok := p.reserve()
-		if !ok {
-			p.freeHandle()
+		if !p.mayBeSent() {
 			p.giveUp()
 			return
 		}
-		if p.attempt(ctx, reservation) {
+		next := p.plainStep
+		if p.engine() {
+			next = p.engineStep
+		}
+		switch next(ctx) {
+		case answered:
+			return
+		case hopeless:
+			p.giveUp()
 			return
+		case again:
 		}
 	}
 }
 
+// progress is what one step of a request came to.
+type progress int
+
+const (
+	again    progress = iota // try another endpoint
+	answered                 // the caller has its answer
+	hopeless                 // no endpoint is left, or no budget
+)
+
 // finalGrace is how long an endpoint may take to say itself that the time is
 // over, before we say so. The operators' bound is 500 ms past the time-out.
 const finalGrace = 120 * time.Millisecond
 
-// reserve decides whether the request may be sent (again), and where to.
-func (p *passage) reserve() (*balance.Reservation, bool) {
-	now := p.Now()
+// mayBeSent says whether the request may be sent (again).
+func (p *passage) mayBeSent() bool {
 	if p.runs > 0 && (!p.route.Repeatable() || p.runs >= p.route.Attempts) {
-		return nil, false
+		return false
 	}
-	if p.limit.Sub(now) < leastLeft {
+	if p.left() < leastLeft {
 		p.failure = "no_time_left"
-		return nil, false
+		return false
+	}
+	return true
+}
+
+// engine says whether the request's service is one of model engines.
+func (p *passage) engine() bool {
+	s := p.view.Table.Service(p.service)
+	return s != nil && s.Engine != nil
+}
+
+// afford takes a further send from the retry budget.
+func (p *passage) afford() bool {
+	if p.sends == 0 || p.budget(p.service).Take(p.Now()) {
+		return true
 	}
+	p.failure = "budget_spent"
+	return false
+}
+
+// plainStep sends the request to an endpoint of a plain service.
+func (p *passage) plainStep(ctx context.Context) progress {
 	p.view = p.Directory.View()
-	r := p.Balancer.Reserve(now, p.view, p.ask())
+	r := p.Balancer.Reserve(p.Now(), p.view, balance.Ask{Service: p.service, Exclude: p.tried, Stage: directory.Decode})
 	if r == nil {
-		if p.failure == "" {
-			p.failure = "no_endpoint"
-		}
-		return nil, false
+		p.because("no_endpoint")
+		return hopeless
+	}
+	if !p.afford() {
+		r.Done(p.Now(), balance.Abandoned)
+		return hopeless
 	}
-	if p.sends > 0 && !p.budget(p.service).Take(now) {
-		p.failure = "budget_spent"
-		r.Done(now, balance.Abandoned)
-		return nil, false
+	if p.attempt(ctx, r) {
+		return answered
 	}
-	return r, true
+	return again
 }
 
-// leastLeft is the time below which a send is pointless.
-const leastLeft = 30 * time.Millisecond
-
-func (p *passage) ask() balance.Ask {
-	a := balance.Ask{Service: p.service, Exclude: p.tried}
-	if s := p.view.Table.Service(p.service); s != nil && s.Engine != nil {
-		a.Stage = directory.Decode
-		a.Work = decodeWork
-		if p.prefill.handle == nil {
-			a.Work += 2 * promptWork * float64(p.call.Prompt)
-		}
+// because notes why the request cannot be served, unless an endpoint's failure
+// says more.
+func (p *passage) because(reason string) {
+	if p.failure == "" {
+		p.failure = reason
 	}
-	return a
 }
 
-// Work of engines in ms, from their data sheet: 55.6 prompt tokens a ms at a
-// prefill engine and half of that at a decode engine, 31 ms to a first token.
-const (
-	promptWork = 1 / 55.6
-	decodeWork = 35.0
-)
+// leastLeft is the time below which a send is pointless.
+const leastLeft = 30 * time.Millisecond
 
 // left is the time until the request's limit.
 func (p *passage) left() time.Duration { return p.limit.Sub(p.Now()) }
@@ -303,7 +334,7 @@
 	case p.runs > 0:
 		p.fail(http.StatusBadGateway)
 	default:
-		p.refuse(p.failure, comeBackBusy)
+		p.refuse(p.failure, max(p.comeBack, comeBackBusy))
 	}
 }
 
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -5,11 +5,15 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/trailshed/trailshed/internal/balance"
+	"github.com/trailshed/trailshed/internal/broker"
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/placement"
 	"github.com/trailshed/trailshed/internal/uplink"
 )
 
@@ -41,41 +45,93 @@
 	return h
 }
 
-// readPrompt has a prefill engine read the prompt, where there is one. Without a
-// handle the decode engine reads the prompt itself.
-func (p *passage) readPrompt(ctx context.Context) {
-	if p.call.Prompt == 0 {
-		return
+// engineStep finds places for the request at engines, has the prompt read and
+// lets it run.
+func (p *passage) engineStep(ctx context.Context) progress {
+	p.view = p.Directory.View()
+	place, refusal := p.findPlace(ctx)
+	if place == nil {
+		p.because(refusal.Reason)
+		p.comeBack = refusal.After
+		return hopeless
 	}
-	for p.prefill.handle == nil && p.prefill.sends < prefillSends && ctx.Err() == nil {
-		r := p.reservePrefill()
-		if r == nil {
-			return
-		}
-		p.prefillAt(ctx, r)
+	p.full = false
+	failed := ""
+	defer func() { p.ReleasePlace(place, p.full, failed) }()
+	decode := p.endpoint(place.Decode)
+	if decode == nil {
+		p.tried = append(p.tried, place.Decode)
+		return again
+	}
+	if place.Prefill != "" && !p.readPrompt(ctx, place.Prefill) {
+		return again
 	}
+	if !p.afford() {
+		p.freeHandle()
+		return hopeless
+	}
+	r := p.Balancer.ReserveAt(p.Now(), decode, decodeWork)
+	if p.attempt(ctx, r) {
+		return answered
+	}
+	if !p.full {
+		failed = decode.ID
+	}
+	return again
 }
 
-func (p *passage) reservePrefill() *balance.Reservation {
-	now := p.Now()
-	p.view = p.Directory.View()
-	if s := p.view.Table.Service(p.service); s == nil || s.Engine == nil {
-		return nil
+// decodeWork is the time to a first token at a decode engine, in ms.
+const decodeWork = 35.0
+
+func (p *passage) findPlace(ctx context.Context) (*broker.Place, *placement.Refusal) {
+	p.asks++
+	output := p.call.Hint
+	if output <= 0 {
+		output = placement.Expected(p.call.Output)
 	}
-	r := p.Balancer.Reserve(now, p.view, balance.Ask{
-		Service: p.service, Stage: directory.Prefill, Exclude: p.prefill.tried,
-		Work: promptWork * float64(p.call.Prompt),
+	budget := p.route.Target - p.Now().Sub(p.arrived)
+	if p.asks > 1 {
+		budget = max(budget, lateBudget)
+	}
+	return p.FindPlace(ctx, placement.Ask{
+		ID: p.call.ID + "/" + strconv.Itoa(p.asks), Service: p.service,
+		Prompt: p.call.Prompt, Output: output, Budget: min(budget, p.left()),
+		Exclude: slices.Concat(p.tried, p.prefill.tried, p.Balancer.Ejected(p.Now())),
+		Whole:   p.prefill.sends >= prefillSends,
 	})
-	if r == nil {
-		return nil
+}
+
+// lateBudget is how long a request may wait for a place after a failure, when
+// it may be late already.
+const lateBudget = 600 * time.Millisecond
+
+func (p *passage) endpoint(id string) *directory.Endpoint {
+	for _, e := range p.view.Endpoints[p.service] {
+		if e.ID == id {
+			return e
+		}
 	}
-	if p.prefill.sends > 0 && !p.budget(p.service).Take(now) {
-		r.Done(now, balance.Abandoned)
-		return nil
+	return nil
+}
+
+// readPrompt has a prefill engine read the prompt and keeps the handle.
+func (p *passage) readPrompt(ctx context.Context, id string) bool {
+	e := p.endpoint(id)
+	if e == nil {
+		p.prefill.tried = append(p.prefill.tried, id)
+		return false
 	}
-	return r
+	if p.prefill.sends > 0 && !p.budget(p.service).Take(p.Now()) {
+		p.prefill.sends = prefillSends // a decode engine reads it
+		return false
+	}
+	p.prefillAt(ctx, p.Balancer.ReserveAt(p.Now(), e, float64(p.call.Prompt)*promptWork))
+	return p.prefill.handle != nil
 }
 
+// promptWork is one prompt token's time at a prefill engine, in ms.
+const promptWork = 1 / 55.6
+
 // prefillAt sends the prompt to one prefill engine and keeps the handle.
 func (p *passage) prefillAt(parent context.Context, r *balance.Reservation) {
 	ctx, cancel := context.WithTimeout(parent, prefillWait)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,23 +4,31 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/go-chi/chi/v5"
 	"github.com/zeebo/errs"
 
 	"github.com/trailshed/trailshed/internal/balance"
+	"github.com/trailshed/trailshed/internal/broker"
 	"github.com/trailshed/trailshed/internal/budget"
 	"github.com/trailshed/trailshed/internal/counter"
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/feed"
 	"github.com/trailshed/trailshed/internal/forward"
+	"github.com/trailshed/trailshed/internal/peer"
+	"github.com/trailshed/trailshed/internal/relay"
+	"github.com/trailshed/trailshed/internal/roster"
 	"github.com/trailshed/trailshed/internal/uplink"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
@@ -32,6 +40,7 @@
 type Platform struct {
 	Dialect   forward.Dialect
 	Source    feed.Source
+	Registry  roster.Registry
 	ReadyPath string
 }
 
@@ -72,32 +81,96 @@
 	pool      *uplink.Pool
 	forwarder *forward.Forwarder
 	feed      *feed.Feed
+	roster    *roster.Roster
+	member    *roster.Member
+	self      roster.Instance
+	transport *peer.Transport
+	broker    *broker.Broker
+	relay     *relay.Relay
 	leaving   atomic.Bool
 }
 
-// New returns a gateway that does not run yet.
-func New(s *Settings, p Platform, log *eventlog.Log) *Gateway {
+// New returns a gateway that does not serve yet.
+func New(s *Settings, p Platform, log *eventlog.Log) (*Gateway, error) {
 	debug.SetMemoryLimit(int64(heapPart * float64(s.Memory.LimitMB<<20)))
 	debug.SetGCPercent(collectAt)
 	g := &Gateway{
 		settings: s, platform: p, log: log, now: clock.System(),
 		counters:  counter.Open(map[string]string{"instance": s.Instance.Name}),
-		directory: directory.New(), balancer: balance.New(s.Instance.Zone),
+		directory: directory.New(), balancer: balance.New(s.Instance.Zone), roster: roster.New(),
 	}
-	scope := g.counters.Scope
-	g.pool = uplink.NewPool(scope)
+	g.pool = uplink.NewPool(g.counters.Scope)
+	if err := g.openPeers(); err != nil {
+		return nil, err
+	}
+	g.openFeed()
+	g.openForwarder()
+	return g, nil
+}
+
+// openPeers opens the transport between instances and what runs over it.
+func (g *Gateway) openPeers() error {
+	s, scope := g.settings, g.counters.Scope
+	identity, err := peer.NewIdentity(s.Instance.Name)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	g.self = roster.Instance{
+		Name: s.Instance.Name, Zone: s.Instance.Zone,
+		Address: netip.MustParseAddrPort(s.Peers.Listen), Fingerprint: identity.Fingerprint,
+	}
+	g.transport, err = peer.Listen(s.Instance.Name, g.self.Address, peer.Pinned(identity, g.roster.Trusted), scope)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	g.broker = broker.New(broker.Options{
+		Name: s.Instance.Name, Zone: s.Instance.Zone, Transport: g.transport, Roster: g.roster,
+		Directory: g.directory, Log: g.log, Scope: scope, Now: g.now,
+	})
+	g.relay = &relay.Relay{
+		Name: s.Instance.Name, Transport: g.transport, Roster: g.roster, Directory: g.directory,
+		Tell: func(e directory.Event) { g.feed.Tell(e) }, Log: g.log, Scope: scope,
+	}
+	return nil
+}
+
+func (g *Gateway) openFeed() {
 	g.feed = &feed.Feed{
-		Source: p.Source, Directory: g.directory, Log: log, Scope: scope, Now: g.now,
-		Lost: func() {}, Regained: func() {},
+		Source: g.platform.Source, Directory: g.directory, Roster: g.roster, Log: g.log,
+		Scope: g.counters.Scope, Now: g.now,
+		Lost: g.relay.Lost, Regained: g.relay.Regained, Changed: g.rosterChanged,
 	}
+	g.member = roster.NewMember(g.platform.Registry, g.self, g.log, g.feed.Heard)
+}
+
+func (g *Gateway) openForwarder() {
+	s := g.settings
 	g.forwarder = forward.New(forward.Options{
-		Dialect: p.Dialect, Directory: g.directory, Balancer: g.balancer, Pool: g.pool,
-		Log: log, Scope: scope, Now: g.now,
+		Dialect: g.platform.Dialect, Directory: g.directory, Balancer: g.balancer, Pool: g.pool,
+		Log: g.log, Scope: g.counters.Scope, Now: g.now,
 		Retry:      budget.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window},
 		BodyMemory: int64(bodyPart * float64(s.Memory.LimitMB<<20)),
-		Gone:       func(id string) { g.feed.Tell(directory.Denied{ID: id}) },
+		FindPlace:  g.broker.Find, ReleasePlace: g.broker.Release,
+		Gone: func(id string) { g.feed.Tell(directory.Denied{ID: id}) },
 	})
-	return g
+	g.forwarder.Share(leastShares)
+}
+
+// leastShares divides the retry allowance while few instances are known.
+const leastShares = 8
+
+// rosterChanged divides the retry allowance anew, and writes the own entry
+// again if the store lost it.
+func (g *Gateway) rosterChanged() {
+	g.forwarder.Share(max(g.roster.Most(), leastShares))
+	for _, i := range g.roster.All() {
+		if i.Name == g.self.Name && i.Fingerprint == g.self.Fingerprint {
+			return
+		}
+	}
+	if !g.leaving.Load() {
+		g.member.Change(g.self)
+	}
 }
 
 // Run serves until stop is closed and the stop is done.
@@ -107,6 +180,10 @@
 	defer group.Wait()
 	defer cancel()
 	defer g.pool.Close()
+	router, err := g.messages()
+	if err != nil {
+		return err
+	}
 
 	callers := &http.Server{
 		Handler: g.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
@@ -115,7 +192,7 @@
 		{Addr: g.settings.Callers.Ready, Handler: g.readiness(), ReadHeaderTimeout: headerTimeout},
 		{Addr: g.settings.Admin.Listen, Handler: g.admin(), ReadHeaderTimeout: headerTimeout},
 	}
-	failed := make(chan error, len(side)+1)
+	failed := make(chan error, len(side)+2)
 	callers.Addr = g.settings.Callers.Listen
 	for _, s := range append(side, callers) {
 		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Addr)
@@ -125,9 +202,12 @@
 		group.Go(func() { failed <- s.Serve(listener) })
 	}
 	group.Go(func() { g.feed.Run(ctx) })
+	group.Go(func() { g.member.Run(ctx) })
+	group.Go(func() { g.broker.Run(ctx) })
+	group.Go(func() { g.relay.Run(ctx) })
+	group.Go(func() { failed <- router.Run(ctx) })
 	group.Go(func() { g.sweep(ctx) })
 	g.log.Write(eventlog.Line{Event: eventlog.Started, Address: g.settings.Callers.Listen})
-	var err error
 	select {
 	case <-stop:
 		g.stop(callers)
@@ -138,7 +218,20 @@
 		_ = s.Close()
 	}
 	g.log.Write(eventlog.Line{Event: eventlog.Stopped, Count: g.forwarder.Running()})
-	return Error.Wrap(err)
+	cancel()
+	_ = router.Close()
+	return Error.Wrap(errors.Join(err, g.transport.Close()))
+}
+
+// messages returns the router of what other instances send.
+func (g *Gateway) messages() (*message.Router, error) {
+	router, err := message.NewRouter(message.RouterConfig{CloseTimeout: time.Second}, watermill.NopLogger{})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	g.broker.Register(router)
+	g.relay.Register(router)
+	return router, nil
 }
 
 // stop goes on serving until the balancer has taken this instance out, then
@@ -147,6 +240,9 @@
 	started := time.Now()
 	g.leaving.Store(true)
 	g.forwarder.Leave()
+	leaving := g.self
+	leaving.Leaving = true
+	g.member.Change(leaving)
 	g.log.Write(eventlog.Line{Event: eventlog.Stopping, Reason: "told_to_stop", Count: g.forwarder.Running()})
 	delay := min(balancerDelay, g.settings.Stop.Grace/2)
 	time.Sleep(delay)
--- /dev/null
+++ b/internal/peer/pinned.go
@@ -0,0 +1,82 @@
+package peer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/hex"
+	"math/big"
+	"time"
+)
+
+// identityLife is how long a process's own certificate is valid; it is made
+// anew at each start. Clocks may differ and step by hours.
+const identityLife = 10 * 365 * 24 * time.Hour
+
+// Identity is a process's own certificate, known to others by its fingerprint.
+type Identity struct {
+	Fingerprint string // SHA-256 of the certificate, in hex
+	certificate tls.Certificate
+}
+
+// NewIdentity makes a key and a certificate for the node called name.
+func NewIdentity(name string) (Identity, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Identity{}, Error.Wrap(err)
+	}
+	now := time.Now()
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(now.UnixNano()), Subject: pkix.Name{CommonName: name},
+		NotBefore: now.Add(-identityLife), NotAfter: now.Add(identityLife),
+		KeyUsage: x509.KeyUsageDigitalSignature, DNSNames: []string{serverName},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return Identity{}, Error.Wrap(err)
+	}
+	return Identity{
+		Fingerprint: fingerprint(der),
+		certificate: tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key},
+	}, nil
+}
+
+// Pinned returns mutual TLS by fingerprint: trusted names the node that has a
+// certificate with a fingerprint, and the certificate must carry that name.
+func Pinned(own Identity, trusted func(fingerprint string) (name string, ok bool)) *tls.Config {
+	verify := func(raw [][]byte, _ [][]*x509.Certificate) error {
+		if len(raw) == 0 {
+			return Error.New("no certificate")
+		}
+		leaf, err := x509.ParseCertificate(raw[0])
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		name, ok := trusted(fingerprint(raw[0]))
+		if !ok || name != leaf.Subject.CommonName {
+			return Error.New("certificate of %q is not known", leaf.Subject.CommonName)
+		}
+		return nil
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{own.certificate},
+		ClientAuth:   tls.RequireAnyClientCert,
+		// The chain of a certificate that signs itself says nothing; the
+		// fingerprint in verify stands in its place.
+		InsecureSkipVerify:     true,
+		VerifyPeerCertificate:  verify,
+		SessionTicketsDisabled: true, // a resumed session would skip verify
+		ServerName:             serverName,
+		NextProtos:             []string{protocol},
+		MinVersion:             tls.VersionTLS13,
+	}
+}
+
+func fingerprint(der []byte) string {
+	sum := sha256.Sum256(der)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/placement/message.go
@@ -0,0 +1,71 @@
+package placement
+
+import "time"
+
+// Ask is an entry's wish for places for one request.
+type Ask struct {
+	ID      string        `cbor:"1,keyasint"` // of the attempt, unique among all entries
+	Owner   string        `cbor:"2,keyasint"` // name of the entry's instance
+	Service string        `cbor:"3,keyasint"`
+	Prompt  int           `cbor:"4,keyasint"` // tokens
+	Output  int           `cbor:"5,keyasint"` // tokens expected; 0 if unknown
+	Budget  time.Duration `cbor:"6,keyasint"` // left until the first event is late
+	Exclude []string      `cbor:"7,keyasint"` // endpoints that the entry will not use
+	Whole   bool          `cbor:"8,keyasint"` // no prefill engine is wanted
+	Patient bool          `cbor:"9,keyasint"` // it waits for room if some comes free in time
+}
+
+// Grant names the places of one request.
+type Grant struct {
+	ID      string        `cbor:"1,keyasint"`
+	Prefill string        `cbor:"2,keyasint"` // id of the prefill engine; empty: the decode engine reads the prompt
+	Decode  string        `cbor:"3,keyasint"` // id of the decode engine
+	Wait    time.Duration `cbor:"4,keyasint"` // predicted until the prefill begins
+	Used    int           `cbor:"5,keyasint"` // tokens that the decode engine is reckoned to hold
+}
+
+// Refusal says that no place will be free in time.
+type Refusal struct {
+	ID     string        `cbor:"1,keyasint"`
+	Reason string        `cbor:"2,keyasint"`
+	After  time.Duration `cbor:"3,keyasint"` // when to come back
+}
+
+// Verdict is a planner's answer to an ask.
+type Verdict struct {
+	Grant   *Grant   `cbor:"1,keyasint,omitempty"`
+	Refusal *Refusal `cbor:"2,keyasint,omitempty"`
+	Queued  bool     `cbor:"3,keyasint,omitempty"` // the answer comes later
+}
+
+// The reasons of a refusal.
+const (
+	ReasonNoEndpoint = "no_decode_endpoint"
+	ReasonFull       = "decode_memory_full"
+	ReasonMoved      = "planner_moved"
+)
+
+// Release gives places back.
+type Release struct {
+	ID     string `cbor:"1,keyasint"`
+	Owner  string `cbor:"2,keyasint"`
+	Full   bool   `cbor:"3,keyasint"` // the decode engine turned the request away
+	Failed string `cbor:"4,keyasint"` // endpoint that failed, if any
+}
+
+// Hold is one request in an announcement.
+type Hold struct {
+	ID      string        `cbor:"1,keyasint"`
+	Decode  string        `cbor:"2,keyasint"`
+	Prompt  int           `cbor:"3,keyasint"`
+	Output  int           `cbor:"4,keyasint"`
+	Running time.Duration `cbor:"5,keyasint"` // since it was granted
+}
+
+// Announce renews all places of one entry in a zone. Places that it leaves out
+// are free again.
+type Announce struct {
+	Owner string `cbor:"1,keyasint"`
+	Zone  string `cbor:"2,keyasint"`
+	Holds []Hold `cbor:"3,keyasint"`
+}
--- /dev/null
+++ b/internal/placement/planner.go
@@ -0,0 +1,401 @@
+// Package placement gives out the KV memory of one zone's decode engines and
+// the time of its prefill engines. One planner sees a whole zone, so that no
+// memory is promised twice and no prompt is read before there is room for it:
+// a prompt read for nothing costs as much as an answer is worth. Decisions are
+// pure: Apply takes the time and an event and returns effects.
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+const (
+	// useMemory is the part of an engine's KV memory that is given out; blocks
+	// of 16 tokens and answers longer than expected take the rest.
+	useMemory = 0.97
+	// growth is the part of an expected answer that is reckoned as memory
+	// from the start: requests at one engine are at different points.
+	growth = 0.5
+	// expectedPart of the longest answer is expected where no guess came.
+	expectedPart = 0.42
+	// stepTime is one token's time at a moderately filled engine (data sheet:
+	// 3.41 ms and 0.1 ms for each running request).
+	stepTime = 4500 * time.Microsecond
+	// tokensPerMS is a prefill engine's speed, from its data sheet.
+	tokensPerMS = 55.6
+	// prefillSetup is a prefill's cost besides its tokens.
+	prefillSetup = 10 * time.Millisecond
+	// firstStep is the time from a prefill's end to the first event, with the
+	// KV cache's way and the messages.
+	firstStep = 70 * time.Millisecond
+	// grantGrace is how long an announcement may still miss a new grant.
+	grantGrace = 500 * time.Millisecond
+	// ownerExpiry is how long places outlive their owner's silence.
+	ownerExpiry = 2500 * time.Millisecond
+	// fullFor keeps requests from an engine that turned one away: its memory
+	// is fuller than reckoned, and answers end several times a second.
+	fullFor = 250 * time.Millisecond
+	// failedFor does the same for one that failed.
+	failedFor = time.Second
+	// askMemory bounds how long an ended attempt is remembered, so that a late
+	// message does not take its place again.
+	askMemory = 5 * time.Second
+	// comeBackLeast and comeBackMost bound what refused callers are told.
+	comeBackLeast = 250 * time.Millisecond
+	comeBackMost  = 4 * time.Second
+)
+
+// Event is what a planner learns: Ask, Release, Announce, Known and Tick.
+type Event interface{ event() }
+
+// Known brings the present endpoints of the zone.
+type Known struct{ View *directory.View }
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Ask) event()      {}
+func (Release) event()  {}
+func (Announce) event() {}
+func (Known) event()    {}
+func (Tick) event()     {}
+
+// Answer is the effect of a decision: the word to one entry.
+type Answer struct {
+	ID      string
+	Owner   string
+	Verdict Verdict
+}
+
+// Planner is the aggregate of one zone. It is not safe for concurrent use.
+type Planner struct {
+	zone    string
+	engines map[string]*engine
+	places  map[string]*place
+	owners  map[string]clock.Millis // when last heard
+	over    map[string]clock.Millis // attempts that ended
+	queue   []waiting
+	effects []Answer
+}
+
+// engine is one endpoint of the zone.
+type engine struct {
+	directory.Endpoint
+	capacity  int // tokens
+	slots     int
+	closed    clock.Millis // nothing is given to it until then
+	busyUntil clock.Millis // of a prefill engine
+	places    map[string]*place
+}
+
+// place is what one attempt holds.
+type place struct {
+	id      string
+	owner   string
+	decode  string
+	prompt  int
+	output  int
+	granted clock.Millis
+}
+
+type waiting struct {
+	ask   Ask
+	until clock.Millis
+}
+
+// New returns the planner of a zone.
+func New(zone string) *Planner {
+	return &Planner{
+		zone: zone, engines: map[string]*engine{}, places: map[string]*place{},
+		owners: map[string]clock.Millis{}, over: map[string]clock.Millis{},
+	}
+}
+
+// Apply takes one event at a moment and returns the answers it brings about.
+func (p *Planner) Apply(now clock.Millis, e Event) []Answer {
+	p.effects = nil
+	switch e := e.(type) {
+	case Ask:
+		p.ask(now, e)
+	case Release:
+		p.release(now, e)
+	case Announce:
+		p.announce(now, e)
+	case Known:
+		p.learn(e.View)
+	case Tick:
+		p.expire(now)
+	}
+	p.serveQueue(now)
+	return p.effects
+}
+
+// Queued is the number of requests that wait.
+func (p *Planner) Queued() int { return len(p.queue) }
+
+func (p *Planner) learn(v *directory.View) {
+	if v.Table == nil {
+		return
+	}
+	seen := map[string]bool{}
+	for name, list := range v.Endpoints {
+		service := v.Table.Service(name)
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		for _, e := range list {
+			if e.Zone != p.zone {
+				continue
+			}
+			seen[e.ID] = true
+			known := p.engines[e.ID]
+			if known == nil {
+				known = &engine{places: map[string]*place{}}
+				p.engines[e.ID] = known
+			}
+			known.Endpoint = *e
+			known.capacity = int(useMemory * float64(service.Engine.KVTokens))
+			known.slots = service.Engine.Slots
+		}
+	}
+	for id := range p.engines {
+		if !seen[id] {
+			delete(p.engines, id)
+		}
+	}
+}
+
+func (p *Planner) ask(now clock.Millis, a Ask) {
+	if p.places[a.ID] != nil || p.over[a.ID] != 0 {
+		return
+	}
+	p.owners[a.Owner] = now
+	if p.place(now, a) {
+		return
+	}
+	wait, possible := p.predict(now, a)
+	if !possible {
+		p.refuse(a, ReasonNoEndpoint, comeBackLeast)
+		return
+	}
+	wait *= time.Duration(len(p.queue) + 1)
+	patience := a.Budget - prefillTime(a.Prompt) - firstStep
+	if !a.Patient || wait > patience {
+		p.refuse(a, ReasonFull, wait)
+		return
+	}
+	p.queue = append(p.queue, waiting{ask: a, until: now.Add(min(patience, a.Budget/4))})
+	p.effects = append(p.effects, Answer{ID: a.ID, Owner: a.Owner, Verdict: Verdict{Queued: true}})
+}
+
+// place grants a request if some decode engine has room now.
+func (p *Planner) place(now clock.Millis, a Ask) bool {
+	need := a.Prompt + expected(a.Output)
+	var best *engine
+	least := 0.0
+	for _, e := range p.decodes(now, a) {
+		used := e.used(now)
+		if used+need > e.capacity && used > 0 || len(e.places) >= e.slots {
+			continue
+		}
+		share := float64(used) / float64(max(e.capacity, 1))
+		if best == nil || share < least {
+			best, least = e, share
+		}
+	}
+	if best == nil {
+		return false
+	}
+	g := Grant{ID: a.ID, Decode: best.ID, Used: best.used(now)}
+	if r := p.reader(now, a); r != nil {
+		g.Prefill = r.ID
+		g.Wait = max(r.busyUntil.Sub(now), 0)
+		r.busyUntil = max(r.busyUntil, now).Add(prefillTime(a.Prompt))
+	}
+	p.hold(best, &place{id: a.ID, owner: a.Owner, decode: best.ID, prompt: a.Prompt, output: a.Output, granted: now})
+	p.effects = append(p.effects, Answer{ID: a.ID, Owner: a.Owner, Verdict: Verdict{Grant: &g}})
+	return true
+}
+
+func (p *Planner) hold(e *engine, h *place) {
+	p.places[h.id] = h
+	e.places[h.id] = h
+}
+
+// decodes returns the engines that may decode a request.
+func (p *Planner) decodes(now clock.Millis, a Ask) []*engine {
+	return p.open(now, a, func(s directory.Stage) bool { return s != directory.Prefill })
+}
+
+// reader returns the prefill engine that is free the soonest, or nil.
+func (p *Planner) reader(now clock.Millis, a Ask) *engine {
+	if a.Whole || a.Prompt == 0 {
+		return nil
+	}
+	var best *engine
+	for _, e := range p.open(now, a, func(s directory.Stage) bool { return s == directory.Prefill }) {
+		if best == nil || e.busyUntil < best.busyUntil {
+			best = e
+		}
+	}
+	return best
+}
+
+func (p *Planner) open(now clock.Millis, a Ask, fits func(directory.Stage) bool) []*engine {
+	var list []*engine
+	for _, e := range p.engines {
+		if e.Service == a.Service && e.State == directory.Ready && e.closed <= now && fits(e.Stage) && !slices.Contains(a.Exclude, e.ID) {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b *engine) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// used is what an engine is reckoned to hold, in tokens.
+func (e *engine) used(now clock.Millis) int {
+	total := 0
+	for _, h := range e.places {
+		made := int(now.Sub(h.granted) / stepTime)
+		total += h.prompt + max(expected(h.output), min(made, 2*h.output))
+	}
+	return total
+}
+
+func expected(output int) int { return int(growth * float64(output)) }
+
+// Expected guesses the length of an answer from the most that it may have.
+func Expected(most int) int { return int(expectedPart * float64(most)) }
+
+func prefillTime(prompt int) time.Duration {
+	return prefillSetup + time.Duration(float64(prompt)/tokensPerMS*float64(time.Millisecond))
+}
+
+// predict is how long until some engine has room; false if none can have.
+func (p *Planner) predict(now clock.Millis, a Ask) (time.Duration, bool) {
+	need := a.Prompt + expected(a.Output)
+	best, found := time.Duration(0), false
+	for _, e := range p.engines {
+		if e.Service != a.Service || e.State != directory.Ready || e.Stage == directory.Prefill || slices.Contains(a.Exclude, e.ID) {
+			continue
+		}
+		wait := e.roomAfter(now, need)
+		if !found || wait < best {
+			best, found = wait, true
+		}
+	}
+	return best, found
+}
+
+// roomAfter is how long until enough of the running answers have ended.
+func (e *engine) roomAfter(now clock.Millis, need int) time.Duration {
+	over := e.used(now) + need - e.capacity
+	if over <= 0 {
+		return max(e.closed.Sub(now), 0)
+	}
+	ends := make([]*place, 0, len(e.places))
+	for _, h := range e.places {
+		ends = append(ends, h)
+	}
+	slices.SortFunc(ends, func(a, b *place) int { return int(a.endsAt() - b.endsAt()) })
+	for _, h := range ends {
+		over -= h.prompt + expected(h.output)
+		if over <= 0 {
+			return max(h.endsAt().Sub(now), 50*time.Millisecond)
+		}
+	}
+	return comeBackMost
+}
+
+func (h *place) endsAt() clock.Millis {
+	return h.granted.Add(time.Duration(h.output)*stepTime + 200*time.Millisecond)
+}
+
+func (p *Planner) refuse(a Ask, reason string, after time.Duration) {
+	after = min(max(after, comeBackLeast), comeBackMost)
+	p.effects = append(p.effects, Answer{ID: a.ID, Owner: a.Owner, Verdict: Verdict{
+		Refusal: &Refusal{ID: a.ID, Reason: reason, After: after},
+	}})
+}
+
+// serveQueue grants what waits, in order, and refuses what can no longer be in
+// time.
+func (p *Planner) serveQueue(now clock.Millis) {
+	kept := p.queue[:0]
+	for _, w := range p.queue {
+		switch {
+		case p.over[w.ask.ID] != 0:
+		case p.place(now, w.ask):
+		case now >= w.until:
+			wait, _ := p.predict(now, w.ask)
+			p.refuse(w.ask, ReasonFull, wait*time.Duration(len(kept)+1))
+		default:
+			kept = append(kept, w)
+		}
+	}
+	p.queue = kept
+}
+
+func (p *Planner) release(now clock.Millis, r Release) {
+	p.owners[r.Owner] = now
+	p.over[r.ID] = now
+	if h := p.places[r.ID]; h != nil {
+		if e := p.engines[h.decode]; e != nil && r.Full {
+			e.closed = max(e.closed, now.Add(fullFor))
+		}
+		p.drop(h)
+	}
+	if e := p.engines[r.Failed]; e != nil {
+		e.closed = max(e.closed, now.Add(failedFor))
+	}
+}
+
+func (p *Planner) drop(h *place) {
+	delete(p.places, h.id)
+	if e := p.engines[h.decode]; e != nil {
+		delete(e.places, h.id)
+	}
+}
+
+// announce takes an entry's list: unknown places are taken over from a former
+// planner, missing ones are freed.
+func (p *Planner) announce(now clock.Millis, a Announce) {
+	p.owners[a.Owner] = now
+	listed := map[string]bool{}
+	for _, h := range a.Holds {
+		listed[h.ID] = true
+		e := p.engines[h.Decode]
+		if e == nil || p.places[h.ID] != nil || p.over[h.ID] != 0 {
+			continue
+		}
+		p.hold(e, &place{id: h.ID, owner: a.Owner, decode: h.Decode, prompt: h.Prompt, output: h.Output, granted: now.Add(-h.Running)})
+	}
+	for _, h := range p.places {
+		if h.owner == a.Owner && !listed[h.id] && now.Sub(h.granted) > grantGrace {
+			p.over[h.id] = now
+			p.drop(h)
+		}
+	}
+}
+
+func (p *Planner) expire(now clock.Millis) {
+	for _, h := range p.places {
+		if now.Sub(max(p.owners[h.owner], h.granted)) > ownerExpiry {
+			p.drop(h)
+		}
+	}
+	for id, at := range p.over {
+		if now.Sub(at) > askMemory {
+			delete(p.over, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,116 @@
+// Package roster knows this instance's fellows: who they are, where they listen
+// and by which certificate they are recognised. Entries come from the
+// platform's store, each kept there by its instance's lease.
+package roster
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Instance is one fellow, or this instance itself.
+type Instance struct {
+	Name        string         `json:"name"`
+	Zone        string         `json:"zone"`
+	Address     netip.AddrPort `json:"address"`     // of its QUIC listener
+	Fingerprint string         `json:"fingerprint"` // SHA-256 of its certificate, in hex
+	Leaving     bool           `json:"leaving,omitempty"`
+	Revision    int64          `json:"-"` // of the store
+}
+
+// Roster is the table of instances. It is safe for concurrent use.
+type Roster struct {
+	mu        sync.RWMutex
+	instances map[string]Instance
+	known     map[string]string // fingerprint: name; of all instances ever seen
+	most      int
+}
+
+// New returns an empty roster.
+func New() *Roster {
+	return &Roster{instances: map[string]Instance{}, known: map[string]string{}}
+}
+
+// See takes an instance's entry.
+func (r *Roster) See(i Instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if i.Revision < r.instances[i.Name].Revision {
+		return
+	}
+	r.instances[i.Name] = i
+	r.known[i.Fingerprint] = i.Name
+	r.most = max(r.most, len(r.instances))
+}
+
+// Remove takes word that an instance's entry is gone. Its certificate stays
+// trusted: it may only have lost its lease.
+func (r *Roster) Remove(name string, revision int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if i, ok := r.instances[name]; ok && i.Revision <= revision {
+		delete(r.instances, name)
+	}
+}
+
+// Replace takes a complete listing.
+func (r *Roster) Replace(all []Instance, revision int64) {
+	present := map[string]bool{}
+	for _, i := range all {
+		present[i.Name] = true
+		r.See(i)
+	}
+	for _, i := range r.All() {
+		if !present[i.Name] {
+			r.Remove(i.Name, revision)
+		}
+	}
+}
+
+// Trusted returns the name of the instance with a certificate.
+func (r *Roster) Trusted(fingerprint string) (string, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	name, ok := r.known[fingerprint]
+	return name, ok
+}
+
+// All returns the instances in the order of their names.
+func (r *Roster) All() []Instance {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	all := make([]Instance, 0, len(r.instances))
+	for _, i := range r.instances {
+		all = append(all, i)
+	}
+	slices.SortFunc(all, func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Most is the largest number of instances seen at once.
+func (r *Roster) Most() int {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.most
+}
+
+// Ranked returns a zone's instances in the rendezvous order of key, those that
+// are leaving last.
+func (r *Roster) Ranked(zone, key string) []Instance {
+	all := slices.DeleteFunc(r.All(), func(i Instance) bool { return i.Zone != zone })
+	weight := func(i Instance) uint64 { return xxhash.Sum64String(key + "\x00" + i.Name) }
+	slices.SortFunc(all, func(a, b Instance) int {
+		if a.Leaving != b.Leaving {
+			if a.Leaving {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(weight(b), weight(a))
+	})
+	return all
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -105,6 +105,7 @@
 type Table struct {
 	Version  int64
 	Limits   Limits
+	document Document
 	routes   map[string]map[string]*Route // host, prefix
 	services map[string]*Service
 }
@@ -115,7 +116,7 @@
 		return nil, Error.New("version %d is not positive", d.Version)
 	}
 	t := &Table{
-		Version: d.Version, Limits: d.Limits,
+		Version: d.Version, Limits: d.Limits, document: d,
 		routes: map[string]map[string]*Route{}, services: map[string]*Service{},
 	}
 	for i := range d.Services {
@@ -174,6 +175,9 @@
 // Service returns the service called name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Document returns what the table was made of; it must not be changed.
+func (t *Table) Document() Document { return t.document }
+
 // Len is the number of routes.
 func (t *Table) Len() int {
 	n := 0
