freshness: notice a watch that fell silent

Change: one instance of each zone asks the store for its revision every 700 ms and tells its fellows; who is behind and not told within 200 ms lists anew, or asks the fellow. Ruled out: stale reads (they lag as well), shorter watches for everyone (five times the calls).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -112,6 +112,7 @@
 	case StoreLost:
 		d.storeLost = true
 	case StoreReached:
+		d.revision = max(d.revision, e.Revision)
 		if d.storeLost {
 			d.storeLost = false
 			d.returnedAt = now
--- a/internal/directory/event.go
+++ b/internal/directory/event.go
@@ -38,8 +38,9 @@
 // StoreLost says that the store stopped answering this instance.
 type StoreLost struct{}
 
-// StoreReached says that the store answers this instance.
-type StoreReached struct{}
+// StoreReached says that the store answers this instance, and that everything
+// up to Revision has been told.
+type StoreReached struct{ Revision int64 }
 
 // Tick lets time pass.
 type Tick struct{}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -35,6 +35,8 @@
 type Source struct {
 	// List reads everything.
 	List func(ctx context.Context) (News, error)
+	// Head returns the store's revision.
+	Head func(ctx context.Context) (int64, error)
 	// Watch waits for changes after revision.
 	Watch func(ctx context.Context, revision int64, wait time.Duration) (News, error)
 }
@@ -63,6 +65,7 @@
 
 	mu     sync.Mutex
 	lost   bool
+	anew   bool
 	cancel context.CancelFunc // ends the call in progress
 }
 
@@ -73,6 +76,9 @@
 	for ctx.Err() == nil {
 		news, err := f.next(ctx, revision)
 		switch {
+		case err != nil && f.takeAnew():
+			revision = 0
+			continue
 		case errors.Is(err, ErrHistoryLost):
 			f.Log.Write(eventlog.Line{Event: eventlog.HistoryLost, Revision: revision})
 			revision = 0
@@ -84,8 +90,8 @@
 			continue
 		}
 		pause = retryFirst
-		f.reached()
 		f.Take(news)
+		f.reached(news.Revision)
 		revision = max(revision, news.Revision)
 	}
 }
@@ -168,8 +174,8 @@
 	f.Lost()
 }
 
-func (f *Feed) reached() {
-	f.Tell(directory.StoreReached{})
+func (f *Feed) reached(revision int64) {
+	f.Tell(directory.StoreReached{Revision: revision})
 	if !f.change(false) {
 		return
 	}
@@ -178,6 +184,27 @@
 	f.Regained()
 }
 
+// List ends the watch in progress and reads everything.
+func (f *Feed) List() {
+	f.Scope.Counter("feed_listed_anew").Inc(1)
+	f.mu.Lock()
+	f.anew = true
+	cancel := f.cancel
+	f.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// takeAnew says, once, whether List was called.
+func (f *Feed) takeAnew() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	anew := f.anew
+	f.anew = false
+	return anew
+}
+
 // change sets whether the store is lost and returns what was the case before.
 func (f *Feed) change(lost bool) bool {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/freshness/freshness.go
@@ -0,0 +1,91 @@
+// Package freshness decides when an instance must ask whether what it knows is
+// still the newest. A watch on the store can fall silent while changes are made
+// and renewals of leases are answered, so silence proves nothing. In each zone
+// one instance asks the store for its revision and tells its fellows; the next
+// in rank does so when nothing was heard in time. An instance that is behind
+// the revision it heard of, and is not told by its watch within a moment,
+// fetches what it lacks. Decisions are pure.
+package freshness
+
+import (
+	"time"
+
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+const (
+	// checkEvery is how often the first in rank asks the store. A change must
+	// be in force within 2 s; a check, the patience and a fetch take 1.2 s.
+	checkEvery = 700 * time.Millisecond
+	// rankDelay is how much later each next in rank asks.
+	rankDelay = 150 * time.Millisecond
+	// patience is how long the watch may take to tell of a revision that was
+	// heard of. Watches are told within a few milliseconds.
+	patience = 200 * time.Millisecond
+	// again is the pause between fetches while still behind.
+	again = 250 * time.Millisecond
+)
+
+// Action is what the caller must do.
+type Action int
+
+// The actions.
+const (
+	Nothing   Action = iota
+	AskStore         // ask the store for its revision and call Heard
+	ListStore        // read everything from the store
+	AskFellow        // ask the fellow that Source names
+)
+
+// Freshness is the state of one instance.
+type Freshness struct {
+	heardAt clock.Millis // when a revision was last heard of
+	newest  int64        // the highest revision heard of
+	behind  clock.Millis // since when the own knowledge is older; 0 if it is not
+	fetched clock.Millis // when it was last fetched
+	source  string
+}
+
+// Heard takes a revision that the store has, told by the fellow called source,
+// or by the store itself if source is empty.
+func (f *Freshness) Heard(now clock.Millis, revision int64, source string) {
+	f.heardAt = now
+	if revision <= f.newest {
+		return
+	}
+	f.newest, f.source = revision, source
+}
+
+// Failed notes that the store did not answer the question for its revision.
+func (f *Freshness) Failed(now clock.Millis) { f.heardAt = now }
+
+// Source is the fellow that knows more, for AskFellow.
+func (f *Freshness) Source() string { return f.source }
+
+// Next returns what must be done now. known is the revision up to which the
+// instance knows everything, rank its place in its zone from 0.
+func (f *Freshness) Next(now clock.Millis, known int64, rank int) Action {
+	if known >= f.newest {
+		f.behind = 0
+		return f.check(now, rank)
+	}
+	if f.behind == 0 {
+		f.behind = now
+	}
+	if now.Sub(f.behind) < patience || now.Sub(f.fetched) < again {
+		return Nothing
+	}
+	f.fetched = now
+	if f.source == "" {
+		return ListStore
+	}
+	return AskFellow
+}
+
+func (f *Freshness) check(now clock.Millis, rank int) Action {
+	if now.Sub(f.heardAt) < checkEvery+time.Duration(rank)*rankDelay {
+		return Nothing
+	}
+	f.heardAt = now // the answer, or its absence, comes before the next check
+	return AskStore
+}
--- /dev/null
+++ b/internal/freshness/freshness_test.go
@@ -0,0 +1,73 @@
+package freshness_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/trailshed/trailshed/internal/freshness"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// A watch that falls silent must not leave an instance behind: on the standard
+// day scale-1 it served a configuration 5 s old, with every renewal answered.
+func TestSilentWatchIsNoticed(t *testing.T) {
+	tests := []struct {
+		name string
+		rank int
+		hint string // fellow that tells of the new revision; empty: the store does
+		want freshness.Action
+	}{
+		{"first in rank lists", 0, "", freshness.ListStore},
+		{"told by a fellow, asks it", 1, "n1", freshness.AskFellow},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var f freshness.Freshness
+			known := int64(28) // the watch tells nothing newer
+			acted := clock.Millis(0)
+			for now := clock.Millis(10_000); now < 14_000 && acted == 0; now += 50 {
+				switch f.Next(now, known, test.rank) {
+				case freshness.AskStore:
+					f.Heard(now, 31, test.hint)
+				case test.want:
+					acted = now
+				case freshness.Nothing:
+				default:
+					t.Fatalf("unexpected action at %d", now)
+				}
+			}
+			c.Assert(acted > 0 && acted <= 11_500, qt.IsTrue, qt.Commentf("acted at %d", acted))
+		})
+	}
+}
+
+func TestCaughtUpDoesNothingMore(t *testing.T) {
+	c := qt.New(t)
+	var f freshness.Freshness
+	f.Heard(1000, 31, "n1")
+	c.Assert(f.Next(1050, 30, 0), qt.Equals, freshness.Nothing)
+	c.Assert(f.Next(1100, 31, 0), qt.Equals, freshness.Nothing)
+	c.Assert(f.Next(1500, 31, 0), qt.Equals, freshness.Nothing)
+	c.Assert(f.Next(1750, 31, 0), qt.Equals, freshness.AskStore)
+}
+
+// Only the first in rank asks while it can be heard.
+func TestOneAsksForTheZone(t *testing.T) {
+	c := qt.New(t)
+	var first, second freshness.Freshness
+	asked := [2]int{}
+	for now := clock.Millis(10_000); now < 20_000; now += 50 {
+		if first.Next(now, 5, 0) == freshness.AskStore {
+			asked[0]++
+			first.Heard(now, 5, "")
+			second.Heard(now+1, 5, "first")
+		}
+		if second.Next(now, 5, 1) == freshness.AskStore {
+			asked[1]++
+		}
+	}
+	c.Assert(asked[0] > 10, qt.IsTrue)
+	c.Assert(asked[1] <= 1, qt.IsTrue) // at its own start
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,7 +129,9 @@
 	})
 	g.relay = &relay.Relay{
 		Name: s.Instance.Name, Transport: g.transport, Roster: g.roster, Directory: g.directory,
-		Tell: func(e directory.Event) { g.feed.Tell(e) }, Log: g.log, Scope: scope,
+		Zone: s.Instance.Zone, Now: g.now, Log: g.log, Scope: scope,
+		Tell: func(e directory.Event) { g.feed.Tell(e) },
+		Head: g.platform.Source.Head, List: func() { g.feed.List() },
 	}
 	return nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,11 +1,13 @@
-// Package relay lets instances that the store does not answer learn from their
-// fellows what the store says: they remain bound by configuration and by
-// leaving endpoints. Nothing is sent while the store answers everyone.
+// Package relay lets instances learn from their fellows what the store says
+// when the store does not tell them itself: they remain bound by configuration
+// and by leaving endpoints. While the store answers everyone, only its revision
+// is passed round within a zone.
 package relay
 
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,14 +16,21 @@
 
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/freshness"
 	"github.com/trailshed/trailshed/internal/peer"
 	"github.com/trailshed/trailshed/internal/roster"
 	"github.com/trailshed/trailshed/internal/route"
+	"github.com/trailshed/trailshed/pkg/clock"
 )
 
-const topic = "relay.ask"
+const (
+	topic     = "relay.ask"
+	topicHint = "relay.hint"
+)
 
 const (
+	// tickEvery is how often it is decided what to do.
+	tickEvery = 50 * time.Millisecond
 	// pullEvery is how often a cut-off instance asks one fellow. Changes must be
 	// in force within 2 s, and some fellows may be cut off as well.
 	pullEvery = 250 * time.Millisecond
@@ -49,11 +58,25 @@
 	Transport *peer.Transport
 	Roster    *roster.Roster
 	Directory *directory.Directory
+	Zone      string
 	Tell      func(directory.Event)
-	Log       *eventlog.Log
-	Scope     tally.Scope
+	// Head asks the store for its revision; List has the feed read everything.
+	Head  func(context.Context) (int64, error)
+	List  func()
+	Log   *eventlog.Log
+	Scope tally.Scope
+	Now   func() clock.Millis
+
+	lost   atomic.Bool
+	pulled clock.Millis
+
+	mu    sync.Mutex
+	fresh freshness.Freshness
+}
 
-	lost atomic.Bool
+// Hint tells fellows a revision that the store has.
+type Hint struct {
+	Revision int64 `cbor:"1,keyasint"`
 }
 
 // Lost and Regained say whether the store answers this instance.
@@ -65,6 +88,11 @@
 	peer.Answer(router, r.Transport, topic, func(_ context.Context, _ peer.Sender, q Question) Told {
 		return r.answer(q)
 	})
+	peer.Handle(router, r.Transport, topicHint, func(from peer.Sender, h Hint) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.fresh.Heard(r.Now(), h.Revision, from.Name)
+	})
 }
 
 func (r *Relay) answer(q Question) Told {
@@ -84,24 +112,81 @@
 	return t
 }
 
-// Run asks fellows while the store does not answer, until ctx ends.
+// Run keeps this instance's knowledge fresh until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
-	tick := time.NewTicker(pullEvery)
+	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			if r.lost.Load() {
-				r.pull(ctx)
-			}
+			r.step(ctx)
+		}
+	}
+}
+
+func (r *Relay) step(ctx context.Context) {
+	now := r.Now()
+	if r.lost.Load() {
+		if now.Sub(r.pulled) >= pullEvery {
+			r.pulled = now
+			r.pull(ctx, "")
+		}
+		return
+	}
+	r.mu.Lock()
+	action := r.fresh.Next(now, r.Directory.View().Revision, r.rank())
+	source := r.fresh.Source()
+	r.mu.Unlock()
+	switch action {
+	case freshness.AskStore:
+		r.check(ctx)
+	case freshness.ListStore:
+		r.List()
+	case freshness.AskFellow:
+		r.pull(ctx, source)
+	case freshness.Nothing:
+	}
+}
+
+// rank is this instance's place among those of its zone.
+func (r *Relay) rank() int {
+	for i, f := range r.Roster.Ranked(r.Zone, "check") {
+		if f.Name == r.Name {
+			return i
+		}
+	}
+	return 0
+}
+
+// check asks the store for its revision and passes it on.
+func (r *Relay) check(ctx context.Context) {
+	revision, err := r.Head(ctx)
+	r.mu.Lock()
+	if err != nil {
+		r.fresh.Failed(r.Now())
+	} else {
+		r.fresh.Heard(r.Now(), revision, "")
+	}
+	r.mu.Unlock()
+	if err != nil {
+		r.Scope.Counter("relay_check_failed").Inc(1)
+		return
+	}
+	for _, f := range r.Roster.Ranked(r.Zone, "check") {
+		if f.Name == r.Name {
+			continue
+		}
+		if err := peer.Send(r.Transport, f.Address, topicHint, Hint{Revision: revision}); err != nil {
+			r.Scope.Counter("relay_hint_failed").Inc(1)
 		}
 	}
 }
 
-func (r *Relay) pull(ctx context.Context) {
-	fellow, ok := r.pick()
+// pull asks the fellow called name, or any.
+func (r *Relay) pull(ctx context.Context, name string) {
+	fellow, ok := r.pick(name)
 	if !ok {
 		return
 	}
@@ -135,15 +220,16 @@
 	}
 }
 
-// pick returns a fellow at random.
-func (r *Relay) pick() (roster.Instance, bool) {
+// pick returns the fellow called name or, without a name, one at random.
+func (r *Relay) pick(name string) (roster.Instance, bool) {
 	all := r.Roster.All()
 	if len(all) == 0 {
 		return roster.Instance{}, false
 	}
 	from := rand.IntN(len(all))
 	for i := range all {
-		if f := all[(from+i)%len(all)]; f.Name != r.Name {
+		f := all[(from+i)%len(all)]
+		if f.Name == name || name == "" && f.Name != r.Name {
 			return f, true
 		}
 	}
