--- /dev/null
+++ b/internal/balance/balancer_test.go
@@ -0,0 +1,99 @@
+package balance_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/trailshed/trailshed/internal/balance"
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+func view(endpoints ...directory.Endpoint) *directory.View {
+	v := &directory.View{Endpoints: map[string][]*directory.Endpoint{}}
+	for _, e := range endpoints {
+		e.Service = "web"
+		v.Endpoints["web"] = append(v.Endpoints["web"], &e)
+	}
+	return v
+}
+
+func TestReserve(t *testing.T) {
+	near := directory.Endpoint{ID: "near", Zone: "a", Slots: 2}
+	far := directory.Endpoint{ID: "far", Zone: "b", Slots: 2}
+	leaving := directory.Endpoint{ID: "leaving", Zone: "a", Slots: 2, State: directory.Draining}
+	reader := directory.Endpoint{ID: "reader", Zone: "a", Slots: 2, Stage: directory.Prefill}
+	tests := []struct {
+		name    string
+		view    *directory.View
+		exclude []string
+		before  int // reservations held already
+		want    string
+	}{
+		{"own zone first", view(far, near), nil, 0, "near"},
+		{"other zone when excluded", view(far, near), []string{"near"}, 0, "far"},
+		{"other zone when the own is full", view(far, near), nil, 4, "far"},
+		{"nothing that leaves", view(leaving, far), nil, 0, "far"},
+		{"no prefill engine", view(reader, far), nil, 0, "far"},
+		{"nothing at all", view(leaving, reader), nil, 0, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := balance.New("a")
+			ask := balance.Ask{Service: "web", Stage: directory.Decode, Exclude: test.exclude}
+			for range test.before {
+				b.Reserve(1000, test.view, ask)
+			}
+			got := ""
+			if r := b.Reserve(1000, test.view, ask); r != nil {
+				got = r.Endpoint.ID
+			}
+			qt.Assert(t, got, qt.Equals, test.want)
+		})
+	}
+}
+
+// An endpoint that fails is left alone for a while, and used if none else is.
+func TestEjection(t *testing.T) {
+	tests := []struct {
+		name    string
+		results []balance.Result
+		ejected bool
+	}{
+		{"unreachable once", []balance.Result{balance.Unreachable}, true},
+		{"failed once", []balance.Result{balance.Failed}, false},
+		{"failed again and again", repeat(balance.Failed, 5), true},
+		{"rejected again and again", repeat(balance.Rejected, 9), false},
+		{"fails one in seven by nature", append(repeat(balance.Good, 6), balance.Failed, balance.Good, balance.Failed), false},
+		{"left by callers", repeat(balance.Abandoned, 9), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := balance.New("a")
+			only := view(directory.Endpoint{ID: "e1", Zone: "a", Slots: 2})
+			both := view(directory.Endpoint{ID: "e1", Zone: "a", Slots: 2}, directory.Endpoint{ID: "e2", Zone: "b", Slots: 2})
+			ask := balance.Ask{Service: "web", Stage: directory.Decode}
+			now := clock.Millis(1000)
+			for _, result := range test.results {
+				r := b.Reserve(now, only, ask)
+				c.Assert(r, qt.IsNotNil)
+				r.Done(now, result)
+			}
+			r := b.Reserve(now, both, ask)
+			c.Assert(r.Endpoint.ID == "e2", qt.Equals, test.ejected)
+			r.Done(now, balance.Abandoned)
+			later := b.Reserve(now.Add(20_000_000_000), both, ask)
+			c.Assert(later.Endpoint.ID, qt.Equals, "e1")
+		})
+	}
+}
+
+func repeat(r balance.Result, n int) []balance.Result {
+	var list []balance.Result
+	for range n {
+		list = append(list, r)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,148 @@
+package directory_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/route"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+func endpoint(id string, revision int64) directory.Endpoint {
+	return directory.Endpoint{ID: id, Service: "web", Zone: "a", Address: netip.MustParseAddrPort("127.0.0.1:1"), Revision: revision}
+}
+
+func ids(d *directory.Directory) map[string]bool {
+	found := map[string]bool{}
+	for _, e := range d.View().Endpoints["web"] {
+		found[e.ID] = true
+	}
+	return found
+}
+
+func configured(version int64) directory.Configured {
+	table, err := route.NewTable(route.Document{Version: version})
+	if err != nil {
+		panic(err) // every positive version is good
+	}
+	return directory.Configured{Table: table, Revision: version}
+}
+
+func TestListingDropsWhatItLacks(t *testing.T) {
+	c := qt.New(t)
+	d := directory.New()
+	d.Apply(0, directory.Listed{Endpoints: []directory.Endpoint{endpoint("e1", 1), endpoint("e2", 2)}, Revision: 2})
+	changes := d.Apply(10, directory.Listed{Endpoints: []directory.Endpoint{endpoint("e2", 2)}, Revision: 5})
+	c.Assert(changes, qt.HasLen, 1)
+	c.Assert(changes[0].What, qt.Equals, directory.EndpointGone)
+	c.Assert(ids(d), qt.DeepEquals, map[string]bool{"e2": true})
+}
+
+// A listing that is older than an entry says nothing about it.
+func TestOldListingDropsNothingNewer(t *testing.T) {
+	d := directory.New()
+	d.Apply(0, directory.Seen{Endpoint: endpoint("new", 9)})
+	d.Apply(1, directory.Listed{Revision: 5})
+	qt.Assert(t, ids(d), qt.DeepEquals, map[string]bool{"new": true})
+}
+
+func TestMissingAfterOutage(t *testing.T) {
+	tests := []struct {
+		name   string
+		at     clock.Millis // of the look, the store came back at 10 000
+		back   bool         // the entry was written again
+		remain bool
+	}{
+		{"just after", 10_500, false, true},
+		{"stays missing", 12_400, false, false},
+		{"came back", 12_400, true, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := directory.New()
+			d.Apply(0, directory.Seen{Endpoint: endpoint("e1", 1)})
+			d.Apply(5_000, directory.StoreLost{})
+			d.Apply(10_000, directory.Listed{Revision: 8})
+			d.Apply(10_000, directory.StoreReached{Revision: 8})
+			if test.back {
+				d.Apply(10_400, directory.Seen{Endpoint: endpoint("e1", 9)})
+			}
+			d.Apply(test.at, directory.Tick{})
+			qt.Assert(t, ids(d)["e1"], qt.Equals, test.remain)
+		})
+	}
+}
+
+// While the store is away, a peer's word on what is gone counts at once.
+func TestPeerSaysGone(t *testing.T) {
+	d := directory.New()
+	d.Apply(0, directory.Seen{Endpoint: endpoint("e1", 1)})
+	d.Apply(10, directory.StoreLost{})
+	d.Apply(20, directory.Relayed{Endpoints: []directory.Endpoint{endpoint("e2", 4)}, Revision: 6})
+	qt.Assert(t, ids(d), qt.DeepEquals, map[string]bool{"e2": true})
+}
+
+func TestRemovedDoesNotReturnByOldWord(t *testing.T) {
+	d := directory.New()
+	d.Apply(0, directory.Seen{Endpoint: endpoint("e1", 3)})
+	d.Apply(1, directory.Removed{ID: "e1", Revision: 5})
+	d.Apply(2, directory.Relayed{Endpoints: []directory.Endpoint{endpoint("e1", 3)}, Revision: 4})
+	qt.Assert(t, ids(d), qt.HasLen, 0)
+	d.Apply(3, directory.Seen{Endpoint: endpoint("e1", 7)})
+	qt.Assert(t, ids(d)["e1"], qt.IsTrue)
+}
+
+// Whatever comes in whatever order: a configuration never goes back, and an
+// endpoint's entry is never replaced by an older one.
+func TestNothingGoesBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := directory.New()
+		version, now := int64(0), clock.Millis(0)
+		revisions := map[string]int64{}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now += clock.Millis(rapid.IntRange(0, 1500).Draw(rt, "time"))
+			d.Apply(now, anyEvent(rt))
+			v := d.View()
+			if v.Table != nil {
+				if v.Table.Version < version {
+					rt.Fatalf("configuration went back from %d to %d", version, v.Table.Version)
+				}
+				version = v.Table.Version
+			}
+			for _, e := range v.Endpoints["web"] {
+				if e.Revision < revisions[e.ID] {
+					rt.Fatalf("%s went back from %d to %d", e.ID, revisions[e.ID], e.Revision)
+				}
+				revisions[e.ID] = e.Revision
+			}
+		}
+	})
+}
+
+func anyEvent(rt *rapid.T) directory.Event {
+	revision := rapid.Int64Range(1, 40).Draw(rt, "revision")
+	id := fmt.Sprint("e", rapid.IntRange(1, 4).Draw(rt, "id"))
+	switch rapid.IntRange(0, 7).Draw(rt, "event") {
+	case 0:
+		return configured(revision)
+	case 1:
+		return directory.Listed{Endpoints: []directory.Endpoint{endpoint(id, min(revision, 20))}, Revision: revision}
+	case 2:
+		return directory.Relayed{Endpoints: []directory.Endpoint{endpoint(id, min(revision, 20))}, Revision: revision}
+	case 3:
+		return directory.Removed{ID: id, Revision: revision}
+	case 4:
+		return directory.StoreLost{}
+	case 5:
+		return directory.StoreReached{Revision: revision}
+	case 6:
+		return directory.Tick{}
+	default:
+		return directory.Seen{Endpoint: endpoint(id, revision)}
+	}
+}
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -29,7 +29,6 @@
 func Open(out io.Writer, name string) *Log {
 	l := &Log{}
 	l.ring = diode.NewWriter(out, ringLines, 0, func(missed int) { l.dropped.Add(int64(missed)) })
-	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	l.logger = zerolog.New(l.ring).With().Str("instance", name).Logger()
 	return l
 }
@@ -59,9 +58,9 @@
 func (l *Log) Write(n Line) {
 	if dropped := l.dropped.Load(); dropped > l.told.Load() {
 		l.told.Store(dropped)
-		l.logger.Log().Timestamp().Str("event", string(LinesDropped)).Int64("count", dropped).Send()
+		begin(l.logger.Log(), LinesDropped).Int64("count", dropped).Send()
 	}
-	e := l.logger.Log().Timestamp().Str("event", string(n.Event))
+	e := begin(l.logger.Log(), n.Event)
 	text(e, "request", n.Request)
 	number(e, "attempt", int64(n.Attempt))
 	text(e, "route", n.Route)
@@ -87,6 +86,11 @@
 // Close writes what waits.
 func (l *Log) Close() error { return l.ring.Close() }
 
+// begin writes the time, in milliseconds since 1970, and the event.
+func begin(e *zerolog.Event, name Event) *zerolog.Event {
+	return e.Int64("time", time.Now().UnixMilli()).Str("event", string(name))
+}
+
 func text(e *zerolog.Event, key, value string) {
 	if value != "" {
 		e.Str(key, value)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -124,14 +124,19 @@
 	if !n.Complete && len(n.Instances)+len(n.GoneInstances) == 0 {
 		return
 	}
+	gone := n.GoneInstances
 	if n.Complete {
-		f.Roster.Replace(n.Instances, n.Revision)
+		gone = append(gone, f.Roster.Missing(n.Instances)...)
 	}
 	for _, i := range n.Instances {
-		f.Roster.See(i)
+		if f.Roster.See(i) {
+			f.Log.Write(eventlog.Line{Event: eventlog.Believed, Outcome: "instance_seen", Detail: i.Name, Address: i.Address.String(), Revision: i.Revision})
+		}
 	}
-	for _, name := range n.GoneInstances {
-		f.Roster.Remove(name, n.Revision)
+	for _, name := range gone {
+		if f.Roster.Remove(name, n.Revision) {
+			f.Log.Write(eventlog.Line{Event: eventlog.Believed, Outcome: "instance_gone", Detail: name, Revision: n.Revision})
+		}
 	}
 	f.Changed()
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -77,7 +77,7 @@
 	}
 	m.Header = p.Dialect.Encode(p.call, Send{
 		Endpoint: r.Endpoint, Wait: max(p.left(), 0), LastEvent: p.last, Priority: p.route.Priority,
-		PrefillAt: p.prefill.take(),
+		PrefillAt: p.prefill.handle,
 	})
 	p.sends++
 	p.runs++
@@ -93,6 +93,9 @@
 		p.sends--
 		p.runs--
 	}
+	if err == nil && !answer.NotRun || errors.Is(err, uplink.ErrSevered) {
+		p.prefill.handle = nil // it was taken, or may have been
+	}
 	return exchange, answer, err
 }
 
@@ -134,6 +137,12 @@
 		p.Gone(r.Endpoint.ID)
 	}
 	p.endpointFailed(r, balance.Rejected, nil)
+	if p.prefill.handle != nil {
+		// It may be the KV cache that could not be had, so the engine is not
+		// excluded for good.
+		p.tried = p.tried[:len(p.tried)-1]
+		p.prefill.rejected = append(p.prefill.rejected, r.Endpoint.ID)
+	}
 }
 
 // plain takes an answer that is no stream.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -50,9 +50,10 @@
 // Forwarder serves callers' requests.
 type Forwarder struct {
 	Options
-	leaving atomic.Bool
-	bodies  atomic.Int64
-	running atomic.Int64
+	leaving   atomic.Bool
+	noStreams atomic.Bool
+	bodies    atomic.Int64
+	running   atomic.Int64
 
 	mu      sync.Mutex
 	budgets map[string]*budget.Budget // by service
@@ -67,6 +68,10 @@
 // Leave makes answers tell callers to close their connections.
 func (f *Forwarder) Leave() { f.leaving.Store(true) }
 
+// RefuseStreams makes requests to engines be refused: they might not end before
+// the process does.
+func (f *Forwarder) RefuseStreams() { f.noStreams.Store(true) }
+
 // Running is the number of requests in progress.
 func (f *Forwarder) Running() int64 { return f.running.Load() }
 
@@ -95,6 +100,8 @@
 const (
 	// comeBackStarting: a configuration arrives within a few store calls.
 	comeBackStarting = 300 * time.Millisecond
+	// comeBackElsewhere: a new connection leads to another instance at once.
+	comeBackElsewhere = 20 * time.Millisecond
 	// comeBackBusy: about one request's time at an endpoint.
 	comeBackBusy = 200 * time.Millisecond
 )
@@ -163,6 +170,10 @@
 	if !p.readBody(r) {
 		return false
 	}
+	if p.noStreams.Load() && p.route.Kind == route.Streaming {
+		p.refuse("stopping", comeBackElsewhere)
+		return false
+	}
 	p.budget(p.service).Request(p.arrived)
 	return true
 }
@@ -213,6 +224,7 @@
 	defer p.bodies.Add(-size)
 	ctx, cancel := context.WithTimeout(ctx, p.left()+finalGrace)
 	defer cancel()
+	defer p.freeHandle()
 	for {
 		if ctx.Err() != nil {
 			p.ended(ctx)
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -15,6 +15,7 @@
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/placement"
 	"github.com/trailshed/trailshed/internal/uplink"
+	"github.com/trailshed/trailshed/pkg/clock"
 )
 
 const (
@@ -24,6 +25,14 @@
 	// prefillWait bounds one prefill: a prompt takes 100 ms, and a longer
 	// queue than this costs the first event more than it saves.
 	prefillWait = 700 * time.Millisecond
+	// handlePart of a KV cache's life, in percent, is used; the rest is the way
+	// to the decode engine.
+	handlePart = 70
+	// handleRejections is how many decode engines may turn a KV cache away
+	// before one is asked to read the prompt itself.
+	handleRejections = 2
+	// asksMost bounds how often places are asked for one request.
+	asksMost = 5
 	// freeWait bounds the call that frees a KV cache.
 	freeWait = 500 * time.Millisecond
 	// handleAnswer bounds the body that names a handle, in bytes.
@@ -32,23 +41,27 @@
 
 // prefill is where a request's prompt was read apart.
 type prefill struct {
-	handle *Handle
-	sends  int
-	tried  []string
-	source *directory.Endpoint
+	handle   *Handle // the KV cache that waits for its decode engine
+	readAt   clock.Millis
+	readBy   string   // the prefill engine
+	sends    int      // of the prompt to prefill engines
+	tried    []string // prefill engines that failed
+	rejected []string // decode engines that turned the KV cache away
 }
 
-// take returns the handle for one use.
-func (p *prefill) take() *Handle {
-	h := p.handle
-	p.handle = nil
-	return h
+// fresh says whether the KV cache is still kept.
+func (p *prefill) fresh(now clock.Millis, life time.Duration) bool {
+	return p.handle != nil && now.Sub(p.readAt) < life*handlePart/100
 }
 
 // engineStep finds places for the request at engines, has the prompt read and
 // lets it run.
 func (p *passage) engineStep(ctx context.Context) progress {
 	p.view = p.Directory.View()
+	if p.asks >= asksMost {
+		return hopeless
+	}
+	p.dropStaleHandle()
 	place, refusal := p.findPlace(ctx)
 	if place == nil {
 		p.because(refusal.Reason)
@@ -57,17 +70,21 @@
 	}
 	p.full = false
 	failed := ""
-	defer func() { p.ReleasePlace(place, p.full, failed) }()
+	defer func() {
+		if len(p.prefill.rejected) >= handleRejections {
+			failed = p.prefill.readBy // its KV caches cannot be had
+		}
+		p.ReleasePlace(place, p.full && failed == "", failed)
+	}()
 	decode := p.endpoint(place.Decode)
 	if decode == nil {
 		p.tried = append(p.tried, place.Decode)
 		return again
 	}
-	if place.Prefill != "" && !p.readPrompt(ctx, place.Prefill) {
+	if p.prefill.handle == nil && place.Prefill != "" && !p.readPrompt(ctx, place.Prefill) {
 		return again
 	}
 	if !p.afford() {
-		p.freeHandle()
 		return hopeless
 	}
 	r := p.Balancer.ReserveAt(p.Now(), decode, decodeWork)
@@ -80,6 +97,20 @@
 	return again
 }
 
+// dropStaleHandle lets go of a KV cache that lapses or that nobody could take.
+func (p *passage) dropStaleHandle() {
+	h := &p.prefill
+	if h.handle == nil {
+		return
+	}
+	life := p.view.Table.Service(p.service).Engine.HandleLife
+	if h.fresh(p.Now(), life) && len(h.rejected) < handleRejections {
+		return
+	}
+	p.freeHandle()
+	h.sends, h.rejected = prefillSends, nil // a decode engine reads the prompt
+}
+
 // decodeWork is the time to a first token at a decode engine, in ms.
 const decodeWork = 35.0
 
@@ -96,8 +127,9 @@
 	return p.FindPlace(ctx, placement.Ask{
 		ID: p.call.ID + "/" + strconv.Itoa(p.asks), Service: p.service,
 		Prompt: p.call.Prompt, Output: output, Budget: min(budget, p.left()),
-		Exclude: slices.Concat(p.tried, p.prefill.tried, p.Balancer.Ejected(p.Now())),
-		Whole:   p.prefill.sends >= prefillSends,
+		Exclude: slices.Concat(p.tried, p.prefill.tried, p.prefill.rejected),
+		Avoid:   p.Balancer.Ejected(p.Now()),
+		Whole:   p.prefill.sends >= prefillSends || p.prefill.handle != nil,
 	})
 }
 
@@ -152,7 +184,8 @@
 	if err == nil {
 		r.Done(p.Now(), balance.Good)
 		p.prefill.handle = &Handle{At: r.Endpoint.Address, ID: id}
-		p.prefill.source = r.Endpoint
+		p.prefill.readAt = p.Now()
+		p.prefill.readBy = r.Endpoint.ID
 		return
 	}
 	p.prefill.tried = append(p.prefill.tried, r.Endpoint.ID)
@@ -199,17 +232,17 @@
 // freeHandle gives back a KV cache that will not be used. It lapses by itself
 // if the call fails, so the call's outcome is only counted.
 func (p *passage) freeHandle() {
-	h := p.prefill.take()
+	h := p.prefill.handle
 	if h == nil {
 		return
 	}
-	source := p.prefill.source
+	p.prefill.handle = nil
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), freeWait)
 		defer cancel()
 		method, target := p.Dialect.Free(*h)
 		x, err := p.Pool.Do(ctx, uplink.Message{
-			To: source.Address, Method: method, Target: target, Host: source.Address.String(), Rest: restRepeatable,
+			To: h.At, Method: method, Target: target, Host: h.At.String(), Rest: restRepeatable,
 		}, func(*http.Response) bool { return true })
 		if err != nil {
 			p.Scope.Counter("handle_free_failed").Inc(1)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,19 +3,13 @@
 package gateway
 
 import (
-	"context"
-	"errors"
 	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/ThreeDotsLabs/watermill"
-	"github.com/ThreeDotsLabs/watermill/message"
-	"github.com/go-chi/chi/v5"
 	"github.com/zeebo/errs"
 
 	"github.com/trailshed/trailshed/internal/balance"
@@ -45,11 +39,6 @@
 }
 
 const (
-	// balancerDelay is how long after SIGTERM new connections may come: the
-	// balancer asks each second and takes an instance out after two misses.
-	balancerDelay = 3200 * time.Millisecond
-	// exitMargin is kept of the grace period for the process's own end.
-	exitMargin = 400 * time.Millisecond
 	// sweepInterval is how often idle connections and old beliefs are looked at.
 	sweepInterval = 250 * time.Millisecond
 	// bodyPart of the memory limit may hold callers' bodies.
@@ -87,7 +76,10 @@
 	transport *peer.Transport
 	broker    *broker.Broker
 	relay     *relay.Relay
+	servers   []*http.Server
+	listeners []net.Listener // of the servers
 	leaving   atomic.Bool
+	close     func() error
 }
 
 // New returns a gateway that does not serve yet.
@@ -105,6 +97,9 @@
 	}
 	g.openFeed()
 	g.openForwarder()
+	if err := g.listen(); err != nil {
+		return nil, err
+	}
 	return g, nil
 }
 
@@ -116,13 +111,13 @@
 		return Error.Wrap(err)
 	}
 	g.self = roster.Instance{
-		Name: s.Instance.Name, Zone: s.Instance.Zone,
-		Address: netip.MustParseAddrPort(s.Peers.Listen), Fingerprint: identity.Fingerprint,
+		Name: s.Instance.Name, Zone: s.Instance.Zone, Fingerprint: identity.Fingerprint,
 	}
-	g.transport, err = peer.Listen(s.Instance.Name, g.self.Address, peer.Pinned(identity, g.roster.Trusted), scope)
+	g.transport, err = peer.Listen(s.Instance.Name, netip.MustParseAddrPort(s.Peers.Listen), peer.Pinned(identity, g.roster.Trusted), scope)
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	g.self.Address = g.transport.Address()
 	g.broker = broker.New(broker.Options{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, Transport: g.transport, Roster: g.roster,
 		Directory: g.directory, Log: g.log, Scope: scope, Now: g.now,
@@ -174,118 +169,3 @@
 		g.member.Change(g.self)
 	}
 }
-
-// Run serves until stop is closed and the stop is done.
-func (g *Gateway) Run(stop <-chan struct{}) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	var group sync.WaitGroup
-	defer group.Wait()
-	defer cancel()
-	defer g.pool.Close()
-	router, err := g.messages()
-	if err != nil {
-		return err
-	}
-
-	callers := &http.Server{
-		Handler: g.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
-	}
-	side := []*http.Server{
-		{Addr: g.settings.Callers.Ready, Handler: g.readiness(), ReadHeaderTimeout: headerTimeout},
-		{Addr: g.settings.Admin.Listen, Handler: g.admin(), ReadHeaderTimeout: headerTimeout},
-	}
-	failed := make(chan error, len(side)+2)
-	callers.Addr = g.settings.Callers.Listen
-	for _, s := range append(side, callers) {
-		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Addr)
-		if err != nil {
-			return Error.Wrap(err)
-		}
-		group.Go(func() { failed <- s.Serve(listener) })
-	}
-	group.Go(func() { g.feed.Run(ctx) })
-	group.Go(func() { g.member.Run(ctx) })
-	group.Go(func() { g.broker.Run(ctx) })
-	group.Go(func() { g.relay.Run(ctx) })
-	group.Go(func() { failed <- router.Run(ctx) })
-	group.Go(func() { g.sweep(ctx) })
-	g.log.Write(eventlog.Line{Event: eventlog.Started, Address: g.settings.Callers.Listen})
-	select {
-	case <-stop:
-		g.stop(callers)
-	case err = <-failed:
-		g.log.Write(eventlog.Line{Event: eventlog.Stopping, Reason: "listener_failed", Detail: err.Error()})
-	}
-	for _, s := range append(side, callers) {
-		_ = s.Close()
-	}
-	g.log.Write(eventlog.Line{Event: eventlog.Stopped, Count: g.forwarder.Running()})
-	cancel()
-	_ = router.Close()
-	return Error.Wrap(errors.Join(err, g.transport.Close()))
-}
-
-// messages returns the router of what other instances send.
-func (g *Gateway) messages() (*message.Router, error) {
-	router, err := message.NewRouter(message.RouterConfig{CloseTimeout: time.Second}, watermill.NopLogger{})
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	g.broker.Register(router)
-	g.relay.Register(router)
-	return router, nil
-}
-
-// stop goes on serving until the balancer has taken this instance out, then
-// finishes what runs.
-func (g *Gateway) stop(callers *http.Server) {
-	started := time.Now()
-	g.leaving.Store(true)
-	g.forwarder.Leave()
-	leaving := g.self
-	leaving.Leaving = true
-	g.member.Change(leaving)
-	g.log.Write(eventlog.Line{Event: eventlog.Stopping, Reason: "told_to_stop", Count: g.forwarder.Running()})
-	delay := min(balancerDelay, g.settings.Stop.Grace/2)
-	time.Sleep(delay)
-	left := g.settings.Stop.Grace - time.Since(started) - exitMargin
-	ctx, cancel := context.WithTimeout(context.Background(), left)
-	defer cancel()
-	_ = callers.Shutdown(ctx) // its only error is that time ran out, which Stopped shows by its count
-}
-
-func (g *Gateway) sweep(ctx context.Context) {
-	tick := time.NewTicker(sweepInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			g.pool.Sweep()
-			g.feed.Tell(directory.Tick{})
-			g.balancer.Forget(g.directory.View())
-		}
-	}
-}
-
-// ready says whether new connections should come here.
-func (g *Gateway) ready() bool {
-	return !g.leaving.Load() && g.directory.View().Table != nil
-}
-
-func (g *Gateway) readiness() http.Handler {
-	r := chi.NewRouter()
-	r.Get(g.platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !g.ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	return r
-}
-
-func (g *Gateway) admin() http.Handler {
-	r := chi.NewRouter()
-	r.Handle("/metrics", g.counters.Handler)
-	return r
-}
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/eventlog"
+)
+
+const (
+	// balancerDelay is how long after SIGTERM new connections may come: the
+	// balancer asks each second and takes an instance out after two misses.
+	balancerDelay = 3200 * time.Millisecond
+	// lastStream is how long after SIGTERM streams are taken on. Later ones, on
+	// connections that callers keep, might not end within the grace period.
+	lastStream = 2800 * time.Millisecond
+	// lastStreamPart is the same as a percentage of short grace periods.
+	lastStreamPart = 35
+	// exitMargin is kept of the grace period for the process's own end.
+	exitMargin = 250 * time.Millisecond
+)
+
+// Run serves until stop is closed and the stop is done.
+func (g *Gateway) Run(stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	router, err := g.messages()
+	if err != nil {
+		cancel()
+		return err
+	}
+	var group sync.WaitGroup
+	failed := make(chan error, len(g.servers)+1)
+	for i, s := range g.servers {
+		group.Go(func() { failed <- s.Serve(g.listeners[i]) })
+	}
+	group.Go(func() { failed <- router.Run(ctx) })
+	for _, run := range []func(context.Context){g.feed.Run, g.member.Run, g.broker.Run, g.relay.Run, g.sweep} {
+		group.Go(func() { run(ctx) })
+	}
+	g.log.Write(eventlog.Line{Event: eventlog.Started, Address: g.settings.Callers.Listen})
+	select {
+	case <-stop:
+		g.stop()
+	case err = <-failed:
+		g.log.Write(eventlog.Line{Event: eventlog.Stopping, Reason: "listener_failed", Detail: err.Error()})
+	}
+	for _, s := range g.servers {
+		_ = s.Close()
+	}
+	g.log.Write(eventlog.Line{Event: eventlog.Stopped, Count: g.forwarder.Running()})
+	g.close = func() error {
+		cancel()
+		g.pool.Close()
+		err := errors.Join(router.Close(), g.transport.Close(), g.counters.Close())
+		group.Wait()
+		return err
+	}
+	return Error.Wrap(err)
+}
+
+// Close frees what Run leaves open. A process that exits need not call it.
+func (g *Gateway) Close() error { return Error.Wrap(g.close()) }
+
+// listen opens the TCP listeners: for callers, for the balancer's question and
+// for metrics.
+func (g *Gateway) listen() error {
+	callers := &http.Server{
+		Addr: g.settings.Callers.Listen, Handler: g.forwarder,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+	}
+	ready := &http.Server{Addr: g.settings.Callers.Ready, Handler: g.readiness(), ReadHeaderTimeout: headerTimeout}
+	admin := &http.Server{Addr: g.settings.Admin.Listen, Handler: g.admin(), ReadHeaderTimeout: headerTimeout}
+	g.servers = []*http.Server{callers, ready, admin}
+	for _, s := range g.servers {
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.Addr)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		g.listeners = append(g.listeners, l)
+	}
+	return nil
+}
+
+// Addresses returns where callers are served and where the balancer asks.
+func (g *Gateway) Addresses() (callers, ready netip.AddrPort) {
+	at := func(i int) netip.AddrPort { return netip.MustParseAddrPort(g.listeners[i].Addr().String()) }
+	return at(0), at(1)
+}
+
+// messages returns the router of what other instances send.
+func (g *Gateway) messages() (*message.Router, error) {
+	router, err := message.NewRouter(message.RouterConfig{CloseTimeout: time.Second}, watermill.NopLogger{})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	g.broker.Register(router)
+	g.relay.Register(router)
+	return router, nil
+}
+
+// stop goes on serving until the balancer has taken this instance out, then
+// finishes what runs.
+func (g *Gateway) stop() {
+	started := time.Now()
+	g.leaving.Store(true)
+	g.forwarder.Leave()
+	leaving := g.self
+	leaving.Leaving = true
+	g.member.Change(leaving)
+	g.log.Write(eventlog.Line{Event: eventlog.Stopping, Reason: "told_to_stop", Count: g.forwarder.Running()})
+	grace := g.settings.Stop.Grace
+	time.Sleep(min(lastStream, grace*lastStreamPart/100))
+	g.forwarder.RefuseStreams()
+	time.Sleep(min(balancerDelay, grace/2) - time.Since(started))
+	left := grace - time.Since(started) - exitMargin
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	_ = g.servers[0].Shutdown(ctx) // its only error is that time ran out, which Stopped shows by its count
+}
+
+func (g *Gateway) sweep(ctx context.Context) {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			g.pool.Sweep()
+			g.feed.Tell(directory.Tick{})
+			g.balancer.Forget(g.directory.View())
+		}
+	}
+}
+
+// ready says whether new connections should come here.
+func (g *Gateway) ready() bool {
+	return !g.leaving.Load() && g.directory.View().Table != nil
+}
+
+func (g *Gateway) readiness() http.Handler {
+	r := chi.NewRouter()
+	r.Get(g.platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
+
+func (g *Gateway) admin() http.Handler {
+	r := chi.NewRouter()
+	r.Handle("/metrics", g.counters.Handler)
+	return r
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -79,7 +79,7 @@
 		return nil, Error.Wrap(err)
 	}
 	t := &Transport{
-		name: name, address: address, tls: certificates, scope: scope,
+		name: name, address: conn.LocalAddr().(*net.UDPAddr).AddrPort(), tls: certificates, scope: scope,
 		quic:  &quic.Transport{Conn: conn},
 		lanes: map[netip.AddrPort]*lane{}, asks: map[string]ask{},
 		subs: map[string]*subscription{},
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -7,12 +7,13 @@
 	ID      string        `cbor:"1,keyasint"` // of the attempt, unique among all entries
 	Owner   string        `cbor:"2,keyasint"` // name of the entry's instance
 	Service string        `cbor:"3,keyasint"`
-	Prompt  int           `cbor:"4,keyasint"` // tokens
-	Output  int           `cbor:"5,keyasint"` // tokens expected; 0 if unknown
-	Budget  time.Duration `cbor:"6,keyasint"` // left until the first event is late
-	Exclude []string      `cbor:"7,keyasint"` // endpoints that the entry will not use
-	Whole   bool          `cbor:"8,keyasint"` // no prefill engine is wanted
-	Patient bool          `cbor:"9,keyasint"` // it waits for room if some comes free in time
+	Prompt  int           `cbor:"4,keyasint"`  // tokens
+	Output  int           `cbor:"5,keyasint"`  // tokens expected; 0 if unknown
+	Budget  time.Duration `cbor:"6,keyasint"`  // left until the first event is late
+	Exclude []string      `cbor:"7,keyasint"`  // endpoints that the entry will not use
+	Avoid   []string      `cbor:"10,keyasint"` // endpoints that it uses only if there are no others
+	Whole   bool          `cbor:"8,keyasint"`  // no prefill engine is wanted
+	Patient bool          `cbor:"9,keyasint"`  // it waits for room if some comes free in time
 }
 
 // Grant names the places of one request.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -6,6 +6,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -87,7 +88,8 @@
 	directory.Endpoint
 	capacity  int // tokens
 	slots     int
-	closed    clock.Millis // nothing is given to it until then
+	full      clock.Millis // nothing is given to it until then
+	failed    clock.Millis // something is given to it before only if all failed
 	busyUntil clock.Millis // of a prefill engine
 	places    map[string]*place
 }
@@ -245,20 +247,30 @@
 	return best
 }
 
+// open returns the engines that may be used: the sound ones, or all that are
+// not full if none is sound.
 func (p *Planner) open(now clock.Millis, a Ask, fits func(directory.Stage) bool) []*engine {
-	var list []*engine
+	var all, sound []*engine
 	for _, e := range p.engines {
-		if e.Service == a.Service && e.State == directory.Ready && e.closed <= now && fits(e.Stage) && !slices.Contains(a.Exclude, e.ID) {
-			list = append(list, e)
+		if !e.serves(a) || !fits(e.Stage) {
+			continue
 		}
-	}
-	slices.SortFunc(list, func(a, b *engine) int {
-		if a.ID < b.ID {
-			return -1
+		all = append(all, e)
+		if e.failed <= now && !slices.Contains(a.Avoid, e.ID) {
+			sound = append(sound, e)
 		}
-		return 1
-	})
-	return list
+	}
+	if len(sound) == 0 {
+		sound = all
+	}
+	sound = slices.DeleteFunc(sound, func(e *engine) bool { return e.full > now })
+	slices.SortFunc(sound, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
+	return sound
+}
+
+// serves says whether an engine may ever be used for a request.
+func (e *engine) serves(a Ask) bool {
+	return e.Service == a.Service && e.State == directory.Ready && !slices.Contains(a.Exclude, e.ID)
 }
 
 // used is what an engine is reckoned to hold, in tokens.
@@ -285,7 +297,7 @@
 	need := a.Prompt + expected(a.Output)
 	best, found := time.Duration(0), false
 	for _, e := range p.engines {
-		if e.Service != a.Service || e.State != directory.Ready || e.Stage == directory.Prefill || slices.Contains(a.Exclude, e.ID) {
+		if !e.serves(a) || e.Stage == directory.Prefill {
 			continue
 		}
 		wait := e.roomAfter(now, need)
@@ -300,7 +312,7 @@
 func (e *engine) roomAfter(now clock.Millis, need int) time.Duration {
 	over := e.used(now) + need - e.capacity
 	if over <= 0 {
-		return max(e.closed.Sub(now), 0)
+		return max(e.full.Sub(now), 0)
 	}
 	ends := make([]*place, 0, len(e.places))
 	for _, h := range e.places {
@@ -350,12 +362,12 @@
 	p.over[r.ID] = now
 	if h := p.places[r.ID]; h != nil {
 		if e := p.engines[h.decode]; e != nil && r.Full {
-			e.closed = max(e.closed, now.Add(fullFor))
+			e.full = now.Add(fullFor)
 		}
 		p.drop(h)
 	}
 	if e := p.engines[r.Failed]; e != nil {
-		e.closed = max(e.closed, now.Add(failedFor))
+		e.failed = now.Add(failedFor)
 	}
 }
 
--- /dev/null
+++ b/internal/placement/planner_test.go
@@ -0,0 +1,218 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/placement"
+	"github.com/trailshed/trailshed/internal/route"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+const capacity = 20_000
+
+func view(t interface{ Fatal(...any) }, decodes int) *directory.View {
+	table, err := route.NewTable(route.Document{Version: 1, Services: []route.Service{
+		{Name: "llm", Engine: &route.Engine{Slots: 8, KVTokens: capacity}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := &directory.View{Table: table, Endpoints: map[string][]*directory.Endpoint{}}
+	add := func(id string, stage directory.Stage) {
+		v.Endpoints["llm"] = append(v.Endpoints["llm"], &directory.Endpoint{ID: id, Service: "llm", Zone: "a", Slots: 8, Stage: stage})
+	}
+	add("p1", directory.Prefill)
+	for i := range decodes {
+		add(fmt.Sprint("d", i+1), directory.Decode)
+	}
+	return v
+}
+
+func planner(t interface{ Fatal(...any) }, decodes int) *placement.Planner {
+	p := placement.New("a")
+	p.Apply(0, placement.Known{View: view(t, decodes)})
+	return p
+}
+
+func ask(id string) placement.Ask {
+	return placement.Ask{ID: id, Owner: "n1", Service: "llm", Prompt: 5000, Output: 800, Budget: 900 * time.Millisecond}
+}
+
+func verdict(answers []placement.Answer, id string) placement.Verdict {
+	for _, a := range answers {
+		if a.ID == id {
+			return a.Verdict
+		}
+	}
+	return placement.Verdict{}
+}
+
+// Requests spread over the engines, and what does not fit is refused at once
+// with a time to come back, or waits if it may.
+func TestMemoryIsGivenOutOnce(t *testing.T) {
+	c := qt.New(t)
+	p := planner(t, 2)
+	granted := map[string]int{}
+	for i := range 6 {
+		v := verdict(p.Apply(1000, ask(fmt.Sprint(i))), fmt.Sprint(i))
+		c.Assert(v.Grant, qt.IsNotNil)
+		c.Assert(v.Grant.Prefill, qt.Equals, "p1")
+		granted[v.Grant.Decode]++
+	}
+	c.Assert(granted, qt.DeepEquals, map[string]int{"d1": 3, "d2": 3})
+	v := verdict(p.Apply(1000, ask("more")), "more")
+	c.Assert(v.Refusal, qt.IsNotNil)
+	c.Assert(v.Refusal.Reason, qt.Equals, placement.ReasonFull)
+	c.Assert(v.Refusal.After > 0, qt.IsTrue)
+	// Near the predicted end of an answer it is worth waiting.
+	patient := ask("patient")
+	patient.Patient = true
+	c.Assert(verdict(p.Apply(4700, patient), "patient").Queued, qt.IsTrue)
+	got := verdict(p.Apply(4750, placement.Release{ID: "0", Owner: "n1"}), "patient")
+	c.Assert(got.Grant, qt.IsNotNil)
+}
+
+func TestWaitingEndsInARefusal(t *testing.T) {
+	c := qt.New(t)
+	p := planner(t, 1)
+	for i := range 3 {
+		p.Apply(1000, ask(fmt.Sprint(i)))
+	}
+	patient := ask("patient")
+	patient.Patient = true
+	c.Assert(verdict(p.Apply(4700, patient), "patient").Queued, qt.IsTrue)
+	got := placement.Verdict{}
+	for now := clock.Millis(4700); now < 5700 && got.Refusal == nil; now += 10 {
+		got = verdict(p.Apply(now, placement.Tick{}), "patient")
+	}
+	c.Assert(got.Refusal, qt.IsNotNil)
+	c.Assert(p.Queued(), qt.Equals, 0)
+}
+
+func TestEnginesThatFail(t *testing.T) {
+	tests := []struct {
+		name    string
+		release placement.Release
+		want    string // the decode engine of the next request; empty: refused
+	}{
+		{"failed, the other is used", placement.Release{ID: "0", Owner: "n1", Failed: "d1"}, "d2"},
+		{"full, the other is used", placement.Release{ID: "0", Owner: "n1", Full: true}, "d2"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := planner(t, 2)
+			qt.Assert(t, verdict(p.Apply(1000, ask("0")), "0").Grant.Decode, qt.Equals, "d1")
+			p.Apply(1001, test.release)
+			qt.Assert(t, verdict(p.Apply(1002, ask("1")), "1").Grant.Decode, qt.Equals, test.want)
+		})
+	}
+	t.Run("all failed, one is used all the same", func(t *testing.T) {
+		p := planner(t, 1)
+		p.Apply(1000, ask("0"))
+		p.Apply(1001, placement.Release{ID: "0", Owner: "n1", Failed: "d1"})
+		qt.Assert(t, verdict(p.Apply(1002, ask("1")), "1").Grant, qt.IsNotNil)
+	})
+	t.Run("no engine at all", func(t *testing.T) {
+		p := planner(t, 0)
+		v := verdict(p.Apply(1000, ask("0")), "0")
+		qt.Assert(t, v.Refusal.Reason, qt.Equals, placement.ReasonNoEndpoint)
+	})
+}
+
+// A new planner learns from announcements what a former one gave away; an
+// owner that falls silent loses its places.
+func TestPlacesFollowTheirOwners(t *testing.T) {
+	c := qt.New(t)
+	p := planner(t, 1)
+	var holds []placement.Hold
+	for i := range 3 {
+		holds = append(holds, placement.Hold{ID: fmt.Sprint("old", i), Decode: "d1", Prompt: 5000, Output: 800})
+	}
+	p.Apply(1000, placement.Announce{Owner: "n1", Zone: "a", Holds: holds})
+	other := ask("x")
+	other.Owner = "n2"
+	c.Assert(verdict(p.Apply(1001, other), "x").Refusal, qt.IsNotNil)
+	p.Apply(2000, placement.Announce{Owner: "n1", Zone: "a", Holds: holds[:2]})
+	other.ID = "y"
+	c.Assert(verdict(p.Apply(2001, other), "y").Grant, qt.IsNotNil)
+	p.Apply(9000, placement.Tick{})
+	for i := range 3 {
+		other.ID = fmt.Sprint("z", i)
+		c.Assert(verdict(p.Apply(9001, other), other.ID).Grant, qt.IsNotNil)
+	}
+}
+
+// A message that was overtaken must not take places again.
+func TestLateMessagesTakeNothing(t *testing.T) {
+	c := qt.New(t)
+	p := planner(t, 1)
+	p.Apply(1000, placement.Release{ID: "0", Owner: "n1"}) // withdrawn before the ask came
+	c.Assert(verdict(p.Apply(1001, ask("0")), "0"), qt.Equals, placement.Verdict{})
+	p.Apply(1002, placement.Announce{Owner: "n1", Holds: []placement.Hold{{ID: "0", Decode: "d1", Prompt: 15_000, Output: 10}}})
+	c.Assert(verdict(p.Apply(1003, ask("1")), "1").Grant, qt.IsNotNil)
+}
+
+// Whatever entries do, no engine's memory is promised beyond its size unless
+// it is by announcements, and every ask gets exactly one final verdict.
+func TestRandomEntries(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := planner(rt, 2)
+		now, next := clock.Millis(1000), 0
+		held := map[string]string{} // id: decode
+		final := map[string]int{}
+		take := func(answers []placement.Answer) {
+			for _, a := range answers {
+				switch {
+				case a.Verdict.Grant != nil:
+					held[a.ID] = a.Verdict.Grant.Decode
+					final[a.ID]++
+				case a.Verdict.Refusal != nil:
+					final[a.ID]++
+				}
+			}
+		}
+		for range rapid.IntRange(1, 80).Draw(rt, "steps") {
+			now += clock.Millis(rapid.IntRange(0, 300).Draw(rt, "time"))
+			switch rapid.IntRange(0, 2).Draw(rt, "event") {
+			case 0:
+				a := ask(fmt.Sprint(next))
+				next++
+				a.Patient = rapid.Bool().Draw(rt, "patient")
+				take(p.Apply(now, a))
+			case 1:
+				for id := range held {
+					delete(held, id)
+					take(p.Apply(now, placement.Release{ID: id, Owner: "n1"}))
+					break
+				}
+			case 2:
+				var holds []placement.Hold
+				for id, decode := range held {
+					holds = append(holds, placement.Hold{ID: id, Decode: decode, Prompt: 5000, Output: 800})
+				}
+				take(p.Apply(now, placement.Announce{Owner: "n1", Zone: "a", Holds: holds}))
+			}
+			perEngine := map[string]int{}
+			for _, decode := range held {
+				perEngine[decode] += 5400
+			}
+			for decode, tokens := range perEngine {
+				if tokens > capacity {
+					rt.Fatalf("%s holds %d tokens", decode, tokens)
+				}
+			}
+		}
+		take(p.Apply(now+5000, placement.Tick{}))
+		for id, n := range final {
+			if n != 1 {
+				rt.Fatalf("ask %s got %d final verdicts", id, n)
+			}
+		}
+	})
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -35,40 +35,47 @@
 	return &Roster{instances: map[string]Instance{}, known: map[string]string{}}
 }
 
-// See takes an instance's entry.
-func (r *Roster) See(i Instance) {
+// See takes an instance's entry and says whether it is news.
+func (r *Roster) See(i Instance) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if i.Revision < r.instances[i.Name].Revision {
-		return
+	before, known := r.instances[i.Name]
+	if known && i.Revision <= before.Revision {
+		return false
 	}
 	r.instances[i.Name] = i
 	r.known[i.Fingerprint] = i.Name
 	r.most = max(r.most, len(r.instances))
+	before.Revision = i.Revision
+	return !known || before != i
 }
 
 // Remove takes word that an instance's entry is gone. Its certificate stays
-// trusted: it may only have lost its lease.
-func (r *Roster) Remove(name string, revision int64) {
+// trusted: it may only have lost its lease. Remove says whether it is news.
+func (r *Roster) Remove(name string, revision int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if i, ok := r.instances[name]; ok && i.Revision <= revision {
-		delete(r.instances, name)
+	i, ok := r.instances[name]
+	if !ok || i.Revision > revision {
+		return false
 	}
+	delete(r.instances, name)
+	return true
 }
 
-// Replace takes a complete listing.
-func (r *Roster) Replace(all []Instance, revision int64) {
+// Missing returns the known instances that a complete listing lacks.
+func (r *Roster) Missing(all []Instance) []string {
 	present := map[string]bool{}
 	for _, i := range all {
 		present[i.Name] = true
-		r.See(i)
 	}
+	var names []string
 	for _, i := range r.All() {
 		if !present[i.Name] {
-			r.Remove(i.Name, revision)
+			names = append(names, i.Name)
 		}
 	}
+	return names
 }
 
 // Trusted returns the name of the instance with a certificate.
