broker: know what is given out before giving out

Cause: an instance that had just started became planner at once and knew nothing of what decode engines held; instances cut off from each other planned the same engines. Change: an instance takes no role in its first 1.2 s, announcements also go to the next planner and to joining ones, decode engines' own word on their load is compared with what was placed, a failed prefill counts as an arrival. Ruled out: instances that restart and forget their budget (the extra sends came from all).

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -27,6 +27,7 @@
 const (
 	topicAsk      = "place.ask"
 	topicVerdict  = "place.verdict"
+	topicProgress = "place.progress"
 	topicRelease  = "place.release"
 	topicAnnounce = "place.announce"
 )
@@ -34,9 +35,14 @@
 const (
 	// firstWord is how long a planner may take for its first word. A round
 	// trip between zones takes 3 ms; a slowed instance takes some tens.
-	firstWord = 60 * time.Millisecond
-	// downFor is how long a silent planner is not asked again.
-	downFor = time.Second
+	firstWord = 50 * time.Millisecond
+	// downFor is how long a silent planner is not asked again; it doubles, up
+	// to downMost, while the planner stays silent.
+	downFor  = time.Second
+	downMost = 4 * time.Second
+	// backups is how many instances of a zone hear announcements, so that the
+	// next planner knows what was given out.
+	backups = 2
 	// announceEvery renews this instance's places; planners keep them for
 	// 2.5 s of silence.
 	announceEvery = 400 * time.Millisecond
@@ -70,10 +76,16 @@
 	mu      sync.Mutex
 	holds   map[string]*Place
 	pending map[string]chan placement.Verdict
-	down    map[string]clock.Millis // by instance
+	down    map[string]silence      // by instance
 	used    map[string]clock.Millis // by zone
 }
 
+// silence is how long a planner that does not answer is left alone.
+type silence struct {
+	until clock.Millis
+	last  time.Duration
+}
+
 // Place is what a request holds until Release.
 type Place struct {
 	placement.Grant
@@ -88,7 +100,7 @@
 	return &Broker{
 		Options: o, planner: placement.New(o.Zone), view: &directory.View{},
 		holds: map[string]*Place{}, pending: map[string]chan placement.Verdict{},
-		down: map[string]clock.Millis{}, used: map[string]clock.Millis{},
+		down: map[string]silence{}, used: map[string]clock.Millis{},
 	}
 }
 
@@ -98,6 +110,7 @@
 		return b.decide(a)
 	})
 	peer.Handle(r, b.Transport, topicVerdict, func(_ peer.Sender, v placement.Verdict) { b.deliver(v) })
+	peer.Handle(r, b.Transport, topicProgress, func(_ peer.Sender, m placement.Progress) { b.apply(m) })
 	peer.Handle(r, b.Transport, topicRelease, func(_ peer.Sender, m placement.Release) { b.apply(m) })
 	peer.Handle(r, b.Transport, topicAnnounce, func(_ peer.Sender, m placement.Announce) { b.apply(m) })
 }
@@ -161,6 +174,7 @@
 		}
 		v, heard := b.askAt(ctx, i, a)
 		if heard {
+			b.heard(i.Name)
 			return b.conclude(i, zone, a, v)
 		}
 		if ctx.Err() != nil {
@@ -233,15 +247,25 @@
 	}
 }
 
-// Release gives a place back. full says that the decode engine turned the
-// request away; failed names an endpoint that failed.
-func (b *Broker) Release(p *Place, full bool, failed string) {
+// Release gives a place back. full names an engine that turned the request
+// away, failed one that failed; both may be empty.
+func (b *Broker) Release(p *Place, full, failed string) {
 	b.mu.Lock()
 	delete(b.holds, p.ID)
 	b.mu.Unlock()
 	b.tell(p.planner, placement.Release{ID: p.ID, Owner: b.Name, Full: full, Failed: failed})
 }
 
+// Began passes on what a decode engine said of its load.
+func (b *Broker) Began(p *Place, running int) {
+	m := placement.Progress{ID: p.ID, Running: running}
+	if p.planner.Name == b.Name {
+		b.apply(m)
+		return
+	}
+	b.send(p.planner.Address, topicProgress, m)
+}
+
 func (b *Broker) tell(i roster.Instance, r placement.Release) {
 	if i.Name == b.Name {
 		b.apply(r)
@@ -332,12 +356,19 @@
 func (b *Broker) isDown(name string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.Now() < b.down[name]
+	return b.Now() < b.down[name].until
+}
+
+func (b *Broker) heard(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.down, name)
 }
 
 func (b *Broker) silent(i roster.Instance) {
 	b.mu.Lock()
-	b.down[i.Name] = b.Now().Add(downFor)
+	length := min(max(2*b.down[i.Name].last, downFor), downMost)
+	b.down[i.Name] = silence{until: b.Now().Add(length), last: length}
 	b.mu.Unlock()
 	b.Scope.Counter("planner_silent").Inc(1)
 	b.Log.Write(eventlog.Line{Event: eventlog.PeerLost, Address: i.Address.String(), Reason: "planner_silent", Detail: i.Name})
@@ -350,20 +381,34 @@
 		if !b.usedLately(zone) && len(a.Holds) == 0 {
 			continue
 		}
-		for _, i := range b.Roster.Ranked(zone, "planner") {
-			if b.isDown(i.Name) {
-				continue
-			}
+		for _, i := range b.hearers(zone) {
 			if i.Name == b.Name {
 				b.apply(a)
 			} else {
 				b.send(i.Address, topicAnnounce, a)
 			}
-			break
 		}
 	}
 }
 
+// hearers are the planner of a zone, the next ones, and those that will be once
+// they have taken up their work.
+func (b *Broker) hearers(zone string) []roster.Instance {
+	var list []roster.Instance
+	for _, i := range b.Roster.Ranked(zone, "planner") {
+		if !b.isDown(i.Name) {
+			list = append(list, i)
+		}
+	}
+	kept := list[:min(len(list), backups)]
+	for _, i := range list[len(kept):] {
+		if i.Joining {
+			kept = append(kept, i)
+		}
+	}
+	return kept
+}
+
 func (b *Broker) usedLately(zone string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -54,6 +54,9 @@
 	}
 	if answer.HasLoad {
 		r.Told(p.Now(), answer.Load)
+		if p.place != nil && !answer.NotRun {
+			p.BeganAtPlace(p.place, answer.Load.Running)
+		}
 	}
 	silence.heard()
 	if answer.NotRun {
@@ -131,7 +134,7 @@
 // rejected takes an endpoint's word that it did not run the request.
 func (p *passage) rejected(r *balance.Reservation, a Answer) {
 	p.failure = "endpoints_full"
-	p.full = true
+	p.full = r.Endpoint.ID
 	if a.Other {
 		p.failure = "address_reused"
 		p.Gone(r.Endpoint.ID)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -42,7 +42,9 @@
 	BodyMemory int64
 	// FindPlace asks for places at engines; ReleasePlace gives them back.
 	FindPlace    func(context.Context, placement.Ask) (*broker.Place, *placement.Refusal)
-	ReleasePlace func(p *broker.Place, full bool, failed string)
+	ReleasePlace func(p *broker.Place, full, failed string)
+	// BeganAtPlace is told how many requests a decode engine says it runs.
+	BeganAtPlace func(p *broker.Place, running int)
 	// Gone is told of an endpoint whose address another one has.
 	Gone func(id string)
 }
@@ -140,8 +142,10 @@
 	headSent bool
 	last     string // id of the last event passed on
 	prefill  prefill
-	asks     int  // for places
-	full     bool // the last endpoint had no room
+	asks     int           // for places
+	place    *broker.Place // at engines, of the send in progress
+	full     string        // engine that turned the request away at this place
+	failed   string        // engine that failed at this place
 }
 
 // admit checks the request and reads its body. It answers what it refuses.
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -68,14 +68,8 @@
 		p.comeBack = refusal.After
 		return hopeless
 	}
-	p.full = false
-	failed := ""
-	defer func() {
-		if len(p.prefill.rejected) >= handleRejections {
-			failed = p.prefill.readBy // its KV caches cannot be had
-		}
-		p.ReleasePlace(place, p.full && failed == "", failed)
-	}()
+	p.full, p.failed, p.place = "", "", place
+	defer func() { p.ReleasePlace(place, p.full, p.failed) }()
 	decode := p.endpoint(place.Decode)
 	if decode == nil {
 		p.tried = append(p.tried, place.Decode)
@@ -91,9 +85,7 @@
 	if p.attempt(ctx, r) {
 		return answered
 	}
-	if !p.full {
-		failed = decode.ID
-	}
+	p.blame(decode.ID)
 	return again
 }
 
@@ -111,6 +103,17 @@
 	h.sends, h.rejected = prefillSends, nil // a decode engine reads the prompt
 }
 
+// blame notes which engine failed, unless it only had no room. When several
+// decode engines turned a KV cache away, its prefill engine is to blame.
+func (p *passage) blame(decode string) {
+	switch {
+	case len(p.prefill.rejected) >= handleRejections:
+		p.full, p.failed = "", p.prefill.readBy
+	case p.full == "":
+		p.failed = decode
+	}
+}
+
 // decodeWork is the time to a first token at a decode engine, in ms.
 const decodeWork = 35.0
 
@@ -189,12 +192,19 @@
 		return
 	}
 	p.prefill.tried = append(p.prefill.tried, r.Endpoint.ID)
+	if p.prefill.sends == 1 {
+		// It may have arrived without being taken up, and counts as the first
+		// arrival then. Later prefills were paid for when they were sent.
+		p.sends++
+	}
 	result := balance.Failed
+	p.failed = r.Endpoint.ID
 	switch {
 	case answer.Other:
 		p.Gone(r.Endpoint.ID)
 		result = balance.Rejected
 	case answer.NotRun:
+		p.full, p.failed = r.Endpoint.ID, ""
 		result = balance.Rejected
 	case parent.Err() != nil:
 		result = balance.Abandoned
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,9 @@
 }
 
 const (
+	// joinTime is how long after its start an instance takes no role: by then
+	// it has heard everyone's announcements, which come every 400 ms.
+	joinTime = 1200 * time.Millisecond
 	// sweepInterval is how often idle connections and old beliefs are looked at.
 	sweepInterval = 250 * time.Millisecond
 	// bodyPart of the memory limit may hold callers' bodies.
@@ -78,6 +81,7 @@
 	relay     *relay.Relay
 	servers   []*http.Server
 	listeners []net.Listener // of the servers
+	joining   atomic.Bool
 	leaving   atomic.Bool
 	close     func() error
 }
@@ -95,6 +99,7 @@
 	if err := g.openPeers(); err != nil {
 		return nil, err
 	}
+	g.joining.Store(true)
 	g.openFeed()
 	g.openForwarder()
 	if err := g.listen(); err != nil {
@@ -112,6 +117,7 @@
 	}
 	g.self = roster.Instance{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, Fingerprint: identity.Fingerprint,
+		Joining: true,
 	}
 	g.transport, err = peer.Listen(s.Instance.Name, netip.MustParseAddrPort(s.Peers.Listen), peer.Pinned(identity, g.roster.Trusted), scope)
 	if err != nil {
@@ -147,7 +153,7 @@
 		Log: g.log, Scope: g.counters.Scope, Now: g.now,
 		Retry:      budget.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window},
 		BodyMemory: int64(bodyPart * float64(s.Memory.LimitMB<<20)),
-		FindPlace:  g.broker.Find, ReleasePlace: g.broker.Release,
+		FindPlace:  g.broker.Find, ReleasePlace: g.broker.Release, BeganAtPlace: g.broker.Began,
 		Gone: func(id string) { g.feed.Tell(directory.Denied{ID: id}) },
 	})
 	g.forwarder.Share(leastShares)
@@ -165,7 +171,13 @@
 			return
 		}
 	}
-	if !g.leaving.Load() {
-		g.member.Change(g.self)
-	}
+	g.member.Change(g.present())
+}
+
+// present is this instance's entry as it should be now.
+func (g *Gateway) present() roster.Instance {
+	self := g.self
+	self.Joining = g.joining.Load()
+	self.Leaving = g.leaving.Load()
+	return self
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -44,7 +44,7 @@
 		group.Go(func() { failed <- s.Serve(g.listeners[i]) })
 	}
 	group.Go(func() { failed <- router.Run(ctx) })
-	for _, run := range []func(context.Context){g.feed.Run, g.member.Run, g.broker.Run, g.relay.Run, g.sweep} {
+	for _, run := range []func(context.Context){g.feed.Run, g.member.Run, g.broker.Run, g.relay.Run, g.sweep, g.join} {
 		group.Go(func() { run(ctx) })
 	}
 	g.log.Write(eventlog.Line{Event: eventlog.Started, Address: g.settings.Callers.Listen})
@@ -114,9 +114,7 @@
 	started := time.Now()
 	g.leaving.Store(true)
 	g.forwarder.Leave()
-	leaving := g.self
-	leaving.Leaving = true
-	g.member.Change(leaving)
+	g.member.Change(g.present())
 	g.log.Write(eventlog.Line{Event: eventlog.Stopping, Reason: "told_to_stop", Count: g.forwarder.Running()})
 	grace := g.settings.Stop.Grace
 	time.Sleep(min(lastStream, grace*lastStreamPart/100))
@@ -128,6 +126,16 @@
 	_ = g.servers[0].Shutdown(ctx) // its only error is that time ran out, which Stopped shows by its count
 }
 
+// join lets this instance take roles once it knows what others hold.
+func (g *Gateway) join(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(joinTime):
+		g.joining.Store(false)
+		g.member.Change(g.present())
+	}
+}
+
 func (g *Gateway) sweep(ctx context.Context) {
 	tick := time.NewTicker(sweepInterval)
 	defer tick.Stop()
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -50,8 +50,14 @@
 type Release struct {
 	ID     string `cbor:"1,keyasint"`
 	Owner  string `cbor:"2,keyasint"`
-	Full   bool   `cbor:"3,keyasint"` // the decode engine turned the request away
-	Failed string `cbor:"4,keyasint"` // endpoint that failed, if any
+	Full   string `cbor:"3,keyasint"` // engine that turned the request away, if any
+	Failed string `cbor:"4,keyasint"` // engine that failed, if any
+}
+
+// Progress tells what a decode engine said of its load when it began to answer.
+type Progress struct {
+	ID      string `cbor:"1,keyasint"`
+	Running int    `cbor:"2,keyasint"` // requests running there, whoever sent them
 }
 
 // Hold is one request in an announcement.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -42,6 +42,12 @@
 	fullFor = 250 * time.Millisecond
 	// failedFor does the same for one that failed.
 	failedFor = time.Second
+	// foreignFor is how long an engine's word on its load is believed; about
+	// half of an answer's time.
+	foreignFor = 1500 * time.Millisecond
+	// foreignSize is the memory of a request that this planner knows nothing
+	// of, where it has placed none to compare with.
+	foreignSize = 5000
 	// askMemory bounds how long an ended attempt is remembered, so that a late
 	// message does not take its place again.
 	askMemory = 5 * time.Second
@@ -50,7 +56,8 @@
 	comeBackMost  = 4 * time.Second
 )
 
-// Event is what a planner learns: Ask, Release, Announce, Known and Tick.
+// Event is what a planner learns: Ask, Progress, Release, Announce, Known and
+// Tick.
 type Event interface{ event() }
 
 // Known brings the present endpoints of the zone.
@@ -60,6 +67,7 @@
 type Tick struct{}
 
 func (Ask) event()      {}
+func (Progress) event() {}
 func (Release) event()  {}
 func (Announce) event() {}
 func (Known) event()    {}
@@ -91,6 +99,8 @@
 	full      clock.Millis // nothing is given to it until then
 	failed    clock.Millis // something is given to it before only if all failed
 	busyUntil clock.Millis // of a prefill engine
+	foreign   int          // requests there that this planner did not place
+	foreignAt clock.Millis // when that was learned
 	places    map[string]*place
 }
 
@@ -123,6 +133,8 @@
 	switch e := e.(type) {
 	case Ask:
 		p.ask(now, e)
+	case Progress:
+		p.progress(now, e)
 	case Release:
 		p.release(now, e)
 	case Announce:
@@ -280,7 +292,29 @@
 		made := int(now.Sub(h.granted) / stepTime)
 		total += h.prompt + max(expected(h.output), min(made, 2*h.output))
 	}
-	return total
+	if e.foreign == 0 || now.Sub(e.foreignAt) > foreignFor {
+		return total
+	}
+	size := foreignSize
+	if len(e.places) > 0 {
+		size = total / len(e.places)
+	}
+	return total + e.foreign*size
+}
+
+// progress compares an engine's word with what was placed there. More runs
+// there when another planner gives out the same engine, as when instances are
+// cut off from each other.
+func (p *Planner) progress(now clock.Millis, m Progress) {
+	h := p.places[m.ID]
+	if h == nil {
+		return
+	}
+	e := p.engines[h.decode]
+	if e == nil {
+		return
+	}
+	e.foreign, e.foreignAt = max(m.Running-len(e.places), 0), now
 }
 
 func expected(output int) int { return int(growth * float64(output)) }
@@ -361,11 +395,11 @@
 	p.owners[r.Owner] = now
 	p.over[r.ID] = now
 	if h := p.places[r.ID]; h != nil {
-		if e := p.engines[h.decode]; e != nil && r.Full {
-			e.full = now.Add(fullFor)
-		}
 		p.drop(h)
 	}
+	if e := p.engines[r.Full]; e != nil {
+		e.full = now.Add(fullFor)
+	}
 	if e := p.engines[r.Failed]; e != nil {
 		e.failed = now.Add(failedFor)
 	}
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -102,7 +102,7 @@
 		want    string // the decode engine of the next request; empty: refused
 	}{
 		{"failed, the other is used", placement.Release{ID: "0", Owner: "n1", Failed: "d1"}, "d2"},
-		{"full, the other is used", placement.Release{ID: "0", Owner: "n1", Full: true}, "d2"},
+		{"full, the other is used", placement.Release{ID: "0", Owner: "n1", Full: "d1"}, "d2"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -148,6 +148,18 @@
 	}
 }
 
+// Another planner may give out the same engine while instances are cut off
+// from each other; the engine's own word on its load shows it.
+func TestForeignLoadIsReckonedWith(t *testing.T) {
+	c := qt.New(t)
+	p := planner(t, 1)
+	c.Assert(verdict(p.Apply(1000, ask("0")), "0").Grant, qt.IsNotNil)
+	p.Apply(1200, placement.Progress{ID: "0", Running: 3})
+	c.Assert(verdict(p.Apply(1201, ask("1")), "1").Refusal, qt.IsNotNil)
+	// The word is old by now.
+	c.Assert(verdict(p.Apply(3000, ask("2")), "2").Grant, qt.IsNotNil)
+}
+
 // A message that was overtaken must not take places again.
 func TestLateMessagesTakeNothing(t *testing.T) {
 	c := qt.New(t)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -19,9 +19,13 @@
 	Address     netip.AddrPort `json:"address"`     // of its QUIC listener
 	Fingerprint string         `json:"fingerprint"` // SHA-256 of its certificate, in hex
 	Leaving     bool           `json:"leaving,omitempty"`
-	Revision    int64          `json:"-"` // of the store
+	Joining     bool           `json:"joining,omitempty"` // just started: it takes no role yet
+	Revision    int64          `json:"-"`                 // of the store
 }
 
+// settled says whether an instance may take a role.
+func (i Instance) settled() bool { return !i.Leaving && !i.Joining }
+
 // Roster is the table of instances. It is safe for concurrent use.
 type Roster struct {
 	mu        sync.RWMutex
@@ -106,13 +110,13 @@
 }
 
 // Ranked returns a zone's instances in the rendezvous order of key, those that
-// are leaving last.
+// are leaving or have just started last.
 func (r *Roster) Ranked(zone, key string) []Instance {
 	all := slices.DeleteFunc(r.All(), func(i Instance) bool { return i.Zone != zone })
 	weight := func(i Instance) uint64 { return xxhash.Sum64String(key + "\x00" + i.Name) }
 	slices.SortFunc(all, func(a, b Instance) int {
-		if a.Leaving != b.Leaving {
-			if a.Leaving {
+		if a.settled() != b.settled() {
+			if b.settled() {
 				return 1
 			}
 			return -1
