broker: pass on every verdict, and let time pass while requests wait

Change: every verdict is passed on, the planner is ticked each 10 ms while requests wait, and the patient ask goes to the zone that promised room the soonest.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -20,6 +20,7 @@
 	"github.com/trailshed/trailshed/internal/peer"
 	"github.com/trailshed/trailshed/internal/placement"
 	"github.com/trailshed/trailshed/internal/roster"
+	"github.com/trailshed/trailshed/internal/ticker"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -46,8 +47,9 @@
 	// announceEvery renews this instance's places; planners keep them for
 	// 2.5 s of silence.
 	announceEvery = 400 * time.Millisecond
-	// tickEvery lets time pass in the own planner.
-	tickEvery = 10 * time.Millisecond
+	// tickBusy and tickIdle let time pass in the own planner.
+	tickBusy = 10 * time.Millisecond
+	tickIdle = 400 * time.Millisecond
 	// zoneMemory is how long a zone hears announcements after the last place.
 	zoneMemory = 3 * time.Second
 	// verdictSlack is how much longer than a planner's queue a verdict may take.
@@ -68,6 +70,7 @@
 // Broker finds places. Lock order: planner, then tables.
 type Broker struct {
 	Options
+	ticker *ticker.Ticker
 
 	plannerMu sync.Mutex
 	planner   *placement.Planner
@@ -98,7 +101,7 @@
 // New returns a broker.
 func New(o Options) *Broker {
 	return &Broker{
-		Options: o, planner: placement.New(o.Zone), view: &directory.View{},
+		Options: o, ticker: ticker.New(tickBusy, tickIdle), planner: placement.New(o.Zone), view: &directory.View{},
 		holds: map[string]*Place{}, pending: map[string]chan placement.Verdict{},
 		down: map[string]silence{}, used: map[string]clock.Millis{},
 	}
@@ -117,37 +120,48 @@
 
 // Run announces and lets time pass until ctx ends.
 func (b *Broker) Run(ctx context.Context) {
-	tick := time.NewTicker(announceEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			b.announce()
-			b.apply(placement.Tick{})
-		}
-	}
+	var group sync.WaitGroup
+	group.Go(func() { ticker.Every(ctx, announceEvery, b.announce) })
+	group.Go(func() { b.ticker.Run(ctx, b.tick) })
+	group.Wait()
+}
+
+// tick lets time pass in the own planner; it is busy while requests wait.
+func (b *Broker) tick() (busy bool) {
+	b.apply(placement.Tick{})
+	b.plannerMu.Lock()
+	defer b.plannerMu.Unlock()
+	return b.planner.Queued() > 0
 }
 
-// Find asks for places: the own zone first, then the others, then the own zone
-// with patience.
+// Find asks for places: the own zone first, then the others, then, with
+// patience, the one that promised room the soonest.
 func (b *Broker) Find(ctx context.Context, a placement.Ask) (*Place, *placement.Refusal) {
 	a.Owner = b.Name
-	var last *placement.Refusal
+	soonest := b.Zone
+	var best *placement.Refusal
 	for _, zone := range b.zones() {
-		if p, refusal := b.findIn(ctx, zone, a); p != nil {
-			return p, nil
-		} else if zone == b.Zone || last == nil {
-			last = refusal
+		place, refusal := b.findIn(ctx, zone, a)
+		if place != nil {
+			return place, nil
+		}
+		if best == nil || better(refusal, best) {
+			best, soonest = refusal, zone
 		}
 	}
-	if last != nil && last.Reason == placement.ReasonNoEndpoint {
-		return nil, last
+	if best.Reason != placement.ReasonFull {
+		return nil, best
 	}
 	a.Patient = true
-	p, refusal := b.findIn(ctx, b.Zone, a)
-	return p, refusal
+	return b.findIn(ctx, soonest, a)
+}
+
+// better says whether refusal a gives more hope than b.
+func better(a, b *placement.Refusal) bool {
+	if (a.Reason == placement.ReasonFull) != (b.Reason == placement.ReasonFull) {
+		return a.Reason == placement.ReasonFull
+	}
+	return a.After < b.After
 }
 
 // zones returns the own zone and those where others are known.
@@ -274,15 +288,19 @@
 	b.send(i.Address, topicRelease, r)
 }
 
-// decide asks the own planner and returns its first word.
+// decide asks the own planner and returns its first word. Whatever else the ask
+// brings about is passed on.
 func (b *Broker) decide(a placement.Ask) placement.Verdict {
+	first := placement.Verdict{Queued: true} // if it is asked again while it waits
+	found := false
 	for _, answer := range b.step(a) {
-		if answer.ID == a.ID {
-			return answer.Verdict
+		if answer.ID == a.ID && !found {
+			first, found = answer.Verdict, true
+			continue
 		}
 		b.pass(answer)
 	}
-	return placement.Verdict{Queued: true} // asked again while it waits
+	return first
 }
 
 // apply feeds the own planner and passes its words on.
@@ -303,6 +321,9 @@
 	}
 	answers = append(answers, b.planner.Apply(now, e)...)
 	b.Scope.Gauge("placement_queue").Update(float64(b.planner.Queued()))
+	if b.planner.Queued() > 0 {
+		b.ticker.Wake()
+	}
 	return answers
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -58,13 +58,14 @@
 	running   atomic.Int64
 
 	mu      sync.Mutex
+	waits   map[string]time.Duration  // by route, the longest that callers waited
 	budgets map[string]*budget.Budget // by service
 	shares  int
 }
 
 // New returns a Forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{Options: o, budgets: map[string]*budget.Budget{}, shares: 1}
+	return &Forwarder{Options: o, budgets: map[string]*budget.Budget{}, waits: map[string]time.Duration{}, shares: 1}
 }
 
 // Leave makes answers tell callers to close their connections.
@@ -128,10 +129,12 @@
 	arrived clock.Millis
 	view    *directory.View
 	call    Call
-	route   *route.Route
-	service string
-	limit   clock.Millis // the request's end: the caller's wait or the route's time-out
-	message uplink.Message
+	// returning says that the caller has probably been refused before.
+	returning bool
+	route     *route.Route
+	service   string
+	limit     clock.Millis // the request's end: the caller's wait or the route's time-out
+	message   uplink.Message
 
 	sends    int           // messages that may have reached an endpoint
 	runs     int           // sends that may have run
@@ -169,6 +172,7 @@
 	p.limit = p.arrived.Add(match.Timeout)
 	if call.Wait > 0 {
 		p.limit = min(p.limit, p.arrived.Add(call.Wait))
+		p.returning = p.cameBack(match.Name, call.Wait)
 	}
 	p.message = uplink.Message{Method: r.Method, Target: r.RequestURI, Host: r.Host}
 	if !p.readBody(r) {
@@ -182,6 +186,19 @@
 	return true
 }
 
+// cameBack guesses whether a caller has asked before: it has less time left than
+// callers of its route begin with.
+func (f *Forwarder) cameBack(route string, wait time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.waits[route] = max(f.waits[route], wait)
+	return wait < f.waits[route]*returningPart/100
+}
+
+// returningPart of the usual time, in percent, is left to a caller that comes
+// back; it follows a refusal by a hundred ms at least.
+const returningPart = 99
+
 // readBody takes the body into memory, as it may have to be sent again.
 func (p *passage) readBody(r *http.Request) bool {
 	p.message.HasBody = r.ContentLength != 0
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -64,7 +64,7 @@
 	p.dropStaleHandle()
 	place, refusal := p.findPlace(ctx)
 	if place == nil {
-		p.because(refusal.Reason)
+		p.failure = refusal.Reason
 		p.comeBack = refusal.After
 		return hopeless
 	}
@@ -123,22 +123,27 @@
 	if output <= 0 {
 		output = placement.Expected(p.call.Output)
 	}
-	budget := p.route.Target - p.Now().Sub(p.arrived)
+	budget, late := p.route.Target-p.Now().Sub(p.arrived), false
 	if p.asks > 1 {
-		budget = max(budget, lateBudget)
+		budget, late = min(lateBudget, p.left()-lateReserve), true
 	}
 	return p.FindPlace(ctx, placement.Ask{
 		ID: p.call.ID + "/" + strconv.Itoa(p.asks), Service: p.service,
-		Prompt: p.call.Prompt, Output: output, Budget: min(budget, p.left()),
+		Prompt: p.call.Prompt, Output: output, Budget: min(budget, p.left()), Late: late,
 		Exclude: slices.Concat(p.tried, p.prefill.tried, p.prefill.rejected),
 		Avoid:   p.Balancer.Ejected(p.Now()),
 		Whole:   p.prefill.sends >= prefillSends || p.prefill.handle != nil,
 	})
 }
 
-// lateBudget is how long a request may wait for a place after a failure, when
-// it may be late already.
-const lateBudget = 600 * time.Millisecond
+const (
+	// lateBudget is how long a request that was refused or failed before waits
+	// for a place. A further refusal would lose it, and a late answer is still
+	// worth something.
+	lateBudget = 600 * time.Millisecond
+	// lateReserve is kept of its time for the answer itself.
+	lateReserve = 1500 * time.Millisecond
+)
 
 func (p *passage) endpoint(id string) *directory.Endpoint {
 	for _, e := range p.view.Endpoints[p.service] {
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -14,6 +14,7 @@
 	Avoid   []string      `cbor:"10,keyasint"` // endpoints that it uses only if there are no others
 	Whole   bool          `cbor:"8,keyasint"`  // no prefill engine is wanted
 	Patient bool          `cbor:"9,keyasint"`  // it waits for room if some comes free in time
+	Late    bool          `cbor:"11,keyasint"` // it was refused or failed before: it waits ahead of others
 }
 
 // Grant names the places of one request.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -35,6 +35,9 @@
 	firstStep = 70 * time.Millisecond
 	// grantGrace is how long an announcement may still miss a new grant.
 	grantGrace = 500 * time.Millisecond
+	// refusePart of a first event's time may be spent on waiting for room: a
+	// refusal within a quarter of it lets the caller come back in good time.
+	refusePart = 4
 	// ownerExpiry is how long places outlive their owner's silence.
 	ownerExpiry = 2500 * time.Millisecond
 	// fullFor keeps requests from an engine that turned one away: its memory
@@ -202,7 +205,10 @@
 		p.refuse(a, ReasonFull, wait)
 		return
 	}
-	p.queue = append(p.queue, waiting{ask: a, until: now.Add(min(patience, a.Budget/4))})
+	if !a.Late {
+		patience = min(patience, a.Budget/refusePart)
+	}
+	p.queue = append(p.queue, waiting{ask: a, until: now.Add(patience)})
 	p.effects = append(p.effects, Answer{ID: a.ID, Owner: a.Owner, Verdict: Verdict{Queued: true}})
 }
 
