placement: reckon with prefill engines, and pair zones

Change: prefills given out are counted until the engine answers, a zone without prefill engine gets its prompts read elsewhere, a prefill may take twice as long as predicted and 1.2 s more. Ruled out: resets of kept connections (11 of 58 failures).

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -93,6 +93,7 @@
 type Place struct {
 	placement.Grant
 	Zone    string
+	reader  *Place // at the prefill engine, where another zone's planner gave it
 	ask     placement.Ask
 	planner roster.Instance
 	granted clock.Millis
@@ -134,36 +135,6 @@
 	return b.planner.Queued() > 0
 }
 
-// Find asks for places: the own zone first, then the others, then, with
-// patience, the one that promised room the soonest.
-func (b *Broker) Find(ctx context.Context, a placement.Ask) (*Place, *placement.Refusal) {
-	a.Owner = b.Name
-	soonest := b.Zone
-	var best *placement.Refusal
-	for _, zone := range b.zones() {
-		place, refusal := b.findIn(ctx, zone, a)
-		if place != nil {
-			return place, nil
-		}
-		if best == nil || better(refusal, best) {
-			best, soonest = refusal, zone
-		}
-	}
-	if best.Reason != placement.ReasonFull {
-		return nil, best
-	}
-	a.Patient = true
-	return b.findIn(ctx, soonest, a)
-}
-
-// better says whether refusal a gives more hope than b.
-func better(a, b *placement.Refusal) bool {
-	if (a.Reason == placement.ReasonFull) != (b.Reason == placement.ReasonFull) {
-		return a.Reason == placement.ReasonFull
-	}
-	return a.After < b.After
-}
-
 // zones returns the own zone and those where others are known.
 func (b *Broker) zones() []string {
 	list := []string{b.Zone}
@@ -264,15 +235,22 @@
 // Release gives a place back. full names an engine that turned the request
 // away, failed one that failed; both may be empty.
 func (b *Broker) Release(p *Place, full, failed string) {
+	if p.reader != nil {
+		b.Release(p.reader, full, failed)
+	}
 	b.mu.Lock()
 	delete(b.holds, p.ID)
 	b.mu.Unlock()
 	b.tell(p.planner, placement.Release{ID: p.ID, Owner: b.Name, Full: full, Failed: failed})
 }
 
-// Began passes on what a decode engine said of its load.
-func (b *Broker) Began(p *Place, running int) {
-	m := placement.Progress{ID: p.ID, Running: running}
+// Began passes on what an engine said of its load when it began to answer; read
+// says that it is the prefill engine.
+func (b *Broker) Began(p *Place, running int, read bool) {
+	if read && p.reader != nil {
+		p = p.reader
+	}
+	m := placement.Progress{ID: p.ID, Running: running, Read: read}
 	if p.planner.Name == b.Name {
 		b.apply(m)
 		return
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -26,6 +26,7 @@
 // Events of requests and endpoints.
 const (
 	Sent            Event = "sent"
+	Placed          Event = "placed"
 	PrefillFailed   Event = "prefill_failed"
 	EndpointFailed  Event = "endpoint_failed"
 	EndpointEjected Event = "endpoint_ejected"
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -42,6 +42,9 @@
 	Service  string        //
 	Endpoint string        // id of the endpoint
 	Address  string        // of the endpoint or peer
+	Prefill  string        // id of the prefill engine
+	Zone     string        //
+	Wait     time.Duration // predicted
 	Outcome  string        //
 	Reason   string        // why; a fixed word
 	Detail   string        // free text, such as an error
@@ -67,6 +70,9 @@
 	text(e, "service", n.Service)
 	text(e, "endpoint", n.Endpoint)
 	text(e, "address", n.Address)
+	text(e, "prefill", n.Prefill)
+	text(e, "zone", n.Zone)
+	number(e, "wait_ms", n.Wait.Milliseconds())
 	text(e, "outcome", n.Outcome)
 	text(e, "reason", n.Reason)
 	text(e, "detail", n.Detail)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -55,7 +55,7 @@
 	if answer.HasLoad {
 		r.Told(p.Now(), answer.Load)
 		if p.place != nil && !answer.NotRun {
-			p.BeganAtPlace(p.place, answer.Load.Running)
+			p.BeganAtPlace(p.place, answer.Load.Running, false)
 		}
 	}
 	silence.heard()
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -43,8 +43,9 @@
 	// FindPlace asks for places at engines; ReleasePlace gives them back.
 	FindPlace    func(context.Context, placement.Ask) (*broker.Place, *placement.Refusal)
 	ReleasePlace func(p *broker.Place, full, failed string)
-	// BeganAtPlace is told how many requests a decode engine says it runs.
-	BeganAtPlace func(p *broker.Place, running int)
+	// BeganAtPlace is told how many requests an engine says it runs; read says
+	// that it is the prefill engine.
+	BeganAtPlace func(p *broker.Place, running int, read bool)
 	// Gone is told of an endpoint whose address another one has.
 	Gone func(id string)
 }
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -22,9 +22,10 @@
 	// prefillSends bounds how often one request's prompt is sent to prefill
 	// engines; after that a decode engine reads it.
 	prefillSends = 2
-	// prefillWait bounds one prefill: a prompt takes 100 ms, and a longer
-	// queue than this costs the first event more than it saves.
-	prefillWait = 700 * time.Millisecond
+	// prefillSlack is how much longer than predicted a prefill may take. To
+	// break one off has its prompt read for nothing, so it is generous; a
+	// prompt takes 100 ms.
+	prefillSlack = 1200 * time.Millisecond
 	// handlePart of a KV cache's life, in percent, is used; the rest is the way
 	// to the decode engine.
 	handlePart = 70
@@ -69,6 +70,7 @@
 		return hopeless
 	}
 	p.full, p.failed, p.place = "", "", place
+	p.logPlace(place)
 	defer func() { p.ReleasePlace(place, p.full, p.failed) }()
 	decode := p.endpoint(place.Decode)
 	if decode == nil {
@@ -103,6 +105,12 @@
 	h.sends, h.rejected = prefillSends, nil // a decode engine reads the prompt
 }
 
+func (p *passage) logPlace(place *broker.Place) {
+	n := p.line(eventlog.Placed, "", nil)
+	n.Endpoint, n.Prefill, n.Zone, n.Wait, n.Count = place.Decode, place.Prefill, place.Zone, place.Wait, int64(place.Used)
+	p.Log.Write(n)
+}
+
 // blame notes which engine failed, unless it only had no room. When several
 // decode engines turned a KV cache away, its prefill engine is to blame.
 func (p *passage) blame(decode string) {
@@ -132,7 +140,7 @@
 		Prompt: p.call.Prompt, Output: output, Budget: min(budget, p.left()), Late: late,
 		Exclude: slices.Concat(p.tried, p.prefill.tried, p.prefill.rejected),
 		Avoid:   p.Balancer.Ejected(p.Now()),
-		Whole:   p.prefill.sends >= prefillSends || p.prefill.handle != nil,
+		Part:    p.wantedPart(),
 	})
 }
 
@@ -145,6 +153,18 @@
 	lateReserve = 1500 * time.Millisecond
 )
 
+// wantedPart says which engines the request needs now.
+func (p *passage) wantedPart() placement.Part {
+	switch {
+	case p.prefill.handle != nil:
+		return placement.DecodeOnly
+	case p.prefill.sends >= prefillSends || p.call.Prompt == 0:
+		return placement.Whole
+	default:
+		return placement.Both
+	}
+}
+
 func (p *passage) endpoint(id string) *directory.Endpoint {
 	for _, e := range p.view.Endpoints[p.service] {
 		if e.ID == id {
@@ -174,10 +194,10 @@
 
 // prefillAt sends the prompt to one prefill engine and keeps the handle.
 func (p *passage) prefillAt(parent context.Context, r *balance.Reservation) {
-	ctx, cancel := context.WithTimeout(parent, prefillWait)
+	ctx, cancel := context.WithTimeout(parent, prefillSlack+2*p.place.Wait)
 	defer cancel()
 	m := p.message
-	m.To, m.Rest = r.Endpoint.Address, restRepeatable
+	m.To, m.Rest = r.Endpoint.Address, restOnce
 	m.Header = p.Dialect.Encode(p.call, Send{
 		Endpoint: r.Endpoint, Wait: max(p.left(), 0), Priority: p.route.Priority, Stage: directory.Prefill,
 	})
@@ -194,6 +214,7 @@
 		p.prefill.handle = &Handle{At: r.Endpoint.Address, ID: id}
 		p.prefill.readAt = p.Now()
 		p.prefill.readBy = r.Endpoint.ID
+		p.BeganAtPlace(p.place, answer.Load.Running, true)
 		return
 	}
 	p.prefill.tried = append(p.prefill.tried, r.Endpoint.ID)
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -12,11 +12,22 @@
 	Budget  time.Duration `cbor:"6,keyasint"`  // left until the first event is late
 	Exclude []string      `cbor:"7,keyasint"`  // endpoints that the entry will not use
 	Avoid   []string      `cbor:"10,keyasint"` // endpoints that it uses only if there are no others
-	Whole   bool          `cbor:"8,keyasint"`  // no prefill engine is wanted
+	Part    Part          `cbor:"8,keyasint"`
 	Patient bool          `cbor:"9,keyasint"`  // it waits for room if some comes free in time
 	Late    bool          `cbor:"11,keyasint"` // it was refused or failed before: it waits ahead of others
 }
 
+// Part says which engines an ask is for.
+type Part int
+
+// The parts of a request.
+const (
+	Both       Part = iota // a prefill and a decode engine
+	ReadOnly               // a prefill engine; another zone decodes
+	DecodeOnly             // a decode engine; the prompt is read elsewhere
+	Whole                  // a decode engine that also reads the prompt
+)
+
 // Grant names the places of one request.
 type Grant struct {
 	ID      string        `cbor:"1,keyasint"`
@@ -43,7 +54,9 @@
 // The reasons of a refusal.
 const (
 	ReasonNoEndpoint = "no_decode_endpoint"
+	ReasonNoPrefill  = "no_prefill_endpoint" // though there is room to decode
 	ReasonFull       = "decode_memory_full"
+	ReasonBusy       = "prefill_busy"
 	ReasonMoved      = "planner_moved"
 )
 
@@ -55,10 +68,12 @@
 	Failed string `cbor:"4,keyasint"` // engine that failed, if any
 }
 
-// Progress tells what a decode engine said of its load when it began to answer.
+// Progress tells that an engine has begun to answer, and what it said of its
+// load.
 type Progress struct {
 	ID      string `cbor:"1,keyasint"`
 	Running int    `cbor:"2,keyasint"` // requests running there, whoever sent them
+	Read    bool   `cbor:"3,keyasint"` // it is the prefill engine, which has read the prompt
 }
 
 // Hold is one request in an announcement.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -48,6 +48,8 @@
 	// foreignFor is how long an engine's word on its load is believed; about
 	// half of an answer's time.
 	foreignFor = 1500 * time.Millisecond
+	// foreignReadFor is the same for prefill engines, whose work is short.
+	foreignReadFor = 300 * time.Millisecond
 	// foreignSize is the memory of a request that this planner knows nothing
 	// of, where it has placed none to compare with.
 	foreignSize = 5000
@@ -99,11 +101,12 @@
 	directory.Endpoint
 	capacity  int // tokens
 	slots     int
-	full      clock.Millis // nothing is given to it until then
-	failed    clock.Millis // something is given to it before only if all failed
-	busyUntil clock.Millis // of a prefill engine
-	foreign   int          // requests there that this planner did not place
-	foreignAt clock.Millis // when that was learned
+	full      clock.Millis             // nothing is given to it until then
+	failed    clock.Millis             // something is given to it before only if all failed
+	reads     map[string]time.Duration // prefills given to it and not finished
+	readSince clock.Millis             // when the first of them began
+	foreign   int                      // requests there that this planner did not place
+	foreignAt clock.Millis             // when that was learned
 	places    map[string]*place
 }
 
@@ -111,6 +114,7 @@
 type place struct {
 	id      string
 	owner   string
+	prefill string
 	decode  string
 	prompt  int
 	output  int
@@ -171,7 +175,7 @@
 			seen[e.ID] = true
 			known := p.engines[e.ID]
 			if known == nil {
-				known = &engine{places: map[string]*place{}}
+				known = &engine{places: map[string]*place{}, reads: map[string]time.Duration{}}
 				p.engines[e.ID] = known
 			}
 			known.Endpoint = *e
@@ -187,22 +191,27 @@
 }
 
 func (p *Planner) ask(now clock.Millis, a Ask) {
-	if p.places[a.ID] != nil || p.over[a.ID] != 0 {
+	if p.places[a.ID] != nil {
+		return
+	}
+	if p.over[a.ID] != 0 {
+		p.refuse(a, ReasonMoved, comeBackLeast)
 		return
 	}
 	p.owners[a.Owner] = now
-	if p.place(now, a) {
+	reason := p.place(now, a)
+	if reason == "" {
 		return
 	}
 	wait, possible := p.predict(now, a)
-	if !possible {
-		p.refuse(a, ReasonNoEndpoint, comeBackLeast)
+	if !possible || reason == ReasonNoPrefill {
+		p.refuse(a, reason, comeBackLeast)
 		return
 	}
 	wait *= time.Duration(len(p.queue) + 1)
 	patience := a.Budget - prefillTime(a.Prompt) - firstStep
 	if !a.Patient || wait > patience {
-		p.refuse(a, ReasonFull, wait)
+		p.refuse(a, reason, wait)
 		return
 	}
 	if !a.Late {
@@ -212,12 +221,38 @@
 	p.effects = append(p.effects, Answer{ID: a.ID, Owner: a.Owner, Verdict: Verdict{Queued: true}})
 }
 
-// place grants a request if some decode engine has room now.
-func (p *Planner) place(now clock.Millis, a Ask) bool {
+// place grants a request if there is room for it now; else it says why not.
+func (p *Planner) place(now clock.Millis, a Ask) (reason string) {
+	g := Grant{ID: a.ID}
+	var decode, reader *engine
+	if a.Part != ReadOnly {
+		if decode, reason = p.decoder(now, a); decode == nil {
+			return reason
+		}
+		g.Decode, g.Used = decode.ID, decode.used(now)
+	}
+	if a.Part == Both || a.Part == ReadOnly {
+		if reader, reason = p.reader(now, a); reader == nil {
+			return reason
+		}
+		g.Prefill, g.Wait = reader.ID, reader.backlog(now)
+		reader.read(now, a)
+	}
+	p.hold(decode, &place{
+		id: a.ID, owner: a.Owner, prefill: g.Prefill, decode: g.Decode,
+		prompt: a.Prompt, output: a.Output, granted: now,
+	})
+	p.effects = append(p.effects, Answer{ID: a.ID, Owner: a.Owner, Verdict: Verdict{Grant: &g}})
+	return ""
+}
+
+// decoder returns the decode engine with the most room.
+func (p *Planner) decoder(now clock.Millis, a Ask) (*engine, string) {
 	need := a.Prompt + expected(a.Output)
 	var best *engine
 	least := 0.0
-	for _, e := range p.decodes(now, a) {
+	list := p.open(now, a, func(s directory.Stage) bool { return s != directory.Prefill })
+	for _, e := range list {
 		used := e.used(now)
 		if used+need > e.capacity && used > 0 || len(e.places) >= e.slots {
 			continue
@@ -227,42 +262,81 @@
 			best, least = e, share
 		}
 	}
-	if best == nil {
-		return false
+	switch {
+	case best != nil:
+		return best, ""
+	case len(list) == 0 && !p.known(a, directory.Decode):
+		return nil, ReasonNoEndpoint
+	default:
+		return nil, ReasonFull
+	}
+}
+
+// reader returns the prefill engine that is free the soonest, if that is soon
+// enough.
+func (p *Planner) reader(now clock.Millis, a Ask) (*engine, string) {
+	var best *engine
+	for _, e := range p.open(now, a, func(s directory.Stage) bool { return s == directory.Prefill }) {
+		if best == nil || e.backlog(now) < best.backlog(now) {
+			best = e
+		}
+	}
+	switch {
+	case best == nil && p.known(a, directory.Prefill):
+		return nil, ReasonBusy
+	case best == nil:
+		return nil, ReasonNoPrefill
+	case best.backlog(now)+prefillTime(a.Prompt)+firstStep > a.Budget && !a.Late:
+		return nil, ReasonBusy
+	default:
+		return best, ""
 	}
-	g := Grant{ID: a.ID, Decode: best.ID, Used: best.used(now)}
-	if r := p.reader(now, a); r != nil {
-		g.Prefill = r.ID
-		g.Wait = max(r.busyUntil.Sub(now), 0)
-		r.busyUntil = max(r.busyUntil, now).Add(prefillTime(a.Prompt))
+}
+
+// known says whether any engine of a stage may ever serve a request.
+func (p *Planner) known(a Ask, stage directory.Stage) bool {
+	for _, e := range p.engines {
+		if e.serves(a) && (e.Stage == directory.Prefill) == (stage == directory.Prefill) {
+			return true
+		}
 	}
-	p.hold(best, &place{id: a.ID, owner: a.Owner, decode: best.ID, prompt: a.Prompt, output: a.Output, granted: now})
-	p.effects = append(p.effects, Answer{ID: a.ID, Owner: a.Owner, Verdict: Verdict{Grant: &g}})
-	return true
+	return false
 }
 
 func (p *Planner) hold(e *engine, h *place) {
 	p.places[h.id] = h
-	e.places[h.id] = h
+	if e != nil {
+		e.places[h.id] = h
+	}
+}
+
+// read gives a prompt to a prefill engine.
+func (e *engine) read(now clock.Millis, a Ask) {
+	if len(e.reads) == 0 {
+		e.readSince = now
+	}
+	e.reads[a.ID] = prefillTime(a.Prompt)
 }
 
-// decodes returns the engines that may decode a request.
-func (p *Planner) decodes(now clock.Millis, a Ask) []*engine {
-	return p.open(now, a, func(s directory.Stage) bool { return s != directory.Prefill })
+// readDone takes a prompt off a prefill engine; the next one begins.
+func (e *engine) readDone(now clock.Millis, id string) {
+	if _, ok := e.reads[id]; !ok {
+		return
+	}
+	delete(e.reads, id)
+	e.readSince = now
 }
 
-// reader returns the prefill engine that is free the soonest, or nil.
-func (p *Planner) reader(now clock.Millis, a Ask) *engine {
-	if a.Whole || a.Prompt == 0 {
-		return nil
+// backlog predicts when a prefill engine has read what it was given.
+func (e *engine) backlog(now clock.Millis) time.Duration {
+	var total time.Duration
+	for _, work := range e.reads {
+		total += work
 	}
-	var best *engine
-	for _, e := range p.open(now, a, func(s directory.Stage) bool { return s == directory.Prefill }) {
-		if best == nil || e.busyUntil < best.busyUntil {
-			best = e
-		}
+	if e.foreign > 0 && now.Sub(e.foreignAt) < foreignReadFor {
+		total += time.Duration(e.foreign) * prefillTime(foreignSize)
 	}
-	return best
+	return max(total-now.Sub(e.readSince), 0)
 }
 
 // open returns the engines that may be used: the sound ones, or all that are
@@ -316,11 +390,23 @@
 	if h == nil {
 		return
 	}
-	e := p.engines[h.decode]
+	if m.Read {
+		p.readDone(now, h, m.Running)
+		return
+	}
+	if e := p.engines[h.decode]; e != nil {
+		e.foreign, e.foreignAt = max(m.Running-len(e.places), 0), now
+	}
+}
+
+// readDone learns that a prefill engine has read a prompt.
+func (p *Planner) readDone(now clock.Millis, h *place, running int) {
+	e := p.engines[h.prefill]
 	if e == nil {
 		return
 	}
-	e.foreign, e.foreignAt = max(m.Running-len(e.places), 0), now
+	e.readDone(now, h.id)
+	e.foreign, e.foreignAt = max(running-1-len(e.reads), 0), now
 }
 
 func expected(output int) int { return int(growth * float64(output)) }
@@ -336,6 +422,13 @@
 func (p *Planner) predict(now clock.Millis, a Ask) (time.Duration, bool) {
 	need := a.Prompt + expected(a.Output)
 	best, found := time.Duration(0), false
+	read := time.Duration(0)
+	if a.Part == Both || a.Part == ReadOnly {
+		read = p.leastBacklog(now, a)
+	}
+	if a.Part == ReadOnly {
+		return read, p.known(a, directory.Prefill)
+	}
 	for _, e := range p.engines {
 		if !e.serves(a) || e.Stage == directory.Prefill {
 			continue
@@ -345,7 +438,21 @@
 			best, found = wait, true
 		}
 	}
-	return best, found
+	return max(best, read), found
+}
+
+// leastBacklog is how long until some prefill engine is free.
+func (p *Planner) leastBacklog(now clock.Millis, a Ask) time.Duration {
+	least, found := time.Duration(0), false
+	for _, e := range p.engines {
+		if e.Stage != directory.Prefill || !e.serves(a) {
+			continue
+		}
+		if wait := e.backlog(now); !found || wait < least {
+			least, found = wait, true
+		}
+	}
+	return least
 }
 
 // roomAfter is how long until enough of the running answers have ended.
@@ -386,7 +493,7 @@
 	for _, w := range p.queue {
 		switch {
 		case p.over[w.ask.ID] != 0:
-		case p.place(now, w.ask):
+		case p.place(now, w.ask) == "":
 		case now >= w.until:
 			wait, _ := p.predict(now, w.ask)
 			p.refuse(w.ask, ReasonFull, wait*time.Duration(len(kept)+1))
@@ -401,7 +508,7 @@
 	p.owners[r.Owner] = now
 	p.over[r.ID] = now
 	if h := p.places[r.ID]; h != nil {
-		p.drop(h)
+		p.drop(now, h)
 	}
 	if e := p.engines[r.Full]; e != nil {
 		e.full = now.Add(fullFor)
@@ -411,8 +518,11 @@
 	}
 }
 
-func (p *Planner) drop(h *place) {
+func (p *Planner) drop(now clock.Millis, h *place) {
 	delete(p.places, h.id)
+	if e := p.engines[h.prefill]; e != nil {
+		e.readDone(now, h.id)
+	}
 	if e := p.engines[h.decode]; e != nil {
 		delete(e.places, h.id)
 	}
@@ -434,7 +544,7 @@
 	for _, h := range p.places {
 		if h.owner == a.Owner && !listed[h.id] && now.Sub(h.granted) > grantGrace {
 			p.over[h.id] = now
-			p.drop(h)
+			p.drop(now, h)
 		}
 	}
 }
@@ -442,7 +552,7 @@
 func (p *Planner) expire(now clock.Millis) {
 	for _, h := range p.places {
 		if now.Sub(max(p.owners[h.owner], h.granted)) > ownerExpiry {
-			p.drop(h)
+			p.drop(now, h)
 		}
 	}
 	for id, at := range p.over {
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -165,11 +165,41 @@
 	c := qt.New(t)
 	p := planner(t, 1)
 	p.Apply(1000, placement.Release{ID: "0", Owner: "n1"}) // withdrawn before the ask came
-	c.Assert(verdict(p.Apply(1001, ask("0")), "0"), qt.Equals, placement.Verdict{})
+	c.Assert(verdict(p.Apply(1001, ask("0")), "0").Refusal.Reason, qt.Equals, placement.ReasonMoved)
 	p.Apply(1002, placement.Announce{Owner: "n1", Holds: []placement.Hold{{ID: "0", Decode: "d1", Prompt: 15_000, Output: 10}}})
 	c.Assert(verdict(p.Apply(1003, ask("1")), "1").Grant, qt.IsNotNil)
 }
 
+// Prefill engines are given out too: what they were given delays the next
+// prompt, and a zone without any says so, though it could decode.
+func TestPrefillEngines(t *testing.T) {
+	c := qt.New(t)
+	p := planner(t, 4)
+	var last time.Duration
+	for i := range 6 {
+		v := verdict(p.Apply(1000, ask(fmt.Sprint(i))), fmt.Sprint(i))
+		c.Assert(v.Grant, qt.IsNotNil)
+		c.Assert(v.Grant.Wait > last || i == 0, qt.IsTrue)
+		last = v.Grant.Wait
+	}
+	late := ask("late")
+	late.Budget = 300 * time.Millisecond
+	c.Assert(verdict(p.Apply(1000, late), "late").Refusal.Reason, qt.Equals, placement.ReasonBusy)
+	for i := range 6 {
+		p.Apply(1100, placement.Progress{ID: fmt.Sprint(i), Read: true, Running: 1})
+	}
+	late.ID = "in time"
+	c.Assert(verdict(p.Apply(1101, late), "in time").Grant, qt.IsNotNil)
+	without := ask("x")
+	without.Exclude = []string{"p1"}
+	c.Assert(verdict(p.Apply(1102, without), "x").Refusal.Reason, qt.Equals, placement.ReasonNoPrefill)
+	without.ID, without.Part = "y", placement.DecodeOnly
+	c.Assert(verdict(p.Apply(1103, without), "y").Grant.Prefill, qt.Equals, "")
+	reading := ask("z")
+	reading.Part = placement.ReadOnly
+	c.Assert(verdict(p.Apply(1104, reading), "z").Grant.Decode, qt.Equals, "")
+}
+
 // Whatever entries do, no engine's memory is promised beyond its size unless
 // it is by announcements, and every ask gets exactly one final verdict.
 func TestRandomEntries(t *testing.T) {
