staging: let engines' stages follow the sizes of requests

Cause: decode memory bound the credit unions' peaks while a fourth prefill engine was idle: five decode engines held 11 to 13 requests each, and every refusal came of memory. Change: one instance, by a lease in the store and with its fence, compares the split of engines with the engine time that requests take at each stage, from their sizes, and tells one engine to change where it is off by 0.6 engines, at most every 13 s.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -30,6 +30,7 @@
 	topicVerdict  = "place.verdict"
 	topicProgress = "place.progress"
 	topicRelease  = "place.release"
+	topicClosed   = "place.closed"
 	topicAnnounce = "place.announce"
 )
 
@@ -65,6 +66,8 @@
 	Log        *eventlog.Log
 	Scope      tally.Scope
 	Now        func() clock.Millis
+	// Saw is told of each ask that this instance's planner gets.
+	Saw func(a placement.Ask)
 }
 
 // Broker finds places. Lock order: planner, then tables.
@@ -116,6 +119,7 @@
 	peer.Handle(r, b.Transport, topicVerdict, func(_ peer.Sender, v placement.Verdict) { b.deliver(v) })
 	peer.Handle(r, b.Transport, topicProgress, func(_ peer.Sender, m placement.Progress) { b.apply(m) })
 	peer.Handle(r, b.Transport, topicRelease, func(_ peer.Sender, m placement.Release) { b.apply(m) })
+	peer.Handle(r, b.Transport, topicClosed, func(_ peer.Sender, m placement.Closed) { b.apply(m) })
 	peer.Handle(r, b.Transport, topicAnnounce, func(_ peer.Sender, m placement.Announce) { b.apply(m) })
 }
 
@@ -258,6 +262,24 @@
 	b.send(p.planner.Address, topicProgress, m)
 }
 
+// Close tells the planners of a zone that an engine takes nothing until its
+// stage has changed.
+func (b *Broker) Close(zone, engine string) {
+	for _, i := range b.hearers(zone) {
+		if i.Name == b.Name {
+			b.apply(placement.Closed{Engine: engine})
+		} else {
+			b.send(i.Address, topicClosed, placement.Closed{Engine: engine})
+		}
+	}
+}
+
+// Plans says whether this instance is the first planner of its zone.
+func (b *Broker) Plans() bool {
+	ranked := b.Roster.Ranked(b.Zone, "planner")
+	return len(ranked) > 0 && ranked[0].Name == b.Name
+}
+
 func (b *Broker) tell(i roster.Instance, r placement.Release) {
 	if i.Name == b.Name {
 		b.apply(r)
@@ -269,6 +291,7 @@
 // decide asks the own planner and returns its first word. Whatever else the ask
 // brings about is passed on.
 func (b *Broker) decide(a placement.Ask) placement.Verdict {
+	b.Saw(a)
 	first := placement.Verdict{Queued: true} // if it is asked again while it waits
 	found := false
 	for _, answer := range b.step(a) {
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -32,7 +32,7 @@
 	store := platform.NewStore(set.StoreAddress(), set.Store.Timeout, tally.NoopScope)
 	g, err := gateway.New(set, gateway.Platform{
 		Dialect: platform.Dialect(), Source: platform.Source(store), Registry: platform.Registry(store),
-		ReadyPath: platform.ReadyPath,
+		Duty: platform.StagingDuty(store), Order: platform.SendOrder, ReadyPath: platform.ReadyPath,
 	}, log)
 	if err != nil {
 		return err
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -19,6 +19,9 @@
 	PeerTold       Event = "peer_told"
 	Registered     Event = "registered"
 	RegisterFailed Event = "register_failed"
+	DutyTaken      Event = "duty_taken"
+	DutyLost       Event = "duty_lost"
+	Ordered        Event = "ordered"
 	Unreadable     Event = "unreadable"
 	Believed       Event = "believed"
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/netip"
@@ -20,9 +21,12 @@
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/feed"
 	"github.com/trailshed/trailshed/internal/forward"
+	"github.com/trailshed/trailshed/internal/leadership"
 	"github.com/trailshed/trailshed/internal/peer"
+	"github.com/trailshed/trailshed/internal/placement"
 	"github.com/trailshed/trailshed/internal/relay"
 	"github.com/trailshed/trailshed/internal/roster"
+	"github.com/trailshed/trailshed/internal/staging"
 	"github.com/trailshed/trailshed/internal/uplink"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
@@ -32,9 +36,12 @@
 
 // Platform is how a gateway meets the platform it runs on.
 type Platform struct {
-	Dialect   forward.Dialect
-	Source    feed.Source
-	Registry  roster.Registry
+	Dialect  forward.Dialect
+	Source   feed.Source
+	Registry roster.Registry
+	// Duty makes one instance give orders, which Order sends.
+	Duty      leadership.Registry
+	Order     func(ctx context.Context, o staging.Order, holder string, fence int64) error
 	ReadyPath string
 }
 
@@ -79,6 +86,8 @@
 	transport *peer.Transport
 	broker    *broker.Broker
 	relay     *relay.Relay
+	duty      *leadership.Leadership
+	staging   *staging.Runner
 	servers   []*http.Server
 	listeners []net.Listener // of the servers
 	joining   atomic.Bool
@@ -101,6 +110,7 @@
 	}
 	g.joining.Store(true)
 	g.openFeed()
+	g.openStaging()
 	g.openForwarder()
 	if err := g.listen(); err != nil {
 		return nil, err
@@ -127,6 +137,7 @@
 	g.broker = broker.New(broker.Options{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, Transport: g.transport, Roster: g.roster,
 		Directory: g.directory, Log: g.log, Scope: scope, Now: g.now,
+		Saw: func(a placement.Ask) { g.staging.Saw(a.Service, a.Prompt, a.Output) },
 	})
 	g.relay = &relay.Relay{
 		Name: s.Instance.Name, Transport: g.transport, Roster: g.roster, Directory: g.directory,
@@ -146,6 +157,19 @@
 	g.member = roster.NewMember(g.platform.Registry, g.self, g.log, g.feed.Heard)
 }
 
+// openStaging prepares the duty of giving orders to engines.
+func (g *Gateway) openStaging() {
+	g.duty = &leadership.Leadership{
+		Name: g.settings.Instance.Name, Registry: g.platform.Duty, Log: g.log, Now: g.now,
+		Candidate: func() bool { return g.broker.Plans() && !g.leaving.Load() && !g.joining.Load() },
+	}
+	g.staging = &staging.Runner{
+		Directory: g.directory, Leadership: g.duty, Send: g.platform.Order,
+		Closed: func(o staging.Order) { g.broker.Close(o.Endpoint.Zone, o.Endpoint.ID) },
+		Log:    g.log, Scope: g.counters.Scope, Now: g.now,
+	}
+}
+
 func (g *Gateway) openForwarder() {
 	s := g.settings
 	g.forwarder = forward.New(forward.Options{
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -44,7 +44,7 @@
 		group.Go(func() { failed <- s.Serve(g.listeners[i]) })
 	}
 	group.Go(func() { failed <- router.Run(ctx) })
-	for _, run := range []func(context.Context){g.feed.Run, g.member.Run, g.broker.Run, g.relay.Run, g.sweep, g.join} {
+	for _, run := range []func(context.Context){g.feed.Run, g.member.Run, g.broker.Run, g.relay.Run, g.sweep, g.join, g.duty.Run, g.staging.Run} {
 		group.Go(func() { run(ctx) })
 	}
 	g.log.Write(eventlog.Line{Event: eventlog.Started, Address: g.settings.Callers.Listen})
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -76,6 +76,11 @@
 	Read    bool   `cbor:"3,keyasint"` // it is the prefill engine, which has read the prompt
 }
 
+// Closed says that an engine takes nothing until its stage has changed.
+type Closed struct {
+	Engine string `cbor:"1,keyasint"`
+}
+
 // Hold is one request in an announcement.
 type Hold struct {
 	ID      string        `cbor:"1,keyasint"`
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -43,6 +43,9 @@
 	// fullFor keeps requests from an engine that turned one away: its memory
 	// is fuller than reckoned, and answers end several times a second.
 	fullFor = 250 * time.Millisecond
+	// closedFor is how long an engine that changes its stage gets nothing, unless
+	// it says earlier that it has changed; the change takes six seconds.
+	closedFor = 8 * time.Second
 	// failedFor does the same for one that failed.
 	failedFor = time.Second
 	// foreignFor is how long an engine's word on its load is believed; about
@@ -61,8 +64,8 @@
 	comeBackMost  = 4 * time.Second
 )
 
-// Event is what a planner learns: Ask, Progress, Release, Announce, Known and
-// Tick.
+// Event is what a planner learns: Ask, Progress, Release, Closed, Announce,
+// Known and Tick.
 type Event interface{ event() }
 
 // Known brings the present endpoints of the zone.
@@ -74,6 +77,7 @@
 func (Ask) event()      {}
 func (Progress) event() {}
 func (Release) event()  {}
+func (Closed) event()   {}
 func (Announce) event() {}
 func (Known) event()    {}
 func (Tick) event()     {}
@@ -144,6 +148,10 @@
 		p.progress(now, e)
 	case Release:
 		p.release(now, e)
+	case Closed:
+		if engine := p.engines[e.Engine]; engine != nil {
+			engine.full = now.Add(closedFor)
+		}
 	case Announce:
 		p.announce(now, e)
 	case Known:
@@ -178,6 +186,9 @@
 				known = &engine{places: map[string]*place{}, reads: map[string]time.Duration{}}
 				p.engines[e.ID] = known
 			}
+			if known.Stage != e.Stage {
+				known.full = 0 // it has changed its stage and takes work again
+			}
 			known.Endpoint = *e
 			known.capacity = int(useMemory * float64(service.Engine.KVTokens))
 			known.slots = service.Engine.Slots
@@ -511,7 +522,7 @@
 		p.drop(now, h)
 	}
 	if e := p.engines[r.Full]; e != nil {
-		e.full = now.Add(fullFor)
+		e.full = max(e.full, now.Add(fullFor))
 	}
 	if e := p.engines[r.Failed]; e != nil {
 		e.failed = now.Add(failedFor)
--- /dev/null
+++ b/internal/staging/runner.go
@@ -0,0 +1,97 @@
+package staging
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/leadership"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+const (
+	// decideEvery is how often the split is looked at.
+	decideEvery = time.Second
+	// orderWait bounds one order.
+	orderWait = 800 * time.Millisecond
+)
+
+// Runner lets the holder of the duty give orders.
+type Runner struct {
+	Directory  *directory.Directory
+	Leadership *leadership.Leadership
+	// Send gives an order; fence is the holder's.
+	Send func(ctx context.Context, o Order, holder string, fence int64) error
+	// Closed is told of an engine that takes nothing until it has changed.
+	Closed func(o Order)
+	Log    *eventlog.Log
+	Scope  tally.Scope
+	Now    func() clock.Millis
+
+	mu    sync.Mutex
+	sizes map[string]Sizes
+}
+
+// Saw takes a request's sizes.
+func (r *Runner) Saw(service string, prompt, output int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.sizes == nil {
+		r.sizes = map[string]Sizes{}
+	}
+	s := r.sizes[service]
+	s.Add(prompt, output)
+	r.sizes[service] = s
+}
+
+// Run decides until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	policy := NewPolicy()
+	tick := time.NewTicker(decideEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			r.step(ctx, policy)
+		}
+	}
+}
+
+func (r *Runner) step(ctx context.Context, policy *Policy) {
+	fence, ok := r.Leadership.Fence()
+	if !ok {
+		return
+	}
+	r.mu.Lock()
+	sizes := maps.Clone(r.sizes)
+	r.mu.Unlock()
+	o := policy.Decide(r.Now(), r.Directory.View(), sizes)
+	if o == nil {
+		return
+	}
+	r.Closed(*o)
+	ctx, cancel := context.WithTimeout(ctx, orderWait)
+	defer cancel()
+	err := r.Send(ctx, *o, r.Leadership.Name, fence)
+	n := eventlog.Line{Event: eventlog.Ordered, Endpoint: o.Endpoint.ID, Service: o.Endpoint.Service, Zone: o.Endpoint.Zone, Outcome: stageName(o.Stage), Revision: fence, Count: int64(o.Present)}
+	if err != nil {
+		n.Detail = err.Error()
+		r.Scope.Counter("orders_failed").Inc(1)
+	}
+	r.Scope.Counter("orders").Inc(1)
+	r.Log.Write(n)
+}
+
+func stageName(s directory.Stage) string {
+	if s == directory.Prefill {
+		return "prefill"
+	}
+	return "decode"
+}
