gateway: take over changed settings, and check them by key

Cause: SIGHUP and a silently changed settings file had no effect, and errors of settings named Go fields. Change: the file is looked at each second and on SIGHUP; retry allowance and grace period change in place, the log says what waits for the next start, a wrong file changes nothing. Errors name file, key, value and rule.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 .PHONY: lint
 lint: $(GOFUMPT) $(LINT)
-	@unformatted=$$($(GOFUMPT) -l cmd internal pkg); \
+	@unformatted=$$($(GOFUMPT) -l cmd internal pkg platform); \
 	  if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
 	go vet ./...
 	$(LINT) run ./...
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -46,6 +46,14 @@
 	b.shares = max(shares, 1)
 }
 
+// Rule replaces the allowance; the window stays as it is.
+func (b *Budget) Rule(rule Rule) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	rule.Window = b.rule.Window
+	b.rule = rule
+}
+
 // Request counts a request, which earns its ratio.
 func (b *Budget) Request(now clock.Millis) {
 	b.mu.Lock()
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -13,7 +14,7 @@
 )
 
 type gatewayCommand struct {
-	Settings string `short:"s" long:"settings" env:"TRAILSHED_BOOT" required:"true" value-name:"FILE" description:"settings of this process"`
+	Settings string `short:"s" long:"settings" value-name:"FILE" description:"settings of this process; by default, the file that the platform names"`
 }
 
 // Execute routes requests on the users' platform until it is told to stop.
@@ -23,7 +24,11 @@
 	signal.Ignore(syscall.SIGPIPE)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	set, err := gateway.LoadSettings(c.Settings)
+	file := c.Settings
+	if file == "" {
+		file = platform.SettingsFile()
+	}
+	set, err := gateway.LoadSettings(file)
 	if err != nil {
 		return err
 	}
@@ -37,6 +42,9 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g.Follow(ctx, file, reload)
 	stop := make(chan struct{})
 	go func() {
 		<-signals
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -197,7 +197,7 @@
 		return Answer{}, sendError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode == http.StatusTooManyRequests && resp.Header.Get("X-Not-Run") != "" {
+	if resp.StatusCode == http.StatusTooManyRequests && resp.Header.Get("Not-Run") != "" {
 		return Answer{}, wrap(ErrNotRun, errors.New(resp.Status))
 	}
 	body, err := io.ReadAll(resp.Body)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -89,6 +89,16 @@
 	}
 }
 
+// Allow replaces the retry allowance of all instances together.
+func (f *Forwarder) Allow(rule budget.Rule) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Retry = rule
+	for _, b := range f.budgets {
+		b.Rule(rule)
+	}
+}
+
 func (f *Forwarder) budget(service string) *budget.Budget {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -69,6 +70,7 @@
 
 // Gateway is one process.
 type Gateway struct {
+	mu       sync.Mutex // guards what Reload changes in settings
 	settings *Settings
 	platform Platform
 	log      *eventlog.Log
--- /dev/null
+++ b/internal/gateway/reload.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/trailshed/trailshed/internal/budget"
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/ticker"
+)
+
+// lookEvery is how often the settings file is looked at: it may change without
+// any signal.
+const lookEvery = time.Second
+
+// Follow takes over changes of the settings file, on each signal and when the
+// file has changed, until ctx ends. Settings that cannot be read change nothing.
+func (g *Gateway) Follow(ctx context.Context, file string, signals <-chan os.Signal) {
+	seen := stamp(file)
+	look := func() {
+		if now := stamp(file); now != seen {
+			seen = now
+			g.reload(file)
+		}
+	}
+	go ticker.Every(ctx, lookEvery, func() {
+		select {
+		case <-signals:
+			seen = stamp(file)
+			g.reload(file)
+		default:
+			look()
+		}
+	})
+}
+
+// fileStamp tells one writing of a file from another.
+type fileStamp struct {
+	size     int64
+	modified time.Time
+}
+
+// stamp is zero while the file cannot be seen.
+func stamp(file string) fileStamp {
+	info, err := os.Stat(file)
+	if err != nil {
+		return fileStamp{}
+	}
+	return fileStamp{size: info.Size(), modified: info.ModTime()}
+}
+
+func (g *Gateway) reload(file string) {
+	next, err := LoadSettings(file)
+	if err != nil {
+		g.log.Write(eventlog.Line{Event: eventlog.ReloadRefused, Detail: err.Error()})
+		return
+	}
+	g.Reload(next)
+}
+
+// Reload takes over what can change in a running process: the retry allowance
+// and the grace period. Addresses and names stay until the next start.
+func (g *Gateway) Reload(next *Settings) {
+	g.mu.Lock()
+	before := *g.settings
+	g.settings.Retry, g.settings.Stop = next.Retry, next.Stop
+	g.mu.Unlock()
+	g.forwarder.Allow(budget.Rule{Ratio: next.Retry.Ratio, Slack: next.Retry.Slack, Window: next.Retry.Window})
+	n := eventlog.Line{Event: eventlog.Reloaded, Outcome: "applied"}
+	if before.Callers != next.Callers || before.Peers != next.Peers || before.Admin != next.Admin ||
+		before.Store != next.Store || before.Instance != next.Instance || before.Memory != next.Memory {
+		n.Outcome = "applied_in_part"
+		n.Detail = "addresses, names and memory are in force from the next start"
+	}
+	g.log.Write(n)
+}
+
+// grace is the time between SIGTERM and SIGKILL.
+func (g *Gateway) grace() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.settings.Stop.Grace
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -116,7 +116,7 @@
 	g.forwarder.Leave()
 	g.member.Change(g.present())
 	g.log.Write(eventlog.Line{Event: eventlog.Stopping, Reason: "told_to_stop", Count: g.forwarder.Running()})
-	grace := g.settings.Stop.Grace
+	grace := g.grace()
 	time.Sleep(min(lastStream, grace*lastStreamPart/100))
 	g.forwarder.RefuseStreams()
 	time.Sleep(min(balancerDelay, grace/2) - time.Since(started))
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -2,12 +2,17 @@
 
 import (
 	_ "embed"
+	"errors"
+	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
+	"strings"
 	"time"
 
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
+	"github.com/zeebo/errs"
 )
 
 // Default is the commented file of defaults.
@@ -88,15 +93,31 @@
 	if err := yaml.Unmarshal(Default, s); err != nil {
 		return nil, Error.New("built-in defaults: %v", err)
 	}
-	check := validator.New(validator.WithRequiredStructEnabled())
 	if err := yaml.Unmarshal(data, s); err != nil {
 		return nil, Error.New("%s: %v", file, err)
 	}
-	if err := check.Struct(s); err != nil {
-		return nil, Error.New("%s: %v", file, err)
+	if err := check(file, s); err != nil {
+		return nil, Error.Wrap(err)
 	}
 	return s, nil
 }
 
+// check names every key whose value breaks its rule.
+func check(file string, s *Settings) error {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("yaml") })
+	err := v.Struct(s)
+	var wrong validator.ValidationErrors
+	if !errors.As(err, &wrong) {
+		return err
+	}
+	var group errs.Group
+	for _, w := range wrong {
+		_, key, _ := strings.Cut(w.Namespace(), ".")
+		group.Add(fmt.Errorf("%s: %s: \"%v\" breaks the rule %s %s", file, key, w.Value(), w.Tag(), w.Param()))
+	}
+	return group.Err()
+}
+
 // StoreAddress is the parsed address of the store.
 func (s *Settings) StoreAddress() netip.AddrPort { return netip.MustParseAddrPort(s.Store.Address) }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -79,8 +79,10 @@
 	Revision int64 `cbor:"1,keyasint"`
 }
 
-// Lost and Regained say whether the store answers this instance.
-func (r *Relay) Lost()     { r.lost.Store(true) }
+// Lost says that the store does not answer this instance.
+func (r *Relay) Lost() { r.lost.Store(true) }
+
+// Regained says that it answers again.
 func (r *Relay) Regained() { r.lost.Store(false) }
 
 // Register adds the handler of fellows' questions.
--- a/internal/standin/engine/service.go
+++ b/internal/standin/engine/service.go
@@ -19,7 +19,7 @@
 	e.mu.Lock()
 	if e.traits.Role != Service || len(e.jobs) >= e.traits.Slots {
 		e.mu.Unlock()
-		w.Header().Set("X-Not-Run", "1")
+		w.Header().Set("Not-Run", "1")
 		http.Error(w, "busy", http.StatusTooManyRequests)
 		return
 	}
--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -121,7 +121,7 @@
 func (e *Exchange) receive(method string, accept func(*http.Response) bool) error {
 	asked := &http.Request{Method: method}
 	for {
-		resp, err := http.ReadResponse(e.conn.reader, asked)
+		resp, err := http.ReadResponse(e.conn.reader, asked) //nolint:bodyclose // Close ends the connection, or keeps it once the body was read
 		if err != nil {
 			return err
 		}
