eventlog: tell a request's story, and leave out what was in time

Change: explain-log, a trail a request that is dropped under load when it was served in time, counters and histograms by outcome and reason, and at most two silent planners asked in a zone.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -42,6 +42,9 @@
 	// to downMost, while the planner stays silent.
 	downFor  = time.Second
 	downMost = 4 * time.Second
+	// silentMost is how many silent planners of a zone one request asks: when
+	// two are silent, the zone is probably cut off.
+	silentMost = 2
 	// backups is how many instances of a zone hear announcements, so that the
 	// next planner knows what was given out.
 	backups = 2
@@ -154,8 +157,9 @@
 
 // findIn asks the planner of a zone, and the next one when it is silent.
 func (b *Broker) findIn(ctx context.Context, zone string, a placement.Ask) (*Place, *placement.Refusal) {
+	silent := 0
 	for _, i := range b.Roster.Ranked(zone, "planner") {
-		if b.isDown(i.Name) {
+		if b.isDown(i.Name) || silent == silentMost && i.Name != b.Name {
 			continue
 		}
 		if i.Name == b.Name {
@@ -169,6 +173,7 @@
 		if ctx.Err() != nil {
 			return nil, &placement.Refusal{Reason: placement.ReasonMoved, After: downFor}
 		}
+		silent++
 		b.silent(i)
 		b.send(i.Address, topicRelease, placement.Release{ID: a.ID, Owner: b.Name})
 	}
@@ -383,13 +388,22 @@
 
 func (b *Broker) heard(name string) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
+	before, was := b.down[name]
 	delete(b.down, name)
+	b.mu.Unlock()
+	if was {
+		b.Log.Write(eventlog.Line{Event: eventlog.PeerRegained, Detail: name, Age: before.last})
+	}
 }
 
 func (b *Broker) silent(i roster.Instance) {
 	b.mu.Lock()
-	length := min(max(2*b.down[i.Name].last, downFor), downMost)
+	before := b.down[i.Name]
+	if b.Now() < before.until {
+		b.mu.Unlock()
+		return // another request found out at the same time
+	}
+	length := min(max(2*before.last, downFor), downMost)
 	b.down[i.Name] = silence{until: b.Now().Add(length), last: length}
 	b.mu.Unlock()
 	b.Scope.Counter("planner_silent").Inc(1)
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -57,6 +57,7 @@
 		{"check", "check a settings file", "Checks a settings file, naming file, line, key and value of everything that is wrong.", &check{}},
 		{"query", "ask what is running", "Runs a statement that changes nothing, such as 'show running' or 'explain REQUEST'.", &ask{}},
 		{"do", "give a command", "Runs statements that may change the configuration, such as 'drain endpoint NAME'.", &do{}},
+		{"explain-log", "tell what became of a request", "Reads the logs of any number of gateways on standard input and tells, in order, what became of one request.", &explainLog{}},
 		{"replay", "replay a recorded trace", "Replays a recorded trace of callers against running processes and checks every answer.", &replay{}},
 		{"completion", "print shell completion", "Prints a script that completes commands and options in bash.", &completion{}},
 		{"manual", "print the manual page", "Prints the manual page of all commands; read it with 'trailshed manual | man -l -'.", &manual{parser}},
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -6,8 +6,7 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/uber-go/tally/v4"
-
+	"github.com/trailshed/trailshed/internal/counter"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/gateway"
 	"github.com/trailshed/trailshed/platform"
@@ -34,8 +33,9 @@
 	}
 	log := eventlog.Open(os.Stdout, set.Instance.Name)
 	defer func() { _ = log.Close() }()
-	store := platform.NewStore(set.StoreAddress(), set.Store.Timeout, tally.NoopScope)
-	g, err := gateway.New(set, gateway.Platform{
+	counters := counter.Open(map[string]string{"instance": set.Instance.Name})
+	store := platform.NewStore(set.StoreAddress(), set.Store.Timeout, counters.Scope)
+	g, err := gateway.New(set, counters, gateway.Platform{
 		Dialect: platform.Dialect(), Source: platform.Source(store), Registry: platform.Registry(store),
 		Duty: platform.StagingDuty(store), Order: platform.SendOrder, ReadyPath: platform.ReadyPath,
 	}, log)
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
+	"golang.org/x/time/rate"
 )
 
 // ringLines is how many lines may wait for the reader of the output; at about
@@ -21,13 +22,15 @@
 type Log struct {
 	logger  zerolog.Logger
 	ring    diode.Writer
-	dropped atomic.Int64
-	told    atomic.Int64
+	routine *rate.Limiter
+	dropped atomic.Int64 // lines that the reader was too slow for
+	told    atomic.Int64 // of these, what a line has told
+	sampled atomic.Int64 // lines left out on purpose
 }
 
 // Open returns a log of the instance called name that writes to out.
 func Open(out io.Writer, name string) *Log {
-	l := &Log{}
+	l := &Log{routine: routine()}
 	l.ring = diode.NewWriter(out, ringLines, 0, func(missed int) { l.dropped.Add(int64(missed)) })
 	l.logger = zerolog.New(l.ring).With().Str("instance", name).Logger()
 	return l
@@ -36,6 +39,7 @@
 // Line is one decision or change. Zero fields are left out.
 type Line struct {
 	Event    Event
+	At       int64         // ms since 1970; 0: when it is written
 	Request  string        // id of the request it touches
 	Attempt  int           // send within the request, from 1
 	Route    string        //
@@ -50,6 +54,7 @@
 	Detail   string        // free text, such as an error
 	Status   int           // HTTP status
 	Took     time.Duration // since the request arrived, or the length of what ended
+	First    time.Duration // from the request's arrival to its first event
 	Left     time.Duration // until the request's limit
 	Age      time.Duration // of the input that decided
 	Version  int64         // of the configuration
@@ -61,9 +66,9 @@
 func (l *Log) Write(n Line) {
 	if dropped := l.dropped.Load(); dropped > l.told.Load() {
 		l.told.Store(dropped)
-		begin(l.logger.Log(), LinesDropped).Int64("count", dropped).Send()
+		begin(l.logger.Log(), 0, LinesDropped).Int64("count", dropped).Send()
 	}
-	e := begin(l.logger.Log(), n.Event)
+	e := begin(l.logger.Log(), n.At, n.Event)
 	text(e, "request", n.Request)
 	number(e, "attempt", int64(n.Attempt))
 	text(e, "route", n.Route)
@@ -78,6 +83,7 @@
 	text(e, "detail", n.Detail)
 	number(e, "status", int64(n.Status))
 	number(e, "took_ms", n.Took.Milliseconds())
+	number(e, "first_ms", n.First.Milliseconds())
 	number(e, "left_ms", n.Left.Milliseconds())
 	number(e, "age_ms", n.Age.Milliseconds())
 	number(e, "version", n.Version)
@@ -93,8 +99,11 @@
 func (l *Log) Close() error { return l.ring.Close() }
 
 // begin writes the time, in milliseconds since 1970, and the event.
-func begin(e *zerolog.Event, name Event) *zerolog.Event {
-	return e.Int64("time", time.Now().UnixMilli()).Str("event", string(name))
+func begin(e *zerolog.Event, at int64, name Event) *zerolog.Event {
+	if at == 0 {
+		at = time.Now().UnixMilli()
+	}
+	return e.Int64("time", at).Str("event", string(name))
 }
 
 func text(e *zerolog.Event, key, value string) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/trailshed/trailshed/internal/balance"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/route"
@@ -82,11 +84,12 @@
 		Endpoint: r.Endpoint, Wait: max(p.left(), 0), LastEvent: p.last, Priority: p.route.Priority,
 		PrefillAt: p.prefill.handle,
 	})
+	p.noteAgain()
 	p.sends++
 	p.runs++
 	n := p.line(eventlog.Sent, "", nil)
-	n.Endpoint = r.Endpoint.ID
-	p.Log.Write(n)
+	n.Endpoint, n.Address, n.Revision = r.Endpoint.ID, r.Endpoint.Address.String(), p.view.Revision
+	p.trail.Write(n)
 	var answer Answer
 	exchange, err := p.Pool.Do(ctx, m, func(resp *http.Response) bool {
 		answer = p.Dialect.Read(resp)
@@ -102,6 +105,20 @@
 	return exchange, answer, err
 }
 
+// noteAgain notes why a request is sent again, or from which event on.
+func (p *passage) noteAgain() {
+	switch {
+	case p.headSent:
+		n := p.line(eventlog.Resumed, p.failure, nil)
+		n.Detail = "after event " + p.last
+		p.trail.Write(n)
+		p.Scope.Counter("streams_resumed").Inc(1)
+	case p.sends > 0:
+		p.trail.Write(p.line(eventlog.Repeated, p.failure, nil))
+		p.Scope.Tagged(map[string]string{"reason": p.failure}).Counter("sends_repeated").Inc(1)
+	}
+}
+
 // sendFailed judges a send that brought no answer.
 func (p *passage) sendFailed(parent context.Context, r *balance.Reservation, err error) {
 	result := balance.Failed
@@ -124,10 +141,10 @@
 	ejected := r.Done(p.Now(), result)
 	n := p.line(eventlog.EndpointFailed, p.failure, err)
 	n.Endpoint, n.Address = r.Endpoint.ID, r.Endpoint.Address.String()
-	p.Log.Write(n)
+	p.trail.Write(n)
 	if ejected > 0 {
 		p.Scope.Counter("endpoints_ejected").Inc(1)
-		p.Log.Write(eventlog.Line{Event: eventlog.EndpointEjected, Endpoint: r.Endpoint.ID, Service: p.service, Reason: p.failure, Took: ejected})
+		p.trail.Write(eventlog.Line{Event: eventlog.EndpointEjected, Endpoint: r.Endpoint.ID, Service: p.service, Reason: p.failure, Took: ejected})
 	}
 }
 
@@ -214,13 +231,30 @@
 	return true
 }
 
+// answered notes an answer that was passed on whole, unless err says that the
+// caller did not take it.
 func (p *passage) answered(status int, err error) {
+	took := p.Now().Sub(p.arrived)
+	if p.firstEvent > 0 {
+		took = p.firstEvent
+	}
+	p.inTime = err == nil && status < http.StatusMultipleChoices && took <= p.route.Target
 	n := p.line(eventlog.Answered, "", err)
 	n.Status = status
-	p.Log.Write(n)
+	n.First = p.firstEvent
+	n.Outcome = "late"
+	if p.inTime {
+		n.Outcome = "in_time"
+	}
+	p.trail.Write(n)
 	p.Scope.Counter("requests_answered").Inc(1)
+	p.Scope.Tagged(map[string]string{"outcome": n.Outcome}).Counter("answers").Inc(1)
+	p.Scope.Histogram("answer_seconds", latencyBuckets).RecordDuration(p.Now().Sub(p.arrived))
 }
 
+// latencyBuckets cover answers from 5 ms to 20 s.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 13)
+
 // drainSmall reads a short body to its end, so that the connection can be kept.
 func (p *passage) drainSmall(x *uplink.Exchange) bool {
 	_, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, wholeAnswer))
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -99,6 +99,17 @@
 	}
 }
 
+// BudgetLeft is how many extra sends each service still allows this instance.
+func (f *Forwarder) BudgetLeft() map[string]float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	left := make(map[string]float64, len(f.budgets))
+	for service, b := range f.budgets {
+		left[service] = b.Left(f.Now())
+	}
+	return left
+}
+
 func (f *Forwarder) budget(service string) *budget.Budget {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -127,7 +138,8 @@
 	if f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	p := &passage{Forwarder: f, w: w, arrived: f.Now(), view: f.Directory.View()}
+	p := &passage{Forwarder: f, w: w, arrived: f.Now(), view: f.Directory.View(), trail: f.Log.Trail()}
+	defer func() { p.trail.End(p.inTime) }()
 	if p.admit(r) {
 		p.run(r.Context())
 	}
@@ -138,6 +150,8 @@
 	*Forwarder
 	w       http.ResponseWriter
 	arrived clock.Millis
+	trail   *eventlog.Trail
+	inTime  bool // it was answered well, within its target
 	view    *directory.View
 	call    Call
 	// returning says that the caller has probably been refused before.
@@ -147,19 +161,20 @@
 	limit     clock.Millis // the request's end: the caller's wait or the route's time-out
 	message   uplink.Message
 
-	sends    int           // messages that may have reached an endpoint
-	runs     int           // sends that may have run
-	tried    []string      // endpoints that failed this request
-	failure  string        // reason of the last failure
-	comeBack time.Duration // what a refused caller is told
-	spare    *spare        // an endpoint's own failing answer, kept in case no better one comes
-	headSent bool
-	last     string // id of the last event passed on
-	prefill  prefill
-	asks     int           // for places
-	place    *broker.Place // at engines, of the send in progress
-	full     string        // engine that turned the request away at this place
-	failed   string        // engine that failed at this place
+	sends      int           // messages that may have reached an endpoint
+	runs       int           // sends that may have run
+	tried      []string      // endpoints that failed this request
+	failure    string        // reason of the last failure
+	comeBack   time.Duration // what a refused caller is told
+	spare      *spare        // an endpoint's own failing answer, kept in case no better one comes
+	headSent   bool
+	firstEvent time.Duration // from arrival to the first event; 0 before
+	last       string        // id of the last event passed on
+	prefill    prefill
+	asks       int           // for places
+	place      *broker.Place // at engines, of the send in progress
+	full       string        // engine that turned the request away at this place
+	failed     string        // engine that failed at this place
 }
 
 // admit checks the request and reads its body. It answers what it refuses.
@@ -239,7 +254,7 @@
 		p.message.Body, err = io.ReadAll(io.LimitReader(r.Body, most+1))
 	}
 	if err != nil {
-		p.Log.Write(p.line(eventlog.Cancelled, "body_unfinished", err))
+		p.trail.Write(p.line(eventlog.Cancelled, "body_unfinished", err))
 		panic(http.ErrAbortHandler)
 	}
 	if int64(len(p.message.Body)) > most {
@@ -317,6 +332,8 @@
 	if p.sends == 0 || p.budget(p.service).Take(p.Now()) {
 		return true
 	}
+	p.trail.Write(p.line(eventlog.BudgetSpent, p.failure, nil))
+	p.Scope.Counter("budget_spent").Inc(1)
 	p.failure = "budget_spent"
 	return false
 }
@@ -356,7 +373,7 @@
 // ended answers a request whose time is over or whose caller has left.
 func (p *passage) ended(ctx context.Context) {
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		p.Log.Write(p.line(eventlog.Cancelled, "caller_left", nil))
+		p.trail.Write(p.line(eventlog.Cancelled, "caller_left", nil))
 		p.Scope.Counter("requests_cancelled").Inc(1)
 		return
 	}
@@ -368,7 +385,7 @@
 func (p *passage) giveUp() {
 	switch {
 	case p.headSent:
-		p.Log.Write(p.line(eventlog.Broken, p.failure, nil))
+		p.trail.Write(p.line(eventlog.Broken, p.failure, nil))
 		p.Scope.Counter("requests_broken").Inc(1)
 		panic(http.ErrAbortHandler)
 	case p.spare != nil:
@@ -385,8 +402,9 @@
 // refuse tells the caller that the request did not run and when to come back.
 func (p *passage) refuse(reason string, after time.Duration) {
 	p.failure = reason
-	p.Log.Write(p.line(eventlog.Refused, reason, nil))
+	p.trail.Write(p.line(eventlog.Refused, reason, nil))
 	p.Scope.Counter("requests_refused").Inc(1)
+	p.Scope.Tagged(map[string]string{"reason": reason}).Counter("refusals").Inc(1)
 	p.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	http.Error(p.w, "not run: "+reason, http.StatusServiceUnavailable)
 }
@@ -395,8 +413,9 @@
 func (p *passage) fail(status int) {
 	n := p.line(eventlog.GaveUp, p.failure, nil)
 	n.Status = status
-	p.Log.Write(n)
+	p.trail.Write(n)
 	p.Scope.Counter("requests_failed").Inc(1)
+	p.Scope.Tagged(map[string]string{"reason": p.failure}).Counter("failures").Inc(1)
 	http.Error(p.w, "may have run: "+p.failure, status)
 }
 
@@ -404,7 +423,7 @@
 func (p *passage) reject(status int, reason string, err error) {
 	n := p.line(eventlog.Refused, reason, err)
 	n.Status = status
-	p.Log.Write(n)
+	p.trail.Write(n)
 	p.Scope.Counter("requests_rejected").Inc(1)
 	http.Error(p.w, err.Error(), status)
 }
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -108,7 +108,7 @@
 func (p *passage) logPlace(place *broker.Place) {
 	n := p.line(eventlog.Placed, "", nil)
 	n.Endpoint, n.Prefill, n.Zone, n.Wait, n.Count = place.Decode, place.Prefill, place.Zone, place.Wait, int64(place.Used)
-	p.Log.Write(n)
+	p.trail.Write(n)
 }
 
 // blame notes which engine failed, unless it only had no room. When several
@@ -240,7 +240,7 @@
 	r.Done(p.Now(), result)
 	n := p.line(eventlog.PrefillFailed, "", err)
 	n.Endpoint, n.Address = r.Endpoint.ID, r.Endpoint.Address.String()
-	p.Log.Write(n)
+	p.trail.Write(n)
 }
 
 func (p *passage) askHandle(ctx context.Context, m uplink.Message) (string, Answer, error) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -76,7 +76,7 @@
 		if !p.passEvent(x, event) {
 			x.Close(false)
 			r.Done(p.Now(), balance.Abandoned)
-			p.Log.Write(p.line(eventlog.Cancelled, "caller_left", nil))
+			p.trail.Write(p.line(eventlog.Cancelled, "caller_left", nil))
 			return true
 		}
 		if id != "" {
@@ -90,7 +90,8 @@
 		copyHeader(p.w.Header(), p.Dialect.Passed(x.Response.Header))
 		p.w.WriteHeader(x.Response.StatusCode)
 		p.headSent = true
-		p.Scope.Timer("first_event").Record(p.Now().Sub(p.arrived))
+		p.firstEvent = max(p.Now().Sub(p.arrived), time.Millisecond)
+		p.Scope.Histogram("first_event_seconds", latencyBuckets).RecordDuration(p.firstEvent)
 	}
 	if _, err := p.w.Write(event); err != nil {
 		return false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,12 +98,12 @@
 }
 
 // New returns a gateway that does not serve yet.
-func New(s *Settings, p Platform, log *eventlog.Log) (*Gateway, error) {
+func New(s *Settings, counters *counter.Registry, p Platform, log *eventlog.Log) (*Gateway, error) {
 	debug.SetMemoryLimit(int64(heapPart * float64(s.Memory.LimitMB<<20)))
 	debug.SetGCPercent(collectAt)
 	g := &Gateway{
 		settings: s, platform: p, log: log, now: clock.System(),
-		counters:  counter.Open(map[string]string{"instance": s.Instance.Name}),
+		counters:  counters,
 		directory: directory.New(), balancer: balance.New(s.Instance.Zone), roster: roster.New(),
 	}
 	g.pool = uplink.NewPool(g.counters.Scope)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -47,7 +47,7 @@
 	for _, run := range []func(context.Context){g.feed.Run, g.member.Run, g.broker.Run, g.relay.Run, g.sweep, g.join, g.duty.Run, g.staging.Run} {
 		group.Go(func() { run(ctx) })
 	}
-	g.log.Write(eventlog.Line{Event: eventlog.Started, Address: g.settings.Callers.Listen})
+	g.log.Write(eventlog.Line{Event: eventlog.Started, Address: g.settings.Callers.Listen, Zone: g.settings.Instance.Zone, Detail: g.settings.summary()})
 	select {
 	case <-stop:
 		g.stop()
@@ -147,10 +147,40 @@
 			g.pool.Sweep()
 			g.feed.Tell(directory.Tick{})
 			g.balancer.Forget(g.directory.View())
+			g.measure()
 		}
 	}
 }
 
+// measure updates what is read off rather than counted.
+func (g *Gateway) measure() {
+	scope, v := g.counters.Scope, g.directory.View()
+	scope.Gauge("requests_running").Update(float64(g.forwarder.Running()))
+	scope.Gauge("log_lines_dropped").Update(float64(g.log.Dropped()))
+	scope.Gauge("log_lines_sampled").Update(float64(g.log.Sampled()))
+	scope.Gauge("instances_known").Update(float64(len(g.roster.All())))
+	scope.Gauge("store_revision").Update(float64(v.Revision))
+	if v.Table != nil {
+		scope.Gauge("configuration_version").Update(float64(v.Table.Version))
+	}
+	ready, leaving := 0, 0
+	for _, list := range v.Endpoints {
+		for _, e := range list {
+			if e.State == directory.Ready {
+				ready++
+			} else {
+				leaving++
+			}
+		}
+	}
+	scope.Gauge("endpoints_ready").Update(float64(ready))
+	scope.Gauge("endpoints_leaving").Update(float64(leaving))
+	scope.Gauge("endpoints_ejected").Update(float64(len(g.balancer.Ejected(g.now()))))
+	for service, left := range g.forwarder.BudgetLeft() {
+		scope.Tagged(map[string]string{"service": service}).Gauge("budget_left").Update(left)
+	}
+}
+
 // ready says whether new connections should come here.
 func (g *Gateway) ready() bool {
 	return !g.leaving.Load() && g.directory.View().Table != nil
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -119,5 +119,11 @@
 	return group.Err()
 }
 
+// summary tells the settings in force for the log; none of them is secret.
+func (s *Settings) summary() string {
+	return fmt.Sprintf("store %s, retry ratio %g slack %g window %s, grace %s, memory %d MB",
+		s.Store.Address, s.Retry.Ratio, s.Retry.Slack, s.Retry.Window, s.Stop.Grace, s.Memory.LimitMB)
+}
+
 // StoreAddress is the parsed address of the store.
 func (s *Settings) StoreAddress() netip.AddrPort { return netip.MustParseAddrPort(s.Store.Address) }
