relay: a few watchers a zone, and only what changed passed on

Change: two instances of a zone watch and gather changes for 100 ms; the others hear revisions with a digest of beliefs and ask fellows for what changed since theirs. Large configurations are read from the store.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -7,10 +7,13 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/trailshed/trailshed/internal/route"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
@@ -55,8 +58,9 @@
 type View struct {
 	Table     *route.Table // nil while no configuration is known
 	Endpoints map[string][]*Endpoint
-	Revision  int64 // up to which this view is complete
-	TableRev  int64 // of the store, when Table was written
+	Revision  int64  // up to which this view is complete
+	TableRev  int64  // of the store, when Table was written
+	Digest    uint64 // of the endpoints' ids and revisions
 }
 
 // Directory is the aggregate.
@@ -162,8 +166,13 @@
 		present[p.ID] = true
 		changes = append(changes, d.see(p)...)
 	}
+	for _, g := range e.Gone {
+		if h := d.endpoints[g.ID]; h != nil && h.endpoint.Revision <= g.Revision {
+			changes = append(changes, d.drop(h, g.Revision)...)
+		}
+	}
 	for id, h := range d.endpoints {
-		if !present[id] && h.endpoint.Revision <= e.Revision {
+		if e.Whole && !present[id] && h.endpoint.Revision <= e.Revision {
 			changes = append(changes, d.drop(h, e.Revision)...)
 		}
 	}
@@ -171,6 +180,25 @@
 	return changes
 }
 
+// Since returns what changed after a revision, for a peer that has seen the
+// rest.
+func (d *Directory) Since(revision int64) Relayed {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := Relayed{Whole: revision == 0, Revision: d.revision}
+	for _, h := range d.endpoints {
+		if h.endpoint.Revision > revision {
+			out.Endpoints = append(out.Endpoints, h.endpoint)
+		}
+	}
+	for id, removed := range d.removed {
+		if removed > revision && revision > 0 {
+			out.Gone = append(out.Gone, Removed{ID: id, Revision: removed})
+		}
+	}
+	return out
+}
+
 func (d *Directory) see(p Endpoint) []Change {
 	if d.removed[p.ID] >= p.Revision {
 		return nil
@@ -252,6 +280,7 @@
 	v := &View{Table: d.table, TableRev: d.tableRev, Endpoints: map[string][]*Endpoint{}, Revision: d.revision}
 	for _, h := range d.endpoints {
 		p := h.endpoint
+		v.Digest ^= xxhash.Sum64String(p.ID + strconv.FormatInt(p.Revision, 16))
 		v.Endpoints[p.Service] = append(v.Endpoints[p.Service], &p)
 	}
 	d.view.Store(v)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"testing"
 
@@ -98,15 +99,40 @@
 	d := directory.New()
 	d.Apply(0, directory.Seen{Endpoint: endpoint("e1", 1)})
 	d.Apply(10, directory.StoreLost{})
-	d.Apply(20, directory.Relayed{Endpoints: []directory.Endpoint{endpoint("e2", 4)}, Revision: 6})
+	d.Apply(20, directory.Relayed{Whole: true, Endpoints: []directory.Endpoint{endpoint("e2", 4)}, Revision: 6})
 	qt.Assert(t, ids(d), qt.DeepEquals, map[string]bool{"e2": true})
 }
 
+// What one instance learned since a revision brings another one to the same
+// beliefs, whatever happened in between.
+func TestSinceBringsAnotherUpToDate(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		a, b := directory.New(), directory.New()
+		revision := int64(0)
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			revision++
+			id := fmt.Sprint("e", rapid.IntRange(1, 5).Draw(rt, "id"))
+			if rapid.Bool().Draw(rt, "removed") {
+				a.Apply(0, directory.Removed{ID: id, Revision: revision})
+			} else {
+				a.Apply(0, directory.Seen{Endpoint: endpoint(id, revision)})
+			}
+			if rapid.IntRange(0, 3).Draw(rt, "told") == 0 {
+				b.Apply(0, a.Since(b.View().Revision))
+			}
+		}
+		b.Apply(0, a.Since(b.View().Revision))
+		if !maps.Equal(ids(a), ids(b)) || a.View().Digest != b.View().Digest {
+			rt.Fatalf("%v and %v", ids(a), ids(b))
+		}
+	})
+}
+
 func TestRemovedDoesNotReturnByOldWord(t *testing.T) {
 	d := directory.New()
 	d.Apply(0, directory.Seen{Endpoint: endpoint("e1", 3)})
 	d.Apply(1, directory.Removed{ID: "e1", Revision: 5})
-	d.Apply(2, directory.Relayed{Endpoints: []directory.Endpoint{endpoint("e1", 3)}, Revision: 4})
+	d.Apply(2, directory.Relayed{Whole: true, Endpoints: []directory.Endpoint{endpoint("e1", 3)}, Revision: 4})
 	qt.Assert(t, ids(d), qt.HasLen, 0)
 	d.Apply(3, directory.Seen{Endpoint: endpoint("e1", 7)})
 	qt.Assert(t, ids(d)["e1"], qt.IsTrue)
@@ -148,7 +174,7 @@
 	case 1:
 		return directory.Listed{Endpoints: []directory.Endpoint{endpoint(id, min(revision, 20))}, Revision: revision}
 	case 2:
-		return directory.Relayed{Endpoints: []directory.Endpoint{endpoint(id, min(revision, 20))}, Revision: revision}
+		return directory.Relayed{Whole: rapid.Bool().Draw(rt, "whole"), Endpoints: []directory.Endpoint{endpoint(id, min(revision, 20))}, Revision: revision}
 	case 3:
 		return directory.Removed{ID: id, Revision: revision}
 	case 4:
--- a/internal/directory/event.go
+++ b/internal/directory/event.go
@@ -17,9 +17,12 @@
 	Revision  int64
 }
 
-// Relayed brings a peer's whole view of the endpoints, complete up to Revision.
+// Relayed brings what a peer believes beyond what was asked for: everything if
+// Whole, else what changed and what is gone, up to Revision.
 type Relayed struct {
+	Whole     bool
 	Endpoints []Endpoint
+	Gone      []Removed
 	Revision  int64
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -44,6 +44,13 @@
 const (
 	// watchWait is how long one watch waits; each ends as one priced call.
 	watchWait = 20 * time.Second
+	// gather is the pause between two watches: changes that come close together,
+	// as when a fleet starts, are told by one call. Changes must be in force
+	// within 2 s.
+	gather = 100 * time.Millisecond
+	// standBy is how often an instance that need not watch asks itself whether
+	// it should.
+	standBy = 200 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call. The store
 	// takes 2,000 reads a second from all instances together.
 	retryFirst = 100 * time.Millisecond
@@ -60,6 +67,10 @@
 	Now       func() clock.Millis
 	// Lost and Regained are told of each change of the store's reach.
 	Lost, Regained func()
+	// Watching says whether this instance is to follow the store itself; others
+	// hear from fellows. Told is called after news was taken from the store.
+	Watching func() bool
+	Told     func()
 	// Changed is told when the roster may have changed.
 	Changed func()
 
@@ -74,6 +85,15 @@
 	revision := int64(0)
 	pause := retryFirst
 	for ctx.Err() == nil {
+		if revision != 0 && !f.Watching() {
+			if f.takeAnew() {
+				revision = 0 // it fell behind and nobody told it
+				continue
+			}
+			wait(ctx, standBy)
+			revision = f.Directory.View().Revision
+			continue
+		}
 		news, err := f.next(ctx, revision)
 		switch {
 		case err != nil && f.takeAnew():
@@ -93,6 +113,8 @@
 		f.Take(news)
 		f.reached(news.Revision)
 		revision = max(revision, news.Revision)
+		f.Told()
+		wait(ctx, gather)
 	}
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -402,7 +402,9 @@
 // refuse tells the caller that the request did not run and when to come back.
 func (p *passage) refuse(reason string, after time.Duration) {
 	p.failure = reason
-	p.trail.Write(p.line(eventlog.Refused, reason, nil))
+	n := p.line(eventlog.Refused, reason, nil)
+	n.Status, n.Wait = http.StatusServiceUnavailable, after
+	p.trail.Write(n)
 	p.Scope.Counter("requests_refused").Inc(1)
 	p.Scope.Tagged(map[string]string{"reason": reason}).Counter("refusals").Inc(1)
 	p.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -1,10 +1,11 @@
 // Package freshness decides when an instance must ask whether what it knows is
-// still the newest. A watch on the store can fall silent while changes are made
-// and renewals of leases are answered, so silence proves nothing. In each zone
-// one instance asks the store for its revision and tells its fellows; the next
-// in rank does so when nothing was heard in time. An instance that is behind
-// the revision it heard of, and is not told by its watch within a moment,
-// fetches what it lacks. Decisions are pure.
+// still the newest. In each zone a few instances watch the store and tell the
+// others its revision and a digest of what they believe. A watch can fall
+// silent while changes are made and renewals of leases are answered, so silence
+// proves nothing: one instance of the zone also asks the store for its
+// revision, and the next in rank does so when nothing was heard in time. An
+// instance that is behind what it heard of fetches what it lacks; one that
+// watches first gives its own watch a moment. Decisions are pure.
 package freshness
 
 import (
@@ -44,16 +45,25 @@
 	behind  clock.Millis // since when the own knowledge is older; 0 if it is not
 	fetched clock.Millis // when it was last fetched
 	source  string
+	digest  uint64 // of the source's beliefs at newest; 0 if not told
 }
 
-// Heard takes a revision that the store has, told by the fellow called source,
-// or by the store itself if source is empty.
-func (f *Freshness) Heard(now clock.Millis, revision int64, source string) {
+// Known is what an instance has.
+type Known struct {
+	Revision int64 // up to which it knows everything
+	Digest   uint64
+	Rank     int  // its place in its zone, from 0
+	Watching bool // it watches the store itself
+}
+
+// Heard takes a revision that the store has, told by the fellow called source
+// with a digest of its beliefs, or by the store itself if source is empty.
+func (f *Freshness) Heard(now clock.Millis, revision int64, digest uint64, source string) {
 	f.heardAt = now
-	if revision <= f.newest {
+	if revision < f.newest || revision == f.newest && source == "" {
 		return
 	}
-	f.newest, f.source = revision, source
+	f.newest, f.digest, f.source = revision, digest, source
 }
 
 // Failed notes that the store did not answer the question for its revision.
@@ -62,17 +72,17 @@
 // Source is the fellow that knows more, for AskFellow.
 func (f *Freshness) Source() string { return f.source }
 
-// Next returns what must be done now. known is the revision up to which the
-// instance knows everything, rank its place in its zone from 0.
-func (f *Freshness) Next(now clock.Millis, known int64, rank int) Action {
-	if known >= f.newest {
+// Next returns what must be done now.
+func (f *Freshness) Next(now clock.Millis, k Known) Action {
+	differs := !k.Watching && f.source != "" && k.Revision == f.newest && f.digest != k.Digest
+	if k.Revision >= f.newest && !differs {
 		f.behind = 0
-		return f.check(now, rank)
+		return f.check(now, k.Rank)
 	}
 	if f.behind == 0 {
 		f.behind = now
 	}
-	if now.Sub(f.behind) < patience || now.Sub(f.fetched) < again {
+	if k.Watching && now.Sub(f.behind) < patience || now.Sub(f.fetched) < again {
 		return Nothing
 	}
 	f.fetched = now
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -28,9 +28,9 @@
 			known := int64(28) // the watch tells nothing newer
 			acted := clock.Millis(0)
 			for now := clock.Millis(10_000); now < 14_000 && acted == 0; now += 50 {
-				switch f.Next(now, known, test.rank) {
+				switch f.Next(now, freshness.Known{Revision: known, Rank: test.rank, Watching: true}) {
 				case freshness.AskStore:
-					f.Heard(now, 31, test.hint)
+					f.Heard(now, 31, 7, test.hint)
 				case test.want:
 					acted = now
 				case freshness.Nothing:
@@ -46,11 +46,11 @@
 func TestCaughtUpDoesNothingMore(t *testing.T) {
 	c := qt.New(t)
 	var f freshness.Freshness
-	f.Heard(1000, 31, "n1")
-	c.Assert(f.Next(1050, 30, 0), qt.Equals, freshness.Nothing)
-	c.Assert(f.Next(1100, 31, 0), qt.Equals, freshness.Nothing)
-	c.Assert(f.Next(1500, 31, 0), qt.Equals, freshness.Nothing)
-	c.Assert(f.Next(1750, 31, 0), qt.Equals, freshness.AskStore)
+	f.Heard(1000, 31, 7, "n1")
+	c.Assert(f.Next(1050, watching(30, 0)), qt.Equals, freshness.Nothing)
+	c.Assert(f.Next(1100, watching(31, 0)), qt.Equals, freshness.Nothing)
+	c.Assert(f.Next(1500, watching(31, 0)), qt.Equals, freshness.Nothing)
+	c.Assert(f.Next(1750, watching(31, 0)), qt.Equals, freshness.AskStore)
 }
 
 // Only the first in rank asks while it can be heard.
@@ -59,15 +59,43 @@
 	var first, second freshness.Freshness
 	asked := [2]int{}
 	for now := clock.Millis(10_000); now < 20_000; now += 50 {
-		if first.Next(now, 5, 0) == freshness.AskStore {
+		if first.Next(now, watching(5, 0)) == freshness.AskStore {
 			asked[0]++
-			first.Heard(now, 5, "")
-			second.Heard(now+1, 5, "first")
+			first.Heard(now, 5, 0, "")
+			second.Heard(now+1, 5, 0, "first")
 		}
-		if second.Next(now, 5, 1) == freshness.AskStore {
+		if second.Next(now, watching(5, 1)) == freshness.AskStore {
 			asked[1]++
 		}
 	}
 	c.Assert(asked[0] > 10, qt.IsTrue)
 	c.Assert(asked[1] <= 1, qt.IsTrue) // at its own start
 }
+
+func watching(revision int64, rank int) freshness.Known {
+	return freshness.Known{Revision: revision, Rank: rank, Watching: true}
+}
+
+// An instance that does not watch asks as soon as it hears of something new,
+// or of other beliefs at the same revision, as when a fellow gave up waiting
+// for an endpoint that the store no longer lists.
+func TestFollowers(t *testing.T) {
+	tests := []struct {
+		name  string
+		known freshness.Known
+		want  freshness.Action
+	}{
+		{"behind", freshness.Known{Revision: 30, Digest: 7}, freshness.AskFellow},
+		{"believes otherwise", freshness.Known{Revision: 31, Digest: 8}, freshness.AskFellow},
+		{"the same", freshness.Known{Revision: 31, Digest: 7}, freshness.Nothing},
+		{"newer", freshness.Known{Revision: 32, Digest: 8}, freshness.Nothing},
+		{"watches, believes otherwise", freshness.Known{Revision: 31, Digest: 8, Watching: true}, freshness.Nothing},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var f freshness.Freshness
+			f.Heard(1000, 31, 7, "n1")
+			qt.Assert(t, f.Next(1050, test.known), qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,9 @@
 	// joinTime is how long after its start an instance takes no role: by then
 	// it has heard everyone's announcements, which come every 400 ms.
 	joinTime = 1200 * time.Millisecond
+	// peerQueue is how many messages may wait for one fellow: a second's at the
+	// peak, in a zone of twenty instances.
+	peerQueue = 256
 	// sweepInterval is how often idle connections and old beliefs are looked at.
 	sweepInterval = 250 * time.Millisecond
 	// bodyPart of the memory limit may hold callers' bodies.
@@ -135,6 +138,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	g.transport.Queue(peerQueue)
 	g.self.Address = g.transport.Address()
 	g.broker = broker.New(broker.Options{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, Transport: g.transport, Roster: g.roster,
@@ -145,6 +149,9 @@
 		Name: s.Instance.Name, Transport: g.transport, Roster: g.roster, Directory: g.directory,
 		Zone: s.Instance.Zone, Now: g.now, Log: g.log, Scope: scope,
 		Tell: func(e directory.Event) { g.feed.Tell(e) },
+		Instances: func(seen []roster.Instance, left []string, whole bool, revision int64) {
+			g.feed.Take(feed.News{Instances: seen, GoneInstances: left, Complete: whole, Revision: revision})
+		},
 		Head: g.platform.Source.Head, List: func() { g.feed.List() },
 	}
 	return nil
@@ -154,6 +161,7 @@
 	g.feed = &feed.Feed{
 		Source: g.platform.Source, Directory: g.directory, Roster: g.roster, Log: g.log,
 		Scope: g.counters.Scope, Now: g.now,
+		Watching: g.relay.Watching, Told: g.relay.Told,
 		Lost: g.relay.Lost, Regained: g.relay.Regained, Changed: g.rosterChanged,
 	}
 	g.member = roster.NewMember(g.platform.Registry, g.self, g.log, g.feed.Heard)
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -47,6 +47,7 @@
 	quic    *quic.Transport
 	listen  *quic.Listener
 	scope   tally.Scope
+	queue   int // frames that may wait for one address
 	ctx     context.Context
 	stop    context.CancelFunc
 	group   sync.WaitGroup
@@ -79,7 +80,7 @@
 		return nil, Error.Wrap(err)
 	}
 	t := &Transport{
-		name: name, address: conn.LocalAddr().(*net.UDPAddr).AddrPort(), tls: certificates, scope: scope,
+		name: name, address: conn.LocalAddr().(*net.UDPAddr).AddrPort(), tls: certificates, scope: scope, queue: queueLength,
 		quic:  &quic.Transport{Conn: conn},
 		lanes: map[netip.AddrPort]*lane{}, asks: map[string]ask{},
 		subs: map[string]*subscription{},
@@ -104,6 +105,10 @@
 // Address returns the listening address.
 func (t *Transport) Address() netip.AddrPort { return t.address }
 
+// Queue sets how many frames may wait for one address. It is called before the
+// first message; a frame's place takes about 100 bytes also while it is empty.
+func (t *Transport) Queue(frames int) { t.queue = frames }
+
 // Cut loses every message to an address for which lost returns true, as a cut
 // network does. It is a seam for tests.
 func (t *Transport) Cut(lost func(netip.AddrPort) bool) { t.cut.Store(&lost) }
@@ -208,7 +213,7 @@
 	defer t.lanesMu.Unlock()
 	l, ok := t.lanes[to]
 	if !ok {
-		l = &lane{transport: t, to: to, queue: make(chan frame, queueLength)}
+		l = &lane{transport: t, to: to, queue: make(chan frame, t.queue)}
 		t.lanes[to] = l
 		t.group.Go(l.run)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -31,6 +31,14 @@
 const (
 	// tickEvery is how often it is decided what to do.
 	tickEvery = 50 * time.Millisecond
+	// watchers is how many instances of a zone watch the store. Each watch is
+	// answered once for each change, so that calls would grow with the square
+	// of the fleet if all watched.
+	watchers = 2
+	// routesMost is the largest configuration that fellows pass round. A larger
+	// one is read from the store, whose link carries more than a small
+	// instance's 10 Mbit/s, unless the store does not answer.
+	routesMost = 100
 	// pullEvery is how often a cut-off instance asks one fellow. Changes must be
 	// in force within 2 s, and some fellows may be cut off as well.
 	pullEvery = 250 * time.Millisecond
@@ -40,16 +48,23 @@
 
 // Question tells what the asker has.
 type Question struct {
-	Version  int64 `cbor:"1,keyasint"` // of the configuration
-	Revision int64 `cbor:"2,keyasint"` // of the view of endpoints
+	Version  int64  `cbor:"1,keyasint"` // of the configuration
+	Revision int64  `cbor:"2,keyasint"` // of the view of endpoints
+	Digest   uint64 `cbor:"3,keyasint"` // of that view
+	Cut      bool   `cbor:"4,keyasint"` // the store does not answer the asker
 }
 
 // Told is what the asker lacks.
 type Told struct {
 	Document  *route.Document      `cbor:"1,keyasint,omitempty"`
 	TableRev  int64                `cbor:"2,keyasint"`
-	Endpoints []directory.Endpoint `cbor:"3,keyasint,omitempty"` // all, if Revision is newer
-	Revision  int64                `cbor:"4,keyasint"`
+	Whole     bool                 `cbor:"3,keyasint"` // the lists hold all that the fellow believes
+	Endpoints []directory.Endpoint `cbor:"4,keyasint,omitempty"`
+	Gone      []directory.Removed  `cbor:"5,keyasint,omitempty"`
+	Instances []roster.Instance    `cbor:"6,keyasint,omitempty"`
+	Left      []string             `cbor:"7,keyasint,omitempty"` // names of instances that are gone
+	Revision  int64                `cbor:"8,keyasint"`
+	AskStore  bool                 `cbor:"9,keyasint,omitempty"` // the configuration is too large to pass round
 }
 
 // Relay asks and answers.
@@ -60,6 +75,9 @@
 	Directory *directory.Directory
 	Zone      string
 	Tell      func(directory.Event)
+	// Instances takes what a fellow knows of instances; whole says that it is
+	// all of them.
+	Instances func(seen []roster.Instance, left []string, whole bool, revision int64)
 	// Head asks the store for its revision; List has the feed read everything.
 	Head  func(context.Context) (int64, error)
 	List  func()
@@ -74,9 +92,10 @@
 	fresh freshness.Freshness
 }
 
-// Hint tells fellows a revision that the store has.
+// Hint tells fellows a revision that the store has and what the sender believes.
 type Hint struct {
-	Revision int64 `cbor:"1,keyasint"`
+	Revision int64  `cbor:"1,keyasint"`
+	Digest   uint64 `cbor:"2,keyasint"`
 }
 
 // Lost says that the store does not answer this instance.
@@ -93,7 +112,7 @@
 	peer.Handle(router, r.Transport, topicHint, func(from peer.Sender, h Hint) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.fresh.Heard(r.Now(), h.Revision, from.Name)
+		r.fresh.Heard(r.Now(), h.Revision, h.Digest, from.Name)
 	})
 }
 
@@ -102,15 +121,21 @@
 	t := Told{TableRev: v.TableRev, Revision: v.Revision}
 	if v.Table != nil && v.Table.Version > q.Version {
 		d := v.Table.Document()
-		t.Document = &d
-	}
-	if v.Revision > q.Revision {
-		for _, list := range v.Endpoints {
-			for _, e := range list {
-				t.Endpoints = append(t.Endpoints, *e)
-			}
+		t.AskStore = !q.Cut && len(d.Routes) > routesMost
+		if !t.AskStore {
+			t.Document = &d
 		}
 	}
+	since := q.Revision
+	switch {
+	case v.Revision == q.Revision && v.Digest != q.Digest:
+		since = 0 // nothing new, but other beliefs: all of them are told
+	case v.Revision <= q.Revision:
+		return t
+	}
+	news := r.Directory.Since(since)
+	t.Whole, t.Endpoints, t.Gone, t.Revision = news.Whole, news.Endpoints, news.Gone, news.Revision
+	t.Instances, t.Left = r.Roster.Since(since)
 	return t
 }
 
@@ -137,8 +162,11 @@
 		}
 		return
 	}
+	v, rank := r.Directory.View(), r.rank()
 	r.mu.Lock()
-	action := r.fresh.Next(now, r.Directory.View().Revision, r.rank())
+	action := r.fresh.Next(now, freshness.Known{
+		Revision: v.Revision, Digest: v.Digest, Rank: rank, Watching: rank < watchers,
+	})
 	source := r.fresh.Source()
 	r.mu.Unlock()
 	switch action {
@@ -169,18 +197,31 @@
 	if err != nil {
 		r.fresh.Failed(r.Now())
 	} else {
-		r.fresh.Heard(r.Now(), revision, "")
+		r.fresh.Heard(r.Now(), revision, 0, "")
 	}
 	r.mu.Unlock()
 	if err != nil {
 		r.Scope.Counter("relay_check_failed").Inc(1)
+		r.pull(ctx, "") // fellows may know more while the store does not answer
 		return
 	}
+	r.hint(revision)
+}
+
+// Watching says whether this instance is one of those of its zone that watch
+// the store.
+func (r *Relay) Watching() bool { return r.rank() < watchers }
+
+// Told passes on that there is news from the store.
+func (r *Relay) Told() { r.hint(r.Directory.View().Revision) }
+
+func (r *Relay) hint(revision int64) {
+	h := Hint{Revision: revision, Digest: r.Directory.View().Digest}
 	for _, f := range r.Roster.Ranked(r.Zone, "check") {
 		if f.Name == r.Name {
 			continue
 		}
-		if err := peer.Send(r.Transport, f.Address, topicHint, Hint{Revision: revision}); err != nil {
+		if err := peer.Send(r.Transport, f.Address, topicHint, h); err != nil {
 			r.Scope.Counter("relay_hint_failed").Inc(1)
 		}
 	}
@@ -195,7 +236,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pullWait)
 	defer cancel()
 	v := r.Directory.View()
-	q := Question{Revision: v.Revision}
+	q := Question{Revision: v.Revision, Digest: v.Digest, Cut: r.lost.Load()}
 	if v.Table != nil {
 		q.Version = v.Table.Version
 	}
@@ -216,9 +257,18 @@
 			r.Tell(directory.Configured{Table: table, Revision: t.TableRev})
 		}
 	}
-	if t.Revision > q.Revision {
-		r.Tell(directory.Relayed{Endpoints: t.Endpoints, Revision: t.Revision})
-		r.Log.Write(eventlog.Line{Event: eventlog.PeerTold, Address: fellow.Address.String(), Revision: t.Revision})
+	if t.AskStore {
+		r.List()
+		return
+	}
+	if t.Revision < q.Revision || t.Revision == q.Revision && !t.Whole {
+		return
+	}
+	r.Tell(directory.Relayed{Whole: t.Whole, Endpoints: t.Endpoints, Gone: t.Gone, Revision: t.Revision})
+	r.Instances(t.Instances, t.Left, t.Whole, t.Revision)
+	r.Log.Write(eventlog.Line{Event: eventlog.PeerTold, Address: fellow.Address.String(), Revision: t.Revision})
+	if t.Revision > q.Revision && fellow.Zone != r.Zone {
+		r.hint(t.Revision) // the own zone may have no other way to learn
 	}
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -31,12 +31,13 @@
 	mu        sync.RWMutex
 	instances map[string]Instance
 	known     map[string]string // fingerprint: name; of all instances ever seen
+	gone      map[string]int64  // name: revision of its removal
 	most      int
 }
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{instances: map[string]Instance{}, known: map[string]string{}}
+	return &Roster{instances: map[string]Instance{}, known: map[string]string{}, gone: map[string]int64{}}
 }
 
 // See takes an instance's entry and says whether it is news.
@@ -64,9 +65,28 @@
 		return false
 	}
 	delete(r.instances, name)
+	r.gone[name] = revision
 	return true
 }
 
+// Since returns the instances seen, and the names of those gone, after a
+// revision.
+func (r *Roster) Since(revision int64) (seen []Instance, gone []string) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, i := range r.instances {
+		if i.Revision > revision {
+			seen = append(seen, i)
+		}
+	}
+	for name, at := range r.gone {
+		if _, back := r.instances[name]; at > revision && !back {
+			gone = append(gone, name)
+		}
+	}
+	return seen, gone
+}
+
 // Missing returns the known instances that a complete listing lacks.
 func (r *Roster) Missing(all []Instance) []string {
 	present := map[string]bool{}
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -150,7 +150,7 @@
 		eventlog.Resumed:         fmt.Sprintf("the stream goes on elsewhere because of %s", e.Reason),
 		eventlog.BudgetSpent:     "may not be sent again: the retry budget is spent",
 		eventlog.Answered:        fmt.Sprintf("answered with status %d after %d ms, %s", e.Status, e.Took, strings.ReplaceAll(e.Outcome, "_", " ")),
-		eventlog.Refused:         fmt.Sprintf("refused after %d ms, not run: %s", e.Took, e.Reason),
+		eventlog.Refused:         fmt.Sprintf("refused with status %d after %d ms, not run: %s; told to come back after %d ms", e.Status, e.Took, e.Reason, e.Wait),
 		eventlog.GaveUp:          fmt.Sprintf("given up with status %d after %d ms, may have run: %s", e.Status, e.Took, e.Reason),
 		eventlog.Broken:          fmt.Sprintf("the answer was broken off after %d ms: %s", e.Took, e.Reason),
 		eventlog.Cancelled:       fmt.Sprintf("the caller left after %d ms", e.Took),
