balance: probe silent endpoints by one request at a time

Change: such endpoints are tried by one request in 400 ms, the others are refused at once. Ruled out: shorter dials, as a busy endpoint that dropped the opening packet would count as silent.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -28,6 +28,10 @@
 	// ejectRate is the failure rate at which an endpoint is ejected. Some
 	// kinds fail by themselves (one in seven); four failures of five reach it.
 	ejectRate = 0.45
+	// probePause is the least time between two requests to an endpoint that
+	// could not be reached, while it is ejected: a silent address costs each of
+	// them the whole time-out of a dial, and then a refusal that comes late.
+	probePause = 400 * time.Millisecond
 	// startWork is the assumed work of one request before any was measured.
 	startWork = 60.0 // ms
 )
@@ -74,6 +78,7 @@
 	row      int     // ejections in a row
 	ejected  clock.Millis
 	usedAt   clock.Millis
+	silent   bool // it could not be reached the last time
 }
 
 // New returns a balancer for an instance of zone.
@@ -106,6 +111,9 @@
 			continue
 		}
 		s := b.state(e.ID)
+		if s.silent && now < s.ejected && now.Sub(s.usedAt) < probePause {
+			continue // one request at a time finds out whether it is back
+		}
 		score, out := b.score(now, e, s, a), now < s.ejected
 		if best == nil || bestEjected && !out || bestEjected == out && score < bestScore {
 			best, bestScore, bestEjected = e, score, out
@@ -218,6 +226,7 @@
 	s.running--
 	switch result {
 	case Good:
+		s.silent = false
 		s.failures *= 1 - failureWeight
 		s.work += (float64(now.Sub(r.began).Milliseconds()) - s.work) * failureWeight
 		s.row = 0
@@ -227,8 +236,11 @@
 			return s.eject(now)
 		}
 	case Unreachable:
+		s.silent = true
 		return s.eject(now)
-	case Rejected, Abandoned:
+	case Rejected:
+		s.silent = false
+	case Abandoned:
 	}
 	return 0
 }
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -90,6 +90,22 @@
 	}
 }
 
+// Where no endpoint can be reached, one request at a time finds out; the others
+// are refused at once instead of waiting for a dial (incident inc-1404).
+func TestSilentEndpointsAreProbed(t *testing.T) {
+	c := qt.New(t)
+	b := balance.New("a")
+	only := view(directory.Endpoint{ID: "e1", Zone: "a", Slots: 2})
+	ask := balance.Ask{Service: "web", Stage: directory.Decode}
+	b.Reserve(1000, only, ask).Done(1250, balance.Unreachable)
+	c.Assert(b.Reserve(1300, only, ask), qt.IsNil)
+	probe := b.Reserve(1450, only, ask)
+	c.Assert(probe, qt.IsNotNil)
+	c.Assert(b.Reserve(1451, only, ask), qt.IsNil)
+	probe.Done(1460, balance.Good)
+	c.Assert(b.Reserve(1461, only, ask), qt.IsNotNil)
+}
+
 func repeat(r balance.Result, n int) []balance.Result {
 	var list []balance.Result
 	for range n {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -127,6 +127,9 @@
 	comeBackStarting = 300 * time.Millisecond
 	// comeBackElsewhere: a new connection leads to another instance at once.
 	comeBackElsewhere = 20 * time.Millisecond
+	// comeBackUnreachable: an endpoint that cannot be reached is tried again
+	// after a second at the most.
+	comeBackUnreachable = 500 * time.Millisecond
 	// comeBackBusy: about one request's time at an endpoint.
 	comeBackBusy = 200 * time.Millisecond
 )
@@ -344,6 +347,7 @@
 	r := p.Balancer.Reserve(p.Now(), p.view, balance.Ask{Service: p.service, Exclude: p.tried, Stage: directory.Decode})
 	if r == nil {
 		p.because("no_endpoint")
+		p.comeBack = comeBackUnreachable
 		return hopeless
 	}
 	if !p.afford() {
