--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -266,8 +266,11 @@
 	}
 	r.Tell(directory.Relayed{Whole: t.Whole, Endpoints: t.Endpoints, Gone: t.Gone, Revision: t.Revision})
 	r.Instances(t.Instances, t.Left, t.Whole, t.Revision)
+	if t.Revision == q.Revision {
+		return // other beliefs at the same revision; what they changed has lines of its own
+	}
 	r.Log.Write(eventlog.Line{Event: eventlog.PeerTold, Address: fellow.Address.String(), Revision: t.Revision})
-	if t.Revision > q.Revision && fellow.Zone != r.Zone {
+	if fellow.Zone != r.Zone {
 		r.hint(t.Revision) // the own zone may have no other way to learn
 	}
 }
