--- /dev/null
+++ b/internal/broker/announce.go
@@ -0,0 +1,63 @@
+package broker
+
+import (
+	"github.com/trailshed/trailshed/internal/placement"
+	"github.com/trailshed/trailshed/internal/roster"
+)
+
+// announce tells each zone's planner what this instance holds there.
+func (b *Broker) announce() {
+	for _, zone := range b.zones() {
+		a := b.announcement(zone)
+		if !b.usedLately(zone) && len(a.Holds) == 0 {
+			continue
+		}
+		for _, i := range b.hearers(zone) {
+			if i.Name == b.Name {
+				b.apply(a)
+			} else {
+				b.send(i.Address, topicAnnounce, a)
+			}
+		}
+	}
+}
+
+// hearers are the planner of a zone, the next ones, and those that will be once
+// they have taken up their work.
+func (b *Broker) hearers(zone string) []roster.Instance {
+	var list []roster.Instance
+	for _, i := range b.Roster.Ranked(zone, "planner") {
+		if !b.isDown(i.Name) {
+			list = append(list, i)
+		}
+	}
+	kept := list[:min(len(list), backups)]
+	for _, i := range list[len(kept):] {
+		if i.Joining {
+			kept = append(kept, i)
+		}
+	}
+	return kept
+}
+
+func (b *Broker) usedLately(zone string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at, ok := b.used[zone]
+	return ok && b.Now().Sub(at) < zoneMemory
+}
+
+func (b *Broker) announcement(zone string) placement.Announce {
+	a := placement.Announce{Owner: b.Name, Zone: zone}
+	now := b.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.holds {
+		if p.Zone == zone {
+			a.Holds = append(a.Holds, placement.Hold{
+				ID: p.ID, Decode: p.Decode, Prompt: p.ask.Prompt, Output: p.ask.Output, Running: now.Sub(p.granted),
+			})
+		}
+	}
+	return a
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -89,12 +89,6 @@
 	used    map[string]clock.Millis // by zone
 }
 
-// silence is how long a planner that does not answer is left alone.
-type silence struct {
-	until clock.Millis
-	last  time.Duration
-}
-
 // Place is what a request holds until Release.
 type Place struct {
 	placement.Grant
@@ -134,14 +128,6 @@
 	group.Wait()
 }
 
-// tick lets time pass in the own planner; it is busy while requests wait.
-func (b *Broker) tick() (busy bool) {
-	b.apply(placement.Tick{})
-	b.plannerMu.Lock()
-	defer b.plannerMu.Unlock()
-	return b.planner.Queued() > 0
-}
-
 // zones returns the own zone and those where others are known.
 func (b *Broker) zones() []string {
 	list := []string{b.Zone}
@@ -210,37 +196,6 @@
 	return v, true
 }
 
-// wait waits for the verdict on a queued ask.
-func (b *Broker) wait(ctx context.Context, waiting chan placement.Verdict, a placement.Ask) placement.Verdict {
-	timer := time.NewTimer(a.Budget + verdictSlack)
-	defer timer.Stop()
-	select {
-	case v := <-waiting:
-		return v
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-	return placement.Verdict{}
-}
-
-// conclude turns a verdict into a place or a refusal.
-func (b *Broker) conclude(i roster.Instance, zone string, a placement.Ask, v placement.Verdict) (*Place, *placement.Refusal) {
-	switch {
-	case v.Grant != nil:
-		p := &Place{Grant: *v.Grant, Zone: zone, ask: a, planner: i, granted: b.Now()}
-		b.mu.Lock()
-		b.holds[a.ID] = p
-		b.used[zone] = b.Now()
-		b.mu.Unlock()
-		return p, nil
-	case v.Refusal != nil:
-		return nil, v.Refusal
-	default: // no verdict came
-		b.tell(i, placement.Release{ID: a.ID, Owner: b.Name})
-		return nil, &placement.Refusal{ID: a.ID, Reason: placement.ReasonMoved, After: downFor}
-	}
-}
-
 // Release gives a place back. full names an engine that turned the request
 // away, failed one that failed; both may be empty.
 func (b *Broker) Release(p *Place, full, failed string) {
@@ -267,24 +222,6 @@
 	b.send(p.planner.Address, topicProgress, m)
 }
 
-// Close tells the planners of a zone that an engine takes nothing until its
-// stage has changed.
-func (b *Broker) Close(zone, engine string) {
-	for _, i := range b.hearers(zone) {
-		if i.Name == b.Name {
-			b.apply(placement.Closed{Engine: engine})
-		} else {
-			b.send(i.Address, topicClosed, placement.Closed{Engine: engine})
-		}
-	}
-}
-
-// Plans says whether this instance is the first planner of its zone.
-func (b *Broker) Plans() bool {
-	ranked := b.Roster.Ranked(b.Zone, "planner")
-	return len(ranked) > 0 && ranked[0].Name == b.Name
-}
-
 func (b *Broker) tell(i roster.Instance, r placement.Release) {
 	if i.Name == b.Name {
 		b.apply(r)
@@ -293,180 +230,6 @@
 	b.send(i.Address, topicRelease, r)
 }
 
-// decide asks the own planner and returns its first word. Whatever else the ask
-// brings about is passed on.
-func (b *Broker) decide(a placement.Ask) placement.Verdict {
-	b.Saw(a)
-	first := placement.Verdict{Queued: true} // if it is asked again while it waits
-	found := false
-	for _, answer := range b.step(a) {
-		if answer.ID == a.ID && !found {
-			first, found = answer.Verdict, true
-			continue
-		}
-		b.pass(answer)
-	}
-	return first
-}
-
-// apply feeds the own planner and passes its words on.
-func (b *Broker) apply(e placement.Event) {
-	for _, answer := range b.step(e) {
-		b.pass(answer)
-	}
-}
-
-func (b *Broker) step(e placement.Event) []placement.Answer {
-	b.plannerMu.Lock()
-	defer b.plannerMu.Unlock()
-	now := b.Now()
-	var answers []placement.Answer
-	if v := b.Directory.View(); v != b.view {
-		b.view = v
-		answers = b.planner.Apply(now, placement.Known{View: v})
-	}
-	answers = append(answers, b.planner.Apply(now, e)...)
-	b.Scope.Gauge("placement_queue").Update(float64(b.planner.Queued()))
-	if b.planner.Queued() > 0 {
-		b.ticker.Wake()
-	}
-	return answers
-}
-
-func (b *Broker) pass(a placement.Answer) {
-	if a.Owner == b.Name {
-		b.deliver(a.Verdict)
-		return
-	}
-	for _, i := range b.Roster.All() {
-		if i.Name == a.Owner {
-			b.send(i.Address, topicVerdict, a.Verdict)
-		}
-	}
-}
-
-func (b *Broker) await(id string) chan placement.Verdict {
-	waiting := make(chan placement.Verdict, 1)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.pending[id] = waiting
-	return waiting
-}
-
-func (b *Broker) forget(id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	delete(b.pending, id)
-}
-
-func (b *Broker) deliver(v placement.Verdict) {
-	id := ""
-	switch {
-	case v.Grant != nil:
-		id = v.Grant.ID
-	case v.Refusal != nil:
-		id = v.Refusal.ID
-	}
-	b.mu.Lock()
-	waiting := b.pending[id]
-	b.mu.Unlock()
-	if waiting == nil {
-		b.Scope.Counter("placement_late_verdicts").Inc(1)
-		return // the announcements free what it gave
-	}
-	select {
-	case waiting <- v:
-	default:
-	}
-}
-
-func (b *Broker) isDown(name string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.Now() < b.down[name].until
-}
-
-func (b *Broker) heard(name string) {
-	b.mu.Lock()
-	before, was := b.down[name]
-	delete(b.down, name)
-	b.mu.Unlock()
-	if was {
-		b.Log.Write(eventlog.Line{Event: eventlog.PeerRegained, Detail: name, Age: before.last})
-	}
-}
-
-func (b *Broker) silent(i roster.Instance) {
-	b.mu.Lock()
-	before := b.down[i.Name]
-	if b.Now() < before.until {
-		b.mu.Unlock()
-		return // another request found out at the same time
-	}
-	length := min(max(2*before.last, downFor), downMost)
-	b.down[i.Name] = silence{until: b.Now().Add(length), last: length}
-	b.mu.Unlock()
-	b.Scope.Counter("planner_silent").Inc(1)
-	b.Log.Write(eventlog.Line{Event: eventlog.PeerLost, Address: i.Address.String(), Reason: "planner_silent", Detail: i.Name})
-}
-
-// announce tells each zone's planner what this instance holds there.
-func (b *Broker) announce() {
-	for _, zone := range b.zones() {
-		a := b.announcement(zone)
-		if !b.usedLately(zone) && len(a.Holds) == 0 {
-			continue
-		}
-		for _, i := range b.hearers(zone) {
-			if i.Name == b.Name {
-				b.apply(a)
-			} else {
-				b.send(i.Address, topicAnnounce, a)
-			}
-		}
-	}
-}
-
-// hearers are the planner of a zone, the next ones, and those that will be once
-// they have taken up their work.
-func (b *Broker) hearers(zone string) []roster.Instance {
-	var list []roster.Instance
-	for _, i := range b.Roster.Ranked(zone, "planner") {
-		if !b.isDown(i.Name) {
-			list = append(list, i)
-		}
-	}
-	kept := list[:min(len(list), backups)]
-	for _, i := range list[len(kept):] {
-		if i.Joining {
-			kept = append(kept, i)
-		}
-	}
-	return kept
-}
-
-func (b *Broker) usedLately(zone string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	at, ok := b.used[zone]
-	return ok && b.Now().Sub(at) < zoneMemory
-}
-
-func (b *Broker) announcement(zone string) placement.Announce {
-	a := placement.Announce{Owner: b.Name, Zone: zone}
-	now := b.Now()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, p := range b.holds {
-		if p.Zone == zone {
-			a.Holds = append(a.Holds, placement.Hold{
-				ID: p.ID, Decode: p.Decode, Prompt: p.ask.Prompt, Output: p.ask.Output, Running: now.Sub(p.granted),
-			})
-		}
-	}
-	return a
-}
-
 func (b *Broker) send(to netip.AddrPort, topic string, v any) {
 	if err := peer.Send(b.Transport, to, topic, v); err != nil {
 		b.Scope.Counter("broker_send_failed").Inc(1)
--- /dev/null
+++ b/internal/broker/planner.go
@@ -0,0 +1,83 @@
+package broker
+
+import (
+	"github.com/trailshed/trailshed/internal/placement"
+)
+
+// tick lets time pass in the own planner; it is busy while requests wait.
+func (b *Broker) tick() (busy bool) {
+	b.apply(placement.Tick{})
+	b.plannerMu.Lock()
+	defer b.plannerMu.Unlock()
+	return b.planner.Queued() > 0
+}
+
+// Close tells the planners of a zone that an engine takes nothing until its
+// stage has changed.
+func (b *Broker) Close(zone, engine string) {
+	for _, i := range b.hearers(zone) {
+		if i.Name == b.Name {
+			b.apply(placement.Closed{Engine: engine})
+		} else {
+			b.send(i.Address, topicClosed, placement.Closed{Engine: engine})
+		}
+	}
+}
+
+// Plans says whether this instance is the first planner of its zone.
+func (b *Broker) Plans() bool {
+	ranked := b.Roster.Ranked(b.Zone, "planner")
+	return len(ranked) > 0 && ranked[0].Name == b.Name
+}
+
+// decide asks the own planner and returns its first word. Whatever else the ask
+// brings about is passed on.
+func (b *Broker) decide(a placement.Ask) placement.Verdict {
+	b.Saw(a)
+	first := placement.Verdict{Queued: true} // if it is asked again while it waits
+	found := false
+	for _, answer := range b.step(a) {
+		if answer.ID == a.ID && !found {
+			first, found = answer.Verdict, true
+			continue
+		}
+		b.pass(answer)
+	}
+	return first
+}
+
+// apply feeds the own planner and passes its words on.
+func (b *Broker) apply(e placement.Event) {
+	for _, answer := range b.step(e) {
+		b.pass(answer)
+	}
+}
+
+func (b *Broker) step(e placement.Event) []placement.Answer {
+	b.plannerMu.Lock()
+	defer b.plannerMu.Unlock()
+	now := b.Now()
+	var answers []placement.Answer
+	if v := b.Directory.View(); v != b.view {
+		b.view = v
+		answers = b.planner.Apply(now, placement.Known{View: v})
+	}
+	answers = append(answers, b.planner.Apply(now, e)...)
+	b.Scope.Gauge("placement_queue").Update(float64(b.planner.Queued()))
+	if b.planner.Queued() > 0 {
+		b.ticker.Wake()
+	}
+	return answers
+}
+
+func (b *Broker) pass(a placement.Answer) {
+	if a.Owner == b.Name {
+		b.deliver(a.Verdict)
+		return
+	}
+	for _, i := range b.Roster.All() {
+		if i.Name == a.Owner {
+			b.send(i.Address, topicVerdict, a.Verdict)
+		}
+	}
+}
--- /dev/null
+++ b/internal/broker/verdict.go
@@ -0,0 +1,75 @@
+package broker
+
+import (
+	"context"
+	"time"
+
+	"github.com/trailshed/trailshed/internal/placement"
+	"github.com/trailshed/trailshed/internal/roster"
+)
+
+// wait waits for the verdict on a queued ask.
+func (b *Broker) wait(ctx context.Context, waiting chan placement.Verdict, a placement.Ask) placement.Verdict {
+	timer := time.NewTimer(a.Budget + verdictSlack)
+	defer timer.Stop()
+	select {
+	case v := <-waiting:
+		return v
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return placement.Verdict{}
+}
+
+// conclude turns a verdict into a place or a refusal.
+func (b *Broker) conclude(i roster.Instance, zone string, a placement.Ask, v placement.Verdict) (*Place, *placement.Refusal) {
+	switch {
+	case v.Grant != nil:
+		p := &Place{Grant: *v.Grant, Zone: zone, ask: a, planner: i, granted: b.Now()}
+		b.mu.Lock()
+		b.holds[a.ID] = p
+		b.used[zone] = b.Now()
+		b.mu.Unlock()
+		return p, nil
+	case v.Refusal != nil:
+		return nil, v.Refusal
+	default: // no verdict came
+		b.tell(i, placement.Release{ID: a.ID, Owner: b.Name})
+		return nil, &placement.Refusal{ID: a.ID, Reason: placement.ReasonMoved, After: downFor}
+	}
+}
+
+func (b *Broker) await(id string) chan placement.Verdict {
+	waiting := make(chan placement.Verdict, 1)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pending[id] = waiting
+	return waiting
+}
+
+func (b *Broker) forget(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.pending, id)
+}
+
+func (b *Broker) deliver(v placement.Verdict) {
+	id := ""
+	switch {
+	case v.Grant != nil:
+		id = v.Grant.ID
+	case v.Refusal != nil:
+		id = v.Refusal.ID
+	}
+	b.mu.Lock()
+	waiting := b.pending[id]
+	b.mu.Unlock()
+	if waiting == nil {
+		b.Scope.Counter("placement_late_verdicts").Inc(1)
+		return // the announcements free what it gave
+	}
+	select {
+	case waiting <- v:
+	default:
+	}
+}
--- a/internal/eventlog/log_test.go
+++ b/internal/eventlog/log_test.go
@@ -34,7 +34,7 @@
 // Every event of the list is written somewhere, and explained to operators.
 func TestEveryEventIsWrittenAndExplained(t *testing.T) {
 	var code strings.Builder
-	err := filepath.WalkDir("..", func(path string, d os.DirEntry, err error) error {
+	err := filepath.WalkDir("..", func(path string, _ os.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || strings.Contains(path, "story") {
 			return err
 		}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -14,6 +14,7 @@
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/roster"
+	"github.com/trailshed/trailshed/internal/ticker"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -90,7 +91,7 @@
 				revision = 0 // it fell behind and nobody told it
 				continue
 			}
-			wait(ctx, standBy)
+			ticker.Sleep(ctx, standBy)
 			revision = f.Directory.View().Revision
 			continue
 		}
@@ -105,7 +106,7 @@
 			continue
 		case err != nil:
 			f.failed(err)
-			wait(ctx, pause)
+			ticker.Sleep(ctx, pause)
 			pause = min(2*pause, retryMost)
 			continue
 		}
@@ -114,7 +115,7 @@
 		f.reached(news.Revision)
 		revision = max(revision, news.Revision)
 		f.Told()
-		wait(ctx, gather)
+		ticker.Sleep(ctx, gather)
 	}
 }
 
@@ -240,10 +241,3 @@
 	f.lost = lost
 	return before
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- /dev/null
+++ b/internal/forward/passage.go
@@ -0,0 +1,196 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/trailshed/trailshed/internal/balance"
+	"github.com/trailshed/trailshed/internal/broker"
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/route"
+	"github.com/trailshed/trailshed/internal/uplink"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// passage is one request on its way.
+type passage struct {
+	*Forwarder
+	w       http.ResponseWriter
+	arrived clock.Millis
+	trail   *eventlog.Trail
+	inTime  bool // it was answered well, within its target
+	view    *directory.View
+	call    Call
+	// returning says that the caller has probably been refused before.
+	returning bool
+	route     *route.Route
+	service   string
+	limit     clock.Millis // the request's end: the caller's wait or the route's time-out
+	message   uplink.Message
+
+	sends      int           // messages that may have reached an endpoint
+	runs       int           // sends that may have run
+	tried      []string      // endpoints that failed this request
+	failure    string        // reason of the last failure
+	comeBack   time.Duration // what a refused caller is told
+	spare      *spare        // an endpoint's own failing answer, kept in case no better one comes
+	headSent   bool
+	firstEvent time.Duration // from arrival to the first event; 0 before
+	last       string        // id of the last event passed on
+	prefill    prefill
+	asks       int           // for places
+	place      *broker.Place // at engines, of the send in progress
+	full       string        // engine that turned the request away at this place
+	failed     string        // engine that failed at this place
+}
+
+// admit checks the request and reads its body. It answers what it refuses.
+func (p *passage) admit(r *http.Request) bool {
+	if p.view.Table == nil {
+		p.refuse("no_configuration", comeBackStarting)
+		return false
+	}
+	call, err := p.Dialect.Decode(r)
+	if err != nil {
+		p.reject(http.StatusBadRequest, "malformed", err)
+		return false
+	}
+	p.call, p.last = call, call.LastEvent
+	match, ok := p.view.Table.Match(r.Host, r.URL.EscapedPath())
+	if !ok {
+		p.reject(http.StatusNotFound, "no_route", Error.New("no route for host %q and path %q", r.Host, r.URL.Path))
+		return false
+	}
+	p.route, p.service = match, match.Service(call.ID)
+	p.limit = p.arrived.Add(match.Timeout)
+	if call.Wait > 0 {
+		p.limit = min(p.limit, p.arrived.Add(call.Wait))
+		p.returning = p.cameBack(match.Name, call.Wait)
+	}
+	p.message = uplink.Message{Method: r.Method, Target: r.RequestURI, Host: r.Host}
+	if !p.readBody(r) {
+		return false
+	}
+	if p.noStreams.Load() && p.route.Kind == route.Streaming {
+		p.refuse("stopping", comeBackElsewhere)
+		return false
+	}
+	p.budget(p.service).Request(p.arrived)
+	return true
+}
+
+// cameBack guesses whether a caller has asked before: it has less time left than
+// callers of its route begin with.
+func (f *Forwarder) cameBack(route string, wait time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.waits[route] = max(f.waits[route], wait)
+	return wait < f.waits[route]*returningPart/100
+}
+
+// returningPart of the usual time, in percent, is left to a caller that comes
+// back; it follows a refusal by a hundred ms at least.
+const returningPart = 99
+
+// run sends the request until it is answered or given up.
+func (p *passage) run(ctx context.Context) {
+	size := int64(len(p.message.Body))
+	p.bodies.Add(size)
+	defer p.bodies.Add(-size)
+	ctx, cancel := context.WithTimeout(ctx, p.left()+finalGrace)
+	defer cancel()
+	defer p.freeHandle()
+	for {
+		if ctx.Err() != nil {
+			p.ended(ctx)
+			return
+		}
+		if !p.mayBeSent() {
+			p.giveUp()
+			return
+		}
+		next := p.plainStep
+		if p.engine() {
+			next = p.engineStep
+		}
+		switch next(ctx) {
+		case answered:
+			return
+		case hopeless:
+			p.giveUp()
+			return
+		case again:
+		}
+	}
+}
+
+// progress is what one step of a request came to.
+type progress int
+
+// finalGrace is how long an endpoint may take to say itself that the time is
+// over, before we say so. The operators' bound is 500 ms past the time-out.
+const finalGrace = 120 * time.Millisecond
+
+// mayBeSent says whether the request may be sent (again).
+func (p *passage) mayBeSent() bool {
+	if p.runs > 0 && (!p.route.Repeatable() || p.runs >= p.route.Attempts) {
+		return false
+	}
+	if p.left() < leastLeft {
+		p.failure = "no_time_left"
+		return false
+	}
+	return true
+}
+
+// engine says whether the request's service is one of model engines.
+func (p *passage) engine() bool {
+	s := p.view.Table.Service(p.service)
+	return s != nil && s.Engine != nil
+}
+
+// afford takes a further send from the retry budget.
+func (p *passage) afford() bool {
+	if p.sends == 0 || p.budget(p.service).Take(p.Now()) {
+		return true
+	}
+	p.trail.Write(p.line(eventlog.BudgetSpent, p.failure, nil))
+	p.Scope.Counter("budget_spent").Inc(1)
+	p.failure = "budget_spent"
+	return false
+}
+
+// plainStep sends the request to an endpoint of a plain service.
+func (p *passage) plainStep(ctx context.Context) progress {
+	p.view = p.Directory.View()
+	r := p.Balancer.Reserve(p.Now(), p.view, balance.Ask{Service: p.service, Exclude: p.tried, Stage: directory.Decode})
+	if r == nil {
+		p.because("no_endpoint")
+		p.comeBack = comeBackUnreachable
+		return hopeless
+	}
+	if !p.afford() {
+		r.Done(p.Now(), balance.Abandoned)
+		return hopeless
+	}
+	if p.attempt(ctx, r) {
+		return answered
+	}
+	return again
+}
+
+// because notes why the request cannot be served, unless an endpoint's failure
+// says more.
+func (p *passage) because(reason string) {
+	if p.failure == "" {
+		p.failure = reason
+	}
+}
+
+// leastLeft is the time below which a send is pointless.
+const leastLeft = 30 * time.Millisecond
+
+// left is the time until the request's limit.
+func (p *passage) left() time.Duration { return p.limit.Sub(p.Now()) }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -15,6 +15,7 @@
 
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/ticker"
 )
 
 const (
@@ -137,19 +138,12 @@
 }
 
 func (g *Gateway) sweep(ctx context.Context) {
-	tick := time.NewTicker(sweepInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			g.pool.Sweep()
-			g.feed.Tell(directory.Tick{})
-			g.balancer.Forget(g.directory.View())
-			g.measure()
-		}
-	}
+	ticker.Every(ctx, sweepInterval, func() {
+		g.pool.Sweep()
+		g.feed.Tell(directory.Tick{})
+		g.balancer.Forget(g.directory.View())
+		g.measure()
+	})
 }
 
 // measure updates what is read off rather than counted.
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/ticker"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -77,10 +78,7 @@
 		} else if !l.Candidate() || !l.acquire(ctx) {
 			pause = askIdle
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		ticker.Sleep(ctx, pause)
 	}
 }
 
--- /dev/null
+++ b/internal/placement/grant.go
@@ -0,0 +1,195 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+func (p *Planner) ask(now clock.Millis, a Ask) {
+	if p.places[a.ID] != nil {
+		return
+	}
+	if p.over[a.ID] != 0 {
+		p.refuse(a, ReasonMoved, comeBackLeast)
+		return
+	}
+	p.owners[a.Owner] = now
+	reason := p.place(now, a)
+	if reason == "" {
+		return
+	}
+	wait, possible := p.predict(now, a)
+	if !possible || reason == ReasonNoPrefill {
+		p.refuse(a, reason, comeBackLeast)
+		return
+	}
+	wait *= time.Duration(len(p.queue) + 1)
+	patience := a.Budget - prefillTime(a.Prompt) - firstStep
+	if !a.Patient || wait > patience {
+		p.refuse(a, reason, wait)
+		return
+	}
+	if !a.Late {
+		patience = min(patience, a.Budget/refusePart)
+	}
+	p.queue = append(p.queue, waiting{ask: a, until: now.Add(patience)})
+	p.effects = append(p.effects, Answer{ID: a.ID, Owner: a.Owner, Verdict: Verdict{Queued: true}})
+}
+
+// decoder returns the decode engine with the most room.
+func (p *Planner) decoder(now clock.Millis, a Ask) (*engine, string) {
+	need := a.Prompt + expected(a.Output)
+	var best *engine
+	least := 0.0
+	list := p.open(now, a, func(s directory.Stage) bool { return s != directory.Prefill })
+	for _, e := range list {
+		used := e.used(now)
+		if used+need > e.capacity && used > 0 || len(e.places) >= e.slots {
+			continue
+		}
+		share := float64(used) / float64(max(e.capacity, 1))
+		if best == nil || share < least {
+			best, least = e, share
+		}
+	}
+	switch {
+	case best != nil:
+		return best, ""
+	case len(list) == 0 && !p.known(a, directory.Decode):
+		return nil, ReasonNoEndpoint
+	default:
+		return nil, ReasonFull
+	}
+}
+
+// reader returns the prefill engine that is free the soonest, if that is soon
+// enough.
+func (p *Planner) reader(now clock.Millis, a Ask) (*engine, string) {
+	var best *engine
+	for _, e := range p.open(now, a, func(s directory.Stage) bool { return s == directory.Prefill }) {
+		if best == nil || e.backlog(now) < best.backlog(now) {
+			best = e
+		}
+	}
+	switch {
+	case best == nil && p.known(a, directory.Prefill):
+		return nil, ReasonBusy
+	case best == nil:
+		return nil, ReasonNoPrefill
+	case best.backlog(now)+prefillTime(a.Prompt)+firstStep > a.Budget && !a.Late:
+		return nil, ReasonBusy
+	default:
+		return best, ""
+	}
+}
+
+// known says whether any engine of a stage may ever serve a request.
+func (p *Planner) known(a Ask, stage directory.Stage) bool {
+	for _, e := range p.engines {
+		if e.serves(a) && (e.Stage == directory.Prefill) == (stage == directory.Prefill) {
+			return true
+		}
+	}
+	return false
+}
+
+// open returns the engines that may be used: the sound ones, or all that are
+// not full if none is sound.
+func (p *Planner) open(now clock.Millis, a Ask, fits func(directory.Stage) bool) []*engine {
+	var all, sound []*engine
+	for _, e := range p.engines {
+		if !e.serves(a) || !fits(e.Stage) {
+			continue
+		}
+		all = append(all, e)
+		if e.failed <= now && !slices.Contains(a.Avoid, e.ID) {
+			sound = append(sound, e)
+		}
+	}
+	if len(sound) == 0 {
+		sound = all
+	}
+	sound = slices.DeleteFunc(sound, func(e *engine) bool { return e.full > now })
+	slices.SortFunc(sound, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
+	return sound
+}
+
+// predict is how long until some engine has room; false if none can have.
+func (p *Planner) predict(now clock.Millis, a Ask) (time.Duration, bool) {
+	need := a.Prompt + expected(a.Output)
+	best, found := time.Duration(0), false
+	read := time.Duration(0)
+	if a.Part == Both || a.Part == ReadOnly {
+		read = p.leastBacklog(now, a)
+	}
+	if a.Part == ReadOnly {
+		return read, p.known(a, directory.Prefill)
+	}
+	for _, e := range p.engines {
+		if !e.serves(a) || e.Stage == directory.Prefill {
+			continue
+		}
+		wait := e.roomAfter(now, need)
+		if !found || wait < best {
+			best, found = wait, true
+		}
+	}
+	return max(best, read), found
+}
+
+// leastBacklog is how long until some prefill engine is free.
+func (p *Planner) leastBacklog(now clock.Millis, a Ask) time.Duration {
+	least, found := time.Duration(0), false
+	for _, e := range p.engines {
+		if e.Stage != directory.Prefill || !e.serves(a) {
+			continue
+		}
+		if wait := e.backlog(now); !found || wait < least {
+			least, found = wait, true
+		}
+	}
+	return least
+}
+
+func (p *Planner) refuse(a Ask, reason string, after time.Duration) {
+	after = min(max(after, comeBackLeast), comeBackMost)
+	p.effects = append(p.effects, Answer{ID: a.ID, Owner: a.Owner, Verdict: Verdict{
+		Refusal: &Refusal{ID: a.ID, Reason: reason, After: after},
+	}})
+}
+
+func (p *Planner) hold(e *engine, h *place) {
+	p.places[h.id] = h
+	if e != nil {
+		e.places[h.id] = h
+	}
+}
+
+// place grants a request if there is room for it now; else it says why not.
+func (p *Planner) place(now clock.Millis, a Ask) (reason string) {
+	g := Grant{ID: a.ID}
+	var decode, reader *engine
+	if a.Part != ReadOnly {
+		if decode, reason = p.decoder(now, a); decode == nil {
+			return reason
+		}
+		g.Decode, g.Used = decode.ID, decode.used(now)
+	}
+	if a.Part == Both || a.Part == ReadOnly {
+		if reader, reason = p.reader(now, a); reader == nil {
+			return reason
+		}
+		g.Prefill, g.Wait = reader.ID, reader.backlog(now)
+		reader.read(now, a)
+	}
+	p.hold(decode, &place{
+		id: a.ID, owner: a.Owner, prefill: g.Prefill, decode: g.Decode,
+		prompt: a.Prompt, output: a.Output, granted: now,
+	})
+	p.effects = append(p.effects, Answer{ID: a.ID, Owner: a.Owner, Verdict: Verdict{Grant: &g}})
+	return ""
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/trailshed/trailshed/internal/peer"
 	"github.com/trailshed/trailshed/internal/roster"
 	"github.com/trailshed/trailshed/internal/route"
+	"github.com/trailshed/trailshed/internal/ticker"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -141,16 +142,7 @@
 
 // Run keeps this instance's knowledge fresh until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
-	tick := time.NewTicker(tickEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			r.step(ctx)
-		}
-	}
+	ticker.Every(ctx, tickEvery, func() { r.step(ctx) })
 }
 
 func (r *Relay) step(ctx context.Context) {
--- a/internal/staging/runner.go
+++ b/internal/staging/runner.go
@@ -11,6 +11,7 @@
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/leadership"
+	"github.com/trailshed/trailshed/internal/ticker"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -52,16 +53,7 @@
 // Run decides until ctx ends.
 func (r *Runner) Run(ctx context.Context) {
 	policy := NewPolicy()
-	tick := time.NewTicker(decideEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			r.step(ctx, policy)
-		}
-	}
+	ticker.Every(ctx, decideEvery, func() { r.step(ctx, policy) })
 }
 
 func (r *Runner) step(ctx context.Context, policy *Policy) {
