leadership: take the gap between holders from the settings

Deployments differ in how far apart orders of two instances must be; the gap was a constant of 3 s. It comes from the settings now, as the platform fills them in.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,7 +170,8 @@
 // openStaging prepares the duty of giving orders to engines.
 func (g *Gateway) openStaging() {
 	g.duty = &leadership.Leadership{
-		Name: g.settings.Instance.Name, Registry: g.platform.Duty, Log: g.log, Now: g.now,
+		Name: g.settings.Instance.Name, Registry: g.platform.Duty, Gap: g.settings.Orders.Gap,
+		Log: g.log, Now: g.now,
 		Candidate: func() bool { return g.broker.Plans() && !g.leaving.Load() && !g.joining.Load() },
 	}
 	g.staging = &staging.Runner{
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -69,7 +69,8 @@
 	g.forwarder.Allow(budget.Rule{Ratio: next.Retry.Ratio, Slack: next.Retry.Slack, Window: next.Retry.Window})
 	n := eventlog.Line{Event: eventlog.Reloaded, Outcome: "applied"}
 	if before.Callers != next.Callers || before.Peers != next.Peers || before.Admin != next.Admin ||
-		before.Store != next.Store || before.Instance != next.Instance || before.Memory != next.Memory {
+		before.Store != next.Store || before.Instance != next.Instance || before.Memory != next.Memory ||
+		before.Orders != next.Orders {
 		n.Outcome = "applied_in_part"
 		n.Detail = "addresses, names and memory are in force from the next start"
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -29,6 +29,7 @@
 	Store    Store    `yaml:"store"`
 	Retry    Retry    `yaml:"retry"`
 	Stop     Stop     `yaml:"stop"`
+	Orders   Orders   `yaml:"orders"`
 	Memory   Memory   `yaml:"memory"`
 }
 
@@ -72,6 +73,11 @@
 	Grace time.Duration `yaml:"grace" validate:"min=100ms,max=1h"`
 }
 
+// Orders bounds who may give orders to engines.
+type Orders struct {
+	Gap time.Duration `yaml:"gap" validate:"min=100ms,max=5m"`
+}
+
 // Memory is what this process may use.
 type Memory struct {
 	LimitMB int64 `yaml:"limit_mb" validate:"min=16"`
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -31,14 +31,12 @@
 }
 
 const (
-	// leaseLife is the lease's length, that of the platform's bound between
-	// two holders' acts.
-	leaseLife = 3 * time.Second
+	// leaseLeast is the shortest lease that leaves time for a missed renewal.
+	leaseLeast = 3 * time.Second
 	// stopBefore is how long before the lease's end the holder stops.
 	stopBefore = time.Second
-	// settle is how long a new holder waits before it acts: a former holder's
-	// lease, its acts under way, and the bound between two holders' acts.
-	settle = 4500 * time.Millisecond
+	// underWay is how long an act of a former holder may be under way.
+	underWay = 1500 * time.Millisecond
 	// step is how often the lease is renewed, or asked for.
 	step = 800 * time.Millisecond
 	// askIdle is the pause between asks while another holds the duty.
@@ -49,8 +47,10 @@
 type Leadership struct {
 	Name     string
 	Registry Registry
-	Log      *eventlog.Log
-	Now      func() clock.Millis
+	// Gap is the least time between the acts of two holders.
+	Gap time.Duration
+	Log *eventlog.Log
+	Now func() clock.Millis
 	// Candidate says whether this instance should ask for the duty.
 	Candidate func() bool
 
@@ -84,18 +84,21 @@
 
 func (l *Leadership) acquire(ctx context.Context) bool {
 	began := l.Now()
-	lease, fence, err := l.Registry.Acquire(ctx, l.Name, leaseLife)
+	lease, fence, err := l.Registry.Acquire(ctx, l.Name, l.life())
 	if err != nil {
 		return false // taken, or the store is away; both are asked again
 	}
 	l.mu.Lock()
 	l.lease, l.fence = lease, fence
-	l.until, l.actFrom = began.Add(leaseLife-stopBefore), l.Now().Add(settle)
+	l.until, l.actFrom = began.Add(l.life()-stopBefore), l.Now().Add(l.Gap+underWay)
 	l.mu.Unlock()
 	l.Log.Write(eventlog.Line{Event: eventlog.DutyTaken, Revision: fence})
 	return true
 }
 
+// life is the lease's length.
+func (l *Leadership) life() time.Duration { return max(l.Gap, leaseLeast) }
+
 func (l *Leadership) renew(ctx context.Context) {
 	began := l.Now()
 	err := l.Registry.Renew(ctx, l.lease)
@@ -103,7 +106,7 @@
 	defer l.mu.Unlock()
 	switch {
 	case err == nil:
-		l.until = began.Add(leaseLife - stopBefore)
+		l.until = began.Add(l.life() - stopBefore)
 	case errors.Is(err, ErrLapsed), began >= l.until:
 		l.lease = 0
 		l.Log.Write(eventlog.Line{Event: eventlog.DutyLost, Detail: err.Error(), Revision: l.fence})
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -68,7 +68,7 @@
 		var all []*leadership.Leadership
 		now := clock.System()
 		for _, name := range []string{"n1", "n2", "n3"} {
-			l := &leadership.Leadership{Name: name, Registry: s.registry(name), Log: log, Now: now, Candidate: func() bool { return true }}
+			l := &leadership.Leadership{Name: name, Registry: s.registry(name), Gap: 3 * time.Second, Log: log, Now: now, Candidate: func() bool { return true }}
 			all = append(all, l)
 			group.Go(func() { l.Run(ctx) })
 		}
