freshness: do not depend on fellows that do not know us

Cause: an instance that does not watch knows the fellows that were registered when it listed; those that start later are refused for their unknown certificates, and a fellow that refuses us was asked for ever. Change: an unknown certificate has the store read, at most once a second; a fellow asked twice in vain gives way to the store; rank delays a check by 0.6 s at the most. Ruled out: full links (deltas of some hundred bytes), slow instances. The tests fail without the change.

--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -18,13 +18,18 @@
 	// checkEvery is how often the first in rank asks the store. A change must
 	// be in force within 2 s; a check, the patience and a fetch take 1.2 s.
 	checkEvery = 700 * time.Millisecond
-	// rankDelay is how much later each next in rank asks.
+	// rankDelay is how much later each next in rank asks, up to ranksMost of
+	// them: in a large zone nobody may wait for twenty silent ones before it.
 	rankDelay = 150 * time.Millisecond
+	ranksMost = 4
 	// patience is how long the watch may take to tell of a revision that was
 	// heard of. Watches are told within a few milliseconds.
 	patience = 200 * time.Millisecond
 	// again is the pause between fetches while still behind.
 	again = 250 * time.Millisecond
+	// asksMost is how often a fellow is asked in vain before the store is: a
+	// fellow that does not know this instance yet refuses its certificate.
+	asksMost = 2
 )
 
 // Action is what the caller must do.
@@ -46,6 +51,7 @@
 	fetched clock.Millis // when it was last fetched
 	source  string
 	digest  uint64 // of the source's beliefs at newest; 0 if not told
+	asked   int    // times that fellows were asked since it fell behind
 }
 
 // Known is what an instance has.
@@ -76,7 +82,7 @@
 func (f *Freshness) Next(now clock.Millis, k Known) Action {
 	differs := !k.Watching && f.source != "" && k.Revision == f.newest && f.digest != k.Digest
 	if k.Revision >= f.newest && !differs {
-		f.behind = 0
+		f.behind, f.asked = 0, 0
 		return f.check(now, k.Rank)
 	}
 	if f.behind == 0 {
@@ -86,14 +92,16 @@
 		return Nothing
 	}
 	f.fetched = now
-	if f.source == "" {
+	if f.source == "" || f.asked >= asksMost {
+		f.asked = 0
 		return ListStore
 	}
+	f.asked++
 	return AskFellow
 }
 
 func (f *Freshness) check(now clock.Millis, rank int) Action {
-	if now.Sub(f.heardAt) < checkEvery+time.Duration(rank)*rankDelay {
+	if now.Sub(f.heardAt) < checkEvery+time.Duration(min(rank, ranksMost))*rankDelay {
 		return Nothing
 	}
 	f.heardAt = now // the answer, or its absence, comes before the next check
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -99,3 +99,31 @@
 		})
 	}
 }
+
+// A fellow that does not answer, because it does not know this instance yet,
+// is not asked for ever (grown unions, scale-1: a zone knew no endpoint).
+func TestSilentFellowIsGivenUp(t *testing.T) {
+	c := qt.New(t)
+	var f freshness.Freshness
+	f.Heard(1000, 31, 7, "n1")
+	counts := map[freshness.Action]int{}
+	for now := clock.Millis(1000); now < 2000 && counts[freshness.ListStore] == 0; now += 50 {
+		counts[f.Next(now, freshness.Known{Revision: 30, Rank: 5})]++
+	}
+	c.Assert(counts[freshness.AskFellow], qt.Equals, 2)
+	c.Assert(counts[freshness.ListStore], qt.Equals, 1)
+}
+
+// However many are before it, an instance that hears nothing asks in time.
+func TestLastInRankAsksInTime(t *testing.T) {
+	c := qt.New(t)
+	var f freshness.Freshness
+	f.Heard(1000, 31, 7, "n1")
+	asked := clock.Millis(0)
+	for now := clock.Millis(1000); now < 5000 && asked == 0; now += 50 {
+		if f.Next(now, freshness.Known{Revision: 31, Digest: 7, Rank: 20}) == freshness.AskStore {
+			asked = now
+		}
+	}
+	c.Assert(asked > 0 && asked <= 2400, qt.IsTrue, qt.Commentf("asked at %d", asked))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,9 @@
 	// peerQueue is how many messages may wait for one fellow: a second's at the
 	// peak, in a zone of twenty instances.
 	peerQueue = 256
+	// strangerPause is the least time between two readings of the store because
+	// of unknown certificates.
+	strangerPause = time.Second
 	// sweepInterval is how often idle connections and old beliefs are looked at.
 	sweepInterval = 250 * time.Millisecond
 	// bodyPart of the memory limit may hold callers' bodies.
@@ -95,6 +98,7 @@
 	staging   *staging.Runner
 	servers   []*http.Server
 	listeners []net.Listener // of the servers
+	stranger  atomic.Int64   // when an unknown certificate last had the store read
 	joining   atomic.Bool
 	leaving   atomic.Bool
 	close     func() error
@@ -134,7 +138,7 @@
 		Name: s.Instance.Name, Zone: s.Instance.Zone, Fingerprint: identity.Fingerprint,
 		Joining: true,
 	}
-	g.transport, err = peer.Listen(s.Instance.Name, netip.MustParseAddrPort(s.Peers.Listen), peer.Pinned(identity, g.roster.Trusted), scope)
+	g.transport, err = peer.Listen(s.Instance.Name, netip.MustParseAddrPort(s.Peers.Listen), peer.Pinned(identity, g.trusted), scope)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -157,6 +161,21 @@
 	return nil
 }
 
+// trusted names the fellow that has a certificate. One that is not known may
+// have started a moment ago, so the store is read anew, at most once in
+// strangerPause whoever knocks.
+func (g *Gateway) trusted(fingerprint string) (string, bool) {
+	name, ok := g.roster.Trusted(fingerprint)
+	if ok {
+		return name, true
+	}
+	now, last := int64(g.now()), g.stranger.Load()
+	if clock.Millis(now).Sub(clock.Millis(last)) >= strangerPause && g.stranger.CompareAndSwap(last, now) {
+		g.feed.List()
+	}
+	return "", false
+}
+
 func (g *Gateway) openFeed() {
 	g.feed = &feed.Feed{
 		Source: g.platform.Source, Directory: g.directory, Roster: g.roster, Log: g.log,
