--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -39,7 +39,6 @@
 // Ask is what a request wants.
 type Ask struct {
 	Service string
-	Work    float64 // predicted work at the endpoint in ms, 0 if unknown
 	Stage   directory.Stage
 	Exclude []string // ids of endpoints already tried
 }
@@ -69,8 +68,7 @@
 }
 
 type state struct {
-	pending  float64 // predicted ms of work that has not begun to answer
-	running  int     // requests of this instance
+	running  int // requests of this instance
 	load     Load
 	loadAt   clock.Millis
 	work     float64 // running mean of a request's time, ms
@@ -90,9 +88,7 @@
 type Reservation struct {
 	Endpoint *directory.Endpoint
 	balancer *Balancer
-	work     float64
 	began    clock.Millis
-	begun    bool
 	done     bool
 }
 
@@ -114,7 +110,7 @@
 		if s.silent && now < s.ejected && now.Sub(s.usedAt) < probePause {
 			continue // one request at a time finds out whether it is back
 		}
-		score, out := b.score(now, e, s, a), now < s.ejected
+		score, out := b.score(now, e, s), now < s.ejected
 		if best == nil || bestEjected && !out || bestEjected == out && score < bestScore {
 			best, bestScore, bestEjected = e, score, out
 		}
@@ -122,14 +118,14 @@
 	if best == nil {
 		return nil
 	}
-	return b.reserve(now, best, a)
+	return b.reserve(now, best)
 }
 
 // ReserveAt takes a place at an endpoint that was chosen elsewhere.
-func (b *Balancer) ReserveAt(now clock.Millis, e *directory.Endpoint, work float64) *Reservation {
+func (b *Balancer) ReserveAt(now clock.Millis, e *directory.Endpoint) *Reservation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.reserve(now, e, Ask{Work: work})
+	return b.reserve(now, e)
 }
 
 // Ejected returns the ids of the endpoints that are ejected now.
@@ -145,20 +141,15 @@
 	return ids
 }
 
-func (b *Balancer) reserve(now clock.Millis, e *directory.Endpoint, a Ask) *Reservation {
+func (b *Balancer) reserve(now clock.Millis, e *directory.Endpoint) *Reservation {
 	s := b.state(e.ID)
-	r := &Reservation{Endpoint: e, balancer: b, work: a.Work, began: now}
-	if r.work == 0 {
-		r.work = s.work
-	}
-	s.pending += r.work
 	s.running++
 	s.usedAt = now
-	return r
+	return &Reservation{Endpoint: e, balancer: b, began: now}
 }
 
 // score predicts the wait at an endpoint in ms.
-func (b *Balancer) score(now clock.Millis, e *directory.Endpoint, s *state, a Ask) float64 {
+func (b *Balancer) score(now clock.Millis, e *directory.Endpoint, s *state) float64 {
 	running, waiting := s.running, 0
 	if now.Sub(s.loadAt) < loadAge {
 		running = max(running, s.load.Running)
@@ -166,12 +157,8 @@
 	}
 	slots := max(e.Slots, 1)
 	score := s.work * float64(waiting) / float64(slots)
-	if a.Work > 0 {
-		score += s.pending + float64(running)
-	} else {
-		score += s.work * float64(max(running+1-slots, 0)) / float64(slots)
-		score += s.work * float64(running) / float64(slots) / 4
-	}
+	score += s.work * float64(max(running+1-slots, 0)) / float64(slots)
+	score += s.work * float64(running) / float64(slots) / 4 // spreads what fits
 	if e.Zone != b.zone {
 		score += zonePenalty
 	}
@@ -187,22 +174,6 @@
 	return s
 }
 
-// Begun says that the endpoint has begun to answer.
-func (r *Reservation) Begun() {
-	r.balancer.mu.Lock()
-	defer r.balancer.mu.Unlock()
-	r.begin()
-}
-
-func (r *Reservation) begin() {
-	if r.begun {
-		return
-	}
-	r.begun = true
-	s := r.balancer.state(r.Endpoint.ID)
-	s.pending = max(s.pending-r.work, 0)
-}
-
 // Told takes the load that an answer tells.
 func (r *Reservation) Told(now clock.Millis, l Load) {
 	r.balancer.mu.Lock()
@@ -221,7 +192,6 @@
 		return 0
 	}
 	r.done = true
-	r.begin()
 	s := b.state(r.Endpoint.ID)
 	s.running--
 	switch result {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -171,7 +171,6 @@
 	header := p.Dialect.Passed(resp.Header)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeAnswer+1))
 	if err == nil && len(body) > wholeAnswer {
-		r.Begun()
 		return p.passLong(r, x, header, body)
 	}
 	good := resp.StatusCode < http.StatusMultipleChoices
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
@@ -55,14 +54,13 @@
 	running   atomic.Int64
 
 	mu      sync.Mutex
-	waits   map[string]time.Duration  // by route, the longest that callers waited
 	budgets map[string]*budget.Budget // by service
 	shares  int
 }
 
 // New returns a Forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{Options: o, budgets: map[string]*budget.Budget{}, waits: map[string]time.Duration{}, shares: 1}
+	return &Forwarder{Options: o, budgets: map[string]*budget.Budget{}, shares: 1}
 }
 
 // Leave makes answers tell callers to close their connections.
--- a/internal/forward/passage.go
+++ b/internal/forward/passage.go
@@ -23,12 +23,10 @@
 	inTime  bool // it was answered well, within its target
 	view    *directory.View
 	call    Call
-	// returning says that the caller has probably been refused before.
-	returning bool
-	route     *route.Route
-	service   string
-	limit     clock.Millis // the request's end: the caller's wait or the route's time-out
-	message   uplink.Message
+	route   *route.Route
+	service string
+	limit   clock.Millis // the request's end: the caller's wait or the route's time-out
+	message uplink.Message
 
 	sends      int           // messages that may have reached an endpoint
 	runs       int           // sends that may have run
@@ -67,7 +65,6 @@
 	p.limit = p.arrived.Add(match.Timeout)
 	if call.Wait > 0 {
 		p.limit = min(p.limit, p.arrived.Add(call.Wait))
-		p.returning = p.cameBack(match.Name, call.Wait)
 	}
 	p.message = uplink.Message{Method: r.Method, Target: r.RequestURI, Host: r.Host}
 	if !p.readBody(r) {
@@ -81,19 +78,6 @@
 	return true
 }
 
-// cameBack guesses whether a caller has asked before: it has less time left than
-// callers of its route begin with.
-func (f *Forwarder) cameBack(route string, wait time.Duration) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.waits[route] = max(f.waits[route], wait)
-	return wait < f.waits[route]*returningPart/100
-}
-
-// returningPart of the usual time, in percent, is left to a caller that comes
-// back; it follows a refusal by a hundred ms at least.
-const returningPart = 99
-
 // run sends the request until it is answered or given up.
 func (p *passage) run(ctx context.Context) {
 	size := int64(len(p.message.Body))
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -62,6 +62,10 @@
 	if p.asks >= asksMost {
 		return hopeless
 	}
+	if !p.engine() {
+		p.failure = "service_gone" // a new configuration dropped it meanwhile
+		return hopeless
+	}
 	p.dropStaleHandle()
 	place, refusal := p.findPlace(ctx)
 	if place == nil {
@@ -83,7 +87,7 @@
 	if !p.afford() {
 		return hopeless
 	}
-	r := p.Balancer.ReserveAt(p.Now(), decode, decodeWork)
+	r := p.Balancer.ReserveAt(p.Now(), decode)
 	if p.attempt(ctx, r) {
 		return answered
 	}
@@ -122,9 +126,6 @@
 	}
 }
 
-// decodeWork is the time to a first token at a decode engine, in ms.
-const decodeWork = 35.0
-
 func (p *passage) findPlace(ctx context.Context) (*broker.Place, *placement.Refusal) {
 	p.asks++
 	output := p.call.Hint
@@ -185,13 +186,10 @@
 		p.prefill.sends = prefillSends // a decode engine reads it
 		return false
 	}
-	p.prefillAt(ctx, p.Balancer.ReserveAt(p.Now(), e, float64(p.call.Prompt)*promptWork))
+	p.prefillAt(ctx, p.Balancer.ReserveAt(p.Now(), e))
 	return p.prefill.handle != nil
 }
 
-// promptWork is one prompt token's time at a prefill engine, in ms.
-const promptWork = 1 / 55.6
-
 // prefillAt sends the prompt to one prefill engine and keeps the handle.
 func (p *passage) prefillAt(parent context.Context, r *balance.Reservation) {
 	ctx, cancel := context.WithTimeout(parent, prefillSlack+2*p.place.Wait)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -7,7 +7,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/trailshed/trailshed/internal/balance"
@@ -24,7 +23,6 @@
 type silence struct {
 	timer *time.Timer
 	gap   time.Duration
-	fired atomic.Bool
 }
 
 // watchSilence arms the silence of this attempt.
@@ -37,10 +35,7 @@
 		first = max(p.route.Target, silenceEngine)
 	}
 	s := &silence{gap: silenceGaps * p.route.GapTarget}
-	s.timer = time.AfterFunc(first, func() {
-		s.fired.Store(true)
-		cancel()
-	})
+	s.timer = time.AfterFunc(first, cancel)
 	return s
 }
 
@@ -72,7 +67,6 @@
 			return p.streamEnded(parent, r, x, event, err)
 		}
 		s.heard()
-		r.Begun()
 		if !p.passEvent(x, event) {
 			x.Close(false)
 			r.Done(p.Now(), balance.Abandoned)
--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -1,11 +1,9 @@
 package uplink
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -172,11 +170,6 @@
 	}
 }
 
-// Reader gives access to bytes as they arrive.
-func (e *Exchange) Reader(size int) *bufio.Reader {
-	return bufio.NewReaderSize(e.Response.Body, size)
-}
-
 // keepFor reads the seconds of a Keep-Alive header.
 func keepFor(header string) time.Duration {
 	for part := range strings.SplitSeq(header, ",") {
@@ -191,9 +184,3 @@
 	}
 	return keepDefault
 }
-
-// TimedOut says whether err is a time limit of the network layer.
-func TimedOut(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
