--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,11 +114,12 @@
 		directory: directory.New(), balancer: balance.New(s.Instance.Zone), roster: roster.New(),
 	}
 	g.pool = uplink.NewPool(g.counters.Scope)
+	g.joining.Store(true)
+	g.openFeed() // first, since a fellow's certificate may come as soon as the transport listens
 	if err := g.openPeers(); err != nil {
 		return nil, err
 	}
-	g.joining.Store(true)
-	g.openFeed()
+	g.member = roster.NewMember(g.platform.Registry, g.self, g.log, g.feed.Heard)
 	g.openStaging()
 	g.openForwarder()
 	if err := g.listen(); err != nil {
@@ -180,10 +181,10 @@
 	g.feed = &feed.Feed{
 		Source: g.platform.Source, Directory: g.directory, Roster: g.roster, Log: g.log,
 		Scope: g.counters.Scope, Now: g.now,
-		Watching: g.relay.Watching, Told: g.relay.Told,
-		Lost: g.relay.Lost, Regained: g.relay.Regained, Changed: g.rosterChanged,
+		Changed:  g.rosterChanged,
+		Watching: func() bool { return g.relay.Watching() }, Told: func() { g.relay.Told() },
+		Lost: func() { g.relay.Lost() }, Regained: func() { g.relay.Regained() },
 	}
-	g.member = roster.NewMember(g.platform.Registry, g.self, g.log, g.feed.Heard)
 }
 
 // openStaging prepares the duty of giving orders to engines.
