soak: play real processes under faults from outside

What: cmd/soak starts gateways as processes of their own before stand-ins of store and endpoints, with TCP and UDP proxies between them, and takes the steps of a seeded schedule: kills, pauses, planned stops, changed settings; cut, one-way and lossy ways between instances; a store that refuses, is silent, resets, answers late, loses answers, forgets history or loses entries; endpoints that crash, leave with and without a word, answer badly, or sit behind bad links; addresses that are reused; configurations in series. A checker judges what callers and endpoints saw.

Product: peers.advertise tells fellows another address than the one listened on, as a proxy in front needs it.

TestPromises has a case for each promise.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: build, lint, test, demo, up, down.
+# Targets: build, lint, test, soak, demo, up, down.
 BIN := build/bin
 GOFUMPT := $(BIN)/gofumpt-0.12.0
 LINT := $(BIN)/golangci-lint-2.15.0
@@ -19,6 +19,12 @@
 test:
 	go test -race -count=1 -timeout 5m ./...
 
+# Real processes under faults; bounds on time are not checked, so that the
+# verdict is the same on a busy machine. docs/SOAK.md has the longer runs.
+.PHONY: soak
+soak: build
+	build/soak --seeds 2 --seconds 8 --zones 2 --callers 12
+
 .PHONY: demo
 demo: build
 	@demo/run.sh
--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,134 @@
+// Command soak plays randomised runs of real trailshed processes under faults
+// that come from outside them, and checks the promises from what callers and
+// endpoints see. See docs/SOAK.md.
+package main
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/trailshed/trailshed/internal/soak/fleet"
+)
+
+// failed lists seeds that once failed, a line each: the seed, then the cause.
+//
+//go:embed failed_seeds.txt
+var failed string
+
+type command struct {
+	Program string        `long:"program" default:"build/trailshed" description:"the program under test"`
+	Dir     string        `long:"dir" default:"build/soak-logs" description:"for settings and logs; logs of good runs are removed"`
+	From    uint64        `long:"from" default:"1" description:"first seed"`
+	Seeds   int           `long:"seeds" default:"1" description:"how many seeds"`
+	Again   bool          `long:"again" description:"run the seeds that once failed instead"`
+	Seconds int           `long:"seconds" default:"20" description:"length of the part with faults"`
+	Jobs    int           `long:"jobs" default:"1" description:"runs at a time"`
+	Zones   int           `long:"zones" default:"3" description:"availability zones"`
+	PerZone int           `long:"per-zone" default:"2" description:"instances in each zone"`
+	Callers int           `long:"callers" default:"24" description:"callers at a time"`
+	Timed   bool          `long:"timed" description:"check bounds on time too; not on a machine that is busy"`
+	Most    time.Duration `long:"most" description:"begin no further run after so long; 0: no bound"`
+}
+
+func main() {
+	c := &command{}
+	if _, err := flags.NewParser(c, flags.Default).Parse(); err != nil {
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	bad := c.run(ctx)
+	stop()
+	if bad > 0 {
+		fmt.Printf("%d runs failed\n", bad)
+		os.Exit(1)
+	}
+}
+
+// run plays all seeds and returns how many runs failed.
+func (c *command) run(ctx context.Context) int {
+	seeds := c.seeds()
+	started := time.Now()
+	next := make(chan uint64)
+	go func() {
+		defer close(next)
+		for _, s := range seeds {
+			if ctx.Err() != nil || c.Most > 0 && time.Since(started) > c.Most {
+				return
+			}
+			next <- s
+		}
+	}()
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	bad := 0
+	for job := range max(c.Jobs, 1) {
+		group.Go(func() {
+			for seed := range next {
+				if !c.play(ctx, job, seed) {
+					mu.Lock()
+					bad++
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	group.Wait()
+	return bad
+}
+
+func (c *command) seeds() []uint64 {
+	var list []uint64
+	if !c.Again {
+		for n := range c.Seeds {
+			list = append(list, c.From+uint64(n))
+		}
+		return list
+	}
+	for line := range strings.Lines(failed) {
+		word, _, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if seed, err := strconv.ParseUint(word, 10, 64); err == nil {
+			list = append(list, seed)
+		}
+	}
+	return list
+}
+
+// play plays one seed and says whether all promises were kept.
+func (c *command) play(ctx context.Context, job int, seed uint64) bool {
+	o := fleet.Options{
+		Program: c.Program, Dir: c.Dir, Seed: seed, Length: time.Duration(c.Seconds) * time.Second,
+		Network: network(job), PerZone: c.PerZone, Callers: c.Callers, Timed: c.Timed,
+	}
+	for n := range c.Zones {
+		o.Zones = append(o.Zones, string(rune('a'+n)))
+	}
+	r, err := fleet.Run(ctx, o)
+	fmt.Printf("seed %d: %d steps, %d of %d requests answered well, %d violations\n", seed, r.Steps, r.Good, r.All, len(r.Violations))
+	for _, v := range r.Violations {
+		fmt.Printf("  %s: %s: %s\n%s", v.Promise, v.ID, v.What, r.Faults.Around(v.At.Add(-4*time.Second), v.At.Add(time.Second)))
+	}
+	if err != nil {
+		fmt.Printf("  recovery: %v\n", err)
+	}
+	good := err == nil && len(r.Violations) == 0
+	if good {
+		_ = os.RemoveAll(o.LogDir())
+	}
+	return good
+}
+
+// network gives each job of each soak process loopback addresses of its own.
+func network(job int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%250), byte(1 + job), 0})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,6 +144,9 @@
 		return Error.Wrap(err)
 	}
 	g.transport.Queue(peerQueue)
+	if s.Peers.Advertise != "" {
+		g.transport.Advertise(netip.MustParseAddrPort(s.Peers.Advertise))
+	}
 	g.self.Address = g.transport.Address()
 	g.broker = broker.New(broker.Options{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, Transport: g.transport, Roster: g.roster,
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -102,9 +102,13 @@
 	}
 }
 
-// Address returns the listening address.
+// Address returns the address that others reach this transport by.
 func (t *Transport) Address() netip.AddrPort { return t.address }
 
+// Advertise sets the address that is told to others, where what they send there
+// is forwarded to the listening one. It is called before the first message.
+func (t *Transport) Advertise(address netip.AddrPort) { t.address = address }
+
 // Queue sets how many frames may wait for one address. It is called before the
 // first message; a frame's place takes about 100 bytes also while it is empty.
 func (t *Transport) Queue(frames int) { t.queue = frames }
--- /dev/null
+++ b/internal/soak/caller/caller.go
@@ -0,0 +1,139 @@
+// Package caller sends requests as the users' clients do and remembers what it
+// got: each try has an id of its own, some callers keep their connections, some
+// leave before their answer.
+package caller
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/trailshed/trailshed/platform/standin"
+)
+
+// Kind is a kind of request.
+type Kind struct {
+	Path    string
+	Method  string
+	Service string
+	Once    bool // it must not run twice
+	Stream  bool
+	Version int // of the configuration that brought its route; 0: the first one
+}
+
+// Kinds are those of the first configuration.
+func Kinds() []Kind {
+	return []Kind{
+		{Path: "/stream/x", Method: http.MethodPost, Service: "llm", Stream: true},
+		{Path: "/once/x", Method: http.MethodPost, Service: "llm", Stream: true, Once: true},
+		{Path: "/safe/x", Method: http.MethodGet, Service: "web"},
+		{Path: "/unsafe/x", Method: http.MethodPost, Service: "web", Once: true},
+		{Path: "/unsafe/y", Method: http.MethodPost, Service: "web", Once: true},
+	}
+}
+
+// Added is the kind that a configuration of a version adds.
+func Added(version int) Kind {
+	return Kind{Path: "/v" + strconv.Itoa(version) + "/x", Method: http.MethodGet, Service: "web", Version: version}
+}
+
+// Gateway is an instance that takes requests.
+type Gateway struct {
+	Name string
+	Life int // of its process, when the request was sent
+	At   netip.AddrPort
+}
+
+// Call is one request as its caller knows it.
+type Call struct {
+	ID      string
+	Kind    Kind
+	Gateway Gateway
+	Body    string
+	Sent    time.Time
+	Ended   time.Time
+	Left    bool // the caller went away before the answer
+	Reply   standin.Reply
+}
+
+const (
+	// wait is what callers say they will wait; they give up graceTime later.
+	wait      = 4 * time.Second
+	graceTime = 1500 * time.Millisecond
+	// leaveShare of the callers leave, some time within leaveMost.
+	leaveShare = 0.08
+	leaveMost  = 300 * time.Millisecond
+	// keepShare of the callers keep their connections.
+	keepShare = 0.5
+)
+
+// Caller sends one request after the other. It is used by one goroutine.
+type Caller struct {
+	Pick func() (Gateway, bool) // an instance that the balancer has in; false: none
+	Kind func() Kind
+	Done func(Call)
+	Next func() string // an id
+
+	client *http.Client
+}
+
+// Run calls until ctx ends, with pauses of gap at the mean.
+func (c *Caller) Run(ctx context.Context, gap time.Duration) {
+	c.client = &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: rand.Float64() > keepShare, DisableCompression: true,
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+	}}
+	defer c.client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		if g, ok := c.Pick(); ok {
+			c.Done(c.Call(ctx, g, c.Kind()))
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(rand.Float64() * 2 * float64(gap))):
+		}
+	}
+}
+
+// Call sends one request.
+func (c *Caller) Call(ctx context.Context, g Gateway, k Kind) Call {
+	call := Call{ID: c.Next(), Kind: k, Gateway: g, Sent: time.Now()}
+	if k.Method == http.MethodPost {
+		call.Body = "body of " + call.ID
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+graceTime)
+	defer cancel()
+	var once sync.Once
+	if rand.Float64() < leaveShare {
+		after := time.Duration(rand.Float64() * float64(leaveMost))
+		timer := time.AfterFunc(after, func() { once.Do(func() { call.Left = true }); cancel() })
+		defer timer.Stop()
+	}
+	ask := standin.Ask{ID: call.ID, To: g.At, Method: k.Method, Path: k.Path, Body: call.Body, Wait: wait}
+	reply := ask.Send(ctx, c.client)
+	once.Do(func() {}) // a caller that left later than its answer has not left
+	call.Reply, call.Ended = reply, time.Now()
+	if reply.Err == nil {
+		call.Left = false
+	}
+	return call
+}
+
+// One sends a single request on a connection of its own.
+func One(ctx context.Context, g Gateway, k Kind, id string) Call {
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	c := &Caller{Next: func() string { return id }, client: &http.Client{Transport: transport}}
+	return c.Call(ctx, g, k)
+}
+
+// Hung says that a call's caller gave up waiting although its time was over.
+func (c Call) Hung() bool { return c.Reply.Err != nil && c.Ended.Sub(c.Sent) >= wait+graceTime }
+
+// Limit is when a caller stops to wait for its answer.
+func (c Call) Limit() time.Time { return c.Sent.Add(wait) }
--- /dev/null
+++ b/internal/soak/checker/checker_test.go
@@ -0,0 +1,193 @@
+package checker_test
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/trailshed/trailshed/internal/soak/caller"
+	"github.com/trailshed/trailshed/internal/soak/checker"
+	"github.com/trailshed/trailshed/internal/soak/timeline"
+	"github.com/trailshed/trailshed/platform/standin"
+)
+
+var errCut = errors.New("connection was cut")
+
+// bounds are short and without slack, so that tests need not wait.
+var bounds = checker.Bounds{
+	Contact: time.Second, Drain: 2 * time.Second, Config: 2 * time.Second, Outer: 5 * time.Second,
+	Gone: 500 * time.Millisecond, Ratio: 0.2, Extra: 2, Window: 10 * time.Second, Timed: true,
+}
+
+func kind(path string) caller.Kind {
+	for _, k := range caller.Kinds() {
+		if k.Path == path {
+			return k
+		}
+	}
+	return caller.Kind{}
+}
+
+// call is a good call that ended a moment ago.
+func call(id, path string) caller.Call {
+	now := time.Now()
+	c := caller.Call{
+		ID: id, Kind: kind(path), Gateway: caller.Gateway{Name: "a-1", Life: 1},
+		Sent: now.Add(-300 * time.Millisecond), Ended: now.Add(-100 * time.Millisecond),
+		Reply: standin.Reply{Status: http.StatusOK, Signed: true, Body: standin.Whole(id)},
+	}
+	if c.Kind.Stream {
+		c.Reply.Body = standin.Stream(id, standin.Events)
+	}
+	return c
+}
+
+// run is what an endpoint saw of a call.
+func run(c caller.Call) checker.Run {
+	return checker.Run{
+		Arrival: standin.Arrival{
+			Request: c.ID, Method: c.Kind.Method, Target: c.Kind.Path, Body: c.Body, Ran: true,
+			At: c.Sent.Add(10 * time.Millisecond), Ended: c.Ended.Add(-10 * time.Millisecond),
+		},
+		Endpoint: "e1", Service: c.Kind.Service,
+	}
+}
+
+// scene is what one case feeds to a checker.
+type scene struct {
+	calls []caller.Call
+	runs  []checker.Run
+	begin func(*timeline.Timeline)
+	tell  func(*checker.Checker)
+}
+
+// one is a scene of one call, seen by one endpoint, both as change makes them.
+func one(path string, change func(*caller.Call, *checker.Run)) scene {
+	c := call("r1", path)
+	r := run(c)
+	change(&c, &r)
+	return scene{calls: []caller.Call{c}, runs: []checker.Run{r}}
+}
+
+func TestPromises(t *testing.T) {
+	tests := []struct {
+		name string
+		want string // the promise that is reported; empty: none
+		scene
+	}{
+		{"all is well", "", one("/unsafe/x", func(*caller.Call, *checker.Run) {})},
+		{"a stream is well", "", one("/stream/x", func(*caller.Call, *checker.Run) {})},
+		{"runs twice", "at most once", func() scene {
+			s := one("/unsafe/x", func(*caller.Call, *checker.Run) {})
+			s.runs = append(s.runs, s.runs[0])
+			return s
+		}()},
+		{"may run twice", "", func() scene {
+			s := one("/safe/x", func(*caller.Call, *checker.Run) {})
+			s.runs = append(s.runs, s.runs[0])
+			return s
+		}()},
+		{"refused though it ran", "true refusal", one("/once/x", func(c *caller.Call, _ *checker.Run) {
+			c.Reply = standin.Reply{Status: http.StatusServiceUnavailable}
+		})},
+		{"an answer of its own", "own answer", one("/safe/x", func(c *caller.Call, _ *checker.Run) { c.Reply.Signed = false })},
+		{"another's answer", "whole answer", one("/safe/x", func(c *caller.Call, _ *checker.Run) { c.Reply.Body = standin.Whole("r2") })},
+		{"a stream lacks an event", "whole answer", one("/stream/x", func(c *caller.Call, _ *checker.Run) {
+			c.Reply.Body = standin.Stream("r1", standin.Events-1)
+		})},
+		{"a broken stream has an event twice", "unmixed answer", one("/stream/x", func(c *caller.Call, _ *checker.Run) {
+			c.Reply.Body, c.Reply.Err = standin.Event("r1", 1)+standin.Event("r1", 1), errCut
+		})},
+		{"a broken stream is a part", "", one("/stream/x", func(c *caller.Call, _ *checker.Run) {
+			c.Reply.Body, c.Reply.Err = standin.Event("r1", 1)+"id: 2", errCut
+		})},
+		{"what all allow is not found", "allowed", one("/safe/x", func(c *caller.Call, _ *checker.Run) {
+			c.Reply = standin.Reply{Status: http.StatusNotFound}
+		})},
+		{"another path arrives", "unchanged", one("/safe/x", func(_ *caller.Call, r *checker.Run) { r.Target = "/safe/" })},
+		{"another service runs it", "own service", one("/safe/x", func(_ *caller.Call, r *checker.Run) { r.Service = "llm" })},
+		{"nobody sent it", "unasked", one("/safe/x", func(_ *caller.Call, r *checker.Run) { r.Request = "r9" })},
+		{"work for a caller that left", "caller gone", one("/stream/x", func(c *caller.Call, r *checker.Run) {
+			c.Left, c.Reply = true, standin.Reply{Err: errCut}
+			c.Sent, c.Ended = c.Sent.Add(-2*time.Second), c.Ended.Add(-2*time.Second)
+			r.Ended = time.Time{}
+		})},
+		{"no answer at all", "answered", one("/safe/x", func(c *caller.Call, _ *checker.Run) {
+			c.Sent, c.Reply = c.Ended.Add(-6*time.Second), standin.Reply{Err: errCut}
+		})},
+		{"a planned stop cuts", "planned stop", func() scene {
+			s := one("/stream/x", func(c *caller.Call, _ *checker.Run) { c.Reply = standin.Reply{Status: 200, Signed: true, Err: errCut} })
+			s.begin = func(f *timeline.Timeline) { f.Begin(timeline.Planned, "a-1", "stop") }
+			s.calls[0].Ended = time.Now().Add(time.Second)
+			return s
+		}()},
+		{"an endpoint that fails is no fault of a stop", "", func() scene {
+			s := one("/stream/x", func(c *caller.Call, _ *checker.Run) { c.Reply = standin.Reply{Status: 200, Signed: true, Err: errCut} })
+			s.begin = func(f *timeline.Timeline) {
+				f.Begin(timeline.Planned, "a-1", "stop")
+				f.Begin(timeline.Endpoint, "e1", "crash")
+			}
+			s.calls[0].Ended = time.Now().Add(time.Second)
+			return s
+		}()},
+		{"a leaving endpoint gets work", "leaving endpoint", func() scene {
+			s := one("/safe/x", func(_ *caller.Call, r *checker.Run) { r.At = time.Now().Add(3 * time.Second) })
+			s.tell = func(c *checker.Checker) { c.Leaves("e1") }
+			return s
+		}()},
+		{"a leaving endpoint gets work while the store refuses some", "", func() scene {
+			s := one("/safe/x", func(_ *caller.Call, r *checker.Run) { r.At = time.Now().Add(3 * time.Second) })
+			s.tell = func(c *checker.Checker) { c.Leaves("e1") }
+			s.begin = func(f *timeline.Timeline) { f.Begin(timeline.Door, "a-1", "busy") }
+			return s
+		}()},
+		{"a version is not in force", "configuration", func() scene {
+			c := call("r1", "/safe/x")
+			c.Kind, c.Reply = caller.Added(2), standin.Reply{Status: http.StatusNotFound}
+			c.Sent, c.Ended = time.Now().Add(3*time.Second), time.Now().Add(3*time.Second)
+			return scene{calls: []caller.Call{c}, tell: func(c *checker.Checker) { c.Configured(2) }}
+		}()},
+		{"a version goes back", "never back", func() scene {
+			knew, forgot := call("r1", "/safe/x"), call("r2", "/safe/x")
+			knew.Kind, forgot.Kind = caller.Added(3), caller.Added(2)
+			forgot.Sent, forgot.Reply = time.Now(), standin.Reply{Status: http.StatusNotFound}
+			r := run(knew)
+			r.Target = caller.Added(3).Path
+			return scene{calls: []caller.Call{knew, forgot}, runs: []checker.Run{r}}
+		}()},
+		{"more extra sends than the budget", "retry budget", func() scene {
+			s := one("/safe/x", func(*caller.Call, *checker.Run) {})
+			for range 3 {
+				s.runs = append(s.runs, s.runs[0])
+			}
+			return s
+		}()},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			faults := &timeline.Timeline{}
+			c := checker.New(bounds, faults, func() []checker.Run { return test.runs })
+			if test.begin != nil {
+				test.begin(faults)
+			}
+			if test.tell != nil {
+				test.tell(c)
+			}
+			for _, call := range test.calls {
+				c.Called(call)
+			}
+			var got []string
+			for _, v := range c.Check(true) {
+				got = append(got, v.Promise)
+			}
+			if test.want == "" {
+				qt.Assert(t, got, qt.HasLen, 0)
+				return
+			}
+			qt.Assert(t, got, qt.Contains, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/internal/soak/fleet/endpoint.go
@@ -0,0 +1,165 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/trailshed/trailshed/internal/soak/checker"
+	"github.com/trailshed/trailshed/internal/soak/link"
+	"github.com/trailshed/trailshed/internal/soak/timeline"
+	"github.com/trailshed/trailshed/platform/standin"
+)
+
+const (
+	// work and pause are how long an endpoint works before it answers, and
+	// between two events.
+	work  = 20 * time.Millisecond
+	pause = 40 * time.Millisecond
+	// entryLag is how long a crashed endpoint's entry stays: three heartbeats.
+	entryLag = 2500 * time.Millisecond
+	// drainTime is how long a leaving endpoint serves on.
+	drainTime = 4 * time.Second
+	// reuseAfter is when the address of an endpoint that is gone may be given
+	// to another one.
+	reuseAfter = 2 * time.Second
+)
+
+// endpoint is a stand-in behind a link; the store tells the link's address.
+type endpoint struct {
+	*standin.Endpoint
+	link *link.Link
+}
+
+func well() standin.Behaviour { return standin.Behaviour{Delay: work, Pause: pause} }
+
+// addEndpoint starts an endpoint and registers it; stage is empty for the plain
+// service.
+func (f *Fleet) addEndpoint(zone, stage string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retired++
+	service := "llm"
+	if stage == "" {
+		service = "web"
+	}
+	e := &endpoint{Endpoint: standin.NewEndpoint(fmt.Sprintf("%s-%s-%d", service, zone, f.retired), service, zone, stage)}
+	e.Behave(well())
+	var err error
+	if e.link, err = link.New(e.Address); err != nil {
+		return err
+	}
+	e.Shown = e.link.Address
+	f.endpoints = append(f.endpoints, e)
+	e.Register(f.store, "ready")
+	return nil
+}
+
+// drop takes an endpoint out of the listing and starts one in its place.
+func (f *Fleet) drop(e *endpoint) error {
+	f.mu.Lock()
+	for n, other := range f.endpoints {
+		if other == e {
+			f.endpoints = append(f.endpoints[:n:n], f.endpoints[n+1:]...)
+			break
+		}
+	}
+	f.ended = append(f.ended, e)
+	f.mu.Unlock()
+	return f.addEndpoint(e.Zone, e.Stage)
+}
+
+func (f *Fleet) endpoint(n int) *endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.endpoints[n%len(f.endpoints)]
+}
+
+// arrivals is what all endpoints saw so far.
+func (f *Fleet) arrivals() []checker.Run {
+	f.mu.Lock()
+	all := append(append([]*endpoint(nil), f.endpoints...), f.ended...)
+	f.mu.Unlock()
+	var runs []checker.Run
+	for _, e := range all {
+		for _, a := range e.Arrivals() {
+			runs = append(runs, checker.Run{Arrival: a, Endpoint: e.ID, Service: e.Service})
+		}
+	}
+	return runs
+}
+
+// crash ends an endpoint without a word; its entry goes later, its place is
+// taken by another one, and its address may be given to another service.
+func (f *Fleet) crash(ctx context.Context, e *endpoint, length time.Duration, reuse bool) error {
+	end := f.faults.Begin(timeline.Endpoint, e.ID, "crash")
+	defer end()
+	e.link.Set(link.Refused)
+	e.link.Reset()
+	e.Close()
+	sleep(ctx, entryLag)
+	e.Leave(f.store)
+	if reuse {
+		sleep(ctx, reuseAfter-entryLag)
+		e.link.Aim(f.other(e.Service).Address)
+		e.link.Set(link.Clean)
+	}
+	sleep(ctx, length)
+	return f.drop(e)
+}
+
+// other is an endpoint of another service.
+func (f *Fleet) other(service string) *endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.endpoints {
+		if e.Service != service {
+			return e
+		}
+	}
+	return f.endpoints[0]
+}
+
+// retire has an endpoint leave: it says so first unless it vanishes, serves on
+// for a time, and ends.
+func (f *Fleet) retire(ctx context.Context, e *endpoint, vanish bool) error {
+	if err := f.drop(e); err != nil {
+		return err
+	}
+	if vanish {
+		e.Leave(f.store)
+	} else {
+		e.Register(f.store, "draining")
+	}
+	f.checker.Leaves(e.ID)
+	sleep(ctx, drainTime)
+	end := f.faults.Begin(timeline.Endpoint, e.ID, "ended")
+	defer end()
+	e.Leave(f.store)
+	e.link.Set(link.Refused)
+	e.link.Reset()
+	return nil
+}
+
+// ways in which an endpoint may answer badly.
+func misbehaviours() []standin.Behaviour {
+	list := []standin.Behaviour{
+		{Hang: true},
+		{ResetAfter: -1},
+		{ResetAfter: 2},
+		{Status: 500},
+		{Full: true},
+		{Extra: true},
+		{Unframed: true},
+		{Unsigned: true},
+		{NoHandle: true},
+		{Hang: true, Share: 0.4},
+		{ResetAfter: -1, Share: 0.4},
+		{ResetAfter: 3, Share: 0.4},
+		{Status: 500, Share: 0.4},
+	}
+	for i := range list {
+		list[i].Delay, list[i].Pause = work, pause
+	}
+	return append(list, standin.Behaviour{Delay: 40 * work, Pause: 10 * pause})
+}
--- /dev/null
+++ b/internal/soak/fleet/steps.go
@@ -0,0 +1,271 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/trailshed/trailshed/internal/soak/link"
+	"github.com/trailshed/trailshed/internal/soak/schedule"
+	"github.com/trailshed/trailshed/internal/soak/timeline"
+	"github.com/trailshed/trailshed/platform/standin"
+)
+
+// aftermath is how long a fault still excuses an instance that it struck.
+const aftermath = time.Second
+
+// take takes one step and undoes it when its time is over.
+func (f *Fleet) take(ctx context.Context, s schedule.Step) {
+	if err := f.strike(ctx, s); err != nil {
+		_, _ = fmt.Fprintf(os.Stderr, "seed %d: %s: %v\n", f.Seed, s.Kind, err)
+	}
+}
+
+func (f *Fleet) strike(ctx context.Context, s schedule.Step) error {
+	all := f.all()
+	i := all[s.Target%len(all)]
+	switch s.Kind {
+	case schedule.Kill:
+		return f.kill(ctx, s.For, i)
+	case schedule.KillAll:
+		return f.kill(ctx, s.For, all...)
+	case schedule.Pause:
+		f.pause(ctx, s.For, i)
+	case schedule.Stop:
+		return f.stop(ctx, s.For, i)
+	case schedule.Roll:
+		return f.roll(ctx, f.Zones[s.Target%len(f.Zones)])
+	case schedule.Hangup:
+		return f.hangup(i, s.How%2 == 0)
+	case schedule.PeersCut, schedule.PeersOneWay, schedule.PeersLossy, schedule.ZoneCut:
+		f.harmPeers(ctx, s, i)
+	case schedule.DoorFault:
+		f.harmDoors(ctx, s, timeline.Door, i)
+	case schedule.StoreFault:
+		f.harmDoors(ctx, s, timeline.Store, all...)
+	case schedule.StoreSlow:
+		f.slowStore(ctx, s.For)
+	case schedule.StoreForget:
+		f.store.Forget()
+	case schedule.Lapse:
+		f.lapse(ctx, s.For)
+	case schedule.Crash, schedule.Reuse:
+		return f.crash(ctx, f.endpoint(s.Target), s.For, s.Kind == schedule.Reuse)
+	case schedule.Retire, schedule.Vanish:
+		return f.retire(ctx, f.endpoint(s.Target), s.Kind == schedule.Vanish)
+	case schedule.Misbehave:
+		f.misbehave(ctx, s)
+	case schedule.LinkBad:
+		f.harmLink(ctx, s)
+	case schedule.Configure:
+		f.configureOnce(ctx)
+	case schedule.ConfigureStorm:
+		for range 5 {
+			f.configure()
+			sleep(ctx, 80*time.Millisecond)
+		}
+		f.configureOnce(ctx)
+	}
+	return nil
+}
+
+// kill kills instances at the same moment and starts them again.
+func (f *Fleet) kill(ctx context.Context, length time.Duration, struck ...*instance) error {
+	for _, i := range struck {
+		end := f.faults.Begin(timeline.Process, i.name, "kill")
+		defer end()
+		i.program.Signal(syscall.SIGKILL)
+	}
+	sleep(ctx, length/4)
+	return f.startAgain(ctx, struck...)
+}
+
+// startAgain starts what has ended.
+func (f *Fleet) startAgain(ctx context.Context, struck ...*instance) error {
+	for _, i := range struck {
+		i.program.Wait(patience)
+		if err := i.program.Start(); err != nil {
+			return err
+		}
+	}
+	sleep(ctx, aftermath)
+	return nil
+}
+
+func (f *Fleet) pause(ctx context.Context, length time.Duration, i *instance) {
+	end := f.faults.Begin(timeline.Process, i.name, "pause")
+	defer end()
+	i.program.Signal(syscall.SIGSTOP)
+	sleep(ctx, length)
+	i.program.Signal(syscall.SIGCONT)
+	time.Sleep(aftermath)
+}
+
+// stop stops an instance in order and starts it again.
+func (f *Fleet) stop(ctx context.Context, length time.Duration, i *instance) error {
+	end := f.faults.Begin(timeline.Planned, i.name, "stop")
+	defer end()
+	i.program.Signal(syscall.SIGTERM)
+	if !i.program.Wait(2 * grace) {
+		i.program.Signal(syscall.SIGCONT) // it may be paused
+		i.program.Signal(syscall.SIGKILL)
+	}
+	endStart := f.faults.Begin(timeline.Process, i.name, "start")
+	defer endStart()
+	sleep(ctx, length/8)
+	return f.startAgain(ctx, i)
+}
+
+// roll stops the instances of a zone one after the other.
+func (f *Fleet) roll(ctx context.Context, zone string) error {
+	for _, i := range f.all() {
+		if i.zone != zone || ctx.Err() != nil {
+			continue
+		}
+		if err := f.stop(ctx, 0, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// hangup changes an instance's settings, with or without a signal.
+func (f *Fleet) hangup(i *instance, signal bool) error {
+	if err := i.writeSettings(grace + time.Millisecond*time.Duration(len(f.routes))); err != nil {
+		return err
+	}
+	if signal {
+		i.program.Signal(syscall.SIGHUP)
+	}
+	return nil
+}
+
+// harmPeers harms the ways between instances.
+func (f *Fleet) harmPeers(ctx context.Context, s schedule.Step, i *instance) {
+	struck := []*instance{i}
+	if s.Kind == schedule.ZoneCut {
+		struck = f.inZone(i.zone)
+		// The ways inside the zone are cut as well, which is worse than a zone's cut.
+		end := f.faults.Begin(timeline.Store, "", "zone cut")
+		defer end()
+		for _, z := range struck {
+			z.door.Set(standin.Silent)
+			defer z.door.Set(standin.Healthy)
+		}
+	}
+	end := f.faults.Begin(timeline.Peers, "", string(s.Kind))
+	defer end()
+	for _, z := range struck {
+		switch s.Kind {
+		case schedule.PeersOneWay:
+			z.lose(float64(s.How%2), float64((s.How+1)%2))
+		case schedule.PeersLossy:
+			z.lose(0.2, 0.2)
+		default:
+			z.lose(1, 1)
+		}
+		defer z.lose(0, 0)
+	}
+	sleep(ctx, s.For)
+}
+
+func (f *Fleet) inZone(zone string) []*instance {
+	var list []*instance
+	for _, i := range f.all() {
+		if i.zone == zone {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// harmDoors lets the store fail some instances.
+func (f *Fleet) harmDoors(ctx context.Context, s schedule.Step, scope timeline.Scope, struck ...*instance) {
+	ways := []standin.Fault{standin.Busy, standin.Silent, standin.Cut, standin.DeafWatches, standin.LostWrites, standin.Slow}
+	fault := ways[s.How%len(ways)]
+	for _, i := range struck {
+		end := f.faults.Begin(scope, i.name, fmt.Sprint("door fault ", fault))
+		defer end()
+		i.door.Set(fault)
+		defer i.door.Set(standin.Healthy)
+	}
+	sleep(ctx, s.For)
+}
+
+func (f *Fleet) slowStore(ctx context.Context, length time.Duration) {
+	end := f.faults.Begin(timeline.Store, "", "slow")
+	defer end()
+	for _, i := range f.all() {
+		i.doorLink.Set(link.Delayed)
+		defer i.doorLink.Set(link.Clean)
+	}
+	sleep(ctx, length)
+}
+
+// lapse takes the store away; endpoints' entries lapse and are back a moment
+// after its return.
+func (f *Fleet) lapse(ctx context.Context, length time.Duration) {
+	end := f.faults.Begin(timeline.Store, "", "lapse")
+	defer end()
+	for _, i := range f.all() {
+		i.door.Set(standin.Cut)
+	}
+	sleep(ctx, length)
+	f.mu.Lock()
+	lapsed := append([]*endpoint(nil), f.endpoints...)
+	f.mu.Unlock()
+	for _, e := range lapsed {
+		e.Leave(f.store)
+	}
+	for _, i := range f.all() {
+		i.door.Set(standin.Healthy)
+	}
+	sleep(ctx, 1500*time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range lapsed {
+		for _, present := range f.endpoints {
+			if present == e { // it has neither left nor crashed meanwhile
+				e.Register(f.store, "ready")
+			}
+		}
+	}
+}
+
+// misbehave lets an endpoint answer badly.
+func (f *Fleet) misbehave(ctx context.Context, s schedule.Step) {
+	e := f.endpoint(s.Target)
+	end := f.faults.Begin(timeline.Endpoint, e.ID, fmt.Sprint("misbehaviour ", s.How%len(misbehaviours())))
+	defer end()
+	e.Behave(misbehaviours()[s.How%len(misbehaviours())])
+	sleep(ctx, s.For)
+	e.Behave(well())
+	sleep(ctx, aftermath)
+}
+
+// harmLink harms the way to an endpoint.
+func (f *Fleet) harmLink(ctx context.Context, s schedule.Step) {
+	e := f.endpoint(s.Target)
+	ways := []link.Fault{link.Delayed, link.NoAnswers, link.Silent, link.Refused, link.Clean}
+	fault := ways[s.How%len(ways)]
+	end := f.faults.Begin(timeline.Endpoint, e.ID, fmt.Sprint("link fault ", fault))
+	defer end()
+	e.link.Set(fault)
+	if fault == link.Clean || s.How%2 == 0 {
+		e.link.Reset()
+	}
+	sleep(ctx, s.For)
+	e.link.Set(link.Clean)
+	sleep(ctx, aftermath)
+}
+
+// configureOnce writes a configuration and asks all instances for its route.
+func (f *Fleet) configureOnce(ctx context.Context) {
+	f.configure()
+	f.mu.Lock()
+	version := f.version
+	f.mu.Unlock()
+	f.probe(ctx, version)
+}
--- /dev/null
+++ b/internal/soak/link/link_test.go
@@ -0,0 +1,95 @@
+package link_test
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/trailshed/trailshed/internal/soak/link"
+)
+
+// echo answers each connection with what it sends.
+func echo(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func open(t *testing.T) (*link.Link, net.Conn) {
+	t.Helper()
+	l, err := link.New(echo(t))
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(l.Close)
+	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Address.String())
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = c.Close() })
+	return l, c
+}
+
+func say(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	_, err := c.Write([]byte(text))
+	qt.Assert(t, err, qt.IsNil)
+}
+
+func hear(t *testing.T, c net.Conn, n int) string {
+	t.Helper()
+	b := make([]byte, n)
+	_, err := io.ReadFull(c, b)
+	qt.Assert(t, err, qt.IsNil)
+	return string(b)
+}
+
+// Whatever a link holds passes, whole and in order, once it is clean again.
+func TestHeldBytesPassLater(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault link.Fault
+	}{
+		{"clean", link.Clean},
+		{"delayed", link.Delayed},
+		{"no answers", link.NoAnswers},
+		{"silent", link.Silent},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l, c := open(t)
+			say(t, c, "one")
+			qt.Assert(t, hear(t, c, 3), qt.Equals, "one")
+			l.Set(test.fault)
+			say(t, c, "two")
+			say(t, c, "three")
+			l.Set(link.Clean)
+			qt.Assert(t, hear(t, c, 8), qt.Equals, "twothree")
+		})
+	}
+}
+
+func TestResetsAreSeen(t *testing.T) {
+	l, c := open(t)
+	say(t, c, "one")
+	qt.Assert(t, hear(t, c, 3), qt.Equals, "one")
+	l.Reset()
+	_, err := c.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.IsNotNil)
+	l.Set(link.Refused)
+	again, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Address.String())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = again.Close() }()
+	_, err = again.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.IsNotNil)
+}
--- /dev/null
+++ b/internal/soak/program/program.go
@@ -0,0 +1,104 @@
+// Package program runs one real program as a process of its own and strikes it
+// with signals, by its id, as the machine's faults would.
+package program
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Program is one process and those that follow it.
+type Program struct {
+	File     string
+	Settings string // path of its settings file
+	Log      string // path of its log, which grows with each life
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
+	life  int
+	log   *os.File
+}
+
+// Start begins a new life; it does nothing while one lasts.
+func (p *Program) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return nil
+	}
+	if err := os.MkdirAll(filepath.Dir(p.Log), 0o750); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.CommandContext(context.Background(), p.File, "gateway", "--settings", p.Settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		_ = log.Close()
+		return fmt.Errorf("start %s: %w", p.File, err)
+	}
+	p.cmd, p.log, p.ended = cmd, log, make(chan struct{})
+	p.life++
+	go p.reap(cmd, log, p.ended)
+	return nil
+}
+
+// reap waits for the end of a life; how it ended stands in the log.
+func (p *Program) reap(cmd *exec.Cmd, log *os.File, ended chan struct{}) {
+	err := cmd.Wait()
+	_, _ = fmt.Fprintf(log, "{\"event\":\"process_ended\",\"at\":%q,\"how\":%q}\n", time.Now().Format(time.RFC3339Nano), fmt.Sprint(err))
+	_ = log.Close()
+	p.mu.Lock()
+	p.cmd = nil
+	p.mu.Unlock()
+	close(ended)
+}
+
+// Signal sends a signal to the process that this Program started, if it lives.
+func (p *Program) Signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s) // it may have ended this moment
+	}
+}
+
+// Wait waits for the end of the present life, at most for a time, and says
+// whether it came.
+func (p *Program) Wait(most time.Duration) bool {
+	p.mu.Lock()
+	ended, alive := p.ended, p.cmd != nil
+	p.mu.Unlock()
+	if !alive {
+		return true
+	}
+	select {
+	case <-ended:
+		return true
+	case <-time.After(most):
+		return false
+	}
+}
+
+// Life counts the starts so far.
+func (p *Program) Life() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.life
+}
+
+// Alive says whether a process runs.
+func (p *Program) Alive() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd != nil
+}
--- /dev/null
+++ b/internal/soak/schedule/schedule_test.go
@@ -0,0 +1,24 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/trailshed/trailshed/internal/soak/schedule"
+)
+
+// A seed always draws the same steps, and many seeds draw every kind.
+func TestSeedsReproduceSchedules(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(schedule.New(7, time.Minute), qt.DeepEquals, schedule.New(7, time.Minute))
+	kinds := map[schedule.Kind]bool{}
+	for seed := range uint64(40) {
+		for _, s := range schedule.New(seed, 20*time.Second) {
+			kinds[s.Kind] = true
+			c.Assert(s.At < 20*time.Second && s.For > 0, qt.IsTrue)
+		}
+	}
+	c.Assert(kinds, qt.HasLen, 23)
+}
