staging: change as many engines at a time as the split is off by

Change: once the split is off by more than sizes vary (0.6 engines, and 3 in 100 of all), as many engines change as it is off by, up to a sixth at a time; orders count as under way for 13 s as before, each engine by itself. What decodes together is bound by slots too, not by memory only.

--- a/internal/staging/policy.go
+++ b/internal/staging/policy.go
@@ -1,7 +1,8 @@
 // Package staging changes the stages of engines: how many read prompts and how
 // many decode. The right split follows from the sizes of requests and from the
-// engines' data; where it is off by most of an engine, one engine is told to
-// change, which takes seconds, so it is done seldom.
+// engines' data. Where it is off by more than the sizes vary, as many engines
+// as it is off by are told to change, up to a part of all at a time, since a
+// change takes seconds in which an engine does nothing.
 package staging
 
 import (
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/route"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -24,13 +26,18 @@
 	// wanted: prompts that queue make first events late, while decode engines
 	// take what fits.
 	prefillSpare = 1.35
-	// offBy is by how many engines the split must be off.
-	offBy = 0.6
+	// offBy is by how many engines the split must be off, and offPart by which
+	// part of all: means over sizeMemory requests vary by some hundredths.
+	offBy   = 0.6
+	offPart = 0.03
 	// leastSizes is how many requests must have been seen.
 	leastSizes = 8
-	// orderPause is the least time between two orders: an engine changes in six
-	// seconds, and an unanswered order may be carried out twelve later.
-	orderPause = 13 * time.Second
+	// settleTime is how long an order counts as under way while the engine does
+	// not show its new stage: a change takes six seconds, and an unanswered
+	// order may be carried out twelve later.
+	settleTime = 13 * time.Second
+	// underWayPart of a service's engines may change at a time, at least one.
+	underWayPart = 1.0 / 6
 )
 
 // Sizes are the running means of requests.
@@ -56,78 +63,106 @@
 	Endpoint *directory.Endpoint
 	Stage    directory.Stage
 	Wanted   float64 // prefill engines that the service should have
-	Present  int     // that it has
+	Present  int     // that it has, counting orders under way as carried out
 }
 
 // Policy decides. It is not safe for concurrent use.
 type Policy struct {
-	ordered map[string]clock.Millis // by service
+	ordered map[string]ordered // by engine
+}
+
+// ordered is a change under way.
+type ordered struct {
+	stage directory.Stage
+	until clock.Millis
 }
 
 // NewPolicy returns a policy that has ordered nothing.
-func NewPolicy() *Policy { return &Policy{ordered: map[string]clock.Millis{}} }
+func NewPolicy() *Policy { return &Policy{ordered: map[string]ordered{}} }
 
-// Decide returns the next order, or nil.
-func (p *Policy) Decide(now clock.Millis, v *directory.View, sizes map[string]Sizes) *Order {
+// Decide returns the next orders, of all services.
+func (p *Policy) Decide(now clock.Millis, v *directory.View, sizes map[string]Sizes) []Order {
 	if v.Table == nil {
 		return nil
 	}
+	var orders []Order
 	for name, s := range sizes {
 		service := v.Table.Service(name)
-		last, ordered := p.ordered[name]
-		if service == nil || service.Engine == nil || s.Requests < leastSizes || ordered && now.Sub(last) < orderPause {
+		if service == nil || service.Engine == nil || s.Requests < leastSizes {
 			continue
 		}
-		o := choose(v.Endpoints[name], wanted(s, service.Engine.KVTokens))
-		if o != nil {
-			p.ordered[name] = now
-			return o
+		zones, underWay := p.split(now, v.Endpoints[name])
+		most := max(int(underWayPart*float64(len(v.Endpoints[name]))), 1) - underWay
+		for _, o := range choose(zones, wanted(s, *service.Engine), most) {
+			p.ordered[o.Endpoint.ID] = ordered{stage: o.Stage, until: now.Add(settleTime)}
+			orders = append(orders, o)
 		}
 	}
-	return nil
+	return orders
 }
 
 // wanted is the share of engines that should read prompts: in proportion to
-// the engine time that one request takes at each stage.
-func wanted(s Sizes, memory int) float64 {
+// the engine time that one request takes at each stage. Decoding shares an
+// engine between as many requests as its memory and its slots hold.
+func wanted(s Sizes, e route.Engine) float64 {
 	read := (setupMS + s.Prompt/tokensPerMS) * prefillSpare
-	decode := (s.Prompt + s.Output/2) / float64(max(memory, 1)) * s.Output * stepMS
+	together := float64(max(e.KVTokens, 1)) / max(s.Prompt+s.Output/2, 1)
+	if e.Slots > 0 {
+		together = min(together, float64(e.Slots))
+	}
+	decode := s.Output * stepMS / max(together, 1)
 	if read+decode == 0 {
 		return 0.5
 	}
 	return read / (read + decode)
 }
 
-// zone is the engines of one zone by stage.
+// zone is the engines of one zone. Those with an order under way count as they
+// will be, and are not among those that may be ordered.
 type zone struct {
-	name            string
-	prefill, decode []*directory.Endpoint
+	name                  string
+	prefill, decode       int
+	mayDecode, mayPrefill []*directory.Endpoint
 }
 
-func choose(list []*directory.Endpoint, share float64) *Order {
-	zones := split(list)
+// choose returns up to most orders that bring the split to share, once it is
+// off by enough.
+func choose(zones []*zone, share float64, most int) []Order {
 	prefill, decode := 0, 0
 	for _, z := range zones {
-		prefill += len(z.prefill)
-		decode += len(z.decode)
+		prefill += z.prefill
+		decode += z.decode
 	}
-	if prefill+decode < 2 {
+	all := prefill + decode
+	if all < 2 {
 		return nil
 	}
-	want := min(max(share*float64(prefill+decode), 1), float64(prefill+decode-1))
-	off := float64(prefill) - want
-	switch {
-	case off >= offBy:
-		return toDecode(zones, want, prefill)
-	case off <= -offBy && decode > 1:
-		return toPrefill(zones, want, prefill)
+	want := min(max(share*float64(all), 1), float64(all-1))
+	if math.Abs(float64(prefill)-want) < max(offBy, offPart*float64(all)) {
+		return nil
 	}
-	return nil
+	var orders []Order
+	for len(orders) < most {
+		o := Order{Wanted: want, Present: prefill}
+		switch off := float64(prefill) - want; {
+		case off >= offBy:
+			o.Endpoint, o.Stage = toDecode(zones), directory.Decode
+			prefill--
+		case off <= -offBy:
+			o.Endpoint, o.Stage = toPrefill(zones), directory.Prefill
+			prefill++
+		}
+		if o.Endpoint == nil {
+			break
+		}
+		orders = append(orders, o)
+	}
+	return orders
 }
 
-func split(list []*directory.Endpoint) []*zone {
+// split sorts engines by zone and counts the orders under way.
+func (p *Policy) split(now clock.Millis, list []*directory.Endpoint) (zones []*zone, underWay int) {
 	byName := map[string]*zone{}
-	var zones []*zone
 	for _, e := range list {
 		if e.State != directory.Ready || e.Stage == directory.Whole {
 			continue
@@ -138,45 +173,71 @@
 			byName[e.Zone] = z
 			zones = append(zones, z)
 		}
-		if e.Stage == directory.Prefill {
-			z.prefill = append(z.prefill, e)
-		} else {
-			z.decode = append(z.decode, e)
+		stage := e.Stage
+		o, changing := p.ordered[e.ID]
+		switch {
+		case changing && o.until <= now:
+			delete(p.ordered, e.ID)
+			changing = false
+		case changing:
+			stage = o.stage
+			underWay++
 		}
+		z.add(e, stage, changing)
 	}
 	slices.SortFunc(zones, func(a, b *zone) int { return cmp.Compare(a.name, b.name) })
-	return zones
+	return zones, underWay
+}
+
+func (z *zone) add(e *directory.Endpoint, stage directory.Stage, changing bool) {
+	mayChange := &z.mayPrefill
+	if stage == directory.Prefill {
+		z.prefill++
+		mayChange = &z.mayDecode
+	} else {
+		z.decode++
+	}
+	if !changing {
+		*mayChange = append(*mayChange, e)
+	}
 }
 
 // toDecode takes a prefill engine from the zone that has most of them, for its
 // decode engines, and never the last of a zone.
-func toDecode(zones []*zone, want float64, present int) *Order {
+func toDecode(zones []*zone) *directory.Endpoint {
 	from := slices.MaxFunc(zones, func(a, b *zone) int { return cmp.Compare(a.ratio(), b.ratio()) })
-	if len(from.prefill) < 2 {
+	if from.prefill < 2 || len(from.mayDecode) == 0 {
 		return nil
 	}
-	return &Order{Endpoint: first(from.prefill), Stage: directory.Decode, Wanted: want, Present: present}
+	from.prefill--
+	from.decode++
+	return take(&from.mayDecode)
 }
 
 // toPrefill takes a decode engine from the zone that has fewest prefill
 // engines for its decode engines, and never the last of a zone.
-func toPrefill(zones []*zone, want float64, present int) *Order {
+func toPrefill(zones []*zone) *directory.Endpoint {
 	from := slices.MinFunc(zones, func(a, b *zone) int { return cmp.Compare(a.ratio(), b.ratio()) })
-	if len(from.decode) < 2 {
+	if from.decode < 2 || len(from.mayPrefill) == 0 {
 		return nil
 	}
-	return &Order{Endpoint: first(from.decode), Stage: directory.Prefill, Wanted: want, Present: present}
+	from.decode--
+	from.prefill++
+	return take(&from.mayPrefill)
 }
 
 // ratio is prefill engines for each decode engine; a zone with fewer than two
 // prefill engines has none to give.
 func (z *zone) ratio() float64 {
-	if len(z.decode) == 0 {
-		return math.Inf(len(z.prefill) - 1)
+	if z.decode == 0 {
+		return math.Inf(z.prefill - 1)
 	}
-	return float64(len(z.prefill)) / float64(len(z.decode))
+	return float64(z.prefill) / float64(z.decode)
 }
 
-func first(list []*directory.Endpoint) *directory.Endpoint {
-	return slices.MinFunc(list, func(a, b *directory.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+// take removes the engine with the lowest id from list.
+func take(list *[]*directory.Endpoint) *directory.Endpoint {
+	e := slices.MinFunc(*list, func(a, b *directory.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	*list = slices.DeleteFunc(*list, func(o *directory.Endpoint) bool { return o == e })
+	return e
 }
--- a/internal/staging/runner.go
+++ b/internal/staging/runner.go
@@ -64,14 +64,19 @@
 	r.mu.Lock()
 	sizes := maps.Clone(r.sizes)
 	r.mu.Unlock()
-	o := policy.Decide(r.Now(), r.Directory.View(), sizes)
-	if o == nil {
-		return
+	var group sync.WaitGroup
+	for _, o := range policy.Decide(r.Now(), r.Directory.View(), sizes) {
+		group.Go(func() { r.order(ctx, o, fence) })
 	}
-	r.Closed(*o)
+	group.Wait()
+}
+
+// order gives one order.
+func (r *Runner) order(ctx context.Context, o Order, fence int64) {
+	r.Closed(o)
 	ctx, cancel := context.WithTimeout(ctx, orderWait)
 	defer cancel()
-	err := r.Send(ctx, *o, r.Leadership.Name, fence)
+	err := r.Send(ctx, o, r.Leadership.Name, fence)
 	n := eventlog.Line{Event: eventlog.Ordered, Endpoint: o.Endpoint.ID, Service: o.Endpoint.Service, Zone: o.Endpoint.Zone, Outcome: stageName(o.Stage), Revision: fence, Count: int64(o.Present)}
 	if err != nil {
 		n.Detail = err.Error()
