budget: pay for both sends of a stream that goes on before its prompt is read

Change: prefill and send are paid for together; where only one is left, a decode engine reads the prompt itself; what a failed prefill leaves unused is given back.

Ruled out: the change of configuration itself (the route's limits are taken when a request arrives); attempts (one of two had run).

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -62,18 +62,26 @@
 	b.requests[b.slot()]++
 }
 
-// Take counts an extra send if the budget allows it.
-func (b *Budget) Take(now clock.Millis) bool {
+// Take counts n extra sends if the budget allows all of them.
+func (b *Budget) Take(now clock.Millis, n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	if b.left() < 1 {
+	if n > 0 && b.left() < float64(n) {
 		return false
 	}
-	b.extras[b.slot()]++
+	b.extras[b.slot()] += float64(n)
 	return true
 }
 
+// Return gives back n extra sends that were taken a moment ago and not made.
+func (b *Budget) Return(now clock.Millis, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.extras[b.slot()] -= float64(n)
+}
+
 // Left is how many extra sends are allowed now.
 func (b *Budget) Left(now clock.Millis) float64 {
 	b.mu.Lock()
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -26,7 +26,7 @@
 			if rapid.Bool().Draw(rt, "request") {
 				b.Request(now)
 				requests = append(requests, now)
-			} else if b.Take(now) {
+			} else if b.Take(now, 1) {
 				extras = append(extras, now)
 				// The rule counts the requests of the window or of the one before.
 				allowed := rule.Slack/shares + rule.Ratio*float64(within(requests, now, 2*rule.Window))
@@ -66,14 +66,28 @@
 				b.Request(5_000)
 			}
 			got := 0
-			for b.Take(5_000) {
+			for b.Take(5_000, 1) {
 				got++
 			}
 			qt.Assert(t, got, qt.Equals, test.want)
-			for b.Take(16_000) {
+			for b.Take(16_000, 1) {
 				got--
 			}
 			qt.Assert(t, got <= test.want, qt.IsTrue) // a window later some are free again
 		})
 	}
 }
+
+// Several sends are taken together or not at all, and what is not used is free
+// again.
+func TestTakeTogether(t *testing.T) {
+	c := qt.New(t)
+	b := budget.New(rule, 8) // four extra sends
+	c.Assert(b.Take(5_000, 5), qt.IsFalse)
+	c.Assert(b.Take(5_000, 3), qt.IsTrue)
+	c.Assert(b.Take(5_000, 2), qt.IsFalse)
+	b.Return(5_000, 1)
+	c.Assert(b.Take(5_000, 2), qt.IsTrue)
+	c.Assert(b.Take(5_000, 0), qt.IsTrue)
+	c.Assert(b.Take(5_000, 1), qt.IsFalse)
+}
--- a/internal/forward/passage.go
+++ b/internal/forward/passage.go
@@ -135,15 +135,30 @@
 	return s != nil && s.Engine != nil
 }
 
-// afford takes a further send from the retry budget.
-func (p *passage) afford() bool {
-	if p.sends == 0 || p.budget(p.service).Take(p.Now()) {
-		return true
+// afford takes further sends from the retry budget.
+func (p *passage) afford(extra int) bool {
+	return extra == 0 || p.budget(p.service).Take(p.Now(), extra)
+}
+
+// extraSends is how many of a send, and of a prefill before it if reads is set,
+// count in the retry budget.
+func (p *passage) extraSends(reads bool) int {
+	extra := 0
+	if p.sends > 0 {
+		extra++
+	}
+	if reads && p.prefill.sends > 0 {
+		extra++
 	}
+	return extra
+}
+
+// budgetSpent ends a request that the retry budget does not let go on.
+func (p *passage) budgetSpent() progress {
 	p.trail.Write(p.line(eventlog.BudgetSpent, p.failure, nil))
 	p.Scope.Counter("budget_spent").Inc(1)
 	p.failure = "budget_spent"
-	return false
+	return hopeless
 }
 
 // plainStep sends the request to an endpoint of a plain service.
@@ -155,9 +170,9 @@
 		p.comeBack = comeBackUnreachable
 		return hopeless
 	}
-	if !p.afford() {
+	if !p.afford(p.extraSends(false)) {
 		r.Done(p.Now(), balance.Abandoned)
-		return hopeless
+		return p.budgetSpent()
 	}
 	if p.attempt(ctx, r) {
 		return answered
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -81,11 +81,20 @@
 		p.tried = append(p.tried, place.Decode)
 		return again
 	}
-	if p.prefill.handle == nil && place.Prefill != "" && !p.readPrompt(ctx, place.Prefill) {
+	// Both sends are paid for before the first: a prompt that is read and may
+	// not go on is read for nothing.
+	reads := p.prefill.handle == nil && place.Prefill != ""
+	send := p.extraSends(false)
+	if !p.afford(p.extraSends(reads)) {
+		if !reads || p.prefill.sends == 0 {
+			return p.budgetSpent()
+		}
+		p.prefill.sends = prefillSends // a decode engine reads it, in one send
 		return again
 	}
-	if !p.afford() {
-		return hopeless
+	if reads && !p.readPrompt(ctx, place.Prefill) {
+		p.budget(p.service).Return(p.Now(), send)
+		return again
 	}
 	r := p.Balancer.ReserveAt(p.Now(), decode)
 	if p.attempt(ctx, r) {
@@ -182,10 +191,6 @@
 		p.prefill.tried = append(p.prefill.tried, id)
 		return false
 	}
-	if p.prefill.sends > 0 && !p.budget(p.service).Take(p.Now()) {
-		p.prefill.sends = prefillSends // a decode engine reads it
-		return false
-	}
 	p.prefillAt(ctx, p.Balancer.ReserveAt(p.Now(), e))
 	return p.prefill.handle != nil
 }
