freshness: ask the store less while fellows answer

(1) While changes go on a follower is always a little behind; it counted its asks and listed the store after two, though fellows had answered both. (2) An endpoint at whose address another one answers was dropped, so the digest differed from the fellows' for good, and was "mended" by a listing each second. (3) Each start of an instance had all its fellows list the store, because they did not know its certificate yet.

Change: asks that brought something do not count; a denied endpoint is out of use and stays in the digest; an unknown certificate waits a second for the relay's word, then only the entries of fellows are read. Instances are taken before endpoints, so that nobody asks by a revision that is ahead of the roster.

TestSteadyChangesAreToldByFellows fails on the old code (run), TestDeniedEndpointIsOutOfUse and EndpointDenied are new.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -60,7 +60,7 @@
 	Endpoints map[string][]*Endpoint
 	Revision  int64  // up to which this view is complete
 	TableRev  int64  // of the store, when Table was written
-	Digest    uint64 // of the endpoints' ids and revisions
+	Digest    uint64 // of the ids and revisions that the store tells
 }
 
 // Directory is the aggregate.
@@ -81,6 +81,7 @@
 type held struct {
 	endpoint Endpoint
 	missing  bool // the store does not list it
+	denied   bool // another endpoint answered at its address: it is not used
 }
 
 // New returns a directory that knows nothing.
@@ -213,12 +214,14 @@
 	}
 	before := h.endpoint
 	wasMissing := h.missing
+	wasDenied := h.denied
+	h.denied = wasDenied && p.Revision == before.Revision // a new entry is believed anew
 	h.endpoint, h.missing = p, false
 	if before.State != p.State {
 		return []Change{{What: EndpointLeaving, Endpoint: p, Revision: p.Revision}}
 	}
 	before.Revision = p.Revision
-	if before == p && !wasMissing {
+	if before == p && !wasMissing && wasDenied == h.denied {
 		return nil
 	}
 	return []Change{{What: EndpointChanged, Endpoint: p, Revision: p.Revision}}
@@ -249,13 +252,16 @@
 	return []Change{{What: EndpointGone, Endpoint: h.endpoint, Revision: revision}}
 }
 
-// deny drops an endpoint whose address turned out to belong to another one.
+// deny takes an endpoint whose address turned out to belong to another one out
+// of use. It still counts as told by the store, so that the digest shows
+// fellows no difference that they could mend.
 func (d *Directory) deny(e Denied) []Change {
 	h := d.endpoints[e.ID]
-	if h == nil {
+	if h == nil || h.denied {
 		return nil
 	}
-	return d.drop(h, h.endpoint.Revision)
+	h.denied = true
+	return []Change{{What: EndpointDenied, Endpoint: h.endpoint, Revision: h.endpoint.Revision}}
 }
 
 // unsettled says that entries may be absent only because the store was away.
@@ -281,6 +287,9 @@
 	for _, h := range d.endpoints {
 		p := h.endpoint
 		v.Digest ^= xxhash.Sum64String(p.ID + strconv.FormatInt(p.Revision, 16))
+		if h.denied {
+			continue
+		}
 		v.Endpoints[p.Service] = append(v.Endpoints[p.Service], &p)
 	}
 	d.view.Store(v)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -187,3 +187,25 @@
 		return directory.Seen{Endpoint: endpoint(id, revision)}
 	}
 }
+
+// An endpoint that another one answered for is out of use, but an instance that
+// found that out believes of the store what its fellows do: a digest of its own
+// made followers list the store every second (grown couriers, scale-2).
+func TestDeniedEndpointIsOutOfUse(t *testing.T) {
+	c := qt.New(t)
+	d, fellow := directory.New(), directory.New()
+	for _, each := range []*directory.Directory{d, fellow} {
+		each.Apply(0, directory.Listed{Endpoints: []directory.Endpoint{endpoint("e1", 1), endpoint("e2", 2)}, Revision: 2})
+	}
+	changes := d.Apply(10, directory.Denied{ID: "e1"})
+	c.Assert(changes, qt.HasLen, 1)
+	c.Assert(changes[0].What, qt.Equals, directory.EndpointDenied)
+	c.Assert(d.Apply(11, directory.Denied{ID: "e1"}), qt.HasLen, 0)
+	c.Assert(ids(d), qt.DeepEquals, map[string]bool{"e2": true})
+	c.Assert(d.View().Digest, qt.Equals, fellow.View().Digest)
+	// The same entry told again changes nothing, a new one is believed.
+	d.Apply(20, directory.Listed{Endpoints: []directory.Endpoint{endpoint("e1", 1), endpoint("e2", 2)}, Revision: 3})
+	c.Assert(ids(d), qt.DeepEquals, map[string]bool{"e2": true})
+	d.Apply(30, directory.Seen{Endpoint: endpoint("e1", 4)})
+	c.Assert(ids(d), qt.DeepEquals, map[string]bool{"e1": true, "e2": true})
+}
--- a/internal/directory/event.go
+++ b/internal/directory/event.go
@@ -69,6 +69,7 @@
 	EndpointLeaving      What = "endpoint_leaving"
 	EndpointMissing      What = "endpoint_missing"
 	EndpointGone         What = "endpoint_gone"
+	EndpointDenied       What = "endpoint_denied"
 )
 
 // Change is one change of belief.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -38,6 +38,9 @@
 	List func(ctx context.Context) (News, error)
 	// Configuration reads the configuration only; its News has no Revision.
 	Configuration func(ctx context.Context) (News, error)
+	// Fellows reads the entries of our own instances only; its News has no
+	// Revision either.
+	Fellows func(ctx context.Context) (News, error)
 	// Head returns the store's revision.
 	Head func(ctx context.Context) (int64, error)
 	// Watch waits for changes after revision.
@@ -84,14 +87,15 @@
 
 	mu   sync.Mutex
 	lost bool
-	// wantAll and wantTable say that everything, or the configuration, is to be
-	// read. wantAll holds until that is done, so that asks during a listing do
-	// not have it repeated: whoever still lacks something then asks again.
-	// wantTable is taken back when its reading begins: nobody repeats that ask.
-	wantAll, wantTable bool
-	calling            call
-	cancel             context.CancelFunc // ends the call in progress
-	asked              chan struct{}      // wakes Run when something is wanted
+	// What is to be read: everything, the configuration, or fellows. wantAll
+	// holds until that is done, so that asks during a listing do not have it
+	// repeated: whoever still lacks something then asks again. The others are
+	// taken back when their reading begins: nobody repeats those asks.
+	wantAll, wantTable, wantFellows bool
+
+	calling call
+	cancel  context.CancelFunc // ends the call in progress
+	asked   chan struct{}      // wakes Run when something is wanted
 }
 
 // task is what Run does next.
@@ -100,6 +104,7 @@
 // The tasks.
 const (
 	follow task = iota
+	readFellows
 	readTable
 	readAll
 )
@@ -169,6 +174,8 @@
 		return f.Source.List(ctx)
 	case readTable:
 		return f.Source.Configuration(ctx)
+	case readFellows:
+		return f.Source.Fellows(ctx)
 	default:
 		if f.wanted() {
 			return News{}, context.Canceled // asked for just before the watch began
@@ -186,20 +193,23 @@
 func (f *Feed) wanted() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.wantAll || f.wantTable
+	return f.wantAll || f.wantTable || f.wantFellows
 }
 
 // claim returns the next task.
 func (f *Feed) claim() task {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	table := f.wantTable
-	f.wantTable = false
 	switch {
 	case f.wantAll:
+		f.wantTable, f.wantFellows = false, false
 		return readAll
-	case table:
+	case f.wantTable:
+		f.wantTable = false
 		return readTable
+	case f.wantFellows:
+		f.wantFellows = false
+		return readFellows
 	default:
 		return follow
 	}
@@ -216,8 +226,12 @@
 func (f *Feed) unmet(t task) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if t == readTable {
+	switch t {
+	case readTable:
 		f.wantTable = true
+	case readFellows:
+		f.wantFellows = true
+	case readAll, follow:
 	}
 }
 
@@ -238,10 +252,12 @@
 		f.Scope.Counter("store_unreadable").Inc(1)
 		f.Log.Write(eventlog.Line{Event: eventlog.Unreadable, Detail: err.Error(), Revision: n.Revision})
 	}
+	// Instances first: fellows ask by the directory's revision, which must not
+	// be ahead of what they are told of instances.
+	f.takeInstances(n)
 	for _, e := range n.Events {
 		f.Tell(e)
 	}
-	f.takeInstances(n)
 }
 
 func (f *Feed) takeInstances(n News) {
@@ -331,6 +347,12 @@
 	f.ask(&f.wantTable)
 }
 
+// Meet has the entries of fellows read, as when an unknown one knocks.
+func (f *Feed) Meet() {
+	f.Scope.Counter("feed_fellows_read").Inc(1)
+	f.ask(&f.wantFellows)
+}
+
 func (f *Feed) ask(want *bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -51,7 +51,8 @@
 	fetched clock.Millis // when it was last fetched
 	source  string
 	digest  uint64 // of the source's beliefs at newest; 0 if not told
-	asked   int    // times that fellows were asked since it fell behind
+	asked   int    // times that fellows were asked in vain
+	had     int64  // the own revision when one was last asked
 }
 
 // Known is what an instance has.
@@ -92,6 +93,10 @@
 		return Nothing
 	}
 	f.fetched = now
+	if k.Revision > f.had {
+		f.asked = 0 // they answer; while changes go on, there is always more to ask for
+	}
+	f.had = k.Revision
 	if f.source == "" || f.asked >= asksMost {
 		f.asked = 0
 		return ListStore
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -114,6 +114,31 @@
 	c.Assert(counts[freshness.ListStore], qt.Equals, 1)
 }
 
+// While changes go on, an instance is always a little behind. As long as fellows
+// answer, the store is not asked (grown couriers: a hundred listings at each
+// start of the fleet, a call's price each).
+func TestSteadyChangesAreToldByFellows(t *testing.T) {
+	c := qt.New(t)
+	var f freshness.Freshness
+	known, newest := int64(30), int64(30)
+	asked := 0
+	for now := clock.Millis(1000); now < 6000; now += 50 {
+		if now%100 == 0 {
+			newest++
+			f.Heard(now, newest, 7, "n1")
+		}
+		switch f.Next(now, freshness.Known{Revision: known, Rank: 5}) {
+		case freshness.AskFellow:
+			asked++
+			known = newest - 1 // the answer was overtaken by the next change
+		case freshness.ListStore, freshness.AskStore:
+			t.Fatalf("the store was asked at %d", now)
+		case freshness.Nothing:
+		}
+	}
+	c.Assert(asked > 10, qt.IsTrue)
+}
+
 // However many are before it, an instance that hears nothing asks in time.
 func TestLastInRankAsksInTime(t *testing.T) {
 	c := qt.New(t)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,8 +53,8 @@
 	// peerQueue is how many messages may wait for one fellow: a second's at the
 	// peak, in a zone of twenty instances.
 	peerQueue = 256
-	// strangerPause is the least time between two readings of the store because
-	// of unknown certificates.
+	// strangerPause is how long an unknown certificate waits to be told of by
+	// the relay, which takes a few hundred ms, before the store is asked.
 	strangerPause = time.Second
 	// sweepInterval is how often idle connections and old beliefs are looked at.
 	sweepInterval = 250 * time.Millisecond
@@ -98,7 +98,7 @@
 	staging   *staging.Runner
 	servers   []*http.Server
 	listeners []net.Listener // of the servers
-	stranger  atomic.Int64   // when an unknown certificate last had the store read
+	stranger  atomic.Bool    // an unknown certificate waits to be told of
 	joining   atomic.Bool
 	leaving   atomic.Bool
 	close     func() error
@@ -166,18 +166,19 @@
 }
 
 // trusted names the fellow that has a certificate. One that is not known may
-// have started a moment ago, so the store is read anew, at most once in
-// strangerPause whoever knocks.
+// have started a moment ago; if the relay does not tell of it soon, the entries
+// of fellows are read.
 func (g *Gateway) trusted(fingerprint string) (string, bool) {
 	name, ok := g.roster.Trusted(fingerprint)
-	if ok {
-		return name, true
+	if !ok && g.stranger.CompareAndSwap(false, true) {
+		time.AfterFunc(strangerPause, func() {
+			g.stranger.Store(false)
+			if _, known := g.roster.Trusted(fingerprint); !known {
+				g.feed.Meet()
+			}
+		})
 	}
-	now, last := int64(g.now()), g.stranger.Load()
-	if clock.Millis(now).Sub(clock.Millis(last)) >= strangerPause && g.stranger.CompareAndSwap(last, now) {
-		g.feed.List()
-	}
-	return "", false
+	return name, ok
 }
 
 func (g *Gateway) openFeed() {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -269,8 +269,8 @@
 	if t.Revision < q.Revision || t.Revision == q.Revision && !t.Whole {
 		return
 	}
+	r.Instances(t.Instances, t.Left, t.Whole, t.Revision) // first, as in the feed
 	r.Tell(directory.Relayed{Whole: t.Whole, Endpoints: t.Endpoints, Gone: t.Gone, Revision: t.Revision})
-	r.Instances(t.Instances, t.Left, t.Whole, t.Revision)
 	if t.Revision == q.Revision {
 		return // other beliefs at the same revision; what they changed has lines of its own
 	}
