--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -19,6 +19,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/trailshed/trailshed/internal/soak/fleet"
+	"github.com/trailshed/trailshed/internal/soak/schedule"
 )
 
 // failed lists seeds that once failed, a line each: the seed, then the cause.
@@ -38,6 +39,7 @@
 	PerZone int           `long:"per-zone" default:"2" description:"instances in each zone"`
 	Callers int           `long:"callers" default:"24" description:"callers at a time"`
 	Timed   bool          `long:"timed" description:"check bounds on time too; not on a machine that is busy"`
+	Only    string        `long:"only" description:"take steps of this kind only, as internal/soak/schedule names them"`
 	Most    time.Duration `long:"most" description:"begin no further run after so long; 0: no bound"`
 }
 
@@ -108,7 +110,7 @@
 func (c *command) play(ctx context.Context, job int, seed uint64) bool {
 	o := fleet.Options{
 		Program: c.Program, Dir: c.Dir, Seed: seed, Length: time.Duration(c.Seconds) * time.Second,
-		Network: network(job), PerZone: c.PerZone, Callers: c.Callers, Timed: c.Timed,
+		Network: network(job), PerZone: c.PerZone, Callers: c.Callers, Timed: c.Timed, Only: schedule.Kind(c.Only),
 	}
 	for n := range c.Zones {
 		o.Zones = append(o.Zones, string(rune('a'+n)))
--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -30,6 +30,7 @@
 func Kinds() []Kind {
 	return []Kind{
 		{Path: "/stream/x", Method: http.MethodPost, Service: "llm", Stream: true},
+		{Path: "/once" + standin.LongPath, Method: http.MethodPost, Service: "llm", Stream: true, Once: true},
 		{Path: "/once/x", Method: http.MethodPost, Service: "llm", Stream: true, Once: true},
 		{Path: "/safe/x", Method: http.MethodGet, Service: "web"},
 		{Path: "/unsafe/x", Method: http.MethodPost, Service: "web", Once: true},
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -154,7 +154,8 @@
 			c.checkGone(call, r)
 		}
 	}
-	if call.Hung() && c.calm(call, call.Sent, call.Ended) {
+	// Whatever endpoints do, an instance must answer once the time is over.
+	if call.Hung() && c.Faults.Calm(call.Sent, call.Ended, call.Gateway.Name, timeline.Process, timeline.Planned) {
 		c.broken("answered", call.ID, call.Ended, "no answer from %s long after the time was over", call.Gateway.Name)
 	}
 }
--- a/internal/soak/fleet/endpoint.go
+++ b/internal/soak/fleet/endpoint.go
@@ -75,6 +75,21 @@
 	return f.endpoints[n%len(f.endpoints)]
 }
 
+// endpointFor returns an endpoint to which a behaviour makes a difference.
+func (f *Fleet) endpointFor(n int, b standin.Behaviour) *endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.endpoints {
+		e := f.endpoints[(n+i)%len(f.endpoints)]
+		plain := b.Extra || b.Unframed || b.Crossed
+		if plain && e.Stage != "" || b.NoHandle && e.Stage != "decode" {
+			continue
+		}
+		return e
+	}
+	return f.endpoints[n%len(f.endpoints)]
+}
+
 // arrivals is what all endpoints saw so far.
 func (f *Fleet) arrivals() []checker.Run {
 	f.mu.Lock()
@@ -151,6 +166,7 @@
 		{Full: true},
 		{Extra: true},
 		{Unframed: true},
+		{Crossed: true},
 		{Unsigned: true},
 		{NoHandle: true},
 		{Hang: true, Share: 0.4},
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -30,7 +30,8 @@
 	Zones   []string
 	PerZone int // instances
 	Callers int
-	Timed   bool // check bounds on time too
+	Timed   bool          // check bounds on time too
+	Only    schedule.Kind // of all steps; empty: all kinds
 }
 
 const (
@@ -85,7 +86,7 @@
 	if err := f.open(); err != nil {
 		return Result{}, err
 	}
-	steps := schedule.New(o.Seed, o.Length)
+	steps := schedule.New(o.Seed, o.Length, o.Only)
 	err := f.play(ctx, steps)
 	r := Result{Seed: o.Seed, Violations: f.checker.Check(true), Steps: len(steps), Faults: f.faults}
 	r.Good, r.All = f.checker.Served()
--- a/internal/soak/fleet/steps.go
+++ b/internal/soak/fleet/steps.go
@@ -236,10 +236,12 @@
 
 // misbehave lets an endpoint answer badly.
 func (f *Fleet) misbehave(ctx context.Context, s schedule.Step) {
-	e := f.endpoint(s.Target)
-	end := f.faults.Begin(timeline.Endpoint, e.ID, fmt.Sprint("misbehaviour ", s.How%len(misbehaviours())))
+	n := s.How % len(misbehaviours())
+	b := misbehaviours()[n]
+	e := f.endpointFor(s.Target, b)
+	end := f.faults.Begin(timeline.Endpoint, e.ID, fmt.Sprint("misbehaviour ", n))
 	defer end()
-	e.Behave(misbehaviours()[s.How%len(misbehaviours())])
+	e.Behave(b)
 	sleep(ctx, s.For)
 	e.Behave(well())
 	sleep(ctx, aftermath)
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -103,11 +103,17 @@
 	seriesShare = 0.25
 )
 
-// New draws the steps of a run of so long, in the order of their times.
-func New(seed uint64, length time.Duration) []Step {
+// New draws the steps of a run of so long, in the order of their times; only, if
+// not empty, is the kind of all of them.
+func New(seed uint64, length time.Duration, only Kind) []Step {
 	r := rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)) //nolint:gosec // a schedule needs no secrecy
 	var steps []Step
+	draw := drawWeighted
 	kind := draw(r)
+	if only != "" {
+		draw = func(*rand.Rand) Kind { return only }
+		kind = only
+	}
 	for at := quiet; at < length; at += time.Duration(r.ExpFloat64() * float64(gapMean)) {
 		steps = append(steps, Step{
 			At: at, For: faultMost/10 + time.Duration(r.Float64()*float64(faultMost)*0.9),
@@ -121,7 +127,8 @@
 	return steps
 }
 
-func draw(r *rand.Rand) Kind {
+// drawWeighted draws a kind by the weights.
+func drawWeighted(r *rand.Rand) Kind {
 	total := 0
 	for _, w := range weights {
 		total += w.weight
