placement: wait for room that is predicted soon

Cause: a request waited for decode memory for a quarter of its target at most and was refused then, also where room was predicted within its time, and came back for half of its worth.

Change: where room is predicted in less than half of the time left, the request waits for that time; else it is refused after a quarter as before.

Ruled out: holding all of them for their whole time, since late refusals cost their whole worth.

--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -33,7 +33,7 @@
 		p.refuse(a, reason, wait)
 		return
 	}
-	if !a.Late {
+	if !a.Late && wait > patience*surePart/100 {
 		patience = min(patience, a.Budget/refusePart)
 	}
 	p.queue = append(p.queue, waiting{ask: a, until: now.Add(patience)})
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -36,6 +36,9 @@
 	// refusePart of a first event's time may be spent on waiting for room: a
 	// refusal within a quarter of it lets the caller come back in good time.
 	refusePart = 4
+	// surePart, in percent, of the time left is what room may be predicted to
+	// take if a request is to wait for it all that time.
+	surePart = 50
 	// ownerExpiry is how long places outlive their owner's silence.
 	ownerExpiry = 2500 * time.Millisecond
 	// fullFor keeps requests from an engine that turned one away: its memory
