broker: give planners time for the first contact

A planner that had been silent and was started anew stayed out for up to 4 s, since silence was kept by name. Each instance also asked the store for its revision in its first moment, when it had just read all of it, and waited 250 ms for a silent endpoint, over the target of some requests.

--- a/internal/broker/announce.go
+++ b/internal/broker/announce.go
@@ -27,7 +27,7 @@
 func (b *Broker) hearers(zone string) []roster.Instance {
 	var list []roster.Instance
 	for _, i := range b.Roster.Ranked(zone, "planner") {
-		if !b.isDown(i.Name) {
+		if !b.isDown(i) {
 			list = append(list, i)
 		}
 	}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -38,6 +38,13 @@
 	// firstWord is how long a planner may take for its first word. A round
 	// trip between zones takes 3 ms; a slowed instance takes some tens.
 	firstWord = 50 * time.Millisecond
+	// firstContact is the same for a planner that this process has not heard
+	// yet, while it is young: the connection must be made, and when a whole
+	// fleet starts at once all make theirs to the same few instances. To plan
+	// without them costs prompts that are read for nothing. Later, a planner
+	// that was never heard is most likely cut off.
+	firstContact = 300 * time.Millisecond
+	young        = 3 * time.Second
 	// downFor is how long a silent planner is not asked again; it doubles, up
 	// to downMost, while the planner stays silent.
 	downFor  = time.Second
@@ -85,8 +92,10 @@
 	mu      sync.Mutex
 	holds   map[string]*Place
 	pending map[string]chan placement.Verdict
-	down    map[string]silence      // by instance
+	down    map[string]silence      // by certificate
 	used    map[string]clock.Millis // by zone
+	met     map[string]bool         // planners that were heard, by certificate
+	began   clock.Millis            // when this process did
 }
 
 // Place is what a request holds until Release.
@@ -104,7 +113,7 @@
 	return &Broker{
 		Options: o, ticker: ticker.New(tickBusy, tickIdle), planner: placement.New(o.Zone), view: &directory.View{},
 		holds: map[string]*Place{}, pending: map[string]chan placement.Verdict{},
-		down: map[string]silence{}, used: map[string]clock.Millis{},
+		down: map[string]silence{}, used: map[string]clock.Millis{}, met: map[string]bool{}, began: o.Now(),
 	}
 }
 
@@ -145,7 +154,7 @@
 func (b *Broker) findIn(ctx context.Context, zone string, a placement.Ask) (*Place, *placement.Refusal) {
 	silent := 0
 	for _, i := range b.Roster.Ranked(zone, "planner") {
-		if b.isDown(i.Name) || silent == silentMost && i.Name != b.Name {
+		if b.isDown(i) || silent == silentMost && i.Name != b.Name {
 			continue
 		}
 		if i.Name == b.Name {
@@ -153,7 +162,7 @@
 		}
 		v, heard := b.askAt(ctx, i, a)
 		if heard {
-			b.heard(i.Name)
+			b.heard(i)
 			return b.conclude(i, zone, a, v)
 		}
 		if ctx.Err() != nil {
@@ -184,7 +193,7 @@
 func (b *Broker) askAt(ctx context.Context, i roster.Instance, a placement.Ask) (placement.Verdict, bool) {
 	waiting := b.await(a.ID)
 	defer b.forget(a.ID)
-	first, cancel := context.WithTimeout(ctx, firstWord)
+	first, cancel := context.WithTimeout(ctx, b.firstWord(i))
 	defer cancel()
 	v, err := peer.Ask[placement.Ask, placement.Verdict](first, b.Transport, i.Address, topicAsk, a)
 	if err != nil {
--- a/internal/broker/silence.go
+++ b/internal/broker/silence.go
@@ -14,31 +14,44 @@
 	last  time.Duration
 }
 
-func (b *Broker) isDown(name string) bool {
+// isDown says whether a process was found silent. One that was started anew
+// under the same name has another certificate and is asked.
+func (b *Broker) isDown(i roster.Instance) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.Now() < b.down[name].until
+	return b.Now() < b.down[i.Fingerprint].until
 }
 
-func (b *Broker) heard(name string) {
+func (b *Broker) heard(i roster.Instance) {
 	b.mu.Lock()
-	before, was := b.down[name]
-	delete(b.down, name)
+	before, was := b.down[i.Fingerprint]
+	delete(b.down, i.Fingerprint)
+	b.met[i.Fingerprint] = true
 	b.mu.Unlock()
 	if was {
-		b.Log.Write(eventlog.Line{Event: eventlog.PeerRegained, Detail: name, Age: before.last})
+		b.Log.Write(eventlog.Line{Event: eventlog.PeerRegained, Detail: i.Name, Age: before.last})
 	}
 }
 
+// firstWord is how long a planner may take for its first word.
+func (b *Broker) firstWord(i roster.Instance) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.met[i.Fingerprint] || b.Now().Sub(b.began) > young {
+		return firstWord
+	}
+	return firstContact
+}
+
 func (b *Broker) silent(i roster.Instance) {
 	b.mu.Lock()
-	before := b.down[i.Name]
+	before := b.down[i.Fingerprint]
 	if b.Now() < before.until {
 		b.mu.Unlock()
 		return // another request found out at the same time
 	}
 	length := min(max(2*before.last, downFor), downMost)
-	b.down[i.Name] = silence{until: b.Now().Add(length), last: length}
+	b.down[i.Fingerprint] = silence{until: b.Now().Add(length), last: length}
 	b.mu.Unlock()
 	b.Scope.Counter("planner_silent").Inc(1)
 	b.Log.Write(eventlog.Line{Event: eventlog.PeerLost, Address: i.Address.String(), Reason: "planner_silent", Detail: i.Name})
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -106,6 +106,9 @@
 }
 
 func (f *Freshness) check(now clock.Millis, rank int) Action {
+	if f.heardAt == 0 {
+		f.heardAt = now // it has just begun by reading everything
+	}
 	if now.Sub(f.heardAt) < checkEvery+time.Duration(min(rank, ranksMost))*rankDelay {
 		return Nothing
 	}
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -69,7 +69,7 @@
 		}
 	}
 	c.Assert(asked[0] > 10, qt.IsTrue)
-	c.Assert(asked[1] <= 1, qt.IsTrue) // at its own start
+	c.Assert(asked[1], qt.Equals, 0) // also at its own start, when it has read everything
 }
 
 func watching(revision int64, rank int) freshness.Known {
--- a/internal/uplink/pool.go
+++ b/internal/uplink/pool.go
@@ -23,8 +23,9 @@
 const (
 	// dialTimeout bounds a connection's set-up. Round trips between zones take
 	// 3 ms and an endpoint's accept 1 ms, so a silent address is known soon;
-	// a busy one that dropped the opening packet is better left alone.
-	dialTimeout = 250 * time.Millisecond
+	// a busy one that dropped the opening packet sends it again after a second
+	// and is better left alone. The shortest target of a request is 120 ms.
+	dialTimeout = 100 * time.Millisecond
 	// keepDefault is how long an idle connection is kept where the endpoint
 	// names no time of its own.
 	keepDefault = 4 * time.Second
