staging: order no more than the requests seen can tell

Change: the split that follows from n requests is uncertain by 0.7/sqrt(n) of itself; an engine is ordered only as far as the split is off by more.

Ruled out: waiting for more requests, which delays the orders that are sure.

--- a/internal/staging/policy.go
+++ b/internal/staging/policy.go
@@ -32,6 +32,10 @@
 	offPart = 0.03
 	// leastSizes is how many requests must have been seen.
 	leastSizes = 8
+	// variation is the standard deviation of what a request takes of engines,
+	// as a part of its mean: prompts vary by a half, answers by 0.7. The split
+	// that follows from n requests is uncertain by variation/sqrt(n) of itself.
+	variation = 0.7
 	// settleTime is how long an order counts as under way while the engine does
 	// not show its new stage: a change takes six seconds, and an unanswered
 	// order may be carried out twelve later.
@@ -55,6 +59,11 @@
 	s.Output += (float64(output) - s.Output) * weight
 }
 
+// uncertainty is the relative error of a split that follows from these means.
+func (s Sizes) uncertainty() float64 {
+	return variation / math.Sqrt(float64(min(s.Requests, sizeMemory)))
+}
+
 // sizeMemory is over how many requests the means run.
 const sizeMemory = 200
 
@@ -93,7 +102,7 @@
 		}
 		zones, underWay := p.split(now, v.Endpoints[name])
 		most := max(int(underWayPart*float64(len(v.Endpoints[name]))), 1) - underWay
-		for _, o := range choose(zones, wanted(s, *service.Engine), most) {
+		for _, o := range choose(zones, wanted(s, *service.Engine), s.uncertainty(), most) {
 			p.ordered[o.Endpoint.ID] = ordered{stage: o.Stage, until: now.Add(settleTime)}
 			orders = append(orders, o)
 		}
@@ -126,8 +135,8 @@
 }
 
 // choose returns up to most orders that bring the split to share, once it is
-// off by enough.
-func choose(zones []*zone, share float64, most int) []Order {
+// off by enough, as near as the uncertainty of share allows.
+func choose(zones []*zone, share, uncertainty float64, most int) []Order {
 	prefill, decode := 0, 0
 	for _, z := range zones {
 		prefill += z.prefill
@@ -138,17 +147,18 @@
 		return nil
 	}
 	want := min(max(share*float64(all), 1), float64(all-1))
-	if math.Abs(float64(prefill)-want) < max(offBy, offPart*float64(all)) {
+	unsure := want * uncertainty
+	if math.Abs(float64(prefill)-want) < max(offBy, offPart*float64(all))+unsure {
 		return nil
 	}
 	var orders []Order
 	for len(orders) < most {
 		o := Order{Wanted: want, Present: prefill}
 		switch off := float64(prefill) - want; {
-		case off >= offBy:
+		case off >= offBy+unsure:
 			o.Endpoint, o.Stage = toDecode(zones), directory.Decode
 			prefill--
-		case off <= -offBy:
+		case off <= -offBy-unsure:
 			o.Endpoint, o.Stage = toPrefill(zones), directory.Prefill
 			prefill++
 		}
