--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -98,26 +98,6 @@
 	asked   chan struct{}      // wakes Run when something is wanted
 }
 
-// task is what Run does next.
-type task int
-
-// The tasks.
-const (
-	follow task = iota
-	readFellows
-	readTable
-	readAll
-)
-
-// call is the kind of the call in progress.
-type call int
-
-const (
-	noCall call = iota
-	watching
-	reading
-)
-
 // New returns a feed that knows nothing and begins by reading everything.
 func New(o Options) *Feed {
 	return &Feed{Options: o, wantAll: true, asked: make(chan struct{}, 1)}
@@ -184,68 +164,6 @@
 	}
 }
 
-func (f *Feed) begin(kind call, cancel context.CancelFunc) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.calling, f.cancel = kind, cancel
-}
-
-func (f *Feed) wanted() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.wantAll || f.wantTable || f.wantFellows
-}
-
-// claim returns the next task.
-func (f *Feed) claim() task {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch {
-	case f.wantAll:
-		f.wantTable, f.wantFellows = false, false
-		return readAll
-	case f.wantTable:
-		f.wantTable = false
-		return readTable
-	case f.wantFellows:
-		f.wantFellows = false
-		return readFellows
-	default:
-		return follow
-	}
-}
-
-func (f *Feed) met(t task) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if t == readAll {
-		f.wantAll = false
-	}
-}
-
-func (f *Feed) unmet(t task) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch t {
-	case readTable:
-		f.wantTable = true
-	case readFellows:
-		f.wantFellows = true
-	case readAll, follow:
-	}
-}
-
-// rest waits until something is wanted, at most for a time.
-func (f *Feed) rest(ctx context.Context, most time.Duration) {
-	timer := time.NewTimer(most)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-f.asked:
-	}
-}
-
 // Take applies news to the directory and logs what it changed.
 func (f *Feed) Take(n News) {
 	for _, err := range n.Problems {
@@ -292,15 +210,6 @@
 	f.endWatch()
 }
 
-// endWatch ends a watch in progress, and never a reading: one that takes longer
-// than the pauses between those who ask for it would not come to its end. The
-// caller holds the lock.
-func (f *Feed) endWatch() {
-	if f.calling == watching {
-		f.cancel()
-	}
-}
-
 // Tell applies one event to the directory and logs what it changed.
 func (f *Feed) Tell(e directory.Event) {
 	for _, c := range f.Directory.Apply(f.Now(), e) {
@@ -335,35 +244,6 @@
 	f.Regained()
 }
 
-// List has everything read.
-func (f *Feed) List() {
-	f.Scope.Counter("feed_listed_anew").Inc(1)
-	f.ask(&f.wantAll)
-}
-
-// Configure has the configuration read.
-func (f *Feed) Configure() {
-	f.Scope.Counter("feed_configuration_read").Inc(1)
-	f.ask(&f.wantTable)
-}
-
-// Meet has the entries of fellows read, as when an unknown one knocks.
-func (f *Feed) Meet() {
-	f.Scope.Counter("feed_fellows_read").Inc(1)
-	f.ask(&f.wantFellows)
-}
-
-func (f *Feed) ask(want *bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	*want = true
-	f.endWatch()
-	select {
-	case f.asked <- struct{}{}:
-	default: // it is awake already
-	}
-}
-
 func (f *Feed) isLost() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/internal/feed/task.go
@@ -0,0 +1,126 @@
+package feed
+
+import (
+	"context"
+	"time"
+)
+
+// task is what Run does next.
+type task int
+
+// The tasks.
+const (
+	follow task = iota
+	readFellows
+	readTable
+	readAll
+)
+
+// call is the kind of the call in progress.
+type call int
+
+const (
+	noCall call = iota
+	watching
+	reading
+)
+
+func (f *Feed) begin(kind call, cancel context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calling, f.cancel = kind, cancel
+}
+
+func (f *Feed) wanted() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.wantAll || f.wantTable || f.wantFellows
+}
+
+// claim returns the next task.
+func (f *Feed) claim() task {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.wantAll:
+		f.wantTable, f.wantFellows = false, false
+		return readAll
+	case f.wantTable:
+		f.wantTable = false
+		return readTable
+	case f.wantFellows:
+		f.wantFellows = false
+		return readFellows
+	default:
+		return follow
+	}
+}
+
+func (f *Feed) met(t task) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t == readAll {
+		f.wantAll = false
+	}
+}
+
+func (f *Feed) unmet(t task) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch t {
+	case readTable:
+		f.wantTable = true
+	case readFellows:
+		f.wantFellows = true
+	case readAll, follow:
+	}
+}
+
+// rest waits until something is wanted, at most for a time.
+func (f *Feed) rest(ctx context.Context, most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.asked:
+	}
+}
+
+// endWatch ends a watch in progress, and never a reading: one that takes longer
+// than the pauses between those who ask for it would not come to its end. The
+// caller holds the lock.
+func (f *Feed) endWatch() {
+	if f.calling == watching {
+		f.cancel()
+	}
+}
+
+// List has everything read.
+func (f *Feed) List() {
+	f.Scope.Counter("feed_listed_anew").Inc(1)
+	f.ask(&f.wantAll)
+}
+
+// Configure has the configuration read.
+func (f *Feed) Configure() {
+	f.Scope.Counter("feed_configuration_read").Inc(1)
+	f.ask(&f.wantTable)
+}
+
+// Meet has the entries of fellows read, as when an unknown one knocks.
+func (f *Feed) Meet() {
+	f.Scope.Counter("feed_fellows_read").Inc(1)
+	f.ask(&f.wantFellows)
+}
+
+func (f *Feed) ask(want *bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*want = true
+	f.endWatch()
+	select {
+	case f.asked <- struct{}{}:
+	default: // it is awake already
+	}
+}
