--- a/internal/soak/fleet/instance.go
+++ b/internal/soak/fleet/instance.go
@@ -33,10 +33,11 @@
 	portShown   = 7381 // of the proxy before portPeers
 )
 
-// The retry budget of the whole fleet, as the settings tell it.
+// The retry budget of the whole fleet, as the settings tell it: tight, so that
+// it is used up.
 const (
-	retryRatio  = 0.2
-	retrySlack  = 56
+	retryRatio  = 0.05
+	retrySlack  = 8
 	retryWindow = 10 * time.Second
 	grace       = 4 * time.Second
 )
