relay: notice what a doubting fellow did not pass on

One that watches had regained it two seconds before and so doubted a removal (revision 396), but passed on that it knew everything up to 397. Followers that asked it never heard of the removal: the next fellow told only what came after 397. They gave the leaving engine work for up to nine seconds.

Change: what is told carries the digest of the teller's beliefs; beliefs that differ at the same revision have everything asked for, at most once a second. An instance that doubts some endpoint does not tell its zone revisions.

Ruled out: lost messages (all asks of the follower in the log were answered within 300 ms), the planner (it placed by what it believed).

TestDifferentBeliefsAfterTaking, TestDoubtShowsInWhatIsTold.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -61,6 +61,7 @@
 	Revision  int64  // up to which this view is complete
 	TableRev  int64  // of the store, when Table was written
 	Digest    uint64 // of the ids and revisions that the store tells
+	Doubtful  bool   // the store may lack some of the endpoints only because it was away
 }
 
 // Directory is the aggregate.
@@ -186,7 +187,7 @@
 func (d *Directory) Since(revision int64) Relayed {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := Relayed{Whole: revision == 0, Revision: d.revision}
+	out := Relayed{Whole: revision == 0, Revision: d.revision, Digest: d.view.Load().Digest}
 	for _, h := range d.endpoints {
 		if h.endpoint.Revision > revision {
 			out.Endpoints = append(out.Endpoints, h.endpoint)
@@ -287,6 +288,7 @@
 	for _, h := range d.endpoints {
 		p := h.endpoint
 		v.Digest ^= xxhash.Sum64String(p.ID + strconv.FormatInt(p.Revision, 16))
+		v.Doubtful = v.Doubtful || h.missing
 		if h.denied {
 			continue
 		}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -209,3 +209,31 @@
 	d.Apply(30, directory.Seen{Endpoint: endpoint("e1", 4)})
 	c.Assert(ids(d), qt.DeepEquals, map[string]bool{"e1": true, "e2": true})
 }
+
+// What one instance doubts after the store's return, another may know to be
+// gone: the doubt shows in the view, and in the digest that goes with what is
+// told, so that a third one notices which changes it was not told of.
+func TestDoubtShowsInWhatIsTold(t *testing.T) {
+	c := qt.New(t)
+	listed := directory.Listed{Endpoints: []directory.Endpoint{endpoint("e1", 1), endpoint("e2", 2)}, Revision: 2}
+	sure, doubting, third := directory.New(), directory.New(), directory.New()
+	for _, d := range []*directory.Directory{sure, doubting, third} {
+		d.Apply(0, listed)
+	}
+	doubting.Apply(10, directory.StoreLost{})
+	doubting.Apply(20, directory.StoreReached{Revision: 2})
+	for _, d := range []*directory.Directory{sure, doubting} {
+		d.Apply(30, directory.Removed{ID: "e1", Revision: 5})
+		d.Apply(30, directory.Seen{Endpoint: endpoint("e3", 6)})
+	}
+	c.Assert(doubting.View().Doubtful, qt.IsTrue)
+	c.Assert(sure.View().Doubtful, qt.IsFalse)
+	third.Apply(40, doubting.Since(2))
+	news := sure.Since(6)
+	third.Apply(50, news)
+	c.Assert(third.View().Revision, qt.Equals, news.Revision)
+	c.Assert(third.View().Digest, qt.Not(qt.Equals), news.Digest)
+	third.Apply(60, sure.Since(0))
+	c.Assert(ids(third), qt.DeepEquals, map[string]bool{"e2": true, "e3": true})
+	c.Assert(third.View().Digest, qt.Equals, sure.View().Digest)
+}
--- a/internal/directory/event.go
+++ b/internal/directory/event.go
@@ -24,6 +24,7 @@
 	Endpoints []Endpoint
 	Gone      []Removed
 	Revision  int64
+	Digest    uint64 // of the peer's beliefs at Revision
 }
 
 // Seen brings one endpoint's new entry.
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -27,6 +27,9 @@
 	patience = 200 * time.Millisecond
 	// again is the pause between fetches while still behind.
 	again = 250 * time.Millisecond
+	// wholeEvery is the least time between two whole views from fellows. One is
+	// 15 KB at 140 endpoints, and links carry 10 Mbit/s.
+	wholeEvery = time.Second
 	// asksMost is how often a fellow is asked in vain before the store is: a
 	// fellow that does not know this instance yet refuses its certificate.
 	asksMost = 2
@@ -50,9 +53,10 @@
 	behind  clock.Millis // since when the own knowledge is older; 0 if it is not
 	fetched clock.Millis // when it was last fetched
 	source  string
-	digest  uint64 // of the source's beliefs at newest; 0 if not told
-	asked   int    // times that fellows were asked in vain
-	had     int64  // the own revision when one was last asked
+	digest  uint64       // of the source's beliefs at newest; 0 if not told
+	asked   int          // times that fellows were asked in vain
+	had     int64        // the own revision when one was last asked
+	whole   clock.Millis // when everything was last asked of a fellow
 }
 
 // Known is what an instance has.
@@ -105,6 +109,17 @@
 	return AskFellow
 }
 
+// Whole says whether to ask a fellow for everything, after its changes up to
+// revision were taken: the beliefs must be the same then. They are not where a
+// change was not passed on by another fellow, which doubted it at that time.
+func (f *Freshness) Whole(now clock.Millis, k Known, revision int64, digest uint64) bool {
+	if k.Revision != revision || k.Digest == digest || now.Sub(f.whole) < wholeEvery {
+		return false
+	}
+	f.whole = now
+	return true
+}
+
 func (f *Freshness) check(now clock.Millis, rank int) Action {
 	if f.heardAt == 0 {
 		f.heardAt = now // it has just begun by reading everything
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -152,3 +152,28 @@
 	}
 	c.Assert(asked > 0 && asked <= 2400, qt.IsTrue, qt.Commentf("asked at %d", asked))
 }
+
+// A fellow that doubted a removal passed its revision on without it; the next
+// one tells only what came later. The beliefs then differ at the same revision,
+// and everything is asked for, once a second at the most (grown unions,
+// trouble-1 820858619590: a leaving endpoint got work for up to nine seconds).
+func TestDifferentBeliefsAfterTaking(t *testing.T) {
+	tests := []struct {
+		name     string
+		now      clock.Millis
+		revision int64
+		digest   uint64
+		want     bool
+	}{
+		{"the same", 1000, 30, 7, false},
+		{"another revision by now", 1000, 29, 8, false},
+		{"different", 2000, 30, 8, true},
+		{"asked a moment ago", 2500, 30, 8, false},
+		{"asked a while ago", 3000, 30, 8, true},
+	}
+	var f freshness.Freshness
+	for _, test := range tests {
+		got := f.Whole(test.now, freshness.Known{Revision: 30, Digest: 7}, test.revision, test.digest)
+		qt.Check(t, got, qt.Equals, test.want, qt.Commentf(test.name))
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -73,6 +73,7 @@
 	Left      []string             `cbor:"7,keyasint,omitempty"` // names of instances that are gone
 	Revision  int64                `cbor:"8,keyasint"`
 	AskStore  bool                 `cbor:"9,keyasint,omitempty"` // the configuration is too large to pass round
+	Digest    uint64               `cbor:"10,keyasint"`          // of the fellow's beliefs at Revision
 }
 
 // Relay asks and answers.
@@ -145,7 +146,8 @@
 		return t
 	}
 	news := r.Directory.Since(since)
-	t.Whole, t.Endpoints, t.Gone, t.Revision = news.Whole, news.Endpoints, news.Gone, news.Revision
+	t.Whole, t.Endpoints, t.Gone = news.Whole, news.Endpoints, news.Gone
+	t.Revision, t.Digest = news.Revision, news.Digest
 	t.Instances, t.Left = r.Roster.Since(since)
 	return t
 }
@@ -222,7 +224,11 @@
 func (r *Relay) Told() { r.hint(r.Directory.View().Revision) }
 
 func (r *Relay) hint(revision int64) {
-	h := Hint{Revision: revision, Digest: r.Directory.View().Digest}
+	v := r.Directory.View()
+	if v.Doubtful {
+		return // whoever has no doubts tells the zone
+	}
+	h := Hint{Revision: revision, Digest: v.Digest}
 	for _, f := range r.Roster.Ranked(r.Zone, "check") {
 		if f.Name == r.Name {
 			continue
@@ -239,19 +245,36 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
 	v := r.Directory.View()
 	q := Question{Revision: v.Revision, Digest: v.Digest, Cut: r.lost.Load()}
 	if v.Table != nil {
 		q.Version = v.Table.Version
 	}
+	told, ok := r.ask(ctx, fellow, q, wait)
+	if !ok || told.Whole || told.Revision == 0 || told.Digest == 0 {
+		return
+	}
+	v = r.Directory.View()
+	r.mu.Lock()
+	whole := r.fresh.Whole(r.Now(), freshness.Known{Revision: v.Revision, Digest: v.Digest}, told.Revision, told.Digest)
+	r.mu.Unlock()
+	if whole {
+		r.Scope.Counter("relay_whole_views").Inc(1)
+		r.ask(ctx, fellow, Question{Version: q.Version, Cut: q.Cut}, wait)
+	}
+}
+
+// ask asks a fellow and takes what it tells.
+func (r *Relay) ask(ctx context.Context, fellow roster.Instance, q Question, wait time.Duration) (Told, bool) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
 	told, err := peer.Ask[Question, Told](ctx, r.Transport, fellow.Address, topic, q)
 	if err != nil {
 		r.Scope.Counter("relay_unanswered").Inc(1)
-		return
+		return told, false
 	}
 	r.take(fellow, q, told)
+	return told, true
 }
 
 func (r *Relay) take(fellow roster.Instance, q Question, t Told) {
