soak: count a prefill that was turned away as any arrival

The checker counted each prefill that an engine turned away as extra, also where it was the request's first arrival, which is free.

Change: it is counted like a send.

The case in TestPromises fails without the change (not run apart).

--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -337,7 +337,7 @@
 		case !known:
 		case r.Prefill && r.Read && !read[r.Request]:
 			read[r.Request] = true // the first reading of a prompt is not extra
-		case first[r.Request] || r.Prefill:
+		case first[r.Request]: // a prefill that was turned away counts like a send
 			extra[r.Service] = append(extra[r.Service], r.At)
 		default:
 			first[r.Request] = true
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -158,6 +158,16 @@
 			r.Target = caller.Added(3).Path
 			return scene{calls: []caller.Call{knew, forgot}, runs: []checker.Run{r}}
 		}()},
+		{"prefills that were turned away first", "", func() scene {
+			var s scene
+			for _, id := range []string{"r1", "r2", "r3", "r4"} {
+				c := call(id, "/stream/x")
+				r := run(c)
+				r.Prefill, r.Ran = true, false
+				s.calls, s.runs = append(s.calls, c), append(s.runs, r)
+			}
+			return s
+		}()},
 		{"more extra sends than the budget", "retry budget", func() scene {
 			s := one("/safe/x", func(*caller.Call, *checker.Run) {})
 			for range 3 {
