soak: an endpoint that two steps end is listed once

The ids that the report now names were sent once each (their lines in the kept log); their prefill engine had been ended by two overlapping steps, was listed twice, and so its prefills counted twice. Of the product nothing was wrong.

--- a/internal/soak/fleet/endpoint.go
+++ b/internal/soak/fleet/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/trailshed/trailshed/internal/soak/checker"
@@ -55,15 +56,16 @@
 	return nil
 }
 
-// drop takes an endpoint out of the listing and starts one in its place.
+// drop takes an endpoint out of the listing and starts one in its place. Of two
+// steps that strike the same endpoint, the first one does.
 func (f *Fleet) drop(e *endpoint) error {
 	f.mu.Lock()
-	for n, other := range f.endpoints {
-		if other == e {
-			f.endpoints = append(f.endpoints[:n:n], f.endpoints[n+1:]...)
-			break
-		}
+	n := slices.Index(f.endpoints, e)
+	if n < 0 {
+		f.mu.Unlock()
+		return nil
 	}
+	f.endpoints = slices.Delete(slices.Clone(f.endpoints), n, n+1)
 	f.ended = append(f.ended, e)
 	f.mu.Unlock()
 	return f.addEndpoint(e.Zone, e.Stage)
