--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -135,6 +135,3 @@
 
 // Hung says that a call's caller gave up waiting although its time was over.
 func (c Call) Hung() bool { return c.Reply.Err != nil && c.Ended.Sub(c.Sent) >= wait+graceTime }
-
-// Limit is when a caller stops to wait for its answer.
-func (c Call) Limit() time.Time { return c.Sent.Add(wait) }
--- a/internal/soak/fleet/endpoint.go
+++ b/internal/soak/fleet/endpoint.go
@@ -39,12 +39,12 @@
 func (f *Fleet) addEndpoint(zone, stage string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.retired++
+	f.made++
 	service := "llm"
 	if stage == "" {
 		service = "web"
 	}
-	e := &endpoint{Endpoint: standin.NewEndpoint(fmt.Sprintf("%s-%s-%d", service, zone, f.retired), service, zone, stage)}
+	e := &endpoint{Endpoint: standin.NewEndpoint(fmt.Sprintf("%s-%s-%d", service, zone, f.made), service, zone, stage)}
 	e.Behave(well())
 	var err error
 	if e.link, err = link.New(e.Address); err != nil {
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -67,7 +67,7 @@
 	ended     []*endpoint // they served before
 	routes    []standin.Route
 	version   int
-	retired   int // endpoints made so far
+	made      int // endpoints so far, those that ended included
 }
 
 // Result is what a run came to.
--- a/internal/soak/fleet/steps.go
+++ b/internal/soak/fleet/steps.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -214,7 +215,7 @@
 	}
 	sleep(ctx, length)
 	f.mu.Lock()
-	lapsed := append([]*endpoint(nil), f.endpoints...)
+	lapsed := slices.Clone(f.endpoints)
 	f.mu.Unlock()
 	for _, e := range lapsed {
 		e.Leave(f.store)
@@ -226,10 +227,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, e := range lapsed {
-		for _, present := range f.endpoints {
-			if present == e { // it has neither left nor crashed meanwhile
-				e.Register(f.store, "ready")
-			}
+		if slices.Contains(f.endpoints, e) { // it has neither left nor crashed meanwhile
+			e.Register(f.store, "ready")
 		}
 	}
 }
