roster: pass entries on with their revision

Cause: the revision of an entry had the tag json:"-", which the CBOR codec honours too. Entries passed on between instances came with revision 0, so that instances which do not watch the store took a fellow's restart, joining and leaving for old news. Change: CBOR tags of their own for entries; an entry that is gone does not come back by word of a fellow that missed the removal. Ruled out: more listings, which cost calls and were not what failed; a JSON field, which would write the revision into the store. Conclusion: followers kept taking settled instances for joining ones, and announced to all of them.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -12,16 +12,18 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Instance is one fellow, or this instance itself.
+// Instance is one fellow, or this instance itself. In the store it is JSON,
+// beside which the store keeps the revision; between instances it is CBOR, which
+// must name the revision too.
 type Instance struct {
-	Name        string         `json:"name"`
-	Zone        string         `json:"zone"`
-	Address     netip.AddrPort `json:"address"`            // of its QUIC listener
-	Fingerprint string         `json:"fingerprint"`        // SHA-256 of its certificate, in hex
-	Capacity    float64        `json:"capacity,omitempty"` // of its processor, in cores
-	Leaving     bool           `json:"leaving,omitempty"`
-	Joining     bool           `json:"joining,omitempty"` // just started: it takes no role yet
-	Revision    int64          `json:"-"`                 // of the store
+	Name        string         `cbor:"1,keyasint" json:"name"`
+	Zone        string         `cbor:"2,keyasint" json:"zone"`
+	Address     netip.AddrPort `cbor:"3,keyasint" json:"address"`                      // of its QUIC listener
+	Fingerprint string         `cbor:"4,keyasint" json:"fingerprint"`                  // SHA-256 of its certificate, in hex
+	Capacity    float64        `cbor:"5,keyasint,omitempty" json:"capacity,omitempty"` // of its processor, in cores
+	Leaving     bool           `cbor:"6,keyasint,omitempty" json:"leaving,omitempty"`
+	Joining     bool           `cbor:"7,keyasint,omitempty" json:"joining,omitempty"` // just started: it takes no role yet
+	Revision    int64          `cbor:"8,keyasint" json:"-"`                           // of the store
 }
 
 // settled says whether an instance may take a role.
@@ -49,6 +51,10 @@
 	if known && i.Revision <= before.Revision {
 		return false
 	}
+	if at, gone := r.gone[i.Name]; gone && i.Revision <= at {
+		return false
+	}
+	delete(r.gone, i.Name)
 	r.instances[i.Name] = i
 	r.known[i.Fingerprint] = i.Name
 	r.most = max(r.most, len(r.instances))
@@ -81,7 +87,7 @@
 		}
 	}
 	for name, at := range r.gone {
-		if _, back := r.instances[name]; at > revision && !back {
+		if at > revision {
 			gone = append(gone, name)
 		}
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/trailshed/trailshed/internal/roster"
 )
@@ -83,3 +85,30 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(r.Most(), qt.Equals, 1)
 }
+
+// Fellows that do not watch the store learn of a restart, which brings a new
+// certificate, only from entries that are passed on: these keep the revision.
+func TestEntriesArePassedOnWhole(t *testing.T) {
+	c := qt.New(t)
+	before := roster.Instance{
+		Name: "n1", Zone: "a", Address: netip.MustParseAddrPort("127.0.0.1:9000"), Fingerprint: "f-n1",
+		Capacity: 0.192, Joining: true, Revision: 7,
+	}
+	wire, err := cbor.Marshal(before)
+	c.Assert(err, qt.IsNil)
+	var after roster.Instance
+	c.Assert(cbor.Unmarshal(wire, &after), qt.IsNil)
+	c.Assert(after == before, qt.IsTrue, qt.Commentf("%+v", after))
+}
+
+// A fellow that missed a removal still tells of the entry that is gone.
+func TestEntryThatIsGoneStaysGone(t *testing.T) {
+	c := qt.New(t)
+	r := roster.New()
+	r.See(instance("n1", 5))
+	r.Remove("n1", 8)
+	c.Assert(r.See(instance("n1", 5)), qt.IsFalse)
+	c.Assert(r.All(), qt.HasLen, 0)
+	c.Assert(r.See(instance("n1", 9)), qt.IsTrue) // it is back
+	c.Assert(r.All(), qt.HasLen, 1)
+}
