budget: a young process uses a quarter of its slack

Cause: by reading. A process does not know what its earlier life spent, and began with its whole part of the slack: instances started anew within a window might spend 1.6 times the slack together. Change: in its first window a process has a quarter of its slack, so that both lives have 0.8 * (1 + 0.25) of it. What requests earn stays as it is. Ruled out: keeping the counts in the store (a call for each retry); no retries for young processes (streams that break off right after a start would be lost).

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -24,19 +24,25 @@
 // that arrive in a later window than they were counted in.
 const margin = 0.8
 
+// youngPart is how much of its slack a process may use in its first window: an
+// earlier life may have spent margin of it, and 0.8 * (1 + 0.25) is all of it.
+const youngPart = 0.25
+
 // Budget is one instance's part for one service.
 type Budget struct {
 	mu       sync.Mutex
 	rule     Rule
 	shares   int
+	began    clock.Millis // when the process did
 	requests [steps]float64
 	extras   [steps]float64
 	at       int64 // step that the counts end at
 }
 
-// New returns a budget that is one of shares equal parts of rule.
-func New(rule Rule, shares int) *Budget {
-	return &Budget{rule: rule, shares: max(shares, 1)}
+// New returns a budget that is one of shares equal parts of rule, in a process
+// that began at a time.
+func New(rule Rule, shares int, began clock.Millis) *Budget {
+	return &Budget{rule: rule, shares: max(shares, 1), began: began}
 }
 
 // Share sets how many instances divide the slack.
@@ -67,7 +73,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	if n > 0 && b.left() < float64(n) {
+	if n > 0 && b.left(now) < float64(n) {
 		return false
 	}
 	b.extras[b.slot()] += float64(n)
@@ -87,16 +93,25 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	return b.left()
+	return b.left(now)
 }
 
-func (b *Budget) left() float64 {
+func (b *Budget) left(now clock.Millis) float64 {
 	requests, extras := 0.0, 0.0
 	for i := range steps {
 		requests += b.requests[i]
 		extras += b.extras[i]
 	}
-	return margin*(b.rule.Slack/float64(b.shares)+b.rule.Ratio*requests) - extras
+	return margin*(b.slack(now)+b.rule.Ratio*requests) - extras
+}
+
+// slack is this instance's part of it.
+func (b *Budget) slack(now clock.Millis) float64 {
+	part := b.rule.Slack / float64(b.shares)
+	if now.Sub(b.began) < b.rule.Window {
+		return youngPart * part
+	}
+	return part
 }
 
 func (b *Budget) slot() int { return int(b.at % steps) }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -56,11 +56,12 @@
 	mu      sync.Mutex
 	budgets map[string]*budget.Budget // by service
 	shares  int
+	began   clock.Millis
 }
 
 // New returns a Forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{Options: o, budgets: map[string]*budget.Budget{}, shares: 1}
+	return &Forwarder{Options: o, budgets: map[string]*budget.Budget{}, shares: 1, began: o.Now()}
 }
 
 // Leave makes answers tell callers to close their connections.
@@ -109,7 +110,7 @@
 	defer f.mu.Unlock()
 	b := f.budgets[service]
 	if b == nil {
-		b = budget.New(f.Retry, f.shares)
+		b = budget.New(f.Retry, f.shares, f.began)
 		f.budgets[service] = b
 	}
 	return b
