roster: reckon who is joining without a second entry

Cause: each instance wrote its entry twice, 1.2 s apart, and a third time when its first listing did not hold the entry yet: 220 writes for 87 starts, each of which wakes eight watches. Change: each fellow reckons from when it first saw an instance's certificate. An entry is written again only if it was seen and is gone, or if its writing failed, which the next renewal now mends. Leaving instances rank after joining ones. Ruled out: registering only when the 1.2 s are over (fellows would refuse the certificate until then, and nobody would announce to the newcomer). Tests: TestJoining; TestRanked's case is an instance that started again.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -78,7 +78,7 @@
 				}
 			},
 		},
-		Directory: d, Roster: roster.New(), Log: log, Scope: tally.NoopScope,
+		Directory: d, Roster: roster.New(clock.System()), Log: log, Scope: tally.NoopScope,
 		Now: clock.System(), Lost: none, Regained: none, Changed: none, Told: none,
 		Watching: s.watching.Load,
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,9 +47,6 @@
 }
 
 const (
-	// joinTime is how long after its start an instance takes no role: by then
-	// it has heard everyone's announcements, which come every 400 ms.
-	joinTime = 1200 * time.Millisecond
 	// peerQueue is how many messages may wait for one fellow: a second's at the
 	// peak, in a zone of twenty instances.
 	peerQueue = 256
@@ -99,7 +96,8 @@
 	servers   []*http.Server
 	listeners []net.Listener // of the servers
 	stranger  atomic.Bool    // an unknown certificate waits to be told of
-	joining   atomic.Bool
+	listed    atomic.Bool    // the store had our own entry
+	began     clock.Millis
 	leaving   atomic.Bool
 	close     func() error
 }
@@ -111,10 +109,11 @@
 	g := &Gateway{
 		settings: s, platform: p, log: log, now: clock.System(),
 		counters:  counters,
-		directory: directory.New(), balancer: balance.New(s.Instance.Zone), roster: roster.New(),
+		directory: directory.New(), balancer: balance.New(s.Instance.Zone),
 	}
+	g.began = g.now()
+	g.roster = roster.New(g.now)
 	g.pool = uplink.NewPool(g.counters.Scope)
-	g.joining.Store(true)
 	g.openFeed() // first, since a fellow's certificate may come as soon as the transport listens
 	if err := g.openPeers(); err != nil {
 		return nil, err
@@ -137,7 +136,7 @@
 	}
 	g.self = roster.Instance{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, Fingerprint: identity.Fingerprint,
-		Capacity: s.Processor.Capacity(), Joining: true,
+		Capacity: s.Processor.Capacity(),
 	}
 	g.transport, err = peer.Listen(s.Instance.Name, netip.MustParseAddrPort(s.Peers.Listen), peer.Pinned(identity, g.trusted), scope)
 	if err != nil {
@@ -196,7 +195,9 @@
 	g.duty = &leadership.Leadership{
 		Name: g.settings.Instance.Name, Registry: g.platform.Duty, Gap: g.settings.Orders.Gap,
 		Log: g.log, Now: g.now,
-		Candidate: func() bool { return g.broker.Plans() && !g.leaving.Load() && !g.joining.Load() },
+		Candidate: func() bool {
+			return g.broker.Plans() && !g.leaving.Load() && g.now().Sub(g.began) >= roster.JoinTime
+		},
 	}
 	g.staging = &staging.Runner{
 		Directory: g.directory, Leadership: g.duty, Send: g.platform.Order,
@@ -222,7 +223,7 @@
 const leastShares = 8
 
 // rosterChanged divides the retry allowance anew, and writes the own entry
-// again if the store lost it.
+// again if it was there and is there no more.
 func (g *Gateway) rosterChanged() {
 	g.forwarder.Share(max(g.roster.Most(), leastShares))
 	for _, i := range g.roster.All() {
@@ -230,13 +231,14 @@
 			return
 		}
 	}
-	g.member.Change(g.present())
+	if _, was := g.roster.Trusted(g.self.Fingerprint); was {
+		g.member.Change(g.present())
+	}
 }
 
 // present is this instance's entry as it should be now.
 func (g *Gateway) present() roster.Instance {
 	self := g.self
-	self.Joining = g.joining.Load()
 	self.Leaving = g.leaving.Load()
 	return self
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -45,7 +45,7 @@
 		group.Go(func() { failed <- s.Serve(g.listeners[i]) })
 	}
 	group.Go(func() { failed <- router.Run(ctx) })
-	for _, run := range []func(context.Context){g.feed.Run, g.member.Run, g.broker.Run, g.relay.Run, g.sweep, g.join, g.duty.Run, g.staging.Run} {
+	for _, run := range []func(context.Context){g.feed.Run, g.member.Run, g.broker.Run, g.relay.Run, g.sweep, g.duty.Run, g.staging.Run} {
 		group.Go(func() { run(ctx) })
 	}
 	g.log.Write(eventlog.Line{Event: eventlog.Started, Address: g.settings.Callers.Listen, Zone: g.settings.Instance.Zone, Detail: g.settings.summary()})
@@ -127,16 +127,6 @@
 	_ = g.servers[0].Shutdown(ctx) // its only error is that time ran out, which Stopped shows by its count
 }
 
-// join lets this instance take roles once it knows what others hold.
-func (g *Gateway) join(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(joinTime):
-		g.joining.Store(false)
-		g.member.Change(g.present())
-	}
-}
-
 func (g *Gateway) sweep(ctx context.Context) {
 	ticker.Every(ctx, sweepInterval, func() {
 		g.pool.Sweep()
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -39,6 +39,7 @@
 
 	changed chan Instance
 	lease   int64
+	written bool // the entry, as it is now, is in the store
 }
 
 // NewMember returns a member that has no entry yet.
@@ -74,7 +75,7 @@
 }
 
 func (m *Member) renew(ctx context.Context) {
-	if m.lease == 0 {
+	if m.lease == 0 || !m.written {
 		m.register(ctx)
 		return
 	}
@@ -94,6 +95,7 @@
 		err = m.put(ctx)
 	}
 	m.Reached(err)
+	m.written = err == nil
 	if err != nil {
 		m.Log.Write(eventlog.Line{Event: eventlog.RegisterFailed, Detail: err.Error()})
 		return
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -8,8 +8,11 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/trailshed/trailshed/pkg/clock"
 )
 
 // Instance is one fellow, or this instance itself. In the store it is JSON,
@@ -22,25 +25,46 @@
 	Fingerprint string         `cbor:"4,keyasint" json:"fingerprint"`                  // SHA-256 of its certificate, in hex
 	Capacity    float64        `cbor:"5,keyasint,omitempty" json:"capacity,omitempty"` // of its processor, in cores
 	Leaving     bool           `cbor:"6,keyasint,omitempty" json:"leaving,omitempty"`
-	Joining     bool           `cbor:"7,keyasint,omitempty" json:"joining,omitempty"` // just started: it takes no role yet
-	Revision    int64          `cbor:"8,keyasint" json:"-"`                           // of the store
+	Revision    int64          `cbor:"8,keyasint" json:"-"` // of the store
+	Joining     bool           `cbor:"-" json:"-"`          // first seen a moment ago: it takes no role yet
 }
 
-// settled says whether an instance may take a role.
-func (i Instance) settled() bool { return !i.Leaving && !i.Joining }
+// JoinTime is how long after it was first seen an instance takes no role: by
+// then those that hold places have told it what they hold. Each fellow reckons
+// it for itself, since a second entry would wake everybody who watches.
+const JoinTime = 1200 * time.Millisecond
+
+// readiness orders instances by whether they should take a role.
+func (i Instance) readiness() int {
+	switch {
+	case i.Leaving:
+		return 2
+	case i.Joining:
+		return 1
+	default:
+		return 0
+	}
+}
 
 // Roster is the table of instances. It is safe for concurrent use.
 type Roster struct {
+	now       func() clock.Millis
 	mu        sync.RWMutex
 	instances map[string]Instance
-	known     map[string]string // fingerprint: name; of all instances ever seen
-	gone      map[string]int64  // name: revision of its removal
+	known     map[string]identity // by fingerprint; all instances ever seen
+	gone      map[string]int64    // name: revision of its removal
 	most      int
 }
 
+// identity is one life of an instance.
+type identity struct {
+	name string
+	seen clock.Millis // first
+}
+
 // New returns an empty roster.
-func New() *Roster {
-	return &Roster{instances: map[string]Instance{}, known: map[string]string{}, gone: map[string]int64{}}
+func New(now func() clock.Millis) *Roster {
+	return &Roster{now: now, instances: map[string]Instance{}, known: map[string]identity{}, gone: map[string]int64{}}
 }
 
 // See takes an instance's entry and says whether it is news.
@@ -56,7 +80,9 @@
 	}
 	delete(r.gone, i.Name)
 	r.instances[i.Name] = i
-	r.known[i.Fingerprint] = i.Name
+	if _, met := r.known[i.Fingerprint]; !met {
+		r.known[i.Fingerprint] = identity{name: i.Name, seen: r.now()}
+	}
 	r.most = max(r.most, len(r.instances))
 	before.Revision = i.Revision
 	return !known || before != i
@@ -113,16 +139,18 @@
 func (r *Roster) Trusted(fingerprint string) (string, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	name, ok := r.known[fingerprint]
-	return name, ok
+	id, ok := r.known[fingerprint]
+	return id.name, ok
 }
 
 // All returns the instances in the order of their names.
 func (r *Roster) All() []Instance {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
+	now := r.now()
 	all := make([]Instance, 0, len(r.instances))
 	for _, i := range r.instances {
+		i.Joining = now.Sub(r.known[i.Fingerprint].seen) < JoinTime
 		all = append(all, i)
 	}
 	slices.SortFunc(all, func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
@@ -138,19 +166,17 @@
 
 // Ranked returns a zone's instances in the order in which they take the role
 // called key: the strongest first, because a role's work comes on top of the
-// requests that all have alike, then in rendezvous order, and those last that
-// are leaving or have just started.
+// requests that all have alike, then in rendezvous order. Those that have just
+// started come after these, and those that are leaving last.
 func (r *Roster) Ranked(zone, key string) []Instance {
 	all := slices.DeleteFunc(r.All(), func(i Instance) bool { return i.Zone != zone })
 	weight := func(i Instance) uint64 { return xxhash.Sum64String(key + "\x00" + i.Name) }
 	slices.SortFunc(all, func(a, b Instance) int {
-		if a.settled() != b.settled() {
-			if b.settled() {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(weight(b), weight(a)))
+		return cmp.Or(
+			cmp.Compare(a.readiness(), b.readiness()),
+			cmp.Compare(b.Capacity, a.Capacity),
+			cmp.Compare(weight(b), weight(a)),
+		)
 	})
 	return all
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -9,8 +9,12 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/trailshed/trailshed/internal/roster"
+	"github.com/trailshed/trailshed/pkg/clock"
 )
 
+// atStart is the time of tests in which it does not pass.
+func atStart() clock.Millis { return 0 }
+
 func instance(name string, revision int64) roster.Instance {
 	return roster.Instance{Name: name, Zone: "a", Fingerprint: "f-" + name, Revision: revision}
 }
@@ -18,10 +22,12 @@
 // A role never goes to an instance that has just started or is about to leave,
 // while another is left; among the others it stays where it is.
 func TestRanked(t *testing.T) {
-	r := roster.New()
+	now := clock.Millis(0)
+	r := roster.New(func() clock.Millis { return now })
 	for i := range 5 {
 		r.See(instance(fmt.Sprint("n", i), 1))
 	}
+	now = now.Add(roster.JoinTime)
 	first := r.Ranked("a", "planner")[0]
 	tests := []struct {
 		name   string
@@ -29,7 +35,7 @@
 		moves  bool
 	}{
 		{"leaving", func(i *roster.Instance) { i.Leaving = true }, true},
-		{"joining", func(i *roster.Instance) { i.Joining = true }, true},
+		{"started again", func(i *roster.Instance) { i.Fingerprint = "anew" }, true},
 		{"as before", func(*roster.Instance) {}, false},
 	}
 	for n, test := range tests {
@@ -39,19 +45,38 @@
 			test.change(&changed)
 			changed.Revision = int64(n + 2)
 			r.See(changed)
-			now := r.Ranked("a", "planner")
-			c.Assert(now[0].Name != first.Name, qt.Equals, test.moves)
-			c.Assert(now, qt.HasLen, 5)
+			ranked := r.Ranked("a", "planner")
+			c.Assert(ranked[0].Name != first.Name, qt.Equals, test.moves)
+			c.Assert(ranked, qt.HasLen, 5)
 		})
 	}
 	qt.Assert(t, r.Ranked("b", "planner"), qt.HasLen, 0)
 }
 
+// Each fellow reckons for itself how long one that started is new; an entry
+// that lapsed and is back does not make it new again.
+func TestJoining(t *testing.T) {
+	c := qt.New(t)
+	now := clock.Millis(5000)
+	r := roster.New(func() clock.Millis { return now })
+	r.See(instance("n1", 1))
+	c.Assert(r.All()[0].Joining, qt.IsTrue)
+	now = now.Add(roster.JoinTime)
+	c.Assert(r.All()[0].Joining, qt.IsFalse)
+	r.Remove("n1", 2)
+	r.See(instance("n1", 3))
+	c.Assert(r.All()[0].Joining, qt.IsFalse)
+	again := instance("n1", 4)
+	again.Fingerprint = "anew"
+	r.See(again)
+	c.Assert(r.All()[0].Joining, qt.IsTrue)
+}
+
 // On a fleet of unequal machines the first planner by chance had a fifth of a
 // core and fell silent at the peaks (grown couriers, quiet-1, 18 to 22 s).
 func TestStrongestTakeRolesFirst(t *testing.T) {
 	c := qt.New(t)
-	r := roster.New()
+	r := roster.New(atStart)
 	for i := range 12 {
 		capacity := 0.192
 		if i%4 == 0 {
@@ -71,7 +96,7 @@
 
 func TestOldWordChangesNothing(t *testing.T) {
 	c := qt.New(t)
-	r := roster.New()
+	r := roster.New(atStart)
 	c.Assert(r.See(instance("n1", 5)), qt.IsTrue)
 	c.Assert(r.See(instance("n1", 5)), qt.IsFalse)
 	c.Assert(r.See(instance("n1", 4)), qt.IsFalse)
@@ -92,7 +117,7 @@
 	c := qt.New(t)
 	before := roster.Instance{
 		Name: "n1", Zone: "a", Address: netip.MustParseAddrPort("127.0.0.1:9000"), Fingerprint: "f-n1",
-		Capacity: 0.192, Joining: true, Revision: 7,
+		Capacity: 0.192, Leaving: true, Revision: 7,
 	}
 	wire, err := cbor.Marshal(before)
 	c.Assert(err, qt.IsNil)
@@ -104,7 +129,7 @@
 // A fellow that missed a removal still tells of the entry that is gone.
 func TestEntryThatIsGoneStaysGone(t *testing.T) {
 	c := qt.New(t)
-	r := roster.New()
+	r := roster.New(atStart)
 	r.See(instance("n1", 5))
 	r.Remove("n1", 8)
 	c.Assert(r.See(instance("n1", 5)), qt.IsFalse)
