soak: report processes that end by themselves or outlive their stop

Cause: the soak killed an instance that was still there after its planned stop and said nothing; a crash showed only if the instance did not serve again; and a soak that was killed itself left its instances running. Change: lives that end otherwise than told, and stops without an end (with bounds on time, and undisturbed), are violations. Instances are started from one lasting thread with the parent's death signal, so none outlives the soak.

--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -90,6 +90,25 @@
 	c.versions[version] = time.Now()
 }
 
+// Ended takes that a process ended in another way than it was told to.
+func (c *Checker) Ended(instance string, life int, how error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broken("lives on", fmt.Sprintf("%s life %d", instance, life), time.Now(), "it ended: %v", how)
+}
+
+// Outlived takes that a process still runs long after it was told to stop. One
+// that was struck meanwhile, as by a pause, may.
+func (c *Checker) Outlived(instance string, life int, told time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if !c.Bounds.Timed || !c.Faults.Calm(told, now, instance, timeline.Process) {
+		return
+	}
+	c.broken("planned stop", fmt.Sprintf("%s life %d", instance, life), now, "it still runs %s after SIGTERM", now.Sub(told).Round(time.Millisecond))
+}
+
 // Served counts the calls that were answered well, and all.
 func (c *Checker) Served() (good, all int) {
 	c.mu.Lock()
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -133,6 +133,12 @@
 			s.calls[0].Ended = time.Now().Add(time.Second)
 			return s
 		}()},
+		{"a process ends by itself", "lives on", scene{tell: func(c *checker.Checker) { c.Ended("a-1", 1, errCut) }}},
+		{"a stop has no end", "planned stop", scene{tell: func(c *checker.Checker) { c.Outlived("a-1", 1, time.Now()) }}},
+		{"a paused stop has none yet", "", scene{
+			begin: func(f *timeline.Timeline) { f.Begin(timeline.Process, "a-1", "pause") },
+			tell:  func(c *checker.Checker) { c.Outlived("a-1", 1, time.Now()) },
+		}},
 		{"a leaving endpoint gets work", "leaving endpoint", func() scene {
 			s := one("/safe/x", func(_ *caller.Call, r *checker.Run) { r.At = time.Now().Add(3 * time.Second) })
 			s.tell = func(c *checker.Checker) { c.Leaves("e1") }
--- a/internal/soak/fleet/instance.go
+++ b/internal/soak/fleet/instance.go
@@ -84,6 +84,7 @@
 	}
 	i.program = &program.Program{
 		File: f.Program, Settings: filepath.Join(dir, i.name+".yaml"), Log: filepath.Join(dir, i.name+".log"),
+		Failed: func(how error) { f.checker.Ended(i.name, i.program.Life(), how) },
 	}
 	f.instances = append(f.instances, i)
 	return i.writeSettings(grace)
--- a/internal/soak/fleet/steps.go
+++ b/internal/soak/fleet/steps.go
@@ -108,8 +108,10 @@
 func (f *Fleet) stop(ctx context.Context, length time.Duration, i *instance) error {
 	end := f.faults.Begin(timeline.Planned, i.name, "stop")
 	defer end()
+	told := time.Now()
 	i.program.Signal(syscall.SIGTERM)
 	if !i.program.Wait(2 * grace) {
+		f.checker.Outlived(i.name, i.program.Life(), told)
 		i.program.Signal(syscall.SIGCONT) // it may be paused
 		i.program.Signal(syscall.SIGKILL)
 	}
--- a/internal/soak/program/program.go
+++ b/internal/soak/program/program.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -18,12 +19,37 @@
 	File     string
 	Settings string // path of its settings file
 	Log      string // path of its log, which grows with each life
+	// Failed is told of a life that ended in another way than it was told to:
+	// by itself, or with a failure after SIGTERM.
+	Failed func(how error)
 
 	mu    sync.Mutex
 	cmd   *exec.Cmd
 	ended chan struct{}
 	life  int
 	log   *os.File
+	told  syscall.Signal // SIGTERM or SIGKILL; 0 while it is to live
+}
+
+// starts carries the starts of all programs to one thread, which lasts as long
+// as this process: the kernel ends what a thread started when the thread ends,
+// so no instance outlives a soak that was killed.
+var starts = sync.OnceValue(func() chan<- func() {
+	work := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for do := range work {
+			do()
+		}
+	}()
+	return work
+})
+
+func start(cmd *exec.Cmd) error {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	done := make(chan error)
+	starts() <- func() { done <- cmd.Start() }
+	return <-done
 }
 
 // Start begins a new life; it does nothing while one lasts.
@@ -42,11 +68,11 @@
 	}
 	cmd := exec.CommandContext(context.Background(), p.File, "gateway", "--settings", p.Settings)
 	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
+	if err := start(cmd); err != nil {
 		_ = log.Close()
 		return fmt.Errorf("start %s: %w", p.File, err)
 	}
-	p.cmd, p.log, p.ended = cmd, log, make(chan struct{})
+	p.cmd, p.log, p.ended, p.told = cmd, log, make(chan struct{}), 0
 	p.life++
 	go p.reap(cmd, log, p.ended)
 	return nil
@@ -59,7 +85,11 @@
 	_ = log.Close()
 	p.mu.Lock()
 	p.cmd = nil
+	told := p.told
 	p.mu.Unlock()
+	if told == 0 || told == syscall.SIGTERM && err != nil {
+		p.Failed(err)
+	}
 	close(ended)
 }
 
@@ -67,9 +97,13 @@
 func (p *Program) Signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cmd != nil {
-		_ = p.cmd.Process.Signal(s) // it may have ended this moment
+	if p.cmd == nil {
+		return
+	}
+	if s == syscall.SIGKILL || s == syscall.SIGTERM && p.told == 0 {
+		p.told = s
 	}
+	_ = p.cmd.Process.Signal(s) // it may have ended this moment
 }
 
 // Wait waits for the end of the present life, at most for a time, and says
