feed: gather changes for a quarter of a second between watches

Change: gather for 250 ms instead of 100. A change must be in force within 2 s. Ruled out: one watching instance a zone (a silent watch would then show only at the next check for the revision).

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -53,7 +53,7 @@
 	// gather is the pause between two watches: changes that come close together,
 	// as when a fleet starts, are told by one call. Changes must be in force
 	// within 2 s.
-	gather = 100 * time.Millisecond
+	gather = 250 * time.Millisecond
 	// standBy is how often an instance that need not watch asks itself whether
 	// it should.
 	standBy = 200 * time.Millisecond
