soak: a grace period into which the longest work fits

The request came 0.34 s after SIGTERM, waited 0.3 s for its place and was the stand-ins' longest work, 3.26 s; the grace period was 4 s, of which 0.25 s are kept for the end. Change: the platform's 8 s. Ruled out: refusing whatever might not end by its own limit: routes allow 14 s at a grace period of 8 s, so every stream of the last seconds before the balancer notices would be refused for the sake of the very longest.

--- a/internal/soak/fleet/instance.go
+++ b/internal/soak/fleet/instance.go
@@ -39,7 +39,9 @@
 	retryRatio  = 0.05
 	retrySlack  = 8
 	retryWindow = 10 * time.Second
-	grace       = 4 * time.Second
+	// grace is the platform's. What is taken on up to 35 % of it after SIGTERM
+	// must fit into the rest, also the stand-ins' longest work, 3.3 s.
+	grace = 8 * time.Second
 )
 
 // The balancer asks each instance every askEvery and takes it out after two
