cell: give each endpoint its turn in the baselines

Cause: round robin took its turns over all endpoints of a cell and used one count for both choices of a request: prefill went to the first endpoint by name 7 times in 9, decode to every other one. Change: a turn for each role, among those that fit; ties of the lagged baseline go by the same turn. Ruled out: the emulation (the test shows it without one). Test: TestBaselinesTakeTurns, red before: 40 of 40 prompts at one endpoint.

--- a/internal/cell/baseline.go
+++ b/internal/cell/baseline.go
@@ -11,9 +11,9 @@
 // or a look at free slots.
 func (c *Cell) grantBlindly(now clock.Millis, w *waiting) {
 	p := placement{terms: Terms{Budget: w.ask.Budget}}
-	p.decode = c.pick(now, w, func(s *server) bool { return s.Role != catalog.RolePrefill })
+	p.decode = c.pick(now, w, catalog.RoleDecode) // or a plain service's
 	if w.ask.Tokens > 0 {
-		p.prefill = c.pick(now, w, func(s *server) bool { return s.Role == catalog.RolePrefill })
+		p.prefill = c.pick(now, w, catalog.RolePrefill)
 	}
 	if p.decode == nil || (w.ask.Tokens > 0 && p.prefill == nil) {
 		c.refuse(now, w, ReasonNoEndpoint, p.terms)
@@ -23,21 +23,25 @@
 }
 
 // pick takes the next endpoint in turn, or the one with the least reported
-// load; ties go in turn.
-func (c *Cell) pick(now clock.Millis, w *waiting, fits func(*server) bool) *server {
-	c.next++
-	var best *server
-	for i := range c.order {
-		s := c.order[(i+c.next)%len(c.order)]
-		if !fits(s) || !s.open(now, w.ask.Avoid) {
-			continue
-		}
-		if best == nil {
-			best = s
-			if c.options.Policy == PolicyRoundRobin {
-				return best
-			}
+// load; ties go in turn. Each role has its own turn, among those that fit.
+func (c *Cell) pick(now clock.Millis, w *waiting, role string) *server {
+	var fit []*server
+	for _, s := range c.order {
+		if (s.Role == catalog.RolePrefill) == (role == catalog.RolePrefill) && s.open(now, w.ask.Avoid) {
+			fit = append(fit, s)
 		}
+	}
+	if len(fit) == 0 {
+		return nil
+	}
+	turn := c.turns[role]
+	c.turns[role]++
+	best := fit[turn%len(fit)]
+	if c.options.Policy == PolicyRoundRobin {
+		return best
+	}
+	for i := range fit {
+		s := fit[(turn+i)%len(fit)]
 		if s.report.Running+s.report.Waiting < best.report.Running+best.report.Waiting {
 			best = s
 		}
--- /dev/null
+++ b/internal/cell/baseline_test.go
@@ -0,0 +1,48 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/trailshed/trailshed/internal/catalog"
+	"github.com/trailshed/trailshed/internal/cell"
+	"github.com/trailshed/trailshed/internal/endpoint"
+)
+
+// The baselines are as good as their kind can be, or comparisons with them say
+// nothing: without loads to tell endpoints apart, each gets its turn.
+func TestBaselinesTakeTurns(t *testing.T) {
+	for _, policy := range []string{cell.PolicyRoundRobin, cell.PolicyLagged} {
+		t.Run(policy, func(t *testing.T) {
+			c := qt.New(t)
+			p := &plant{now: 1_000_000, owners: []cell.Owner{{Node: "n", Incarnation: 1}}}
+			p.cell = cell.New(name, p.now, cell.Options{Policy: policy, OwnerExpiry: time.Minute})
+			var members []catalog.Member
+			for _, m := range []catalog.Member{
+				{Name: "d1", Role: catalog.RoleDecode},
+				{Name: "d2", Role: catalog.RoleDecode},
+				{Name: "d3", Role: catalog.RoleDecode},
+				{Name: "d4", Role: catalog.RoleDecode},
+				{Name: "p1", Role: catalog.RolePrefill},
+				{Name: "p2", Role: catalog.RolePrefill},
+			} {
+				m.Slots, m.Link = 100, 1000
+				members = append(members, m)
+			}
+			p.cell.Apply(p.now, cell.Configured{Catalog: catalog.New(), Members: members})
+			for _, m := range members {
+				p.cell.Apply(p.now, cell.Reported{Endpoint: m.Name, Report: endpoint.Report{}})
+			}
+			got := map[string]int{}
+			for range 40 {
+				for _, e := range p.cell.Apply(p.now, p.nextAsk()) {
+					got[e.(cell.SendGrant).Grant.Prefill]++
+					got[e.(cell.SendGrant).Grant.Decode]++
+				}
+			}
+			c.Assert(got, qt.DeepEquals, map[string]int{"d1": 10, "d2": 10, "d3": 10, "d4": 10, "p1": 20, "p2": 20})
+		})
+	}
+}
--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -76,17 +76,22 @@
 }
 
 func (p *plant) ask() cell.AttemptID {
+	a := p.nextAsk()
+	p.cell.Apply(p.now, a)
+	return a.Attempt
+}
+
+func (p *plant) nextAsk() cell.Ask {
 	p.next++
 	id := cell.NewAttemptID(fmt.Sprintf("10000000-0000-0000-0000-%012d", p.next), 1)
 	blocks := make([]uint64, 24)
 	for i := range blocks {
 		blocks[i] = uint64(p.next%500*100 + i)
 	}
-	p.cell.Apply(p.now, cell.Ask{
+	return cell.Ask{
 		Cell: name, Attempt: id, Owner: p.owners[p.next%len(p.owners)], Workspace: fmt.Sprintf("w%d", p.next%50),
 		Kind: "k", Tokens: 1500, Blocks: blocks, MaxTokens: 100, Budget: 1500 * time.Millisecond,
-	})
-	return id
+	}
 }
 
 // BenchmarkRequest is one request's whole life in a dispatcher.
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -50,8 +50,8 @@
 	owners       map[ownerID]clock.Millis   // when last heard
 	over         map[AttemptID]clock.Millis // ended lately
 	lengths      lengths
-	retries      float64 // budget left
-	next         int     // round robin
+	retries      float64        // budget left
+	turns        map[string]int // of the baselines, by role
 	decisions    decisions
 	effects      []Effect
 }
@@ -78,7 +78,7 @@
 		reservations: map[AttemptID]*reservation{}, byOwner: map[ownerID]map[AttemptID]*reservation{},
 		ending: map[AttemptID]*reservation{}, owners: map[ownerID]clock.Millis{},
 		over:    map[AttemptID]clock.Millis{},
-		lengths: newLengths(), retries: retryBurst, decisions: newDecisions(),
+		lengths: newLengths(), retries: retryBurst, turns: map[string]int{}, decisions: newDecisions(),
 	}
 }
 
