bench: declared experiments in emulated time

Change: trailshed bench plays a plan (fleet, load, faults, policies, seeds): the decisions of a cell between emulated endpoints and callers. Why emulated time: processes on a shared machine differ by more from run to run than policies do; here the same plan gives the same figures everywhere. Ruled out: growing the processes of the demonstration into it: a minute of load takes a minute and half a machine, and repeats do not agree.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -59,6 +59,7 @@
 		{"do", "give a command", "Runs statements that may change the configuration, such as 'drain endpoint NAME'.", &do{}},
 		{"explain-log", "tell what became of a request", "Reads the logs of any number of gateways on standard input and tells, in order, what became of one request.", &explainLog{}},
 		{"replay", "replay a recorded trace", "Replays a recorded trace of callers against running processes and checks every answer.", &replay{}},
+		{"bench", "play an experiment", "Plays a declared experiment in emulated time: the policies side by side under the same load and faults, with tables, plots and result files to compare with.", &bench{}},
 		{"completion", "print shell completion", "Prints a script that completes commands and options in bash.", &completion{}},
 		{"manual", "print the manual page", "Prints the manual page of all commands; read it with 'trailshed manual | man -l -'.", &manual{parser}},
 		{"version", "print the version", "Prints the version.", &version{}},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,7 +96,6 @@
 	servers   []*http.Server
 	listeners []net.Listener // of the servers
 	stranger  atomic.Bool    // an unknown certificate waits to be told of
-	listed    atomic.Bool    // the store had our own entry
 	began     clock.Millis
 	leaving   atomic.Bool
 	close     func() error
