broker: planners that start ask engines for their load

Cause: after a loss of power the planners know nothing of what engines still work on for requests that are gone. Change: the first two planners of a zone, while their process is young, ask each engine once what it runs, what waits and what memory is used, and reckon with it until it should be over or a newer word comes. Ruled out: reading loads all the time (a few calls a second for each engine, and the answers' own word is newer); refusing while young (it would be for 3 s).

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -76,6 +76,7 @@
 	Log        *eventlog.Log
 	Scope      tally.Scope
 	Now        func() clock.Millis
+	Load       Load
 	// Saw is told of each ask that this instance's planner gets.
 	Saw func(a placement.Ask)
 }
@@ -134,6 +135,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { ticker.Every(ctx, announceEvery, b.announce) })
 	group.Go(func() { b.ticker.Run(ctx, b.tick) })
+	group.Go(func() { b.learnLoads(ctx) })
 	group.Wait()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 	// Duty makes one instance give orders, which Order sends.
 	Duty      leadership.Registry
 	Order     func(ctx context.Context, o staging.Order, holder string, fence int64) error
+	Load      broker.Load
 	ReadyPath string
 }
 
@@ -148,7 +149,7 @@
 	g.self.Address = g.transport.Address()
 	g.broker = broker.New(broker.Options{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, Transport: g.transport, Roster: g.roster,
-		Directory: g.directory, Log: g.log, Scope: scope, Now: g.now,
+		Directory: g.directory, Log: g.log, Scope: scope, Now: g.now, Load: g.platform.Load,
 		Saw: func(a placement.Ask) { g.staging.Saw(a.Service, a.Prompt, a.Output) },
 	})
 	g.relay = &relay.Relay{
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -19,6 +19,8 @@
 	readSince clock.Millis             // when the first of them began
 	foreign   int                      // requests there that this planner did not place
 	foreignAt clock.Millis             // when that was learned
+	left      int                      // decode: tokens that others left there
+	leftUntil clock.Millis             // until when; prefill: until it has read what others left there
 	places    map[string]*place
 }
 
@@ -30,16 +32,20 @@
 	e.reads[a.ID] = prefillTime(a.Prompt)
 }
 
-// backlog predicts when a prefill engine has read what it was given.
+// backlog predicts when a prefill engine has read what it was given, here and
+// by others.
 func (e *engine) backlog(now clock.Millis) time.Duration {
-	var total time.Duration
+	var own time.Duration
 	for _, work := range e.reads {
-		total += work
+		own += work
 	}
-	if e.foreign > 0 && now.Sub(e.foreignAt) < foreignReadFor {
-		total += time.Duration(e.foreign) * prefillTime(foreignSize)
+	done := now.Sub(e.readSince)
+	others := time.Duration(0)
+	if now.Sub(e.foreignAt) < foreignReadFor {
+		others = time.Duration(e.foreign) * prefillTime(foreignSize)
 	}
-	return max(total-now.Sub(e.readSince), 0)
+	left := max(e.leftUntil.Sub(now), 0)
+	return max(own+others-done, max(own-done, 0)+left, 0)
 }
 
 // serves says whether an engine may ever be used for a request.
@@ -47,13 +53,22 @@
 	return e.Service == a.Service && e.State == directory.Ready && !slices.Contains(a.Exclude, e.ID)
 }
 
-// used is what an engine is reckoned to hold, in tokens.
-func (e *engine) used(now clock.Millis) int {
+// own is what this planner's places are reckoned to hold, in tokens.
+func (e *engine) own(now clock.Millis) int {
 	total := 0
 	for _, h := range e.places {
 		made := int(now.Sub(h.granted) / stepTime)
 		total += h.prompt + max(expected(h.output), min(made, 2*h.output))
 	}
+	return total
+}
+
+// used is what an engine is reckoned to hold, in tokens.
+func (e *engine) used(now clock.Millis) int {
+	total := e.own(now)
+	if e.leftUntil > now {
+		return total + e.left
+	}
 	if e.foreign == 0 || now.Sub(e.foreignAt) > foreignFor {
 		return total
 	}
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -76,6 +76,14 @@
 	Read    bool   `cbor:"3,keyasint"` // it is the prefill engine, which has read the prompt
 }
 
+// Loaded is an engine's own word on all that it works on, from a moment ago.
+type Loaded struct {
+	Engine  string
+	Running int // requests
+	Waiting int // requests
+	Used    int // tokens of KV memory that cannot give way
+}
+
 // Closed says that an engine takes nothing until its stage has changed.
 type Closed struct {
 	Engine string `cbor:"1,keyasint"`
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -65,8 +65,8 @@
 	comeBackMost  = 4 * time.Second
 )
 
-// Event is what a planner learns: Ask, Progress, Release, Closed, Announce,
-// Known and Tick.
+// Event is what a planner learns: Ask, Progress, Loaded, Release, Closed,
+// Announce, Known and Tick.
 type Event interface{ event() }
 
 // Known brings the present endpoints of the zone.
@@ -77,6 +77,7 @@
 
 func (Ask) event()      {}
 func (Progress) event() {}
+func (Loaded) event()   {}
 func (Release) event()  {}
 func (Closed) event()   {}
 func (Announce) event() {}
@@ -128,6 +129,8 @@
 		p.ask(now, e)
 	case Progress:
 		p.progress(now, e)
+	case Loaded:
+		p.loaded(now, e)
 	case Release:
 		p.release(now, e)
 	case Closed:
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -258,3 +258,44 @@
 		}
 	})
 }
+
+// A planner that has just started asks engines what those who are gone left
+// there; without that, prompts were read for engines without room, and waited
+// behind others (grown unions, trouble-1, after all instances lost power).
+func TestLeftBehind(t *testing.T) {
+	tests := []struct {
+		name    string
+		loaded  placement.Loaded
+		after   time.Duration
+		decode  string // where the next request goes
+		refused string
+	}{
+		{"nothing", placement.Loaded{Engine: "d1"}, 0, "d1", ""},
+		{"memory in one decode engine", placement.Loaded{Engine: "d1", Used: 18_000}, 0, "d2", ""},
+		{"memory, which is free again", placement.Loaded{Engine: "d1", Used: 18_000}, 2 * time.Second, "d1", ""},
+		{"work at the prefill engine", placement.Loaded{Engine: "p1", Running: 1, Waiting: 12}, 0, "", placement.ReasonBusy},
+		{"work, half of which is done", placement.Loaded{Engine: "p1", Running: 1, Waiting: 12}, 700 * time.Millisecond, "d1", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := planner(t, 2)
+			if test.decode == "d1" { // of equals, the one with less left
+				p.Apply(1000, placement.Loaded{Engine: "d2", Used: 1})
+			}
+			p.Apply(1000, test.loaded)
+			if test.after > foreignGone {
+				p.Apply(clock.Millis(1000).Add(test.after), placement.Loaded{Engine: "d2", Used: 1})
+			}
+			v := verdict(p.Apply(clock.Millis(1000).Add(test.after), ask("r")), "r")
+			if test.refused != "" {
+				c.Assert(v.Refusal.Reason, qt.Equals, test.refused)
+				return
+			}
+			c.Assert(v.Grant.Decode, qt.Equals, test.decode)
+		})
+	}
+}
+
+// foreignGone is longer than memory that others left is believed to last.
+const foreignGone = 1500 * time.Millisecond
--- a/internal/placement/renew.go
+++ b/internal/placement/renew.go
@@ -1,6 +1,9 @@
 package placement
 
 import (
+	"time"
+
+	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -18,7 +21,25 @@
 	}
 	if e := p.engines[h.decode]; e != nil {
 		e.foreign, e.foreignAt = max(m.Running-len(e.places), 0), now
+		e.leftUntil = 0 // this is newer
+	}
+}
+
+// loaded takes an engine's word on its load, as at the start, when nobody can
+// tell what those who are gone have left there. Prefill engines work it off;
+// memory is believed for as long as answers take.
+func (p *Planner) loaded(now clock.Millis, m Loaded) {
+	e := p.engines[m.Engine]
+	if e == nil {
+		return
+	}
+	if e.Stage == directory.Prefill {
+		unknown := max(m.Running+m.Waiting-len(e.reads), 0)
+		e.leftUntil = now.Add(time.Duration(unknown) * prefillTime(foreignSize))
+		return
 	}
+	e.left = max(m.Used-e.own(now), 0)
+	e.leftUntil = now.Add(foreignFor)
 }
 
 func (p *Planner) release(now clock.Millis, r Release) {
