soak: wait for the life that was killed, not for the next one

Two steps that kill everything at once: the second waited 30 s for each of six lives that the first had begun meanwhile, and all that time counted as disturbed, so that nothing was checked on time. Change: a signal returns the end of the life it was sent to; a life that is told to stop before it has begun has not failed.

--- a/internal/soak/fleet/instance.go
+++ b/internal/soak/fleet/instance.go
@@ -132,8 +132,7 @@
 
 // close ends the process: by SIGKILL, since the run is over.
 func (i *instance) close() {
-	i.program.Signal(syscall.SIGKILL)
-	i.program.Wait(patience)
+	program.Over(i.program.Signal(syscall.SIGKILL), patience)
 	i.ether.Close()
 	i.doorLink.Close()
 	i.door.Close()
--- a/internal/soak/fleet/steps.go
+++ b/internal/soak/fleet/steps.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/trailshed/trailshed/internal/soak/link"
+	"github.com/trailshed/trailshed/internal/soak/program"
 	"github.com/trailshed/trailshed/internal/soak/schedule"
 	"github.com/trailshed/trailshed/internal/soak/timeline"
 	"github.com/trailshed/trailshed/platform/standin"
@@ -74,19 +75,22 @@
 
 // kill kills instances at the same moment and starts them again.
 func (f *Fleet) kill(ctx context.Context, length time.Duration, struck ...*instance) error {
+	var ended []<-chan struct{}
 	for _, i := range struck {
 		end := f.faults.Begin(timeline.Process, i.name, "kill")
 		defer end()
-		i.program.Signal(syscall.SIGKILL)
+		ended = append(ended, i.program.Signal(syscall.SIGKILL))
 	}
 	sleep(ctx, length/4)
+	for _, life := range ended {
+		program.Over(life, patience)
+	}
 	return f.startAgain(ctx, struck...)
 }
 
-// startAgain starts what has ended.
+// startAgain starts what has ended; another step may have done so.
 func (f *Fleet) startAgain(ctx context.Context, struck ...*instance) error {
 	for _, i := range struck {
-		i.program.Wait(patience)
 		if err := i.program.Start(); err != nil {
 			return err
 		}
@@ -109,11 +113,10 @@
 	end := f.faults.Begin(timeline.Planned, i.name, "stop")
 	defer end()
 	told := time.Now()
-	i.program.Signal(syscall.SIGTERM)
-	if !i.program.Wait(2 * grace) {
+	if ended := i.program.Signal(syscall.SIGTERM); !program.Over(ended, 2*grace) {
 		f.checker.Outlived(i.name, i.program.Life(), told)
 		i.program.Signal(syscall.SIGCONT) // it may be paused
-		i.program.Signal(syscall.SIGKILL)
+		program.Over(i.program.Signal(syscall.SIGKILL), patience)
 	}
 	endStart := f.faults.Begin(timeline.Process, i.name, "start")
 	defer endStart()
--- a/internal/soak/program/program.go
+++ b/internal/soak/program/program.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +31,7 @@
 	life  int
 	log   *os.File
 	told  syscall.Signal // SIGTERM or SIGKILL; 0 while it is to live
+	from  int64          // byte of the log at which the life begins
 }
 
 // starts carries the starts of all programs to one thread, which lasts as long
@@ -66,13 +69,18 @@
 	if err != nil {
 		return err
 	}
+	from, err := log.Seek(0, io.SeekEnd)
+	if err != nil {
+		_ = log.Close()
+		return err
+	}
 	cmd := exec.CommandContext(context.Background(), p.File, "gateway", "--settings", p.Settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := start(cmd); err != nil {
 		_ = log.Close()
 		return fmt.Errorf("start %s: %w", p.File, err)
 	}
-	p.cmd, p.log, p.ended, p.told = cmd, log, make(chan struct{}), 0
+	p.cmd, p.log, p.ended, p.told, p.from = cmd, log, make(chan struct{}), 0, from
 	p.life++
 	go p.reap(cmd, log, p.ended)
 	return nil
@@ -84,37 +92,47 @@
 	_, _ = fmt.Fprintf(log, "{\"event\":\"process_ended\",\"at\":%q,\"how\":%q}\n", time.Now().Format(time.RFC3339Nano), fmt.Sprint(err))
 	_ = log.Close()
 	p.mu.Lock()
-	p.cmd = nil
-	told := p.told
+	told, from := p.told, p.from
 	p.mu.Unlock()
-	if told == 0 || told == syscall.SIGTERM && err != nil {
+	if told == 0 || told == syscall.SIGTERM && err != nil && p.begun(from) {
 		p.Failed(err)
 	}
+	p.mu.Lock()
+	p.cmd = nil
+	p.mu.Unlock()
 	close(ended)
 }
 
-// Signal sends a signal to the process that this Program started, if it lives.
-func (p *Program) Signal(s syscall.Signal) {
+// begun says whether the life whose log begins at a byte came as far as its
+// first line. Until then SIGTERM ends any process, and no harm is done.
+func (p *Program) begun(from int64) bool {
+	data, err := os.ReadFile(p.Log)
+	return err != nil || strings.Contains(string(data[min(from, int64(len(data))):]), Begun)
+}
+
+// Begun is in the line that a process writes once it runs.
+const Begun = `"event":"started"`
+
+// Signal sends a signal to the process that this Program started, if it lives,
+// and returns what is closed at the end of that life.
+func (p *Program) Signal(s syscall.Signal) (ended <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd == nil {
-		return
+		over := make(chan struct{})
+		close(over)
+		return over
 	}
 	if s == syscall.SIGKILL || s == syscall.SIGTERM && p.told == 0 {
 		p.told = s
 	}
 	_ = p.cmd.Process.Signal(s) // it may have ended this moment
+	return p.ended
 }
 
-// Wait waits for the end of the present life, at most for a time, and says
-// whether it came.
-func (p *Program) Wait(most time.Duration) bool {
-	p.mu.Lock()
-	ended, alive := p.ended, p.cmd != nil
-	p.mu.Unlock()
-	if !alive {
-		return true
-	}
+// Over waits for the end of a life, at most for a time, and says whether it
+// came.
+func Over(ended <-chan struct{}, most time.Duration) bool {
 	select {
 	case <-ended:
 		return true
