--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -129,6 +129,18 @@
 	}
 }
 
+// The plans that are shipped are right, and named as their files.
+func TestShippedPlans(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join("..", "..", "demo", "experiments", "*.yaml"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files) > 0, qt.IsTrue)
+	for _, file := range files {
+		p, err := experiment.LoadPlan(file)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, p.Name+".yaml", qt.Equals, filepath.Base(file))
+	}
+}
+
 func runs(inTime ...int) map[uint64]*experiment.Outcome {
 	m := map[uint64]*experiment.Outcome{}
 	for i, n := range inTime {
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -26,6 +26,9 @@
 	retryShare = 0.1
 	// endMost bounds how long a run may go on after the last arrival.
 	endMost = 5 * time.Minute
+	// workspace and kind are the same for all requests.
+	workspace = "w"
+	kind      = "k"
 	// begin is the moment at which runs begin.
 	begin = clock.Millis(1_000_000)
 )
@@ -223,7 +226,7 @@
 	a := &attempt{request: r, id: cell.NewAttemptID(r.id, r.attempts), prompt: prompt}
 	w.running[a.id] = a
 	ask := cell.Ask{
-		Cell: theCell, Attempt: a.id, Request: r.id, Owner: owner, Workspace: "w", Kind: "k", Tokens: prompt,
+		Cell: theCell, Attempt: a.id, Request: r.id, Owner: owner, Workspace: workspace, Kind: kind, Tokens: prompt,
 		MaxTokens: w.plan.Load.Answer.Most, Budget: w.plan.Load.FirstToken - w.now.Sub(r.arrived),
 		Avoid: r.avoid, Retry: r.attempts > 1,
 	}
@@ -318,7 +321,7 @@
 			continue
 		}
 		an.Running = append(an.Running, cell.Running{
-			Attempt: id, Phase: a.phase, Prefill: a.grant.Prefill, Decode: a.grant.Decode, Workspace: "w", Kind: "k", Tokens: a.prompt,
+			Attempt: id, Phase: a.phase, Prefill: a.grant.Prefill, Decode: a.grant.Decode, Workspace: workspace, Kind: kind, Tokens: a.prompt,
 		})
 	}
 	w.after(way, func() { w.apply(an) })
