--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -299,3 +299,45 @@
 
 // foreignGone is longer than memory that others left is believed to last.
 const foreignGone = 1500 * time.Millisecond
+
+// A request whose memory is predicted in more than half of its time waits for it
+// only while most slots are free; otherwise an early refusal serves it better.
+func TestWaitsLongerWhileSlotsAreFree(t *testing.T) {
+	tests := []struct {
+		name   string
+		prompt int // of those that run
+		run    int
+		waits  bool
+	}{
+		{"three of eight slots", 5000, 3, true},
+		{"five of eight slots", 3000, 5, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := planner(t, 1)
+			for i := range test.run {
+				a := ask(fmt.Sprint(i))
+				a.Prompt = test.prompt
+				c.Assert(verdict(p.Apply(1000, a), a.ID).Grant, qt.IsNotNil)
+			}
+			p.Apply(4300, placement.Announce{Owner: "n1", Holds: holds(test.run)})
+			late := ask("late") // room is predicted for 4800
+			late.Patient = true
+			c.Assert(verdict(p.Apply(4300, late), "late").Queued, qt.IsTrue)
+			refused := verdict(p.Apply(4600, placement.Tick{}), "late").Refusal
+			c.Assert(refused == nil, qt.Equals, test.waits)
+			granted := verdict(p.Apply(4700, placement.Release{ID: "0", Owner: "n1"}), "late").Grant
+			c.Assert(granted != nil, qt.Equals, test.waits)
+		})
+	}
+}
+
+// holds says that the first so many requests of a test still run.
+func holds(n int) []placement.Hold {
+	var list []placement.Hold
+	for i := range n {
+		list = append(list, placement.Hold{ID: fmt.Sprint(i), Decode: "d1"})
+	}
+	return list
+}
