--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -52,49 +52,6 @@
 	outcome *Outcome
 }
 
-// request is one caller's.
-type request struct {
-	id       string
-	arrived  clock.Millis
-	answer   int // tokens
-	attempts int
-	avoid    []string
-	first    clock.Millis // when the first token came; 0: not yet
-	read     int64        // prompt tokens that were read for it
-}
-
-// attempt is one send of a request.
-type attempt struct {
-	*request
-	id     cell.AttemptID
-	prompt int
-	grant  cell.Grant
-	phase  cell.Phase
-	over   bool
-}
-
-// event is something that happens at a moment.
-type event struct {
-	at  clock.Millis
-	seq int // events of one moment happen in the order in which they were made
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // Run plays one policy under one seed's load and faults.
 func (p *Plan) Run(policy string, seed uint64) *Outcome {
 	w := &world{
@@ -105,42 +62,51 @@
 		Policy: policy, OwnerExpiry: ownerExpiry, RetryShare: retryShare,
 		Violated: func(what string) { w.outcome.Violations = append(w.outcome.Violations, what) },
 	})
+	w.apply(cell.Configured{Catalog: catalog.New(), Members: w.addEngines()})
+	w.every(tickEvery, func() { w.apply(cell.Tick{}) })
+	w.every(announceEvery, w.announce)
+	w.every(p.Fleet.ReportEvery, w.reports)
+	w.reports() // endpoints are known before the first request
+	// Each has a source of its own, so that a change of one leaves the other as
+	// it was.
+	w.scheduleArrivals(rand.New(rand.NewPCG(seed, 0)))
+	w.scheduleFaults(rand.New(rand.NewPCG(seed, 1)))
+	w.play()
+	w.outcome.close()
+	return w.outcome
+}
+
+// addEngines makes the plan's endpoints and returns them as members of the cell.
+func (w *world) addEngines() []catalog.Member {
 	var members []catalog.Member
+	fleet := w.plan.Fleet
 	for _, role := range []string{catalog.RolePrefill, catalog.RoleDecode} {
-		for i := range p.Fleet.count(role) {
-			m := catalog.Member{Name: fmt.Sprintf("%s-%03d", role, i+1), Role: role, Slots: p.Fleet.Slots, Link: p.Fleet.LinkRate}
-			members = append(members, m)
+		for i := range fleet.count(role) {
+			m := catalog.Member{Name: fmt.Sprintf("%s-%03d", role, i+1), Role: role, Slots: fleet.Slots, Link: fleet.LinkRate}
 			e := &engine{Member: m, jobs: map[cell.AttemptID]*job{}}
+			members = append(members, m)
 			w.engines[m.Name] = e
 			w.order = append(w.order, e)
 		}
 	}
-	w.apply(cell.Configured{Catalog: catalog.New(), Members: members})
-	w.every(tickEvery, func() { w.apply(cell.Tick{}) })
-	w.every(announceEvery, w.announce)
-	w.every(p.Fleet.ReportEvery, w.reports)
-	w.schedule(rand.New(rand.NewPCG(seed, 0)), rand.New(rand.NewPCG(seed, 1)))
-	w.play()
-	w.outcome.close()
-	return w.outcome
+	return members
 }
 
-// schedule draws arrivals and what faults strike, each from its own source, so
-// that a change of one leaves the other as it was.
-func (w *world) schedule(arrivals, faults *rand.Rand) {
-	w.reports() // endpoints are known before the first request
+func (w *world) scheduleArrivals(random *rand.Rand) {
 	at := time.Duration(0)
 	for n := 1; ; n++ {
-		at += time.Duration(arrivals.ExpFloat64() / w.plan.Load.rate(at) * float64(time.Second))
+		at += time.Duration(random.ExpFloat64() / w.plan.Load.rate(at) * float64(time.Second))
 		if at >= w.plan.Duration {
-			break
+			return
 		}
-		r := &request{id: fmt.Sprintf("r%06d", n)}
-		prompt := w.plan.Load.Prompt.draw(arrivals)
-		r.answer = w.plan.Load.Answer.draw(arrivals)
+		prompt := w.plan.Load.Prompt.draw(random)
+		r := &request{id: fmt.Sprintf("r%06d", n), answer: w.plan.Load.Answer.draw(random)}
 		w.open++
 		w.after(at, func() { w.arrive(r, prompt) })
 	}
+}
+
+func (w *world) scheduleFaults(random *rand.Rand) {
 	for _, f := range w.plan.Faults {
 		var fit []*engine
 		for _, e := range w.order {
@@ -148,7 +114,7 @@
 				fit = append(fit, e)
 			}
 		}
-		faults.Shuffle(len(fit), func(i, j int) { fit[i], fit[j] = fit[j], fit[i] })
+		random.Shuffle(len(fit), func(i, j int) { fit[i], fit[j] = fit[j], fit[i] })
 		for _, e := range fit[:f.Endpoints] {
 			w.after(f.At, func() { w.strike(e, f, true) })
 			w.after(f.At+f.For, func() { w.strike(e, f, false) })
@@ -183,18 +149,6 @@
 	w.outcome.Unended = w.open
 }
 
-func (w *world) after(d time.Duration, do func()) {
-	w.made++
-	heap.Push(&w.events, event{at: w.now.Add(max(d, time.Millisecond)), seq: w.made, do: do})
-}
-
-func (w *world) every(d time.Duration, do func()) {
-	w.after(d, func() {
-		do()
-		w.every(d, do)
-	})
-}
-
 func (w *world) apply(e cell.Event) {
 	for _, effect := range w.cell.Apply(w.now, e) {
 		switch f := effect.(type) {
@@ -213,120 +167,6 @@
 	}
 }
 
-// arrive is a caller's request.
-func (w *world) arrive(r *request, prompt int) {
-	r.arrived = w.now
-	w.outcome.asked(w.now)
-	w.send(r, prompt)
-}
-
-// send makes a request's next attempt.
-func (w *world) send(r *request, prompt int) {
-	r.attempts++
-	a := &attempt{request: r, id: cell.NewAttemptID(r.id, r.attempts), prompt: prompt}
-	w.running[a.id] = a
-	ask := cell.Ask{
-		Cell: theCell, Attempt: a.id, Request: r.id, Owner: owner, Workspace: workspace, Kind: kind, Tokens: prompt,
-		MaxTokens: w.plan.Load.Answer.Most, Budget: w.plan.Load.FirstToken - w.now.Sub(r.arrived),
-		Avoid: r.avoid, Retry: r.attempts > 1,
-	}
-	w.after(way, func() { w.apply(ask) })
-}
-
-func (w *world) granted(g cell.Grant) {
-	a := w.running[g.Attempt]
-	if a == nil || a.over {
-		return
-	}
-	a.grant, a.phase = g, cell.Granted
-	w.after(way, func() { w.prefill(w.engines[g.Prefill], a) })
-}
-
-func (w *world) refused(f cell.Refusal) {
-	a := w.running[f.Attempt]
-	if a == nil || a.over {
-		return
-	}
-	w.close(a)
-	w.end(a.request, func(o *Outcome) { o.Refused++ })
-}
-
-func (w *world) prefilled(a *attempt, took time.Duration) {
-	w.progress(a, cell.Progress{Phase: cell.Prefilled, Took: took})
-}
-
-// progress tells the dispatcher how far an attempt has come.
-func (w *world) progress(a *attempt, p cell.Progress) {
-	if a.over {
-		return
-	}
-	a.phase = p.Phase
-	p.Cell, p.Attempt = theCell, a.id
-	w.after(way, func() { w.apply(p) })
-}
-
-// failed is an attempt that an endpoint lost or turned away. It is sent again
-// if the caller has seen nothing of it and the plan allows another.
-func (w *world) failed(a *attempt, at string) {
-	if a.over {
-		return
-	}
-	w.progress(a, cell.Progress{Phase: cell.Failed, At: at})
-	w.close(a)
-	r := a.request
-	left := w.plan.Load.FirstToken - w.now.Sub(r.arrived)
-	if r.first > 0 || r.attempts >= w.plan.Load.Attempts || left <= 0 {
-		w.end(r, func(o *Outcome) { o.Failed++ })
-		return
-	}
-	r.avoid = append(r.avoid, at)
-	w.outcome.Retries++
-	w.send(r, a.prompt)
-}
-
-func (w *world) token(a *attempt) {
-	if a.first == 0 {
-		a.first = w.now
-	}
-}
-
-func (w *world) finished(a *attempt, took time.Duration) {
-	if a.over {
-		return
-	}
-	w.progress(a, cell.Progress{Phase: cell.Finished, Took: took, Tokens: a.answer})
-	w.close(a)
-	a.read -= int64(a.prompt) // this one was not read for nothing
-	w.end(a.request, func(o *Outcome) { o.answered(a.request, w.plan.Load.FirstToken) })
-}
-
-func (w *world) close(a *attempt) {
-	a.over = true
-	delete(w.running, a.id)
-}
-
-// end counts a request's end, and what was read for nothing.
-func (w *world) end(r *request, count func(*Outcome)) {
-	w.open--
-	count(w.outcome)
-	w.outcome.WastedTokens += r.read
-}
-
-func (w *world) announce() {
-	an := cell.Announce{Cell: theCell, Owner: owner}
-	for _, id := range sortedKeys(w.running) {
-		a := w.running[id]
-		if a.phase == "" {
-			an.Waiting = append(an.Waiting, id)
-			continue
-		}
-		an.Running = append(an.Running, cell.Running{
-			Attempt: id, Phase: a.phase, Prefill: a.grant.Prefill, Decode: a.grant.Decode, Workspace: workspace, Kind: kind, Tokens: a.prompt,
-		})
-	}
-	w.after(way, func() { w.apply(an) })
-}
-
 // reports has the dispatcher ask every endpoint.
 func (w *world) reports() {
 	for _, e := range w.order {
