--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -76,7 +76,8 @@
 	Log        *eventlog.Log
 	Scope      tally.Scope
 	Now        func() clock.Millis
-	Load       Load
+	// Load asks an engine of the own zone what it works on.
+	Load Load
 	// Saw is told of each ask that this instance's planner gets.
 	Saw func(a placement.Ask)
 }
