freshness: large views are asked for less often

Change: beyond 200 endpoints the pause between whole views grows with them. Test: TestLargeViewsAreAskedForSeldom, red with the fixed pause. Up to 200 endpoints nothing changes.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -64,6 +64,15 @@
 	Doubtful  bool   // the store may lack some of the endpoints only because it was away
 }
 
+// Size is the number of endpoints.
+func (v *View) Size() int {
+	n := 0
+	for _, list := range v.Endpoints {
+		n += len(list)
+	}
+	return n
+}
+
 // Directory is the aggregate.
 type Directory struct {
 	view atomic.Pointer[View]
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -28,8 +28,10 @@
 	// again is the pause between fetches while still behind.
 	again = 250 * time.Millisecond
 	// wholeEvery is the least time between two whole views from fellows. One is
-	// 15 KB at 140 endpoints, and links carry 10 Mbit/s.
+	// 15 KB at 140 endpoints, and links carry 10 Mbit/s. Beyond viewSize
+	// endpoints it grows with them, so that views take no more of a link.
 	wholeEvery = time.Second
+	viewSize   = 200
 	// asksMost is how often a fellow is asked in vain before the store is: a
 	// fellow that does not know this instance yet refuses its certificate.
 	asksMost = 2
@@ -65,6 +67,13 @@
 	Digest   uint64
 	Rank     int  // its place in its zone, from 0
 	Watching bool // it watches the store itself
+	// Endpoints is how many a whole view holds.
+	Endpoints int
+}
+
+// wholePause is the least time between two whole views.
+func (k Known) wholePause() time.Duration {
+	return time.Duration(max(k.Endpoints, viewSize)) * wholeEvery / viewSize
 }
 
 // Heard takes a revision that the store has, told by the fellow called source
@@ -113,7 +122,7 @@
 // revision were taken: the beliefs must be the same then. They are not where a
 // change was not passed on by another fellow, which doubted it at that time.
 func (f *Freshness) Whole(now clock.Millis, k Known, revision int64, digest uint64) bool {
-	if k.Revision != revision || k.Digest == digest || now.Sub(f.whole) < wholeEvery {
+	if k.Revision != revision || k.Digest == digest || now.Sub(f.whole) < k.wholePause() {
 		return false
 	}
 	f.whole = now
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -1,7 +1,9 @@
 package freshness_test
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -153,6 +155,25 @@
 	c.Assert(asked > 0 && asked <= 2400, qt.IsTrue, qt.Commentf("asked at %d", asked))
 }
 
+// Whole views take the same part of a link whatever the number of endpoints.
+func TestLargeViewsAreAskedForSeldom(t *testing.T) {
+	tests := []struct {
+		endpoints int
+		pause     time.Duration
+	}{{0, time.Second}, {146, time.Second}, {200, time.Second}, {3000, 15 * time.Second}}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.endpoints), func(t *testing.T) {
+			c := qt.New(t)
+			var f freshness.Freshness
+			k := freshness.Known{Revision: 30, Digest: 7, Endpoints: test.endpoints}
+			const start = clock.Millis(100_000)
+			c.Assert(f.Whole(start, k, 30, 8), qt.IsTrue)
+			c.Assert(f.Whole(start.Add(test.pause)-1, k, 30, 8), qt.IsFalse)
+			c.Assert(f.Whole(start.Add(test.pause), k, 30, 8), qt.IsTrue)
+		})
+	}
+}
+
 // A fellow that doubted a removal passed its revision on without it; the next
 // one tells only what came later. The beliefs then differ at the same revision,
 // and everything is asked for, once a second at the most (grown unions,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -256,7 +256,8 @@
 	}
 	v = r.Directory.View()
 	r.mu.Lock()
-	whole := r.fresh.Whole(r.Now(), freshness.Known{Revision: v.Revision, Digest: v.Digest}, told.Revision, told.Digest)
+	known := freshness.Known{Revision: v.Revision, Digest: v.Digest, Endpoints: v.Size()}
+	whole := r.fresh.Whole(r.Now(), known, told.Revision, told.Digest)
 	r.mu.Unlock()
 	if whole {
 		r.Scope.Counter("relay_whole_views").Inc(1)
