soak: ask some instances at a time

Cause: with four zones of 40 the soak did not begin (b-3, b-11 "does not serve within 30 s"), beside other runs and on a nearly idle machine: it asked 160 instances one after the other, half a second each, within 30 s for all. Change: eight at a time, each with 30 s of its own.

--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -176,9 +176,9 @@
 	return kinds[rand.IntN(len(kinds))]
 }
 
-// allServe waits until each instance has served each kind of request.
+// allServe waits until each instance has served each kind of request, some
+// instances at a time.
 func (f *Fleet) allServe() error {
-	deadline := time.Now().Add(patience)
 	kinds := caller.Kinds()
 	f.mu.Lock()
 	if f.version > 1 {
@@ -186,22 +186,45 @@
 	}
 	instances := f.instances
 	f.mu.Unlock()
+	turns := make(chan struct{}, askedAtOnce)
+	failures := make(chan error, len(instances))
 	for _, i := range instances {
-		for _, k := range kinds {
-			if strings.HasSuffix(k.Path, standin.LongPath) {
-				continue // the same way as its kin, and seconds each
+		turns <- struct{}{}
+		go func() {
+			defer func() { <-turns }()
+			failures <- f.serves(i, kinds)
+		}()
+	}
+	var first error
+	for range instances {
+		if err := <-failures; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// askedAtOnce is how many instances allServe asks at a time: fewer than the
+// stand-ins' engines have slots.
+const askedAtOnce = 8
+
+// serves waits until one instance has served each kind of request.
+func (f *Fleet) serves(i *instance, kinds []caller.Kind) error {
+	deadline := time.Now().Add(patience)
+	for _, k := range kinds {
+		if strings.HasSuffix(k.Path, standin.LongPath) {
+			continue // the same way as its kin, and seconds each
+		}
+		for {
+			call := caller.One(context.Background(), i.gateway(), k, f.id())
+			f.checker.Called(call)
+			if call.Reply.Err == nil && call.Reply.Status == 200 {
+				break
 			}
-			for {
-				call := caller.One(context.Background(), i.gateway(), k, f.id())
-				f.checker.Called(call)
-				if call.Reply.Err == nil && call.Reply.Status == 200 {
-					break
-				}
-				if time.Now().After(deadline) {
-					return fmt.Errorf("%s does not serve %s within %s: status %d, %w", i.name, k.Path, patience, call.Reply.Status, errOr(call.Reply.Err))
-				}
-				time.Sleep(probeEvery / 4)
+			if time.Now().After(deadline) {
+				return fmt.Errorf("%s does not serve %s within %s: status %d, %w", i.name, k.Path, patience, call.Reply.Status, errOr(call.Reply.Err))
 			}
+			time.Sleep(probeEvery / 4)
 		}
 	}
 	return nil
