tree: one piece of code where the change had written two

Mended, behaviour as it was: - checks by fields' tags: the gateway's settings and the plans of experiments had a copy each; now internal/valid, with the same messages. - a view's engines of a zone: the planner and the asking for loads walked it each in their own way; now View.Engines. - an instance's place in a role's order was counted in three places; now Roster.Rank, with the roles' names as constants. - announcements and closed engines were told to planners by two like loops. - the retry rule was built from settings twice; now Retry.Rule. - experiment: the prompt belongs to the request, not to each attempt of it; the wait in learnLoads is ticker.Sleep. Looked at and left: the stand-in's document repeats the adapter's names on purpose (a wrong name must show); lists of imports and of constants that only look alike; semaphores of the soak and of the asking for loads, which errgroup would replace with a further dependency.

--- a/internal/broker/announce.go
+++ b/internal/broker/announce.go
@@ -12,12 +12,18 @@
 		if !b.usedLately(zone) && len(a.Holds) == 0 {
 			continue
 		}
-		for _, i := range b.hearers(zone) {
-			if i.Name == b.Name {
-				b.apply(a)
-			} else {
-				b.send(i.Address, topicAnnounce, a)
-			}
+		b.inform(zone, topicAnnounce, a)
+	}
+}
+
+// inform tells an event to the planners of a zone, of which this instance may be
+// one.
+func (b *Broker) inform(zone, topic string, e placement.Event) {
+	for _, i := range b.hearers(zone) {
+		if i.Name == b.Name {
+			b.apply(e)
+		} else {
+			b.send(i.Address, topic, e)
 		}
 	}
 }
@@ -26,7 +32,7 @@
 // they have taken up their work.
 func (b *Broker) hearers(zone string) []roster.Instance {
 	var list []roster.Instance
-	for _, i := range b.Roster.Ranked(zone, "planner") {
+	for _, i := range b.Roster.Ranked(zone, rolePlanner) {
 		if !b.isDown(i) {
 			list = append(list, i)
 		}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -34,6 +34,9 @@
 	topicAnnounce = "place.announce"
 )
 
+// rolePlanner is the role of giving out a zone's engines.
+const rolePlanner = "planner"
+
 const (
 	// firstWord is how long a planner may take for its first word. A round
 	// trip between zones takes 3 ms; a slowed instance takes some tens.
@@ -156,7 +159,7 @@
 // findIn asks the planner of a zone, and the next one when it is silent.
 func (b *Broker) findIn(ctx context.Context, zone string, a placement.Ask) (*Place, *placement.Refusal) {
 	silent := 0
-	for _, i := range b.Roster.Ranked(zone, "planner") {
+	for _, i := range b.Roster.Ranked(zone, rolePlanner) {
 		if b.isDown(i) || silent == silentMost && i.Name != b.Name {
 			continue
 		}
--- a/internal/broker/loads.go
+++ b/internal/broker/loads.go
@@ -9,6 +9,7 @@
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/placement"
+	"github.com/trailshed/trailshed/internal/ticker"
 )
 
 const (
@@ -24,50 +25,18 @@
 // instance is to plan for them while it is young: those who are gone may have
 // left work there, of which no announcement tells.
 func (b *Broker) learnLoads(ctx context.Context) {
-	for b.Now().Sub(b.began) < young {
-		engines := b.engines()
-		if len(engines) > 0 && b.amongPlanners() {
-			b.askEngines(ctx, engines)
-			return
+	for ctx.Err() == nil && b.Now().Sub(b.began) < young {
+		var engines []directory.Endpoint
+		for e := range b.Directory.View().Engines(b.Zone) {
+			engines = append(engines, *e)
 		}
-		select {
-		case <-ctx.Done():
+		// The planner and the one after it ask.
+		if place, known := b.Roster.Rank(b.Zone, rolePlanner, b.Name); known && place < backups && len(engines) > 0 {
+			b.askEngines(ctx, engines)
 			return
-		case <-time.After(loadsPause):
-		}
-	}
-}
-
-// engines are those of the own zone.
-func (b *Broker) engines() []directory.Endpoint {
-	v := b.Directory.View()
-	if v.Table == nil {
-		return nil
-	}
-	var list []directory.Endpoint
-	for name, endpoints := range v.Endpoints {
-		service := v.Table.Service(name)
-		if service == nil || service.Engine == nil {
-			continue
-		}
-		for _, e := range endpoints {
-			if e.Zone == b.Zone {
-				list = append(list, *e)
-			}
-		}
-	}
-	return list
-}
-
-// amongPlanners says whether this instance is the planner or the one after it.
-func (b *Broker) amongPlanners() bool {
-	ranked := b.Roster.Ranked(b.Zone, "planner")
-	for _, i := range ranked[:min(len(ranked), backups)] {
-		if i.Name == b.Name {
-			return true
 		}
+		ticker.Sleep(ctx, loadsPause)
 	}
-	return false
 }
 
 func (b *Broker) askEngines(ctx context.Context, engines []directory.Endpoint) {
--- a/internal/broker/planner.go
+++ b/internal/broker/planner.go
@@ -15,19 +15,13 @@
 // Close tells the planners of a zone that an engine takes nothing until its
 // stage has changed.
 func (b *Broker) Close(zone, engine string) {
-	for _, i := range b.hearers(zone) {
-		if i.Name == b.Name {
-			b.apply(placement.Closed{Engine: engine})
-		} else {
-			b.send(i.Address, topicClosed, placement.Closed{Engine: engine})
-		}
-	}
+	b.inform(zone, topicClosed, placement.Closed{Engine: engine})
 }
 
 // Plans says whether this instance is the first planner of its zone.
 func (b *Broker) Plans() bool {
-	ranked := b.Roster.Ranked(b.Zone, "planner")
-	return len(ranked) > 0 && ranked[0].Name == b.Name
+	place, known := b.Roster.Rank(b.Zone, rolePlanner, b.Name)
+	return known && place == 0
 }
 
 // decide asks the own planner and returns its first word. Whatever else the ask
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -6,6 +6,7 @@
 package directory
 
 import (
+	"iter"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -73,6 +74,26 @@
 	return n
 }
 
+// Engines yields a zone's engines with what their service says of them.
+func (v *View) Engines(zone string) iter.Seq2[*Endpoint, *route.Engine] {
+	return func(yield func(*Endpoint, *route.Engine) bool) {
+		if v.Table == nil {
+			return
+		}
+		for name, list := range v.Endpoints {
+			service := v.Table.Service(name)
+			if service == nil || service.Engine == nil {
+				continue
+			}
+			for _, e := range list {
+				if e.Zone == zone && !yield(e, service.Engine) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Directory is the aggregate.
 type Directory struct {
 	view atomic.Pointer[View]
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -105,7 +105,7 @@
 		w.outcome.ReadTokens += int64(j.prompt)
 		j.read += int64(j.prompt)
 		link := time.Duration(j.prompt) * time.Second / time.Duration(w.plan.Fleet.LinkRate)
-		w.after(way, func() { w.prefilled(j.attempt, w.now.Sub(j.started)) })
+		w.after(way, func() { w.progress(j.attempt, cell.Progress{Phase: cell.Prefilled, Took: w.now.Sub(j.started)}) })
 		w.after(link+2*way, func() { w.decode(j.attempt) })
 		w.readNext(e)
 	})
--- a/internal/experiment/entry.go
+++ b/internal/experiment/entry.go
@@ -11,6 +11,7 @@
 type request struct {
 	id       string
 	arrived  clock.Millis
+	prompt   int // tokens
 	answer   int // tokens
 	attempts int
 	avoid    []string
@@ -21,27 +22,26 @@
 // attempt is one send of a request.
 type attempt struct {
 	*request
-	id     cell.AttemptID
-	prompt int
-	grant  cell.Grant
-	phase  cell.Phase
-	over   bool
+	id    cell.AttemptID
+	grant cell.Grant
+	phase cell.Phase
+	over  bool
 }
 
 // arrive is a caller's request.
-func (w *world) arrive(r *request, prompt int) {
+func (w *world) arrive(r *request) {
 	r.arrived = w.now
 	w.outcome.asked(w.now)
-	w.send(r, prompt)
+	w.send(r)
 }
 
 // send makes a request's next attempt.
-func (w *world) send(r *request, prompt int) {
+func (w *world) send(r *request) {
 	r.attempts++
-	a := &attempt{request: r, id: cell.NewAttemptID(r.id, r.attempts), prompt: prompt}
+	a := &attempt{request: r, id: cell.NewAttemptID(r.id, r.attempts)}
 	w.running[a.id] = a
 	ask := cell.Ask{
-		Cell: theCell, Attempt: a.id, Request: r.id, Owner: owner, Workspace: workspace, Kind: kind, Tokens: prompt,
+		Cell: theCell, Attempt: a.id, Request: r.id, Owner: owner, Workspace: workspace, Kind: kind, Tokens: r.prompt,
 		MaxTokens: w.plan.Load.Answer.Most, Budget: w.plan.Load.FirstToken - w.now.Sub(r.arrived),
 		Avoid: r.avoid, Retry: r.attempts > 1,
 	}
@@ -66,10 +66,6 @@
 	w.end(a.request, func(o *Outcome) { o.Refused++ })
 }
 
-func (w *world) prefilled(a *attempt, took time.Duration) {
-	w.progress(a, cell.Progress{Phase: cell.Prefilled, Took: took})
-}
-
 // progress tells the dispatcher how far an attempt has come.
 func (w *world) progress(a *attempt, p cell.Progress) {
 	if a.over {
@@ -96,7 +92,7 @@
 	}
 	r.avoid = append(r.avoid, at)
 	w.outcome.Retries++
-	w.send(r, a.prompt)
+	w.send(r)
 }
 
 func (w *world) token(a *attempt) {
--- a/internal/experiment/plan.go
+++ b/internal/experiment/plan.go
@@ -6,16 +6,14 @@
 
 import (
 	_ "embed"
-	"errors"
 	"fmt"
 	"os"
-	"reflect"
-	"strings"
 	"time"
 
-	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
 	"github.com/zeebo/errs"
+
+	"github.com/trailshed/trailshed/internal/valid"
 )
 
 // Error marks every error of this package.
@@ -114,17 +112,9 @@
 }
 
 func (p *Plan) check(file string) error {
-	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("yaml") })
-	err := v.Struct(p)
-	var wrong validator.ValidationErrors
-	if err != nil && !errors.As(err, &wrong) {
-		return Error.Wrap(err)
-	}
 	var group errs.Group
-	for _, w := range wrong {
-		_, key, _ := strings.Cut(w.Namespace(), ".")
-		group.Add(Error.New("%s: %s: \"%v\" breaks the rule %s %s", file, key, w.Value(), w.Tag(), w.Param()))
+	for _, wrong := range valid.Check(file, p) {
+		group.Add(Error.Wrap(wrong))
 	}
 	for i, f := range p.Faults {
 		if most := p.Fleet.count(f.Role); f.Endpoints > most {
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -99,10 +99,11 @@
 		if at >= w.plan.Duration {
 			return
 		}
-		prompt := w.plan.Load.Prompt.draw(random)
-		r := &request{id: fmt.Sprintf("r%06d", n), answer: w.plan.Load.Answer.draw(random)}
+		r := &request{id: fmt.Sprintf("r%06d", n)}
+		r.prompt = w.plan.Load.Prompt.draw(random)
+		r.answer = w.plan.Load.Answer.draw(random)
 		w.open++
-		w.after(at, func() { w.arrive(r, prompt) })
+		w.after(at, func() { w.arrive(r) })
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,7 +16,6 @@
 
 	"github.com/trailshed/trailshed/internal/balance"
 	"github.com/trailshed/trailshed/internal/broker"
-	"github.com/trailshed/trailshed/internal/budget"
 	"github.com/trailshed/trailshed/internal/counter"
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
@@ -211,7 +210,7 @@
 	g.forwarder = forward.New(forward.Options{
 		Dialect: g.platform.Dialect, Directory: g.directory, Balancer: g.balancer, Pool: g.pool,
 		Log: g.log, Scope: g.counters.Scope, Now: g.now,
-		Retry:      budget.Rule{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window},
+		Retry:      s.Retry.Rule(),
 		BodyMemory: int64(bodyPart * float64(s.Memory.LimitMB<<20)),
 		FindPlace:  g.broker.Find, ReleasePlace: g.broker.Release, BeganAtPlace: g.broker.Began,
 		Gone: func(id string) { g.feed.Tell(directory.Denied{ID: id}) },
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -2,17 +2,16 @@
 
 import (
 	_ "embed"
-	"errors"
 	"fmt"
 	"net/netip"
 	"os"
-	"reflect"
-	"strings"
 	"time"
 
-	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
 	"github.com/zeebo/errs"
+
+	"github.com/trailshed/trailshed/internal/budget"
+	"github.com/trailshed/trailshed/internal/valid"
 )
 
 // Default is the commented file of defaults.
@@ -71,6 +70,11 @@
 	Window time.Duration `yaml:"window" validate:"min=100ms,max=10m"`
 }
 
+// Rule is the allowance that these settings give.
+func (r Retry) Rule() budget.Rule {
+	return budget.Rule{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window}
+}
+
 // Stop bounds a planned stop.
 type Stop struct {
 	Grace time.Duration `yaml:"grace" validate:"min=100ms,max=1h"`
@@ -114,29 +118,14 @@
 	if err := yaml.Unmarshal(data, s); err != nil {
 		return nil, Error.New("%s: %v", file, err)
 	}
-	if err := check(file, s); err != nil {
+	var wrong errs.Group
+	wrong.Add(valid.Check(file, s)...)
+	if err := wrong.Err(); err != nil {
 		return nil, Error.Wrap(err)
 	}
 	return s, nil
 }
 
-// check names every key whose value breaks its rule.
-func check(file string, s *Settings) error {
-	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("yaml") })
-	err := v.Struct(s)
-	var wrong validator.ValidationErrors
-	if !errors.As(err, &wrong) {
-		return err
-	}
-	var group errs.Group
-	for _, w := range wrong {
-		_, key, _ := strings.Cut(w.Namespace(), ".")
-		group.Add(fmt.Errorf("%s: %s: \"%v\" breaks the rule %s %s", file, key, w.Value(), w.Tag(), w.Param()))
-	}
-	return group.Err()
-}
-
 // summary tells the settings in force for the log; none of them is secret.
 func (s *Settings) summary() string {
 	return fmt.Sprintf("store %s, retry ratio %g slack %g window %s, grace %s, memory %d MB",
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -153,28 +153,19 @@
 		return
 	}
 	seen := map[string]bool{}
-	for name, list := range v.Endpoints {
-		service := v.Table.Service(name)
-		if service == nil || service.Engine == nil {
-			continue
+	for e, data := range v.Engines(p.zone) {
+		seen[e.ID] = true
+		known := p.engines[e.ID]
+		if known == nil {
+			known = &engine{places: map[string]*place{}, reads: map[string]time.Duration{}}
+			p.engines[e.ID] = known
 		}
-		for _, e := range list {
-			if e.Zone != p.zone {
-				continue
-			}
-			seen[e.ID] = true
-			known := p.engines[e.ID]
-			if known == nil {
-				known = &engine{places: map[string]*place{}, reads: map[string]time.Duration{}}
-				p.engines[e.ID] = known
-			}
-			if known.Stage != e.Stage {
-				known.full = 0 // it has changed its stage and takes work again
-			}
-			known.Endpoint = *e
-			known.capacity = int(useMemory * float64(service.Engine.KVTokens))
-			known.slots = service.Engine.Slots
+		if known.Stage != e.Stage {
+			known.full = 0 // it has changed its stage and takes work again
 		}
+		known.Endpoint = *e
+		known.capacity = int(useMemory * float64(data.KVTokens))
+		known.slots = data.Slots
 	}
 	for id := range p.engines {
 		if !seen[id] {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,6 +29,9 @@
 	topicHint = "relay.hint"
 )
 
+// roleCheck is the role of watching the store for a zone.
+const roleCheck = "check"
+
 const (
 	// tickEvery is how often it is decided what to do.
 	tickEvery = 50 * time.Millisecond
@@ -188,14 +191,11 @@
 	}
 }
 
-// rank is this instance's place among those of its zone.
+// rank is this instance's place among those of its zone; the first while it is
+// not known itself.
 func (r *Relay) rank() int {
-	for i, f := range r.Roster.Ranked(r.Zone, "check") {
-		if f.Name == r.Name {
-			return i
-		}
-	}
-	return 0
+	place, _ := r.Roster.Rank(r.Zone, roleCheck, r.Name)
+	return place
 }
 
 // check asks the store for its revision and passes it on.
@@ -229,7 +229,7 @@
 		return // whoever has no doubts tells the zone
 	}
 	h := Hint{Revision: revision, Digest: v.Digest}
-	for _, f := range r.Roster.Ranked(r.Zone, "check") {
+	for _, f := range r.Roster.Ranked(r.Zone, roleCheck) {
 		if f.Name == r.Name {
 			continue
 		}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -164,6 +164,17 @@
 	return r.most
 }
 
+// Rank returns the place, from 0, of the instance called name in a zone's order
+// for a role.
+func (r *Roster) Rank(zone, key, name string) (place int, known bool) {
+	for n, i := range r.Ranked(zone, key) {
+		if i.Name == name {
+			return n, true
+		}
+	}
+	return 0, false
+}
+
 // Ranked returns a zone's instances in the order in which they take the role
 // called key: the strongest first, because a role's work comes on top of the
 // requests that all have alike, then in rendezvous order. Those that have just
