placement: let requests wait for memory as long as they can be in time

Cause: a request that found no memory was refused after a quarter of its target where most slots were taken and the predicted wait was over half of what it had. Change: the window, its two constants and the count of free slots are gone. The test that asked for the window is replaced by one that asks for the wait; it fails with the window.

--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -33,27 +33,10 @@
 		p.refuse(a, reason, wait)
 		return
 	}
-	if !a.Late && wait > patience*surePart/100 && !p.halfFree(a) {
-		patience = min(patience, a.Budget/refusePart)
-	}
 	p.queue = append(p.queue, waiting{ask: a, until: now.Add(patience)})
 	p.effects = append(p.effects, Answer{ID: a.ID, Owner: a.Owner, Verdict: Verdict{Queued: true}})
 }
 
-// halfFree says whether under half of the slots of a service's decode engines
-// are taken, though their memory may be. Callers hold a refusal then to be
-// needless, so a request rather waits for as long as it can still be in time.
-func (p *Planner) halfFree(a Ask) bool {
-	taken, all := 0, 0
-	for _, e := range p.engines {
-		if e.serves(a) && e.Stage != directory.Prefill {
-			taken += len(e.places)
-			all += e.slots
-		}
-	}
-	return 2*taken < all
-}
-
 // decoder returns the decode engine with the most room.
 func (p *Planner) decoder(now clock.Millis, a Ask) (*engine, string) {
 	need := a.Prompt + expected(a.Output)
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -33,12 +33,6 @@
 	firstStep = 70 * time.Millisecond
 	// grantGrace is how long an announcement may still miss a new grant.
 	grantGrace = 500 * time.Millisecond
-	// refusePart of a first event's time may be spent on waiting for room: a
-	// refusal within a quarter of it lets the caller come back in good time.
-	refusePart = 4
-	// surePart, in percent, of the time left is what room may be predicted to
-	// take if a request is to wait for it all that time.
-	surePart = 50
 	// ownerExpiry is how long places outlive their owner's silence.
 	ownerExpiry = 2500 * time.Millisecond
 	// fullFor keeps requests from an engine that turned one away: its memory
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -300,17 +300,16 @@
 // foreignGone is longer than memory that others left is believed to last.
 const foreignGone = 1500 * time.Millisecond
 
-// A request whose memory is predicted in more than half of its time waits for it
-// only while most slots are free; otherwise an early refusal serves it better.
-func TestWaitsLongerWhileSlotsAreFree(t *testing.T) {
+// A request waits for memory as long as it can still be in time, also where most
+// slots are taken: to be refused and come back takes longer.
+func TestWaitsAsLongAsItCanBeInTime(t *testing.T) {
 	tests := []struct {
 		name   string
 		prompt int // of those that run
 		run    int
-		waits  bool
 	}{
-		{"three of eight slots", 5000, 3, true},
-		{"five of eight slots", 3000, 5, false},
+		{"three of eight slots", 5000, 3},
+		{"five of eight slots", 3000, 5},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -325,10 +324,10 @@
 			late := ask("late") // room is predicted for 4800
 			late.Patient = true
 			c.Assert(verdict(p.Apply(4300, late), "late").Queued, qt.IsTrue)
-			refused := verdict(p.Apply(4600, placement.Tick{}), "late").Refusal
-			c.Assert(refused == nil, qt.Equals, test.waits)
-			granted := verdict(p.Apply(4700, placement.Release{ID: "0", Owner: "n1"}), "late").Grant
-			c.Assert(granted != nil, qt.Equals, test.waits)
+			c.Assert(verdict(p.Apply(4600, placement.Tick{}), "late").Refusal, qt.IsNil)
+			answers := p.Apply(4650, placement.Release{ID: "1", Owner: "n1"})
+			answers = append(answers, p.Apply(4700, placement.Release{ID: "0", Owner: "n1"})...)
+			c.Assert(verdict(answers, "late").Grant, qt.IsNotNil)
 		})
 	}
 }
