--- a/internal/broker/announce.go
+++ b/internal/broker/announce.go
@@ -61,7 +61,7 @@
 	for _, p := range b.holds {
 		if p.Zone == zone {
 			a.Holds = append(a.Holds, placement.Hold{
-				ID: p.ID, Decode: p.Decode, Prompt: p.ask.Prompt, Output: p.ask.Output, Running: now.Sub(p.granted),
+				ID: p.ID, Decode: p.Decode, Prompt: p.ask.Prompt, Length: p.Length, Running: now.Sub(p.granted),
 			})
 		}
 	}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -17,6 +17,7 @@
 
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/pace"
 	"github.com/trailshed/trailshed/internal/peer"
 	"github.com/trailshed/trailshed/internal/placement"
 	"github.com/trailshed/trailshed/internal/roster"
@@ -79,6 +80,8 @@
 	Log        *eventlog.Log
 	Scope      tally.Scope
 	Now        func() clock.Millis
+	// Paces is what this instance learns of the engines.
+	Paces *pace.Model
 	// Load asks an engine of the own zone what it works on.
 	Load Load
 	// Saw is told of each ask that this instance's planner gets.
@@ -97,10 +100,11 @@
 	mu      sync.Mutex
 	holds   map[string]*Place
 	pending map[string]chan placement.Verdict
-	down    map[string]silence      // by certificate
-	used    map[string]clock.Millis // by zone
-	met     map[string]bool         // planners that were heard, by certificate
-	began   clock.Millis            // when this process did
+	down    map[string]silence        // by certificate
+	used    map[string]clock.Millis   // by zone
+	met     map[string]bool           // planners that were heard, by certificate
+	askers  map[string]netip.AddrPort // where verdicts go, by name
+	began   clock.Millis              // when this process did
 }
 
 // Place is what a request holds until Release.
@@ -116,15 +120,16 @@
 // New returns a broker.
 func New(o Options) *Broker {
 	return &Broker{
-		Options: o, ticker: ticker.New(tickBusy, tickIdle), planner: placement.New(o.Zone), view: &directory.View{},
+		Options: o, ticker: ticker.New(tickBusy, tickIdle), planner: placement.New(o.Zone, o.Paces), view: &directory.View{},
 		holds: map[string]*Place{}, pending: map[string]chan placement.Verdict{},
-		down: map[string]silence{}, used: map[string]clock.Millis{}, met: map[string]bool{}, began: o.Now(),
+		down: map[string]silence{}, used: map[string]clock.Millis{}, met: map[string]bool{}, askers: map[string]netip.AddrPort{}, began: o.Now(),
 	}
 }
 
 // Register adds the handlers of other instances' messages.
 func (b *Broker) Register(r *message.Router) {
-	peer.Answer(r, b.Transport, topicAsk, func(_ context.Context, _ peer.Sender, a placement.Ask) placement.Verdict {
+	peer.Answer(r, b.Transport, topicAsk, func(_ context.Context, s peer.Sender, a placement.Ask) placement.Verdict {
+		b.asked(a.Owner, s.Address)
 		return b.decide(a)
 	})
 	peer.Handle(r, b.Transport, topicVerdict, func(_ peer.Sender, v placement.Verdict) { b.deliver(v) })
@@ -212,24 +217,42 @@
 }
 
 // Release gives a place back. full names an engine that turned the request
-// away, failed one that failed; both may be empty.
-func (b *Broker) Release(p *Place, full, failed string) {
+// away, failed one that failed; both may be empty. seen is what became of the
+// answer, nil if it did not begin.
+func (b *Broker) Release(p *Place, full, failed string, seen *placement.Seen) {
 	if p.reader != nil {
-		b.Release(p.reader, full, failed)
+		b.Release(p.reader, full, failed, nil)
 	}
 	b.mu.Lock()
 	delete(b.holds, p.ID)
 	b.mu.Unlock()
-	b.tell(p.planner, placement.Release{ID: p.ID, Owner: b.Name, Full: full, Failed: failed})
+	if seen != nil && p.planner.Name != b.Name {
+		placement.Learn(b.Paces, b.Now(), p.ask, p.Grant, 0, *seen)
+	}
+	b.tell(p.planner, placement.Release{ID: p.ID, Owner: b.Name, Full: full, Failed: failed, Seen: seen})
+}
+
+// Began passes on what an engine said of its load when it began to answer.
+func (b *Broker) Began(p *Place, running int) {
+	b.progress(p, placement.Progress{ID: p.ID, Running: running})
 }
 
-// Began passes on what an engine said of its load when it began to answer; read
-// says that it is the prefill engine.
-func (b *Broker) Began(p *Place, running int, read bool) {
-	if read && p.reader != nil {
+// Read passes on that the prefill engine has read the prompt, what it said of
+// its load, and how long that took.
+func (b *Broker) Read(p *Place, running int, took time.Duration) {
+	if p.reader != nil {
 		p = p.reader
 	}
-	m := placement.Progress{ID: p.ID, Running: running, Read: read}
+	if p.Wait == 0 && p.planner.Name != b.Name {
+		b.Paces.Learn(b.Now(), pace.Observation{
+			Service: p.ask.Service, Engine: p.Prefill, Act: pace.Read,
+			Size: float64(p.ask.Prompt), Outcome: float64(took) / float64(time.Millisecond),
+		})
+	}
+	b.progress(p, placement.Progress{ID: p.ID, Running: running, Read: true, Took: took})
+}
+
+func (b *Broker) progress(p *Place, m placement.Progress) {
 	if p.planner.Name == b.Name {
 		b.apply(m)
 		return
--- a/internal/broker/find.go
+++ b/internal/broker/find.go
@@ -72,10 +72,10 @@
 		}
 		s := b.survey(ctx, zones, read)
 		if s.place == nil {
-			b.Release(place, "", "")
+			b.Release(place, "", "", nil)
 			return nil
 		}
-		place.reader, place.Prefill, place.Wait = s.place, s.place.Prefill, s.place.Wait
+		place.reader, place.Prefill, place.Wait, place.Read = s.place, s.place.Prefill, s.place.Wait, s.place.Read
 		return place
 	}
 	return nil
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -35,28 +35,29 @@
 
 // Line is one decision or change. Zero fields are left out.
 type Line struct {
-	Event    Event
-	At       int64         // ms since 1970; 0: when it is written
-	Request  string        // id of the request it touches
-	Attempt  int           // send within the request, from 1
-	Route    string        //
-	Service  string        //
-	Endpoint string        // id of the endpoint
-	Address  string        // of the endpoint or peer
-	Prefill  string        // id of the prefill engine
-	Zone     string        //
-	Wait     time.Duration // predicted
-	Outcome  string        //
-	Reason   string        // why; a fixed word
-	Detail   string        // free text, such as an error
-	Status   int           // HTTP status
-	Took     time.Duration // since the request arrived, or the length of what ended
-	First    time.Duration // from the request's arrival to its first event
-	Left     time.Duration // until the request's limit
-	Age      time.Duration // of the input that decided
-	Version  int64         // of the configuration
-	Revision int64         // of the store
-	Count    int64         //
+	Event     Event
+	At        int64         // ms since 1970; 0: when it is written
+	Request   string        // id of the request it touches
+	Attempt   int           // send within the request, from 1
+	Route     string        //
+	Service   string        //
+	Endpoint  string        // id of the endpoint
+	Address   string        // of the endpoint or peer
+	Prefill   string        // id of the prefill engine
+	Zone      string        //
+	Wait      time.Duration // predicted
+	Outcome   string        //
+	Reason    string        // why; a fixed word
+	Detail    string        // free text, such as an error
+	Status    int           // HTTP status
+	Took      time.Duration // since the request arrived, or the length of what ended
+	First     time.Duration // from the request's arrival to its first event
+	Predicted time.Duration // the same, predicted when it got its place
+	Left      time.Duration // until the request's limit
+	Age       time.Duration // of the input that decided
+	Version   int64         // of the configuration
+	Revision  int64         // of the store
+	Count     int64         //
 }
 
 // Write writes one line.
@@ -81,6 +82,7 @@
 	number(e, "status", int64(n.Status))
 	number(e, "took_ms", n.Took.Milliseconds())
 	number(e, "first_ms", n.First.Milliseconds())
+	number(e, "predicted_ms", n.Predicted.Milliseconds())
 	number(e, "left_ms", n.Left.Milliseconds())
 	number(e, "age_ms", n.Age.Milliseconds())
 	number(e, "version", n.Version)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -57,7 +57,7 @@
 	if answer.HasLoad {
 		r.Told(p.Now(), answer.Load)
 		if p.place != nil && !answer.NotRun {
-			p.BeganAtPlace(p.place, answer.Load.Running, false)
+			p.BeganAtPlace(p.place, answer.Load.Running)
 		}
 	}
 	silence.heard()
@@ -85,6 +85,7 @@
 		PrefillAt: p.prefill.handle,
 	})
 	p.noteAgain()
+	p.beginSeen()
 	p.sends++
 	p.runs++
 	n := p.line(eventlog.Sent, "", nil)
@@ -240,7 +241,7 @@
 	p.inTime = err == nil && status < http.StatusMultipleChoices && took <= p.route.Target
 	n := p.line(eventlog.Answered, "", err)
 	n.Status = status
-	n.First = p.firstEvent
+	n.First, n.Predicted = p.firstEvent, p.predicted
 	n.Outcome = "late"
 	if p.inTime {
 		n.Outcome = "in_time"
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
@@ -37,10 +38,11 @@
 	BodyMemory int64
 	// FindPlace asks for places at engines; ReleasePlace gives them back.
 	FindPlace    func(context.Context, placement.Ask) (*broker.Place, *placement.Refusal)
-	ReleasePlace func(p *broker.Place, full, failed string)
-	// BeganAtPlace is told how many requests an engine says it runs; read says
-	// that it is the prefill engine.
-	BeganAtPlace func(p *broker.Place, running int, read bool)
+	ReleasePlace func(p *broker.Place, full, failed string, seen *placement.Seen)
+	// BeganAtPlace is told how many requests a decode engine says it runs,
+	// ReadAtPlace the same of the prefill engine, and how long it took.
+	BeganAtPlace func(p *broker.Place, running int)
+	ReadAtPlace  func(p *broker.Place, running int, took time.Duration)
 	// Gone is told of an endpoint whose address another one has.
 	Gone func(id string)
 }
--- a/internal/forward/passage.go
+++ b/internal/forward/passage.go
@@ -36,12 +36,14 @@
 	spare      *spare        // an endpoint's own failing answer, kept in case no better one comes
 	headSent   bool
 	firstEvent time.Duration // from arrival to the first event; 0 before
+	predicted  time.Duration // the same, predicted when the request got its place
 	last       string        // id of the last event passed on
 	prefill    prefill
 	asks       int           // for places
 	place      *broker.Place // at engines, of the send in progress
 	full       string        // engine that turned the request away at this place
 	failed     string        // engine that failed at this place
+	seen       seen          // of the answer at this place
 }
 
 // admit checks the request and reads its body. It answers what it refuses.
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -22,10 +22,11 @@
 	// prefillSends bounds how often one request's prompt is sent to prefill
 	// engines; after that a decode engine reads it.
 	prefillSends = 2
-	// prefillSlack is how much longer than predicted a prefill may take. To
-	// break one off has its prompt read for nothing, so it is generous; a
-	// prompt takes 100 ms.
-	prefillSlack = 1200 * time.Millisecond
+	// prefillTimes is how often its predicted time a prefill may take, and
+	// prefillSlack how much longer. To break one off has its prompt read for
+	// nothing, so both are generous.
+	prefillTimes = 4
+	prefillSlack = 800 * time.Millisecond
 	// handlePart of a KV cache's life, in percent, is used; the rest is the way
 	// to the decode engine.
 	handlePart = 70
@@ -73,9 +74,9 @@
 		p.comeBack = refusal.After
 		return hopeless
 	}
-	p.full, p.failed, p.place = "", "", place
+	p.full, p.failed, p.place, p.seen = "", "", place, seen{}
 	p.logPlace(place)
-	defer func() { p.ReleasePlace(place, p.full, p.failed) }()
+	defer func() { p.ReleasePlace(place, p.full, p.failed, p.seen.told()) }()
 	decode := p.endpoint(place.Decode)
 	if decode == nil {
 		p.tried = append(p.tried, place.Decode)
@@ -122,6 +123,13 @@
 	n := p.line(eventlog.Placed, "", nil)
 	n.Endpoint, n.Prefill, n.Zone, n.Wait, n.Count = place.Decode, place.Prefill, place.Zone, place.Wait, int64(place.Used)
 	p.trail.Write(n)
+	if p.headSent {
+		return
+	}
+	p.predicted = p.Now().Sub(p.arrived) + place.Begin
+	if p.prefill.handle == nil {
+		p.predicted += place.Wait + place.Read
+	}
 }
 
 // blame notes which engine failed, unless it only had no room. When several
@@ -137,17 +145,14 @@
 
 func (p *passage) findPlace(ctx context.Context) (*broker.Place, *placement.Refusal) {
 	p.asks++
-	output := p.call.Hint
-	if output <= 0 {
-		output = placement.Expected(p.call.Output)
-	}
 	budget, late := p.route.Target-p.Now().Sub(p.arrived), false
 	if p.asks > 1 {
 		budget, late = min(lateBudget, p.left()-lateReserve), true
 	}
 	return p.FindPlace(ctx, placement.Ask{
 		ID: p.call.ID + "/" + strconv.Itoa(p.asks), Service: p.service,
-		Prompt: p.call.Prompt, Output: output, Budget: min(budget, p.left()), Late: late,
+		Route: p.route.Name, Prompt: p.call.Prompt, Output: p.call.Hint, Most: p.call.Output,
+		Budget: min(budget, p.left()), Late: late,
 		Exclude: slices.Concat(p.tried, p.prefill.tried, p.prefill.rejected),
 		Avoid:   p.Balancer.Ejected(p.Now()),
 		Part:    p.wantedPart(),
@@ -197,7 +202,7 @@
 
 // prefillAt sends the prompt to one prefill engine and keeps the handle.
 func (p *passage) prefillAt(parent context.Context, r *balance.Reservation) {
-	ctx, cancel := context.WithTimeout(parent, prefillSlack+2*p.place.Wait)
+	ctx, cancel := context.WithTimeout(parent, prefillSlack+prefillTimes*p.place.Read+2*p.place.Wait)
 	defer cancel()
 	m := p.message
 	m.To, m.Rest = r.Endpoint.Address, restOnce
@@ -205,6 +210,7 @@
 		Endpoint: r.Endpoint, Wait: max(p.left(), 0), Priority: p.route.Priority, Stage: directory.Prefill,
 	})
 	p.prefill.sends++
+	sent := p.Now()
 	id, answer, err := p.askHandle(ctx, m)
 	if errors.Is(err, uplink.ErrNotSent) {
 		p.prefill.sends--
@@ -217,7 +223,7 @@
 		p.prefill.handle = &Handle{At: r.Endpoint.Address, ID: id}
 		p.prefill.readAt = p.Now()
 		p.prefill.readBy = r.Endpoint.ID
-		p.BeganAtPlace(p.place, answer.Load.Running, true)
+		p.ReadAtPlace(p.place, answer.Load.Running, p.prefill.readAt.Sub(sent))
 		return
 	}
 	p.prefill.tried = append(p.prefill.tried, r.Endpoint.ID)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -73,6 +73,7 @@
 			p.trail.Write(p.line(eventlog.Cancelled, "caller_left", nil))
 			return true
 		}
+		p.seen.event(p.Now())
 		if id != "" {
 			p.last = id
 		}
@@ -86,6 +87,9 @@
 		p.headSent = true
 		p.firstEvent = max(p.Now().Sub(p.arrived), time.Millisecond)
 		p.Scope.Histogram("first_event_seconds", latencyBuckets).RecordDuration(p.firstEvent)
+		if p.predicted > 0 {
+			p.Scope.Histogram("first_event_error_seconds", latencyBuckets).RecordDuration((p.firstEvent - p.predicted).Abs())
+		}
 	}
 	if _, err := p.w.Write(event); err != nil {
 		return false
@@ -106,6 +110,7 @@
 		p.passEvent(x, nil)
 	}
 	x.Close(true)
+	p.seen.ended = true
 	r.Done(p.Now(), balance.Good)
 	p.answered(x.Response.StatusCode, nil)
 	return true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/trailshed/trailshed/internal/feed"
 	"github.com/trailshed/trailshed/internal/forward"
 	"github.com/trailshed/trailshed/internal/leadership"
+	"github.com/trailshed/trailshed/internal/pace"
 	"github.com/trailshed/trailshed/internal/peer"
 	"github.com/trailshed/trailshed/internal/placement"
 	"github.com/trailshed/trailshed/internal/relay"
@@ -80,6 +81,7 @@
 	counters *counter.Registry
 	now      func() clock.Millis
 
+	paces     *pace.Model
 	directory *directory.Directory
 	balancer  *balance.Balancer
 	pool      *uplink.Pool
@@ -107,7 +109,7 @@
 	debug.SetGCPercent(collectAt)
 	g := &Gateway{
 		settings: s, platform: p, log: log, now: clock.System(),
-		counters:  counters,
+		counters: counters, paces: pace.New(pace.Cautious()),
 		directory: directory.New(), balancer: balance.New(s.Instance.Zone),
 	}
 	g.began = g.now()
@@ -148,8 +150,10 @@
 	g.self.Address = g.transport.Address()
 	g.broker = broker.New(broker.Options{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, Transport: g.transport, Roster: g.roster,
-		Directory: g.directory, Log: g.log, Scope: scope, Now: g.now, Load: g.platform.Load,
-		Saw: func(a placement.Ask) { g.staging.Saw(a.Service, a.Prompt, a.Output) },
+		Directory: g.directory, Log: g.log, Scope: scope, Now: g.now, Load: g.platform.Load, Paces: g.paces,
+		Saw: func(a placement.Ask) {
+			g.staging.Saw(a.Service, a.Prompt, g.paces.Length(a.Service, a.Route, a.Output, a.Most).Mean)
+		},
 	})
 	g.relay = &relay.Relay{
 		Name: s.Instance.Name, Transport: g.transport, Roster: g.roster, Directory: g.directory,
@@ -201,7 +205,7 @@
 	g.staging = &staging.Runner{
 		Directory: g.directory, Leadership: g.duty, Send: g.platform.Order,
 		Closed: func(o staging.Order) { g.broker.Close(o.Endpoint.Zone, o.Endpoint.ID) },
-		Log:    g.log, Scope: g.counters.Scope, Now: g.now,
+		Log:    g.log, Scope: g.counters.Scope, Now: g.now, Paces: g.paces,
 	}
 }
 
@@ -213,7 +217,8 @@
 		Retry:      s.Retry.Rule(),
 		BodyMemory: int64(bodyPart * float64(s.Memory.LimitMB<<20)),
 		FindPlace:  g.broker.Find, ReleasePlace: g.broker.Release, BeganAtPlace: g.broker.Began,
-		Gone: func(id string) { g.feed.Tell(directory.Denied{ID: id}) },
+		ReadAtPlace: g.broker.Read,
+		Gone:        func(id string) { g.feed.Tell(directory.Denied{ID: id}) },
 	})
 	g.forwarder.Share(leastShares)
 }
--- /dev/null
+++ b/internal/pace/figure.go
@@ -0,0 +1,55 @@
+package pace
+
+import (
+	"maps"
+	"slices"
+)
+
+// Figure is one kind's line in short, for fellows and for the store.
+type Figure struct {
+	Service string  `cbor:"1,keyasint" json:"service"`
+	Act     Act     `cbor:"2,keyasint" json:"act"`
+	Base    float64 `cbor:"3,keyasint" json:"base"`
+	Slope   float64 `cbor:"4,keyasint" json:"slope"`
+	Low     float64 `cbor:"5,keyasint" json:"low"`  // a small size, of those seen
+	High    float64 `cbor:"6,keyasint" json:"high"` // a large one
+}
+
+// Figures returns what this process has seen enough of itself.
+func (m *Model) Figures() []Figure {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []Figure
+	for at, k := range m.kinds {
+		var pooled []sample
+		for _, t := range k.engines {
+			pooled = append(pooled, t.ring...)
+		}
+		if len(pooled) < enough {
+			continue
+		}
+		k.refit()
+		f := Figure{Service: at.service, Act: at.act, Base: k.fit.base, Slope: k.fit.slope}
+		f.Low, f.High = sizes(pooled)
+		list = append(list, f)
+	}
+	return list
+}
+
+// Tell takes what an instance, or the store, knows; it replaces what the same
+// teller told before.
+func (m *Model) Tell(teller string, list []Figure) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, f := range list {
+		if f.Act < 0 || f.Act >= acts {
+			continue // of a newer version, which knows more acts
+		}
+		k := m.kind(f.Service, f.Act)
+		if _, known := k.told[teller]; !known && len(k.told) >= fellowsMost {
+			delete(k.told, slices.Min(slices.Collect(maps.Keys(k.told))))
+		}
+		k.told[teller] = f
+		k.fitted = false
+	}
+}
--- /dev/null
+++ b/internal/pace/pace_test.go
@@ -0,0 +1,210 @@
+package pace_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/trailshed/trailshed/internal/pace"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// reads has engines read prompts of 500 to 6,000 tokens: setup ms and perToken
+// ms, within 5 in 100.
+func reads(m *pace.Model, r *rand.Rand, engine string, n int, setup, perToken float64) {
+	for i := range n {
+		size := 500 + 5500*r.Float64()
+		m.Learn(clock.Millis(i*100), pace.Observation{
+			Service: "llm", Engine: engine, Act: pace.Read,
+			Size: size, Outcome: (setup + perToken*size) * (0.95 + 0.1*r.Float64()),
+		})
+	}
+}
+
+func inMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// near asserts that got is within a part of want.
+func near(c *qt.C, got, want, part float64) {
+	c.Helper()
+	c.Assert(math.Abs(got-want) <= part*want, qt.IsTrue, qt.Commentf("got %.3f, want %.3f", got, want))
+}
+
+func TestEnginesAreLearned(t *testing.T) {
+	tests := []struct {
+		name            string
+		setup, perToken float64
+	}{
+		{"33 tokens a ms", 5, 0.03},
+		{"55 tokens a ms", 10, 0.018},
+		{"three a ms", 40, 0.3},
+		{"no set-up", 0, 0.05},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			m, r := pace.New(pace.Cautious()), rand.New(rand.NewPCG(1, 2))
+			for i := range 3 {
+				reads(m, r, fmt.Sprint("e", i), 8, test.setup, test.perToken)
+			}
+			for _, prompt := range []int{1000, 3000, 5000} {
+				near(c, inMillis(m.Span(pace.Read, "llm", "e1", prompt).Likely), test.setup+test.perToken*float64(prompt), 0.12)
+				near(c, inMillis(m.Span(pace.Read, "llm", "unseen", prompt).Likely), test.setup+test.perToken*float64(prompt), 0.12)
+			}
+			c.Assert(m.Span(pace.Read, "other", "e1", 3000), qt.Equals, pace.New(pace.Cautious()).Span(pace.Read, "other", "e1", 3000))
+		})
+	}
+}
+
+// One engine that is slow, or lies, changes what is predicted of itself and not
+// of its kind, however many requests it serves.
+func TestOneEngineDoesNotPoison(t *testing.T) {
+	tests := []struct {
+		name   string
+		factor float64
+		itself float64 // what is predicted of it, of the true figure
+	}{
+		{"five times slower", 5, 5},
+		{"a hundred times slower", 100, 100},
+		{"claims to take no time", 0.01, 0.01},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			m, r := pace.New(pace.Cautious()), rand.New(rand.NewPCG(3, 4))
+			reads(m, r, "e1", 8, 10, 0.03)
+			reads(m, r, "e2", 8, 10, 0.03)
+			reads(m, r, "odd", 400, 10*test.factor, 0.03*test.factor)
+			near(c, inMillis(m.Span(pace.Read, "llm", "e1", 3000).Likely), 100, 0.15)
+			near(c, inMillis(m.Span(pace.Read, "llm", "unseen", 3000).Likely), 100, 0.15)
+			near(c, inMillis(m.Span(pace.Read, "llm", "odd", 3000).Likely), 100*test.itself, 0.15)
+		})
+	}
+}
+
+// Where two kinds of engine serve one service, each engine is predicted for
+// itself.
+func TestTwoKindsOfEngine(t *testing.T) {
+	c := qt.New(t)
+	m, r := pace.New(pace.Cautious()), rand.New(rand.NewPCG(5, 6))
+	for i := range 4 {
+		reads(m, r, fmt.Sprint("old", i), 12, 20, 0.06)
+		reads(m, r, fmt.Sprint("new", i), 12, 5, 0.015)
+	}
+	for i := range 4 {
+		near(c, inMillis(m.Span(pace.Read, "llm", fmt.Sprint("old", i), 3000).Likely), 200, 0.15)
+		near(c, inMillis(m.Span(pace.Read, "llm", fmt.Sprint("new", i), 3000).Likely), 50, 0.15)
+	}
+}
+
+// An engine that was slow is taken for one of its kind again once that is long
+// ago: it would get no requests that show it, otherwise.
+func TestSlownessIsForgiven(t *testing.T) {
+	c := qt.New(t)
+	m := pace.New(pace.Cautious())
+	step := func(at clock.Millis, engine string, ms float64) {
+		m.Learn(at, pace.Observation{Service: "llm", Engine: engine, Act: pace.Step, Size: 8, Outcome: ms})
+	}
+	for i := range 8 {
+		step(clock.Millis(i), "e1", 5)
+		step(clock.Millis(i), "e2", 5)
+		step(clock.Millis(i), "slow", 50)
+	}
+	near(c, inMillis(m.Step("llm", "slow", 8)), 50, 0.01)
+	step(30_000, "e1", 5)
+	near(c, inMillis(m.Step("llm", "slow", 8)), 5, 0.01)
+}
+
+func TestMostIsBeyondLikely(t *testing.T) {
+	c := qt.New(t)
+	m, r := pace.New(pace.Cautious()), rand.New(rand.NewPCG(7, 8))
+	for i := range 200 {
+		m.Learn(clock.Millis(i), pace.Observation{Service: "llm", Engine: "e", Act: pace.Begin, Size: 3000, Outcome: 100 * math.Exp(0.5*r.NormFloat64())})
+	}
+	s := m.Span(pace.Begin, "llm", "e", 3000)
+	near(c, inMillis(s.Likely), 100, 0.3)
+	near(c, float64(s.Most)/float64(s.Likely), 1.9, 0.4) // exp(0.5 * 1.28)
+}
+
+// Callers expect about the right length at the median and are often far off, so
+// an unusual expectation is drawn towards the usual length.
+func TestLength(t *testing.T) {
+	c := qt.New(t)
+	m, r := pace.New(pace.Cautious()), rand.New(rand.NewPCG(9, 10))
+	c.Assert(m.Length("llm", "r", 300, 1000).Likely, qt.Equals, 300)
+	c.Assert(m.Length("llm", "r", 0, 1000).Likely, qt.Equals, 420)
+	for i := range 400 {
+		length := math.Exp(6 + 0.7*r.NormFloat64())
+		hint := length * math.Exp(0.7*r.NormFloat64())
+		m.Learn(clock.Millis(i), pace.Observation{Service: "llm", Engine: fmt.Sprint("r", i%16), Act: pace.Length, Size: hint, Outcome: length})
+	}
+	usual := m.Length("llm", "r", 403, 0)
+	near(c, float64(usual.Likely), 403, 0.25)
+	c.Assert(usual.Mean > usual.Likely, qt.IsTrue)
+	long := m.Length("llm", "r", 4030, 0).Likely
+	c.Assert(long > 2*usual.Likely && long < 3000, qt.IsTrue, qt.Commentf("%d", long))
+	c.Assert(m.Length("llm", "r", 4030, 500).Likely, qt.Equals, 500)
+}
+
+// A process that starts predicts what fellows, or the store, tell, until it has
+// seen enough itself.
+func TestFellowsTell(t *testing.T) {
+	c := qt.New(t)
+	old, r := pace.New(pace.Cautious()), rand.New(rand.NewPCG(11, 12))
+	reads(old, r, "e1", 16, 5, 0.1)
+	m := pace.New(pace.Cautious())
+	m.Tell("n1", old.Figures())
+	near(c, inMillis(m.Span(pace.Read, "llm", "e9", 3000).Likely), 305, 0.1)
+	c.Assert(m.Figures(), qt.HasLen, 0) // hearsay is not passed on
+	m.Tell("n1", []pace.Figure{{Service: "llm", Act: 99}})
+	for i := range 4 {
+		reads(m, r, fmt.Sprint("e", i), 16, 5, 0.02)
+	}
+	near(c, inMillis(m.Span(pace.Read, "llm", "e1", 3000).Likely), 65, 0.15)
+	m.Forget(func(engine string) bool { return engine == "e1" })
+	near(c, inMillis(m.Span(pace.Read, "llm", "e1", 3000).Likely), 65, 0.15)
+}
+
+// Whatever is observed, predictions are finite and not below zero, and grow with
+// the prompt.
+func TestRandomObservations(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := pace.New(pace.Cautious())
+		for i := range rapid.IntRange(0, 60).Draw(rt, "observations") {
+			m.Learn(clock.Millis(i), pace.Observation{
+				Service: "llm", Engine: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "engine"),
+				Act:     pace.Act(rapid.IntRange(0, 4).Draw(rt, "act")),
+				Size:    rapid.Float64Range(-10, 1e5).Draw(rt, "size"),
+				Outcome: rapid.OneOf(rapid.Float64Range(-10, 1e5), rapid.Just(math.NaN()), rapid.Just(math.Inf(1))).Draw(rt, "outcome"),
+			})
+		}
+		for _, act := range []pace.Act{pace.Read, pace.Begin, pace.Whole} {
+			for _, engine := range []string{"a", "unseen"} {
+				small, large := m.Span(act, "llm", engine, 100), m.Span(act, "llm", engine, 10_000)
+				if small.Likely < 0 || small.Most < small.Likely || large.Likely < small.Likely {
+					rt.Fatalf("%v: %v for 100 tokens, %v for 10,000", act, small, large)
+				}
+			}
+		}
+		if length := m.Length("llm", "a", 300, 1000); length.Likely < 0 || length.Likely > 1000 || length.Mean > 1000 {
+			rt.Fatalf("length %v", length)
+		}
+	})
+}
+
+func TestUsualSizes(t *testing.T) {
+	c := qt.New(t)
+	m := pace.New(pace.Cautious())
+	_, known := m.Usual(pace.Prompt, "llm")
+	c.Assert(known, qt.IsFalse)
+	for i := range 9 {
+		m.Learn(clock.Millis(i), pace.Observation{Service: "llm", Engine: "r", Act: pace.Prompt, Outcome: float64(1000 * (i + 1))})
+	}
+	tokens, known := m.Usual(pace.Prompt, "llm")
+	c.Assert(known, qt.IsTrue)
+	c.Assert(tokens, qt.Equals, 5000)
+}
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -27,9 +27,8 @@
 		p.refuse(a, reason, comeBackLeast)
 		return
 	}
-	wait *= time.Duration(len(p.queue) + 1)
-	patience := a.Budget - prefillTime(a.Prompt) - firstStep
-	if !a.Patient || wait > patience {
+	patience := a.Budget - p.least(a)
+	if !a.Patient || wait > unsure*patience {
 		p.refuse(a, reason, wait)
 		return
 	}
@@ -39,12 +38,12 @@
 
 // decoder returns the decode engine with the most room.
 func (p *Planner) decoder(now clock.Millis, a Ask) (*engine, string) {
-	need := a.Prompt + expected(a.Output)
+	need := p.need(a)
 	var best *engine
 	least := 0.0
 	list := p.open(now, a, func(s directory.Stage) bool { return s != directory.Prefill })
 	for _, e := range list {
-		used := e.used(now)
+		used := p.used(now, e)
 		if used+need > e.capacity && used > 0 || len(e.places) >= e.slots {
 			continue
 		}
@@ -67,9 +66,10 @@
 // enough.
 func (p *Planner) reader(now clock.Millis, a Ask) (*engine, string) {
 	var best *engine
+	var least time.Duration
 	for _, e := range p.open(now, a, func(s directory.Stage) bool { return s == directory.Prefill }) {
-		if best == nil || e.backlog(now) < best.backlog(now) {
-			best = e
+		if wait := p.backlog(now, e); best == nil || wait < least {
+			best, least = e, wait
 		}
 	}
 	switch {
@@ -77,7 +77,7 @@
 		return nil, ReasonBusy
 	case best == nil:
 		return nil, ReasonNoPrefill
-	case best.backlog(now)+prefillTime(a.Prompt)+firstStep > a.Budget && !a.Late:
+	case least+p.least(a) > a.Budget && !a.Late:
 		return nil, ReasonBusy
 	default:
 		return best, ""
@@ -115,10 +115,9 @@
 	return sound
 }
 
-// predict is how long until some engine has room; false if none can have.
+// predict is how long until some engine has room for a request and for those
+// that wait; false if none can have.
 func (p *Planner) predict(now clock.Millis, a Ask) (time.Duration, bool) {
-	need := a.Prompt + expected(a.Output)
-	best, found := time.Duration(0), false
 	read := time.Duration(0)
 	if a.Part == Both || a.Part == ReadOnly {
 		read = p.leastBacklog(now, a)
@@ -126,16 +125,14 @@
 	if a.Part == ReadOnly {
 		return read, p.known(a, directory.Prefill)
 	}
-	for _, e := range p.engines {
-		if !e.serves(a) || e.Stage == directory.Prefill {
-			continue
-		}
-		wait := e.roomAfter(now, need)
-		if !found || wait < best {
-			best, found = wait, true
+	need := p.need(a)
+	for _, w := range p.queue {
+		if w.ask.Service == a.Service && w.ask.ID != a.ID {
+			need += p.need(w.ask)
 		}
 	}
-	return max(best, read), found
+	room, found := p.roomAfter(now, a, need)
+	return max(room, read), found
 }
 
 // leastBacklog is how long until some prefill engine is free.
@@ -145,7 +142,7 @@
 		if e.Stage != directory.Prefill || !e.serves(a) {
 			continue
 		}
-		if wait := e.backlog(now); !found || wait < least {
+		if wait := p.backlog(now, e); !found || wait < least {
 			least, found = wait, true
 		}
 	}
@@ -160,9 +157,9 @@
 }
 
 func (p *Planner) hold(e *engine, h *place) {
-	p.places[h.id] = h
+	p.places[h.ask.ID] = h
 	if e != nil {
-		e.places[h.id] = h
+		e.places[h.ask.ID] = h
 	}
 }
 
@@ -174,19 +171,22 @@
 		if decode, reason = p.decoder(now, a); decode == nil {
 			return reason
 		}
-		g.Decode, g.Used = decode.ID, decode.used(now)
+		g.Decode, g.Used, g.Length = decode.ID, p.used(now, decode), p.length(a)
+		g.Begin = p.beginTime(a, decode.ID)
 	}
 	if a.Part == Both || a.Part == ReadOnly {
 		if reader, reason = p.reader(now, a); reader == nil {
 			return reason
 		}
-		g.Prefill, g.Wait = reader.ID, reader.backlog(now)
-		reader.read(now, a)
+		g.Prefill, g.Wait = reader.ID, p.backlog(now, reader)
+		g.Read = p.readTime(a.Service, reader.ID, a.Prompt)
+		reader.read(now, a.ID, p.turnTime(a.Service, reader.ID, a.Prompt))
+	}
+	h := &place{ask: a, grant: g, granted: now, begins: now.Add(g.Wait + g.Read + g.Begin)}
+	if decode != nil {
+		h.step = p.paces.Step(a.Service, decode.ID, len(decode.places))
 	}
-	p.hold(decode, &place{
-		id: a.ID, owner: a.Owner, prefill: g.Prefill, decode: g.Decode,
-		prompt: a.Prompt, output: a.Output, granted: now,
-	})
+	p.hold(decode, h)
 	p.effects = append(p.effects, Answer{ID: a.ID, Owner: a.Owner, Verdict: Verdict{Grant: &g}})
 	return ""
 }
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -8,7 +8,9 @@
 	Owner   string        `cbor:"2,keyasint"` // name of the entry's instance
 	Service string        `cbor:"3,keyasint"`
 	Prompt  int           `cbor:"4,keyasint"`  // tokens
-	Output  int           `cbor:"5,keyasint"`  // tokens expected; 0 if unknown
+	Output  int           `cbor:"5,keyasint"`  // tokens that the caller expects; 0 if it does not say
+	Most    int           `cbor:"12,keyasint"` // tokens that the answer may have at most; 0 if unknown
+	Route   string        `cbor:"13,keyasint"` // whose answers have a usual length
 	Budget  time.Duration `cbor:"6,keyasint"`  // left until the first event is late
 	Exclude []string      `cbor:"7,keyasint"`  // endpoints that the entry will not use
 	Avoid   []string      `cbor:"10,keyasint"` // endpoints that it uses only if there are no others
@@ -35,6 +37,9 @@
 	Decode  string        `cbor:"3,keyasint"` // id of the decode engine
 	Wait    time.Duration `cbor:"4,keyasint"` // predicted until the prefill begins
 	Used    int           `cbor:"5,keyasint"` // tokens that the decode engine is reckoned to hold
+	Read    time.Duration `cbor:"6,keyasint"` // predicted for the prefill itself
+	Begin   time.Duration `cbor:"7,keyasint"` // predicted from the send to the decode engine to the first event
+	Length  int           `cbor:"8,keyasint"` // tokens of the answer that are reckoned with
 }
 
 // Refusal says that no place will be free in time.
@@ -66,6 +71,16 @@
 	Owner  string `cbor:"2,keyasint"`
 	Full   string `cbor:"3,keyasint"` // engine that turned the request away, if any
 	Failed string `cbor:"4,keyasint"` // engine that failed, if any
+	Seen   *Seen  `cbor:"5,keyasint,omitempty"`
+}
+
+// Seen is what an entry saw of an answer, from which planners learn how fast
+// engines are.
+type Seen struct {
+	Begin    time.Duration `cbor:"1,keyasint"` // from the send to the decode engine to the first event
+	Tokens   int           `cbor:"2,keyasint"` // of all events after the first
+	Decoding time.Duration `cbor:"3,keyasint"` // from the first event to the last
+	Ended    int           `cbor:"4,keyasint"` // tokens of the whole answer, once it has ended; else 0
 }
 
 // Progress tells that an engine has begun to answer, and what it said of its
@@ -74,6 +89,8 @@
 	ID      string `cbor:"1,keyasint"`
 	Running int    `cbor:"2,keyasint"` // requests running there, whoever sent them
 	Read    bool   `cbor:"3,keyasint"` // it is the prefill engine, which has read the prompt
+	// Took is how long the entry waited for that.
+	Took time.Duration `cbor:"4,keyasint"`
 }
 
 // Loaded is an engine's own word on all that it works on, from a moment ago.
@@ -94,7 +111,7 @@
 	ID      string        `cbor:"1,keyasint"`
 	Decode  string        `cbor:"2,keyasint"`
 	Prompt  int           `cbor:"3,keyasint"`
-	Output  int           `cbor:"4,keyasint"`
+	Length  int           `cbor:"4,keyasint"` // as in the grant
 	Running time.Duration `cbor:"5,keyasint"` // since it was granted
 }
 
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/pace"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -19,38 +20,29 @@
 	// growth is the part of an expected answer that is reckoned as memory
 	// from the start: requests at one engine are at different points.
 	growth = 0.5
-	// expectedPart of the longest answer is expected where no guess came.
-	expectedPart = 0.42
-	// stepTime is one token's time at a moderately filled engine (data sheet:
-	// 3.41 ms and 0.1 ms for each running request).
-	stepTime = 4500 * time.Microsecond
-	// tokensPerMS is a prefill engine's speed, from its data sheet.
-	tokensPerMS = 55.6
-	// prefillSetup is a prefill's cost besides its tokens.
-	prefillSetup = 10 * time.Millisecond
-	// firstStep is the time from a prefill's end to the first event, with the
-	// KV cache's way and the messages.
-	firstStep = 70 * time.Millisecond
 	// grantGrace is how long an announcement may still miss a new grant.
 	grantGrace = 500 * time.Millisecond
+	// unsure is by which factor a wait for room may turn out shorter than
+	// predicted; requests that are smaller than those before them also pass them.
+	unsure = 2
 	// ownerExpiry is how long places outlive their owner's silence.
 	ownerExpiry = 2500 * time.Millisecond
 	// fullFor keeps requests from an engine that turned one away: its memory
 	// is fuller than reckoned, and answers end several times a second.
 	fullFor = 250 * time.Millisecond
-	// closedFor is how long an engine that changes its stage gets nothing, unless
-	// it says earlier that it has changed; the change takes six seconds.
-	closedFor = 8 * time.Second
+	// closedSlack is how much longer than a change of stage takes an engine gets
+	// nothing, unless it says earlier that it has changed: what it runs ends first.
+	closedSlack = 2 * time.Second
 	// failedFor does the same for one that failed.
 	failedFor = time.Second
-	// foreignFor is how long an engine's word on its load is believed; about
-	// half of an answer's time.
-	foreignFor = 1500 * time.Millisecond
-	// foreignReadFor is the same for prefill engines, whose work is short.
-	foreignReadFor = 300 * time.Millisecond
-	// foreignSize is the memory of a request that this planner knows nothing
-	// of, where it has placed none to compare with.
-	foreignSize = 5000
+	// foreignPart of a usual answer's time is how long an engine's word on its
+	// load is believed: by then about as much of it has ended.
+	foreignPart = 0.5
+	// foreignReads is the same for prefill engines, in usual prompts.
+	foreignReads = 3
+	// unseenPart of an engine's memory is what a request is taken for while none
+	// was seen: engines are bought to run some ten at a time.
+	unseenPart = 8
 	// askMemory bounds how long an ended attempt is remembered, so that a late
 	// message does not take its place again.
 	askMemory = 5 * time.Second
@@ -88,6 +80,7 @@
 // Planner is the aggregate of one zone. It is not safe for concurrent use.
 type Planner struct {
 	zone    string
+	paces   *pace.Model
 	engines map[string]*engine
 	places  map[string]*place
 	owners  map[string]clock.Millis // when last heard
@@ -98,19 +91,18 @@
 
 // place is what one attempt holds.
 type place struct {
-	id      string
-	owner   string
-	prefill string
-	decode  string
-	prompt  int
-	output  int
+	ask     Ask // of a place that a former planner gave: owner, id and prompt only
+	grant   Grant
 	granted clock.Millis
+	begins  clock.Millis  // predicted first event
+	step    time.Duration // predicted for one token
 }
 
-// New returns the planner of a zone.
-func New(zone string) *Planner {
+// New returns the planner of a zone, which learns how fast engines are into
+// paces and predicts by it.
+func New(zone string, paces *pace.Model) *Planner {
 	return &Planner{
-		zone: zone, engines: map[string]*engine{}, places: map[string]*place{},
+		zone: zone, paces: paces, engines: map[string]*engine{}, places: map[string]*place{},
 		owners: map[string]clock.Millis{}, over: map[string]clock.Millis{},
 	}
 }
@@ -129,7 +121,7 @@
 		p.release(now, e)
 	case Closed:
 		if engine := p.engines[e.Engine]; engine != nil {
-			engine.full = now.Add(closedFor)
+			engine.full = now.Add(engine.switchTime + closedSlack)
 		}
 	case Announce:
 		p.announce(now, e)
@@ -160,6 +152,7 @@
 		known.Endpoint = *e
 		known.capacity = int(useMemory * float64(data.KVTokens))
 		known.slots = data.Slots
+		known.switchTime = data.Switch()
 	}
 	for id := range p.engines {
 		if !seen[id] {
@@ -168,6 +161,16 @@
 	}
 }
 
-func (h *place) endsAt() clock.Millis {
-	return h.granted.Add(time.Duration(h.output)*stepTime + 200*time.Millisecond)
+// endsIn predicts how long the answer still takes. One that is longer than
+// predicted is probably long, and goes on for a part of what it took so far.
+func (h *place) endsIn(now clock.Millis) time.Duration {
+	left := h.begins.Add(time.Duration(h.grant.Length) * h.step).Sub(now)
+	return max(left, time.Duration(longPart*float64(now.Sub(h.begins))))
 }
+
+// longPart is that part: lengths vary about as much as an exponential
+// distribution, cut at a few times its mean.
+const longPart = 0.3
+
+// size is what an answer is reckoned to hold from the start, in tokens.
+func (h *place) size() int { return h.ask.Prompt + fromStart(h.grant.Length) }
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/pace"
 	"github.com/trailshed/trailshed/internal/placement"
 	"github.com/trailshed/trailshed/internal/route"
 	"github.com/trailshed/trailshed/pkg/clock"
@@ -16,6 +17,22 @@
 
 const capacity = 20_000
 
+// paces knows the usual sizes of requests, as if some had been seen.
+func paces() *pace.Model {
+	m := pace.New(figures)
+	m.Tell("test", []pace.Figure{
+		{Service: "llm", Act: pace.Prompt, Base: 5000},
+		{Service: "llm", Act: pace.Answer, Base: 600},
+	})
+	return m
+}
+
+// figures of the engines that these tests reckon with.
+var figures = pace.Prior{
+	ReadSetup: 10 * time.Millisecond, ReadToken: 18 * time.Microsecond, Begin: 70 * time.Millisecond,
+	WholeToken: 36 * time.Microsecond, Step: 4500 * time.Microsecond, LengthPart: 0.42,
+}
+
 func view(t interface{ Fatal(...any) }, decodes int) *directory.View {
 	table, err := route.NewTable(route.Document{Version: 1, Services: []route.Service{
 		{Name: "llm", Engine: &route.Engine{Slots: 8, KVTokens: capacity}},
@@ -35,7 +52,7 @@
 }
 
 func planner(t interface{ Fatal(...any) }, decodes int) *placement.Planner {
-	p := placement.New("a")
+	p := placement.New("a", paces())
 	p.Apply(0, placement.Known{View: view(t, decodes)})
 	return p
 }
@@ -132,7 +149,7 @@
 	p := planner(t, 1)
 	var holds []placement.Hold
 	for i := range 3 {
-		holds = append(holds, placement.Hold{ID: fmt.Sprint("old", i), Decode: "d1", Prompt: 5000, Output: 800})
+		holds = append(holds, placement.Hold{ID: fmt.Sprint("old", i), Decode: "d1", Prompt: 5000, Length: 800})
 	}
 	p.Apply(1000, placement.Announce{Owner: "n1", Zone: "a", Holds: holds})
 	other := ask("x")
@@ -166,7 +183,7 @@
 	p := planner(t, 1)
 	p.Apply(1000, placement.Release{ID: "0", Owner: "n1"}) // withdrawn before the ask came
 	c.Assert(verdict(p.Apply(1001, ask("0")), "0").Refusal.Reason, qt.Equals, placement.ReasonMoved)
-	p.Apply(1002, placement.Announce{Owner: "n1", Holds: []placement.Hold{{ID: "0", Decode: "d1", Prompt: 15_000, Output: 10}}})
+	p.Apply(1002, placement.Announce{Owner: "n1", Holds: []placement.Hold{{ID: "0", Decode: "d1", Prompt: 15_000, Length: 10}}})
 	c.Assert(verdict(p.Apply(1003, ask("1")), "1").Grant, qt.IsNotNil)
 }
 
@@ -236,7 +253,7 @@
 			case 2:
 				var holds []placement.Hold
 				for id, decode := range held {
-					holds = append(holds, placement.Hold{ID: id, Decode: decode, Prompt: 5000, Output: 800})
+					holds = append(holds, placement.Hold{ID: id, Decode: decode, Prompt: 5000, Length: 800})
 				}
 				take(p.Apply(now, placement.Announce{Owner: "n1", Zone: "a", Holds: holds}))
 			}
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"time"
-
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -24,7 +22,7 @@
 		case p.place(now, w.ask) == "":
 		case now >= w.until:
 			wait, _ := p.predict(now, w.ask)
-			p.refuse(w.ask, ReasonFull, wait*time.Duration(len(kept)+1))
+			p.refuse(w.ask, ReasonFull, wait)
 		default:
 			kept = append(kept, w)
 		}
--- a/internal/placement/renew.go
+++ b/internal/placement/renew.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/pace"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -16,10 +17,10 @@
 		return
 	}
 	if m.Read {
-		p.promptRead(now, h, m.Running)
+		p.promptRead(now, h, m)
 		return
 	}
-	if e := p.engines[h.decode]; e != nil {
+	if e := p.engines[h.grant.Decode]; e != nil {
 		e.foreign, e.foreignAt = max(m.Running-len(e.places), 0), now
 		e.leftUntil = 0 // this is newer
 	}
@@ -35,17 +36,20 @@
 	}
 	if e.Stage == directory.Prefill {
 		unknown := max(m.Running+m.Waiting-len(e.reads), 0)
-		e.leftUntil = now.Add(time.Duration(unknown) * prefillTime(foreignSize))
+		e.leftUntil = now.Add(time.Duration(unknown) * p.usualTurn(e))
 		return
 	}
 	e.left = max(m.Used-e.own(now), 0)
-	e.leftUntil = now.Add(foreignFor)
+	e.leftUntil = now.Add(p.foreignFor(e))
 }
 
 func (p *Planner) release(now clock.Millis, r Release) {
 	p.owners[r.Owner] = now
 	p.over[r.ID] = now
 	if h := p.places[r.ID]; h != nil {
+		if r.Seen != nil {
+			p.learnAnswer(now, h, *r.Seen)
+		}
 		p.drop(now, h)
 	}
 	if e := p.engines[r.Full]; e != nil {
@@ -57,12 +61,12 @@
 }
 
 func (p *Planner) drop(now clock.Millis, h *place) {
-	delete(p.places, h.id)
-	if e := p.engines[h.prefill]; e != nil {
-		e.readDone(now, h.id)
+	delete(p.places, h.ask.ID)
+	if e := p.engines[h.grant.Prefill]; e != nil {
+		e.readDone(now, h.ask.ID)
 	}
-	if e := p.engines[h.decode]; e != nil {
-		delete(e.places, h.id)
+	if e := p.engines[h.grant.Decode]; e != nil {
+		delete(e.places, h.ask.ID)
 	}
 }
 
@@ -77,11 +81,11 @@
 		if e == nil || p.places[h.ID] != nil || p.over[h.ID] != 0 {
 			continue
 		}
-		p.hold(e, &place{id: h.ID, owner: a.Owner, decode: h.Decode, prompt: h.Prompt, output: h.Output, granted: now.Add(-h.Running)})
+		p.hold(e, p.takenOver(now, e, a.Owner, h))
 	}
 	for _, h := range p.places {
-		if h.owner == a.Owner && !listed[h.id] && now.Sub(h.granted) > grantGrace {
-			p.over[h.id] = now
+		if h.ask.Owner == a.Owner && !listed[h.ask.ID] && now.Sub(h.granted) > grantGrace {
+			p.over[h.ask.ID] = now
 			p.drop(now, h)
 		}
 	}
@@ -89,7 +93,7 @@
 
 func (p *Planner) expire(now clock.Millis) {
 	for _, h := range p.places {
-		if now.Sub(max(p.owners[h.owner], h.granted)) > ownerExpiry {
+		if now.Sub(max(p.owners[h.ask.Owner], h.granted)) > ownerExpiry {
 			p.drop(now, h)
 		}
 	}
@@ -100,12 +104,50 @@
 	}
 }
 
+// takenOver is a place that a former planner gave.
+func (p *Planner) takenOver(now clock.Millis, e *engine, owner string, h Hold) *place {
+	granted := now.Add(-h.Running)
+	return &place{
+		ask:     Ask{ID: h.ID, Owner: owner, Service: e.Service, Prompt: h.Prompt},
+		grant:   Grant{Decode: h.Decode, Length: h.Length},
+		granted: granted, begins: granted,
+		step: p.paces.Step(e.Service, e.ID, len(e.places)),
+	}
+}
+
+// learnAnswer takes what an entry saw of an answer, if this planner knows what
+// it was asked for.
+func (p *Planner) learnAnswer(now clock.Millis, h *place, s Seen) {
+	e := p.engines[h.grant.Decode]
+	if e != nil && h.ask.Route != "" {
+		Learn(p.paces, now, h.ask, h.grant, len(e.places), s)
+	}
+}
+
 // promptRead learns that a prefill engine has read a prompt.
-func (p *Planner) promptRead(now clock.Millis, h *place, running int) {
-	e := p.engines[h.prefill]
+func (p *Planner) promptRead(now clock.Millis, h *place, m Progress) {
+	e := p.engines[h.grant.Prefill]
 	if e == nil {
 		return
 	}
-	e.readDone(now, h.id)
-	e.foreign, e.foreignAt = max(running-1-len(e.reads), 0), now
+	p.learnRead(now, e, h.ask.Prompt, m.Took)
+	e.readDone(now, h.ask.ID)
+	e.lastRead = now
+	e.foreign, e.foreignAt = max(m.Running-1-len(e.reads), 0), now
+}
+
+// learnRead learns from a prompt that was read alone, or that had to wait for
+// the one before it; between the two, what it took tells neither time.
+func (p *Planner) learnRead(now clock.Millis, e *engine, prompt int, took time.Duration) {
+	gap := now.Sub(e.lastRead)
+	o := pace.Observation{Service: e.Service, Engine: e.ID, Size: float64(prompt)}
+	switch {
+	case gap >= took && len(e.reads) == 1:
+		o.Act, o.Outcome = pace.Read, inMillis(took)
+	case took-gap >= p.readTime(e.Service, e.ID, 0):
+		o.Act, o.Outcome = pace.Turn, inMillis(gap)
+	default:
+		return
+	}
+	p.paces.Learn(now, o)
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -76,6 +76,21 @@
 	KVTokens     int           // memory of one endpoint, in tokens
 	KVTokenBytes int           // bytes of one token's KV cache
 	HandleLife   time.Duration // how long a finished prefill is kept for its decode
+	EventTokens  int           // tokens of an answer in one event; 0 if it is not told
+	SwitchTime   time.Duration // how long a change of stage takes; 0 if it is not told
+}
+
+// switchUnknown is assumed of engines whose service does not tell how long a
+// change of stage takes; too short, and an engine is given work that it must
+// turn away.
+const switchUnknown = 6 * time.Second
+
+// Switch is how long a change of stage takes.
+func (e *Engine) Switch() time.Duration {
+	if e.SwitchTime > 0 {
+		return e.SwitchTime
+	}
+	return switchUnknown
 }
 
 // Service is a set of alike endpoints.
--- a/internal/staging/policy.go
+++ b/internal/staging/policy.go
@@ -12,16 +12,12 @@
 	"time"
 
 	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/pace"
 	"github.com/trailshed/trailshed/internal/route"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
 const (
-	// tokensPerMS and stepMS are an engine's speeds, from its data sheet, at a
-	// usual fill; setupMS is a prefill's cost besides its tokens.
-	tokensPerMS = 55.6
-	stepMS      = 4.5
-	setupMS     = 10.0
 	// prefillSpare is how much more prefill capacity than decode capacity is
 	// wanted: prompts that queue make first events late, while decode engines
 	// take what fits.
@@ -32,14 +28,14 @@
 	offPart = 0.03
 	// leastSizes is how many requests must have been seen.
 	leastSizes = 8
-	// variation is the standard deviation of what a request takes of engines,
-	// as a part of its mean: prompts vary by a half, answers by 0.7. The split
-	// that follows from n requests is uncertain by variation/sqrt(n) of itself.
-	variation = 0.7
-	// settleTime is how long an order counts as under way while the engine does
-	// not show its new stage: a change takes six seconds, and an unanswered
-	// order may be carried out twelve later.
-	settleTime = 13 * time.Second
+	// variationLeast is what requests are taken to vary by at the least, as a
+	// part of their mean: answers do by about 0.7 where they end by themselves,
+	// and a few alike ones tell nothing of those to come.
+	variationLeast = 0.7
+	// settleSlack is how much longer than a change takes an order counts as under
+	// way while the engine does not show its new stage: an unanswered order may
+	// be carried out seconds later.
+	settleSlack = 7 * time.Second
 	// underWayPart of a service's engines may change at a time, at least one.
 	underWayPart = 1.0 / 6
 )
@@ -49,6 +45,7 @@
 	Requests int
 	Prompt   float64 // tokens
 	Output   float64 // tokens
+	squares  [2]float64
 }
 
 // Add takes one request's tokens.
@@ -57,10 +54,20 @@
 	weight := 1 / float64(min(s.Requests, sizeMemory))
 	s.Prompt += (float64(prompt) - s.Prompt) * weight
 	s.Output += (float64(output) - s.Output) * weight
+	for i, v := range []int{prompt, output} {
+		s.squares[i] += (float64(v)*float64(v) - s.squares[i]) * weight
+	}
 }
 
-// uncertainty is the relative error of a split that follows from these means.
+// uncertainty is the relative error of a split that follows from these means:
+// what requests vary by, divided by the square root of their number.
 func (s Sizes) uncertainty() float64 {
+	variation := variationLeast
+	for i, mean := range []float64{s.Prompt, s.Output} {
+		if mean > 0 {
+			variation = max(variation, math.Sqrt(max(s.squares[i]/(mean*mean)-1, 0)))
+		}
+	}
 	return variation / math.Sqrt(float64(min(s.Requests, sizeMemory)))
 }
 
@@ -90,7 +97,7 @@
 func NewPolicy() *Policy { return &Policy{ordered: map[string]ordered{}} }
 
 // Decide returns the next orders, of all services.
-func (p *Policy) Decide(now clock.Millis, v *directory.View, sizes map[string]Sizes) []Order {
+func (p *Policy) Decide(now clock.Millis, v *directory.View, sizes map[string]Sizes, paces *pace.Model) []Order {
 	if v.Table == nil {
 		return nil
 	}
@@ -102,8 +109,8 @@
 		}
 		zones, underWay := p.split(now, v.Endpoints[name])
 		most := max(int(underWayPart*float64(len(v.Endpoints[name]))), 1) - underWay
-		for _, o := range choose(zones, wanted(s, *service.Engine), s.uncertainty(), most) {
-			p.ordered[o.Endpoint.ID] = ordered{stage: o.Stage, until: now.Add(settleTime)}
+		for _, o := range choose(zones, wanted(s, service, paces), s.uncertainty(), most) {
+			p.ordered[o.Endpoint.ID] = ordered{stage: o.Stage, until: now.Add(service.Engine.Switch() + settleSlack)}
 			orders = append(orders, o)
 		}
 	}
@@ -113,13 +120,15 @@
 // wanted is the share of engines that should read prompts: in proportion to
 // the engine time that one request takes at each stage. Decoding shares an
 // engine between as many requests as its memory and its slots hold.
-func wanted(s Sizes, e route.Engine) float64 {
-	read := (setupMS + s.Prompt/tokensPerMS) * prefillSpare
+func wanted(s Sizes, service *route.Service, paces *pace.Model) float64 {
+	e := service.Engine
+	read := prefillSpare * paces.Span(pace.Turn, service.Name, "", int(s.Prompt)).Likely.Seconds()
 	together := float64(max(e.KVTokens, 1)) / max(s.Prompt+s.Output/2, 1)
 	if e.Slots > 0 {
 		together = min(together, float64(e.Slots))
 	}
-	decode := s.Output * stepMS / max(together, 1)
+	together = max(together, 1)
+	decode := s.Output * paces.Step(service.Name, "", int(together)).Seconds() / together
 	if read+decode == 0 {
 		return 0.5
 	}
--- a/internal/staging/policy_test.go
+++ b/internal/staging/policy_test.go
@@ -9,11 +9,15 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/pace"
 	"github.com/trailshed/trailshed/internal/route"
 	"github.com/trailshed/trailshed/internal/staging"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
+// figures of the engines that these tests reckon with.
+var figures = pace.Prior{ReadToken: 20 * time.Microsecond, Step: 4500 * time.Microsecond}
+
 // engines returns a view with, for each zone, so many prefill and decode
 // engines.
 func engines(zones ...[2]int) *directory.View {
@@ -64,7 +68,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			orders := staging.NewPolicy().Decide(1000, test.view, test.sizes)
+			orders := staging.NewPolicy().Decide(1000, test.view, test.sizes, pace.New(figures))
 			if test.want == "" {
 				c.Assert(orders, qt.HasLen, 0)
 				return
@@ -100,7 +104,7 @@
 			var given []clock.Millis
 			last := map[string]clock.Millis{}
 			for now := clock.Millis(1000); now < 200_000; now += 500 {
-				for _, o := range p.Decide(now, test.view, sizes(200, 5200, 780)) {
+				for _, o := range p.Decide(now, test.view, sizes(200, 5200, 780), pace.New(figures)) {
 					before, again := last[o.Endpoint.ID]
 					c.Assert(!again || now.Sub(before) >= settle, qt.IsTrue)
 					last[o.Endpoint.ID] = now
@@ -139,7 +143,7 @@
 	v := engines([2]int{2, 1}, [2]int{2, 1}, [2]int{2, 1})
 	var at []clock.Millis
 	for now := clock.Millis(1000); now < 30_000; now += 500 {
-		for range p.Decide(now, v, sizes(50, 5200, 780)) {
+		for range p.Decide(now, v, sizes(50, 5200, 780), pace.New(figures)) {
 			at = append(at, now)
 		}
 	}
@@ -165,7 +169,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			v := sized(engines([2]int{3, 3}, [2]int{2, 4}, [2]int{2, 4}), 128, 53_213)
-			orders := staging.NewPolicy().Decide(1000, v, sizes(test.requests, 5200, test.output))
+			orders := staging.NewPolicy().Decide(1000, v, sizes(test.requests, 5200, test.output), pace.New(figures))
 			qt.Assert(t, orders, qt.HasLen, test.orders)
 		})
 	}
@@ -182,7 +186,7 @@
 		for range 50 {
 			s.Add(int(5200*(0.5+random.Float64())), int(780*(0.3+1.4*random.Float64())))
 		}
-		for _, o := range p.Decide(now, v, map[string]staging.Sizes{"llm": s}) {
+		for _, o := range p.Decide(now, v, map[string]staging.Sizes{"llm": s}, pace.New(figures)) {
 			o.Endpoint.Stage = o.Stage
 			orders++
 		}
@@ -193,7 +197,7 @@
 // Where slots run out before memory, they say how many decode together.
 func TestSlotsBound(t *testing.T) {
 	v := sized(engines([2]int{2, 2}, [2]int{2, 2}, [2]int{2, 2}), 4, 66_897)
-	orders := staging.NewPolicy().Decide(1000, v, sizes(50, 200, 780))
+	orders := staging.NewPolicy().Decide(1000, v, sizes(50, 200, 780), pace.New(figures))
 	qt.Assert(t, orders, qt.HasLen, 2)
 	qt.Assert(t, orders[0].Stage, qt.Equals, directory.Decode)
 }
--- a/internal/staging/runner.go
+++ b/internal/staging/runner.go
@@ -11,6 +11,7 @@
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/leadership"
+	"github.com/trailshed/trailshed/internal/pace"
 	"github.com/trailshed/trailshed/internal/ticker"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
@@ -32,7 +33,9 @@
 	Closed func(o Order)
 	Log    *eventlog.Log
 	Scope  tally.Scope
-	Now    func() clock.Millis
+	// Paces is how fast engines are seen to work.
+	Paces *pace.Model
+	Now   func() clock.Millis
 
 	mu    sync.Mutex
 	sizes map[string]Sizes
@@ -65,7 +68,7 @@
 	sizes := maps.Clone(r.sizes)
 	r.mu.Unlock()
 	var group sync.WaitGroup
-	for _, o := range policy.Decide(r.Now(), r.Directory.View(), sizes) {
+	for _, o := range policy.Decide(r.Now(), r.Directory.View(), sizes, r.Paces) {
 		group.Go(func() { r.order(ctx, o, fence) })
 	}
 	group.Wait()
