broker: send a verdict to where its ask came from

Cause: a planner looked up the address of whoever waits in its roster. Change: an ask's sender is noted, and the verdict goes there. Ruled out: that the message is lost on its way: asks and first words arrived all the time. The test runs into its time limit without it.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -100,10 +100,11 @@
 	mu      sync.Mutex
 	holds   map[string]*Place
 	pending map[string]chan placement.Verdict
-	down    map[string]silence      // by certificate
-	used    map[string]clock.Millis // by zone
-	met     map[string]bool         // planners that were heard, by certificate
-	began   clock.Millis            // when this process did
+	down    map[string]silence        // by certificate
+	used    map[string]clock.Millis   // by zone
+	met     map[string]bool           // planners that were heard, by certificate
+	askers  map[string]netip.AddrPort // where verdicts go, by name
+	began   clock.Millis              // when this process did
 }
 
 // Place is what a request holds until Release.
@@ -121,13 +122,14 @@
 	return &Broker{
 		Options: o, ticker: ticker.New(tickBusy, tickIdle), planner: placement.New(o.Zone, o.Paces), view: &directory.View{},
 		holds: map[string]*Place{}, pending: map[string]chan placement.Verdict{},
-		down: map[string]silence{}, used: map[string]clock.Millis{}, met: map[string]bool{}, began: o.Now(),
+		down: map[string]silence{}, used: map[string]clock.Millis{}, met: map[string]bool{}, askers: map[string]netip.AddrPort{}, began: o.Now(),
 	}
 }
 
 // Register adds the handlers of other instances' messages.
 func (b *Broker) Register(r *message.Router) {
-	peer.Answer(r, b.Transport, topicAsk, func(_ context.Context, _ peer.Sender, a placement.Ask) placement.Verdict {
+	peer.Answer(r, b.Transport, topicAsk, func(_ context.Context, s peer.Sender, a placement.Ask) placement.Verdict {
+		b.asked(a.Owner, s.Address)
 		return b.decide(a)
 	})
 	peer.Handle(r, b.Transport, topicVerdict, func(_ peer.Sender, v placement.Verdict) { b.deliver(v) })
--- a/internal/broker/planner.go
+++ b/internal/broker/planner.go
@@ -1,6 +1,8 @@
 package broker
 
 import (
+	"net/netip"
+
 	"github.com/trailshed/trailshed/internal/placement"
 )
 
@@ -64,14 +66,24 @@
 	return answers
 }
 
+// asked notes where an entry that asks is reached. Its verdict may come later,
+// and an instance whose entry in the store has lapsed, as when it is cut off
+// from the store only, is in no roster by then.
+func (b *Broker) asked(owner string, address netip.AddrPort) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.askers[owner] = address
+}
+
 func (b *Broker) pass(a placement.Answer) {
 	if a.Owner == b.Name {
 		b.deliver(a.Verdict)
 		return
 	}
-	for _, i := range b.Roster.All() {
-		if i.Name == a.Owner {
-			b.send(i.Address, topicVerdict, a.Verdict)
-		}
+	b.mu.Lock()
+	address, known := b.askers[a.Owner]
+	b.mu.Unlock()
+	if known {
+		b.send(address, topicVerdict, a.Verdict)
 	}
 }
--- /dev/null
+++ b/internal/broker/verdict_test.go
@@ -0,0 +1,104 @@
+package broker
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/pace"
+	"github.com/trailshed/trailshed/internal/peer"
+	"github.com/trailshed/trailshed/internal/placement"
+	"github.com/trailshed/trailshed/internal/roster"
+	"github.com/trailshed/trailshed/internal/route"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// fellow is a broker with its transport, which accepts every certificate.
+type fellow struct {
+	*Broker
+	self roster.Instance
+}
+
+func startFellow(t *testing.T, name string) *fellow {
+	c := qt.New(t)
+	identity, err := peer.NewIdentity(name)
+	c.Assert(err, qt.IsNil)
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	c.Assert(err, qt.IsNil)
+	address := netip.MustParseAddrPort(udp.LocalAddr().String())
+	c.Assert(udp.Close(), qt.IsNil)
+	everybody := func(string) (string, bool) { return map[string]string{"n1": "n2", "n2": "n1"}[name], true }
+	transport, err := peer.Listen(name, address, peer.Pinned(identity, everybody), tally.NoopScope)
+	c.Assert(err, qt.IsNil)
+	log := eventlog.Open(io.Discard, name)
+	now := clock.System()
+	b := New(Options{
+		Name: name, Zone: "a", Transport: transport, Roster: roster.New(now), Directory: engines(c), Log: log,
+		Scope: tally.NoopScope, Now: now, Paces: pace.New(pace.Cautious()), Saw: func(placement.Ask) {},
+	})
+	router, err := message.NewRouter(message.RouterConfig{}, watermill.NopLogger{})
+	c.Assert(err, qt.IsNil)
+	b.Register(router)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = router.Run(ctx) }()
+	<-router.Running()
+	t.Cleanup(func() {
+		cancel()
+		_ = transport.Close()
+		_ = log.Close()
+	})
+	return &fellow{Broker: b, self: roster.Instance{Name: name, Zone: "a", Address: transport.Address(), Fingerprint: identity.Fingerprint, Revision: 1}}
+}
+
+// engines has room for one request of 5,000 tokens.
+func engines(c *qt.C) *directory.Directory {
+	table, err := route.NewTable(route.Document{Version: 1, Services: []route.Service{
+		{Name: "llm", Engine: &route.Engine{Slots: 8, KVTokens: 6000}},
+	}})
+	c.Assert(err, qt.IsNil)
+	d := directory.New()
+	d.Apply(0, directory.Configured{Table: table, Revision: 1})
+	for id, stage := range map[string]directory.Stage{"p": directory.Prefill, "d": directory.Decode} {
+		d.Apply(0, directory.Seen{Endpoint: directory.Endpoint{ID: id, Service: "llm", Zone: "a", Slots: 8, Stage: stage, Revision: 2}})
+	}
+	return d
+}
+
+// An entry whose own entry in the store has lapsed still hears the verdict on
+// a request that had to wait: it was held until its time was over, and refused.
+func TestVerdictReachesAnAskerOutsideTheRoster(t *testing.T) {
+	c := qt.New(t)
+	planner, entry := startFellow(t, "n1"), startFellow(t, "n2")
+	entry.Roster.See(planner.self) // and the planner knows nobody
+	ask := placement.Ask{ID: "first", Service: "llm", Prompt: 5000, Output: 100, Budget: time.Minute}
+	first, refusal := planner.findHere(context.Background(), ask)
+	c.Assert(refusal, qt.IsNil)
+	found := make(chan *Place, 1)
+	go func() {
+		second := ask
+		second.ID, second.Owner, second.Patient = "second", "n2", true
+		place, _ := entry.findIn(context.Background(), "a", second)
+		found <- place
+	}()
+	for planner.queued() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	planner.Release(first, "", "", nil)
+	c.Assert((<-found).Decode, qt.Equals, "d")
+}
+
+func (f *fellow) queued() int {
+	f.plannerMu.Lock()
+	defer f.plannerMu.Unlock()
+	return f.planner.Queued()
+}
