forward: leave a silent answer only for a place elsewhere

Cause: a resumable stream whose engine says nothing for three gaps, or a repeatable request without an answer, was ended first, and a place was looked for afterwards. Change: when the silence is too long, a place elsewhere is found and paid for first, beside the answer that is waited for; without one the wait goes on. The watch has a file of its own. Ruled out: longer gaps: an engine that hangs would hold its streams longer.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -33,22 +33,19 @@
 	// once is lost if that crosses it.
 	restRepeatable = 3 * time.Second
 	restOnce       = 400 * time.Millisecond
-	// silencePart of the target is how long a repeatable request waits for an
-	// answer to begin before it is sent to another endpoint.
-	silencePart = 0.8
-	// silenceEngine bounds the same for engines, whose prompts take time.
-	silenceEngine = 1500 * time.Millisecond
-	// silenceGaps is how many of the longest good pauses between events a
-	// resumable stream waits before it goes on elsewhere.
-	silenceGaps = 3
 )
 
 // attempt makes one send. It returns true when the request is answered.
-func (p *passage) attempt(parent context.Context, r *balance.Reservation) bool {
+func (p *passage) attempt(parent context.Context, r *balance.Reservation) (done bool) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
-	silence := p.watchSilence(cancel)
-	defer silence.stop()
+	silence := p.watchSilence(parent, cancel, r.Endpoint.ID)
+	defer func() {
+		p.next = silence.stop()
+		if done && p.next != nil {
+			p.takeMove().drop()
+		}
+	}()
 	exchange, answer, err := p.send(ctx, r)
 	if err != nil {
 		p.sendFailed(parent, r, err)
--- a/internal/forward/passage.go
+++ b/internal/forward/passage.go
@@ -44,6 +44,7 @@
 	full       string        // engine that turned the request away at this place
 	failed     string        // engine that failed at this place
 	seen       seen          // of the answer at this place
+	next       *move         // where it goes on after a silence
 }
 
 // admit checks the request and reads its body. It answers what it refuses.
@@ -88,6 +89,11 @@
 	ctx, cancel := context.WithTimeout(ctx, p.left()+finalGrace)
 	defer cancel()
 	defer p.freeHandle()
+	defer func() {
+		if m := p.takeMove(); m != nil {
+			m.drop()
+		}
+	}()
 	for {
 		if ctx.Err() != nil {
 			p.ended(ctx)
@@ -166,6 +172,9 @@
 // plainStep sends the request to an endpoint of a plain service.
 func (p *passage) plainStep(ctx context.Context) progress {
 	p.view = p.Directory.View()
+	if m := p.takeMove(); m != nil {
+		return p.plainAttempt(ctx, m.reservation)
+	}
 	r := p.Balancer.Reserve(p.Now(), p.view, balance.Ask{Service: p.service, Exclude: p.tried, Stage: directory.Decode})
 	if r == nil {
 		p.because("no_endpoint")
@@ -176,6 +185,10 @@
 		r.Done(p.Now(), balance.Abandoned)
 		return p.budgetSpent()
 	}
+	return p.plainAttempt(ctx, r)
+}
+
+func (p *passage) plainAttempt(ctx context.Context, r *balance.Reservation) progress {
 	if p.attempt(ctx, r) {
 		return answered
 	}
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -68,7 +68,7 @@
 		return hopeless
 	}
 	p.dropStaleHandle()
-	place, refusal := p.findPlace(ctx)
+	place, paid, refusal := p.nextPlace(ctx)
 	if place == nil {
 		p.failure = refusal.Reason
 		p.comeBack = refusal.After
@@ -86,7 +86,7 @@
 	// not go on is read for nothing.
 	reads := p.prefill.handle == nil && place.Prefill != ""
 	send := p.extraSends(false)
-	if !p.afford(p.extraSends(reads)) {
+	if !p.afford(max(p.extraSends(reads)-paid, 0)) {
 		if !reads || p.prefill.sends == 0 {
 			return p.budgetSpent()
 		}
@@ -143,20 +143,37 @@
 	}
 }
 
-func (p *passage) findPlace(ctx context.Context) (*broker.Place, *placement.Refusal) {
+// nextPlace returns the place where the request goes on after a silence, with
+// the sends that were paid for, or asks for one.
+func (p *passage) nextPlace(ctx context.Context) (place *broker.Place, paid int, refusal *placement.Refusal) {
 	p.asks++
+	if m := p.takeMove(); m != nil {
+		return m.place, m.paid, nil
+	}
+	place, refusal = p.findPlace(ctx)
+	return place, 0, refusal
+}
+
+func (p *passage) findPlace(ctx context.Context) (*broker.Place, *placement.Refusal) {
 	budget, late := p.route.Target-p.Now().Sub(p.arrived), false
 	if p.asks > 1 {
 		budget, late = min(lateBudget, p.left()-lateReserve), true
 	}
-	return p.FindPlace(ctx, placement.Ask{
-		ID: p.call.ID + "/" + strconv.Itoa(p.asks), Service: p.service,
-		Route: p.route.Name, Prompt: p.call.Prompt, Output: p.call.Hint, Most: p.call.Output,
-		Budget: min(budget, p.left()), Late: late,
-		Exclude: slices.Concat(p.tried, p.prefill.tried, p.prefill.rejected),
-		Avoid:   p.Balancer.Ejected(p.Now()),
-		Part:    p.wantedPart(),
-	})
+	ask := p.placeAsk(strconv.Itoa(p.asks))
+	ask.Budget, ask.Late = min(budget, p.left()), late
+	ask.Exclude = slices.Concat(p.tried, p.prefill.tried, p.prefill.rejected)
+	ask.Avoid = p.Balancer.Ejected(p.Now())
+	ask.Part = p.wantedPart()
+	return p.FindPlace(ctx, ask)
+}
+
+// placeAsk is an ask for places, the suffix of whose id is unique within the
+// request.
+func (p *passage) placeAsk(suffix string) placement.Ask {
+	return placement.Ask{
+		ID: p.call.ID + "/" + suffix, Service: p.service, Route: p.route.Name,
+		Prompt: p.call.Prompt, Output: p.call.Hint, Most: p.call.Output,
+	}
 }
 
 const (
--- /dev/null
+++ b/internal/forward/silence.go
@@ -0,0 +1,164 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/trailshed/trailshed/internal/balance"
+	"github.com/trailshed/trailshed/internal/broker"
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/placement"
+	"github.com/trailshed/trailshed/internal/route"
+)
+
+const (
+	// silencePart of the target is how long a repeatable request waits for an
+	// answer to begin before it moves to another endpoint.
+	silencePart = 0.8
+	// silenceEngine bounds the same for engines, whose prompts take time.
+	silenceEngine = 1500 * time.Millisecond
+	// silenceGaps is how many of the longest good pauses between events a
+	// resumable stream waits before it moves on.
+	silenceGaps = 3
+)
+
+// silence watches an attempt that may go on elsewhere, and ends it when its
+// endpoint has said nothing for too long and there is somewhere to go: without
+// that, a late answer is better than none. A nil silence never ends anything.
+type silence struct {
+	first, gap time.Duration
+	cancel     context.CancelFunc
+	find       func() *move // nil: there is nowhere to go now
+	timer      *time.Timer
+
+	mu   sync.Mutex
+	over bool
+	move *move
+}
+
+// move is where a request goes on, paid for from the retry budget.
+type move struct {
+	place       *broker.Place        // at engines
+	reservation *balance.Reservation // at a plain service
+	paid        int                  // sends
+	drop        func()               // gives everything back
+}
+
+// watchSilence arms the silence of an attempt at an endpoint.
+func (p *passage) watchSilence(ctx context.Context, cancel context.CancelFunc, endpoint string) *silence {
+	if !p.route.Repeatable() || p.runs+1 >= p.route.Attempts {
+		return nil
+	}
+	s := &silence{first: time.Duration(silencePart * float64(p.route.Target)), cancel: cancel}
+	exclude := append(slices.Clone(p.tried), endpoint)
+	if p.engine() {
+		s.find = p.findEngines(ctx, exclude)
+	} else {
+		s.find = p.findEndpoint(exclude)
+	}
+	if p.route.Kind == route.Streaming {
+		s.first = max(p.route.Target, silenceEngine)
+		s.gap = silenceGaps * p.route.GapTarget
+	}
+	s.timer = time.AfterFunc(s.first, s.fire)
+	return s
+}
+
+func (s *silence) fire() {
+	m := s.find()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.over && m != nil:
+		m.drop()
+	case s.over:
+	case m == nil:
+		s.timer.Reset(s.first)
+	default:
+		s.move = m
+		s.cancel()
+	}
+}
+
+// heard starts the time anew.
+func (s *silence) heard() {
+	if s != nil && s.gap > 0 {
+		s.timer.Reset(s.gap)
+	}
+}
+
+// stop ends the watch. It returns where the request goes on, if that was what
+// ended the attempt.
+func (s *silence) stop() *move {
+	if s == nil {
+		return nil
+	}
+	s.timer.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.over = true
+	return s.move
+}
+
+// findEngines returns a function that finds other engines. It may be called from
+// another goroutine, so what it needs of the passage is taken now.
+func (p *passage) findEngines(ctx context.Context, exclude []string) func() *move {
+	ask := p.placeAsk("m" + strconv.Itoa(p.sends))
+	ask.Exclude, ask.Late, ask.Part = exclude, true, placement.Both
+	again, budget := p.prefill.sends > 0, p.budget(p.service)
+	return func() *move {
+		left := p.left() - lateReserve
+		if left <= 0 {
+			return nil
+		}
+		ask := ask
+		ask.Budget = min(lateBudget, left)
+		ask.Avoid = p.Balancer.Ejected(p.Now())
+		place, _ := p.FindPlace(ctx, ask)
+		if place == nil {
+			return nil
+		}
+		m := &move{place: place, paid: 1}
+		if again && place.Prefill != "" {
+			m.paid++ // its prompt is read once more
+		}
+		m.drop = func() {
+			p.ReleasePlace(place, "", "", nil)
+			budget.Return(p.Now(), m.paid)
+		}
+		if !budget.Take(p.Now(), m.paid) {
+			p.ReleasePlace(place, "", "", nil)
+			return nil
+		}
+		return m
+	}
+}
+
+// findEndpoint is the same for plain services.
+func (p *passage) findEndpoint(exclude []string) func() *move {
+	service, view, budget := p.service, p.view, p.budget(p.service)
+	return func() *move {
+		r := p.Balancer.Reserve(p.Now(), view, balance.Ask{Service: service, Exclude: exclude, Stage: directory.Decode})
+		if r == nil {
+			return nil
+		}
+		if !budget.Take(p.Now(), 1) {
+			r.Done(p.Now(), balance.Abandoned)
+			return nil
+		}
+		return &move{reservation: r, paid: 1, drop: func() {
+			r.Done(p.Now(), balance.Abandoned)
+			budget.Return(p.Now(), 1)
+		}}
+	}
+}
+
+// takeMove returns where the request goes on after a silence, once.
+func (p *passage) takeMove() *move {
+	m := p.next
+	p.next = nil
+	return m
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -11,47 +11,12 @@
 
 	"github.com/trailshed/trailshed/internal/balance"
 	"github.com/trailshed/trailshed/internal/eventlog"
-	"github.com/trailshed/trailshed/internal/route"
 	"github.com/trailshed/trailshed/internal/uplink"
 )
 
 // eventBytes bounds one event of a stream.
 const eventBytes = 64 << 10
 
-// silence ends an attempt whose endpoint has said nothing for too long. It is
-// set only for what may go on elsewhere; a nil silence never ends anything.
-type silence struct {
-	timer *time.Timer
-	gap   time.Duration
-}
-
-// watchSilence arms the silence of this attempt.
-func (p *passage) watchSilence(cancel context.CancelFunc) *silence {
-	if !p.route.Repeatable() || p.runs+1 >= p.route.Attempts {
-		return nil
-	}
-	first := time.Duration(silencePart * float64(p.route.Target))
-	if p.route.Kind == route.Streaming {
-		first = max(p.route.Target, silenceEngine)
-	}
-	s := &silence{gap: silenceGaps * p.route.GapTarget}
-	s.timer = time.AfterFunc(first, cancel)
-	return s
-}
-
-// heard starts the time anew.
-func (s *silence) heard() {
-	if s != nil && s.gap > 0 {
-		s.timer.Reset(s.gap)
-	}
-}
-
-func (s *silence) stop() {
-	if s != nil {
-		s.timer.Stop()
-	}
-}
-
 // stream passes events on as they come. It returns false if the stream broke
 // and may go on at another endpoint.
 func (p *passage) stream(parent context.Context, r *balance.Reservation, x *uplink.Exchange, a Answer, s *silence) bool {
