broker: ask an engine that turned a request away what it holds

Change: an engine that turns a request away, though the planner reckoned with room there, is asked for its load, at most twice a second. Ruled out: taking it for full for longer without asking: a KV cache that lapsed is turned away with the same words. The test hangs without it.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -103,6 +103,7 @@
 	down    map[string]silence        // by certificate
 	used    map[string]clock.Millis   // by zone
 	met     map[string]bool           // planners that were heard, by certificate
+	loadAt  map[string]clock.Millis   // engines that were asked for their load
 	askers  map[string]netip.AddrPort // where verdicts go, by name
 	began   clock.Millis              // when this process did
 }
@@ -122,7 +123,7 @@
 	return &Broker{
 		Options: o, ticker: ticker.New(tickBusy, tickIdle), planner: placement.New(o.Zone, o.Paces), view: &directory.View{},
 		holds: map[string]*Place{}, pending: map[string]chan placement.Verdict{},
-		down: map[string]silence{}, used: map[string]clock.Millis{}, met: map[string]bool{}, askers: map[string]netip.AddrPort{}, began: o.Now(),
+		down: map[string]silence{}, used: map[string]clock.Millis{}, met: map[string]bool{}, askers: map[string]netip.AddrPort{}, loadAt: map[string]clock.Millis{}, began: o.Now(),
 	}
 }
 
@@ -134,7 +135,7 @@
 	})
 	peer.Handle(r, b.Transport, topicVerdict, func(_ peer.Sender, v placement.Verdict) { b.deliver(v) })
 	peer.Handle(r, b.Transport, topicProgress, func(_ peer.Sender, m placement.Progress) { b.apply(m) })
-	peer.Handle(r, b.Transport, topicRelease, func(_ peer.Sender, m placement.Release) { b.apply(m) })
+	peer.Handle(r, b.Transport, topicRelease, func(_ peer.Sender, m placement.Release) { b.released(m) })
 	peer.Handle(r, b.Transport, topicClosed, func(_ peer.Sender, m placement.Closed) { b.apply(m) })
 	peer.Handle(r, b.Transport, topicAnnounce, func(_ peer.Sender, m placement.Announce) { b.apply(m) })
 }
@@ -262,7 +263,7 @@
 
 func (b *Broker) tell(i roster.Instance, r placement.Release) {
 	if i.Name == b.Name {
-		b.apply(r)
+		b.released(r)
 		return
 	}
 	b.send(i.Address, topicRelease, r)
--- a/internal/broker/loads.go
+++ b/internal/broker/loads.go
@@ -19,6 +19,9 @@
 	loadsWait = 300 * time.Millisecond
 	// loadsAtOnce is how many engines are asked at a time.
 	loadsAtOnce = 16
+	// loadAgain is how long an engine is not asked again: its word is nearly a
+	// second old, and each question has a price.
+	loadAgain = 500 * time.Millisecond
 )
 
 // learnLoads asks the engines of the own zone once what they work on, if this
@@ -62,5 +65,38 @@
 	b.Log.Write(eventlog.Line{Event: eventlog.Believed, Outcome: "loads_learned", Zone: b.Zone, Count: known.Load()})
 }
 
+// released takes places back. An engine that turned a request away, though this
+// planner reckoned with room there, works for somebody that this planner does not
+// hear, so it is asked what it holds.
+func (b *Broker) released(r placement.Release) {
+	b.apply(r)
+	if r.Full == "" {
+		return
+	}
+	for e := range b.Directory.View().Engines(b.Zone) {
+		if e.ID == r.Full && e.Stage != directory.Prefill && b.mayAskLoad(e.ID) {
+			go b.askEngines(context.Background(), []directory.Endpoint{*e}) // ends within loadsWait
+		}
+	}
+}
+
+// mayAskLoad says whether an engine was not asked for a while, and notes that it
+// is asked now.
+func (b *Broker) mayAskLoad(engine string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Now()
+	for id, at := range b.loadAt {
+		if now.Sub(at) >= loadAgain {
+			delete(b.loadAt, id)
+		}
+	}
+	if _, asked := b.loadAt[engine]; asked {
+		return false
+	}
+	b.loadAt[engine] = now
+	return true
+}
+
 // Load asks one engine what it works on.
 type Load func(ctx context.Context, e directory.Endpoint) (placement.Loaded, error)
--- a/internal/broker/verdict_test.go
+++ b/internal/broker/verdict_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,10 +25,14 @@
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
+// loads has the engines that are asked for their load.
+var loads = make(chan string, 16)
+
 // fellow is a broker with its transport, which accepts every certificate.
 type fellow struct {
 	*Broker
 	self roster.Instance
+	now  atomic.Int64 // ms; it stands still unless a test moves it
 }
 
 func startFellow(t *testing.T, name string) *fellow {
@@ -41,10 +47,15 @@
 	transport, err := peer.Listen(name, address, peer.Pinned(identity, everybody), tally.NoopScope)
 	c.Assert(err, qt.IsNil)
 	log := eventlog.Open(io.Discard, name)
-	now := clock.System()
+	f := &fellow{}
+	now := func() clock.Millis { return clock.Millis(f.now.Load()) }
 	b := New(Options{
 		Name: name, Zone: "a", Transport: transport, Roster: roster.New(now), Directory: engines(c), Log: log,
 		Scope: tally.NoopScope, Now: now, Paces: pace.New(pace.Cautious()), Saw: func(placement.Ask) {},
+		Load: func(_ context.Context, e directory.Endpoint) (placement.Loaded, error) {
+			loads <- e.ID
+			return placement.Loaded{Engine: e.ID, Running: 1, Used: 5800}, nil
+		},
 	})
 	router, err := message.NewRouter(message.RouterConfig{}, watermill.NopLogger{})
 	c.Assert(err, qt.IsNil)
@@ -57,7 +68,9 @@
 		_ = transport.Close()
 		_ = log.Close()
 	})
-	return &fellow{Broker: b, self: roster.Instance{Name: name, Zone: "a", Address: transport.Address(), Fingerprint: identity.Fingerprint, Revision: 1}}
+	f.Broker = b
+	f.self = roster.Instance{Name: name, Zone: "a", Address: transport.Address(), Fingerprint: identity.Fingerprint, Revision: 1}
+	return f
 }
 
 // engines has room for one request of 5,000 tokens.
@@ -102,3 +115,31 @@
 	defer f.plannerMu.Unlock()
 	return f.planner.Queued()
 }
+
+// An engine that turned a request away is asked what it holds, and gets nothing
+// for which it has no room: planners that did not hear what others had given out
+// sent it one prompt after the other, each read for nothing.
+func TestFullEngineIsAsked(t *testing.T) {
+	c := qt.New(t)
+	planner := startFellow(t, "n1")
+	ask := placement.Ask{ID: "first", Service: "llm", Prompt: 2000, Output: 100, Budget: time.Minute}
+	first, _ := planner.findHere(context.Background(), ask)
+	c.Assert(first.Decode, qt.Equals, "d")
+	planner.Release(first, "d", "", nil)
+	planner.released(placement.Release{ID: "other", Full: "d"}) // at once: not asked again
+	c.Assert(<-loads, qt.Equals, "d")
+	planner.now.Add(2 * fullFor.Milliseconds())
+	for i := 0; ; i++ { // until the answer has come
+		ask.ID = fmt.Sprint("again", i)
+		place, refusal := planner.findHere(context.Background(), ask)
+		if place == nil {
+			c.Assert(refusal.Reason, qt.Equals, placement.ReasonFull)
+			break
+		}
+		planner.Release(place, "", "", nil)
+	}
+	c.Assert(loads, qt.HasLen, 0)
+}
+
+// fullFor is how long a planner leaves such an engine alone in any case.
+const fullFor = 250 * time.Millisecond
