placement: let requests that will be late wait behind those in time

Cause: a request that could not be in time was refused, came back once and was refused again or served late. In bursts that is one generation in twenty, refused twice; a first refusal while most slots were free cost too. Late ones that were granted passed newcomers who could be in time. Change: a request waits on though it will be late, for up to three targets since it arrived (callers give up a stream without an event after four) and half of its time, if room is predicted by then; otherwise it is refused at once. What is late is served after what can be in time, and only where a prefill engine is idle and a decode engine has room for one more. A request whose prompt is read keeps its turn; one sent again after an early failure counts as late only once it is.

--- a/internal/broker/verdict.go
+++ b/internal/broker/verdict.go
@@ -10,7 +10,7 @@
 
 // wait waits for the verdict on a queued ask.
 func (b *Broker) wait(ctx context.Context, waiting chan placement.Verdict, a placement.Ask) placement.Verdict {
-	timer := time.NewTimer(a.Budget + verdictSlack)
+	timer := time.NewTimer(max(a.Budget, a.Hold) + verdictSlack)
 	defer timer.Stop()
 	select {
 	case v := <-waiting:
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -155,18 +155,29 @@
 }
 
 func (p *passage) findPlace(ctx context.Context) (*broker.Place, *placement.Refusal) {
-	budget, late := p.route.Target-p.Now().Sub(p.arrived), false
-	if p.asks > 1 {
-		budget, late = min(lateBudget, p.left()-lateReserve), true
-	}
 	ask := p.placeAsk(strconv.Itoa(p.asks))
-	ask.Budget, ask.Late = min(budget, p.left()), late
+	p.setPatience(&ask)
 	ask.Exclude = slices.Concat(p.tried, p.prefill.tried, p.prefill.rejected)
 	ask.Avoid = p.Balancer.Ejected(p.Now())
 	ask.Part = p.wantedPart()
 	return p.FindPlace(ctx, ask)
 }
 
+// setPatience says how long the request may wait for a place.
+func (p *passage) setPatience(ask *placement.Ask) {
+	left := p.left()
+	inTime := p.route.Target - p.Now().Sub(p.arrived)
+	switch {
+	case p.headSent: // the caller waits in the middle of its stream
+		ask.Late, ask.Hold = true, min(resumeHold, left/holdPart)
+	case p.prefill.handle != nil: // what was read must not lapse
+		ask.Budget = min(lateBudget, left)
+	default:
+		ask.Budget, ask.Late = min(max(inTime, 0), left), inTime <= 0
+		ask.Hold = min(inTime+holdTargets*p.route.Target, left/holdPart)
+	}
+}
+
 // placeAsk is an ask for places, the suffix of whose id is unique within the
 // request.
 func (p *passage) placeAsk(suffix string) placement.Ask {
@@ -177,12 +188,21 @@
 }
 
 const (
-	// lateBudget is how long a request that was refused or failed before waits
-	// for a place. A further refusal would lose it, and a late answer is still
-	// worth something.
+	// lateBudget is how long a request whose prompt is read, or that moves on,
+	// waits for a place.
 	lateBudget = 600 * time.Millisecond
-	// lateReserve is kept of its time for the answer itself.
+	// resumeHold is the same for a stream that has begun: callers give it up
+	// after a gap of a few seconds.
+	resumeHold = 1500 * time.Millisecond
+	// lateReserve is kept of a request's time for the answer itself, if it moves
+	// on.
 	lateReserve = 1500 * time.Millisecond
+	// holdTargets is for how many targets beyond the first a request that will be
+	// late may wait for room: callers give up a stream of which no event has come
+	// after four targets, and the last is for the prompt. It waits for no more
+	// than a part of its time, holdPart, since the answer takes some too.
+	holdTargets = 2
+	holdPart    = 2
 )
 
 // wantedPart says which engines the request needs now.
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -18,7 +18,10 @@
 		return
 	}
 	p.owners[a.Owner] = now
-	reason := p.place(now, a)
+	reason := ReasonFull
+	if !a.Late || !p.inTimeWaits(now, a.Service) {
+		reason = p.place(now, a)
+	}
 	if reason == "" {
 		return
 	}
@@ -27,12 +30,10 @@
 		p.refuse(a, reason, comeBackLeast)
 		return
 	}
-	patience := a.Budget - p.least(a)
-	if !a.Patient || wait > unsure*patience {
+	if !p.wait(now, a, wait) {
 		p.refuse(a, reason, wait)
 		return
 	}
-	p.queue = append(p.queue, waiting{ask: a, until: now.Add(patience)})
 	p.effects = append(p.effects, Answer{ID: a.ID, Owner: a.Owner, Verdict: Verdict{Queued: true}})
 }
 
@@ -44,6 +45,9 @@
 	list := p.open(now, a, func(s directory.Stage) bool { return s != directory.Prefill })
 	for _, e := range list {
 		used := p.used(now, e)
+		if a.Late && used > 0 {
+			used += p.usualSize(e)
+		}
 		if used+need > e.capacity && used > 0 || len(e.places) >= e.slots {
 			continue
 		}
@@ -77,6 +81,8 @@
 		return nil, ReasonBusy
 	case best == nil:
 		return nil, ReasonNoPrefill
+	case a.Late && least > 0: // it takes only what those leave who can be in time
+		return nil, ReasonBusy
 	case least+p.least(a) > a.Budget && !a.Late:
 		return nil, ReasonBusy
 	default:
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -16,7 +16,8 @@
 	Avoid   []string      `cbor:"10,keyasint"` // endpoints that it uses only if there are no others
 	Part    Part          `cbor:"8,keyasint"`
 	Patient bool          `cbor:"9,keyasint"`  // it waits for room if some comes free in time
-	Late    bool          `cbor:"11,keyasint"` // it was refused or failed before: it waits ahead of others
+	Late    bool          `cbor:"11,keyasint"` // it cannot be in time any more
+	Hold    time.Duration `cbor:"14,keyasint"` // how long it may wait for room though it is late by then
 }
 
 // Part says which engines an ask is for.
