broker: planners tell what they learned of engines

Cause: a planner that starts, and any planner that takes over a zone, knew nothing of how fast engines are until it had served four requests of each sort itself. Change: each two seconds a zone's planner adds its figures to its announcements, to the planners of all zones and to those that join. No message is new, no call to the store is made. Ruled out: an entry in the store for the loss of everything: it costs calls, and the first seconds after such a loss are bound by what engines still work on.

--- a/internal/broker/announce.go
+++ b/internal/broker/announce.go
@@ -1,15 +1,28 @@
 package broker
 
 import (
+	"github.com/trailshed/trailshed/internal/pace"
 	"github.com/trailshed/trailshed/internal/placement"
 	"github.com/trailshed/trailshed/internal/roster"
 )
 
-// announce tells each zone's planner what this instance holds there.
+// figuresEvery is how many announcements go without what a planner has learned
+// of engines: two seconds' worth. A planner that starts predicts by it until it
+// has served a few requests itself.
+const figuresEvery = 5
+
+// announce tells each zone's planner what this instance holds there, and now and
+// then, if it plans, how fast it has seen engines work.
 func (b *Broker) announce() {
+	b.announced++
+	var figures []pace.Figure
+	if b.announced%figuresEvery == 0 && b.Plans() {
+		figures = b.Paces.Figures()
+	}
 	for _, zone := range b.zones() {
 		a := b.announcement(zone)
-		if !b.usedLately(zone) && len(a.Holds) == 0 {
+		a.Figures = figures
+		if !b.usedLately(zone) && len(a.Holds) == 0 && len(figures) == 0 {
 			continue
 		}
 		b.inform(zone, topicAnnounce, a)
@@ -67,3 +80,9 @@
 	}
 	return a
 }
+
+// announcedBy takes an entry's places, and what a planner has learned.
+func (b *Broker) announcedBy(a placement.Announce) {
+	b.Paces.Tell(a.Owner, a.Figures)
+	b.apply(a)
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -106,6 +106,8 @@
 	loadAt  map[string]clock.Millis   // engines that were asked for their load
 	askers  map[string]netip.AddrPort // where verdicts go, by name
 	began   clock.Millis              // when this process did
+
+	announced int // how often; only announce counts
 }
 
 // Place is what a request holds until Release.
@@ -137,7 +139,7 @@
 	peer.Handle(r, b.Transport, topicProgress, func(_ peer.Sender, m placement.Progress) { b.apply(m) })
 	peer.Handle(r, b.Transport, topicRelease, func(_ peer.Sender, m placement.Release) { b.released(m) })
 	peer.Handle(r, b.Transport, topicClosed, func(_ peer.Sender, m placement.Closed) { b.apply(m) })
-	peer.Handle(r, b.Transport, topicAnnounce, func(_ peer.Sender, m placement.Announce) { b.apply(m) })
+	peer.Handle(r, b.Transport, topicAnnounce, func(_ peer.Sender, m placement.Announce) { b.announcedBy(m) })
 }
 
 // Run announces and lets time pass until ctx ends.
--- a/internal/broker/verdict_test.go
+++ b/internal/broker/find_test.go
@@ -35,7 +35,7 @@
 	now  atomic.Int64 // ms; it stands still unless a test moves it
 }
 
-func startFellow(t *testing.T, name string) *fellow {
+func startFellow(t *testing.T, name, zone string) *fellow {
 	c := qt.New(t)
 	identity, err := peer.NewIdentity(name)
 	c.Assert(err, qt.IsNil)
@@ -48,9 +48,10 @@
 	c.Assert(err, qt.IsNil)
 	log := eventlog.Open(io.Discard, name)
 	f := &fellow{}
+	f.now.Store(1000)
 	now := func() clock.Millis { return clock.Millis(f.now.Load()) }
 	b := New(Options{
-		Name: name, Zone: "a", Transport: transport, Roster: roster.New(now), Directory: engines(c), Log: log,
+		Name: name, Zone: zone, Transport: transport, Roster: roster.New(now), Directory: engines(c, zone), Log: log,
 		Scope: tally.NoopScope, Now: now, Paces: pace.New(pace.Cautious()), Saw: func(placement.Ask) {},
 		Load: func(_ context.Context, e directory.Endpoint) (placement.Loaded, error) {
 			loads <- e.ID
@@ -69,12 +70,12 @@
 		_ = log.Close()
 	})
 	f.Broker = b
-	f.self = roster.Instance{Name: name, Zone: "a", Address: transport.Address(), Fingerprint: identity.Fingerprint, Revision: 1}
+	f.self = roster.Instance{Name: name, Zone: zone, Address: transport.Address(), Fingerprint: identity.Fingerprint, Revision: 1}
 	return f
 }
 
 // engines has room for one request of 5,000 tokens.
-func engines(c *qt.C) *directory.Directory {
+func engines(c *qt.C, zone string) *directory.Directory {
 	table, err := route.NewTable(route.Document{Version: 1, Services: []route.Service{
 		{Name: "llm", Engine: &route.Engine{Slots: 8, KVTokens: 6000}},
 	}})
@@ -82,7 +83,7 @@
 	d := directory.New()
 	d.Apply(0, directory.Configured{Table: table, Revision: 1})
 	for id, stage := range map[string]directory.Stage{"p": directory.Prefill, "d": directory.Decode} {
-		d.Apply(0, directory.Seen{Endpoint: directory.Endpoint{ID: id, Service: "llm", Zone: "a", Slots: 8, Stage: stage, Revision: 2}})
+		d.Apply(0, directory.Seen{Endpoint: directory.Endpoint{ID: id + zone, Service: "llm", Zone: zone, Slots: 8, Stage: stage, Revision: 2}})
 	}
 	return d
 }
@@ -91,7 +92,7 @@
 // a request that had to wait: it was held until its time was over, and refused.
 func TestVerdictReachesAnAskerOutsideTheRoster(t *testing.T) {
 	c := qt.New(t)
-	planner, entry := startFellow(t, "n1"), startFellow(t, "n2")
+	planner, entry := startFellow(t, "n1", "a"), startFellow(t, "n2", "a")
 	entry.Roster.See(planner.self) // and the planner knows nobody
 	ask := placement.Ask{ID: "first", Service: "llm", Prompt: 5000, Output: 100, Budget: time.Minute}
 	first, refusal := planner.findHere(context.Background(), ask)
@@ -107,7 +108,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	planner.Release(first, "", "", nil)
-	c.Assert((<-found).Decode, qt.Equals, "d")
+	c.Assert((<-found).Decode, qt.Equals, "da")
 }
 
 func (f *fellow) queued() int {
@@ -121,13 +122,13 @@
 // sent it one prompt after the other, each read for nothing.
 func TestFullEngineIsAsked(t *testing.T) {
 	c := qt.New(t)
-	planner := startFellow(t, "n1")
+	planner := startFellow(t, "n1", "a")
 	ask := placement.Ask{ID: "first", Service: "llm", Prompt: 2000, Output: 100, Budget: time.Minute}
 	first, _ := planner.findHere(context.Background(), ask)
-	c.Assert(first.Decode, qt.Equals, "d")
-	planner.Release(first, "d", "", nil)
-	planner.released(placement.Release{ID: "other", Full: "d"}) // at once: not asked again
-	c.Assert(<-loads, qt.Equals, "d")
+	c.Assert(first.Decode, qt.Equals, "da")
+	planner.Release(first, "da", "", nil)
+	planner.released(placement.Release{ID: "other", Full: "da"}) // at once: not asked again
+	c.Assert(<-loads, qt.Equals, "da")
 	planner.now.Add(2 * fullFor.Milliseconds())
 	for i := 0; ; i++ { // until the answer has come
 		ask.ID = fmt.Sprint("again", i)
@@ -143,3 +144,22 @@
 
 // fullFor is how long a planner leaves such an engine alone in any case.
 const fullFor = 250 * time.Millisecond
+
+// A planner that has seen nothing predicts by what planners of other zones have
+// learned.
+func TestFellowsTellHowFastEnginesAre(t *testing.T) {
+	c := qt.New(t)
+	near, far := startFellow(t, "n1", "a"), startFellow(t, "n2", "b")
+	near.Roster.See(near.self)
+	near.Roster.See(far.self)
+	for i := range 8 {
+		near.Paces.Learn(clock.Millis(i), pace.Observation{Service: "llm", Engine: "da", Act: pace.Step, Size: 4, Outcome: 20})
+	}
+	for range figuresEvery {
+		near.announce()
+	}
+	for far.Paces.Step("llm", "db", 4) != 20*time.Millisecond {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(far.Paces.Seen("llm", pace.Step), qt.Equals, 0)
+}
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/trailshed/trailshed/internal/pace"
+)
 
 // Ask is an entry's wish for places for one request.
 type Ask struct {
@@ -122,4 +126,6 @@
 	Owner string `cbor:"1,keyasint"`
 	Zone  string `cbor:"2,keyasint"`
 	Holds []Hold `cbor:"3,keyasint"`
+	// Figures are what a planner has learned of engines, sent now and then.
+	Figures []pace.Figure `cbor:"4,keyasint,omitempty"`
 }
