--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -9,6 +9,7 @@
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
+// ask answers an ask: with places, with a refusal, or with the word that it waits.
 func (p *Planner) ask(now clock.Millis, a Ask) {
 	if p.places[a.ID] != nil {
 		return
@@ -46,6 +47,8 @@
 	for _, e := range list {
 		used := p.used(now, e)
 		if a.Late && used > 0 {
+			// Room for one more is left for whoever comes next and may be in time:
+			// worth 1.0 in 100 on the same days.
 			used += p.usualSize(e)
 		}
 		if used+need > e.capacity && used > 0 || len(e.places) >= e.slots {
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -37,7 +37,9 @@
 
 // serveQueue grants what waits: first what can still be in time, in order, then
 // what is late, which gets what the others leave. What has waited too long is
-// refused.
+// refused. Compared with refusing what would be late, callers get 1.4 to 1.9 in
+// 100 more of what answers are worth to them on days of bursts and failures, and
+// half as many are refused twice (docs/BOYAMAR.md: pairs of equal days).
 func (p *Planner) serveQueue(now clock.Millis) {
 	blocked := map[string]bool{} // services for which somebody waits who can be in time
 	p.serveWaiting(now, func(w waiting) bool { return !w.late(now) }, blocked)
