--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -55,7 +55,7 @@
 		Scope: tally.NoopScope, Now: now, Paces: pace.New(pace.Cautious()), Saw: func(placement.Ask) {},
 		Load: func(_ context.Context, e directory.Endpoint) (placement.Loaded, error) {
 			loads <- e.ID
-			return placement.Loaded{Engine: e.ID, Running: 1, Used: 5800}, nil
+			return placement.Loaded{Engine: e.ID, Running: 1, Used: 60_000}, nil
 		},
 	})
 	router, err := message.NewRouter(message.RouterConfig{}, watermill.NopLogger{})
