pace: fit again only the engine that was observed

Reading the change again: each observation had the lines of all engines of a kind fitted anew, all samples sorted twice, and a spread worked out that no decision uses, all under the lock that asks take. Change: an engine keeps its line until its next sample, sizes are kept in order, ratios are worked out where they are asked for, and decisions ask for Likely. Tags and words of a store that was never written go.

--- a/internal/pace/figure.go
+++ b/internal/pace/figure.go
@@ -5,14 +5,14 @@
 	"slices"
 )
 
-// Figure is one kind's line in short, for fellows and for the store.
+// Figure is one kind's line in short, for fellows.
 type Figure struct {
-	Service string  `cbor:"1,keyasint" json:"service"`
-	Act     Act     `cbor:"2,keyasint" json:"act"`
-	Base    float64 `cbor:"3,keyasint" json:"base"`
-	Slope   float64 `cbor:"4,keyasint" json:"slope"`
-	Low     float64 `cbor:"5,keyasint" json:"low"`  // a small size, of those seen
-	High    float64 `cbor:"6,keyasint" json:"high"` // a large one
+	Service string  `cbor:"1,keyasint"`
+	Act     Act     `cbor:"2,keyasint"`
+	Base    float64 `cbor:"3,keyasint"`
+	Slope   float64 `cbor:"4,keyasint"`
+	Low     float64 `cbor:"5,keyasint"`  // a small size, of those seen
+	High    float64 `cbor:"6,keyasint"` // a large one
 }
 
 // Figures returns what this process has seen enough of itself.
@@ -21,22 +21,18 @@
 	defer m.mu.Unlock()
 	var list []Figure
 	for at, k := range m.kinds {
-		var pooled []sample
-		for _, t := range k.engines {
-			pooled = append(pooled, t.ring...)
-		}
-		if len(pooled) < enough {
+		if len(k.sizes) < enough {
 			continue
 		}
 		k.refit()
 		f := Figure{Service: at.service, Act: at.act, Base: k.fit.base, Slope: k.fit.slope}
-		f.Low, f.High = sizes(pooled)
+		f.Low, f.High = k.span()
 		list = append(list, f)
 	}
 	return list
 }
 
-// Tell takes what an instance, or the store, knows; it replaces what the same
+// Tell takes what an instance knows; it replaces what the same
 // teller told before.
 func (m *Model) Tell(teller string, list []Figure) {
 	m.mu.Lock()
--- a/internal/pace/kind.go
+++ b/internal/pace/kind.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/trailshed/trailshed/pkg/clock"
 )
@@ -15,16 +16,20 @@
 	seen     int
 	latest   clock.Millis
 
+	sizes []float64 // of all samples, in order
+
 	fitted bool // what follows is up to date
 	fit    line
-	known  bool      // the fit is more than the prior
-	ratios []float64 // of outcomes to what their own engine is predicted to take
+	known  bool // the fit is more than the prior
 }
 
 // track is the latest of one engine's requests.
 type track struct {
 	ring []sample
 	next int
+
+	fitted bool // fit is up to date
+	fit    line
 }
 
 type sample struct {
@@ -41,21 +46,55 @@
 	if len(t.ring) < ringSize {
 		t.ring = append(t.ring, s)
 	} else {
+		k.removeSize(t.ring[t.next].size)
 		t.ring[t.next] = s
 		t.next = (t.next + 1) % ringSize
 	}
+	k.addSize(s.size)
+	t.fitted = false
 	k.seen++
 	k.latest = max(k.latest, s.at)
 	k.fitted = false
 }
 
 func (k *kind) forget(live func(string) bool) {
-	for engine := range k.engines {
-		if !live(engine) {
-			delete(k.engines, engine)
-			k.fitted = false
+	for engine, t := range k.engines {
+		if live(engine) {
+			continue
 		}
+		for _, s := range t.ring {
+			k.removeSize(s.size)
+		}
+		delete(k.engines, engine)
+		k.fitted = false
+	}
+}
+
+func (k *kind) addSize(size float64) {
+	at, _ := slices.BinarySearch(k.sizes, size)
+	k.sizes = slices.Insert(k.sizes, at, size)
+}
+
+func (k *kind) removeSize(size float64) {
+	at, _ := slices.BinarySearch(k.sizes, size)
+	k.sizes = slices.Delete(k.sizes, at, at+1)
+}
+
+// span returns a small and a large size of the samples.
+func (k *kind) span() (low, high float64) {
+	if len(k.sizes) == 0 {
+		return 0, 0
+	}
+	return ofSorted(k.sizes, 1-mostQuantile), ofSorted(k.sizes, mostQuantile)
+}
+
+// pooled returns the samples of all engines.
+func (k *kind) pooled() []sample {
+	var all []sample
+	for _, t := range k.engines {
+		all = append(all, t.ring...)
 	}
+	return all
 }
 
 // predict is the outcome that an engine is expected to have.
@@ -115,17 +154,15 @@
 	k.fitted = true
 	k.fit = k.prior
 	var lines []line
-	var pooled []sample
 	for _, t := range k.engines {
-		pooled = append(pooled, t.ring...)
 		if len(t.ring) >= enough {
-			lines = append(lines, k.fitTo(t.ring))
+			lines = append(lines, k.lineOf(t))
 		}
 	}
-	low, high := sizes(pooled)
+	low, high := k.span()
 	for _, f := range k.told {
 		lines = append(lines, line{base: f.Base, slope: f.Slope})
-		if len(pooled) == 0 {
+		if len(k.sizes) == 0 {
 			low, high = f.Low, f.High
 		}
 	}
@@ -133,18 +170,26 @@
 	switch {
 	case len(lines) > 0:
 		k.fit = middle(lines, low, high)
-	case len(pooled) >= enough:
-		k.fit = k.fitTo(pooled)
+	case len(k.sizes) >= enough:
+		k.fit = k.fitTo(k.pooled())
 	default:
 		k.known = false
 	}
-	k.compare()
 }
 
-// compare notes what outcomes came to, against what their own engine is
-// predicted to take.
-func (k *kind) compare() {
-	k.ratios = k.ratios[:0]
+// lineOf is an engine's own line.
+func (k *kind) lineOf(t *track) line {
+	if !t.fitted {
+		t.fit, t.fitted = k.fitTo(t.ring), true
+	}
+	return t.fit
+}
+
+// ratios are what outcomes came to, against what their own engine is predicted
+// to take.
+func (k *kind) ratios() []float64 {
+	k.refit()
+	ratios := make([]float64, 0, len(k.sizes))
 	for _, t := range k.engines {
 		own, known := k.own(t)
 		for _, s := range t.ring {
@@ -155,9 +200,10 @@
 			case known:
 				d /= max(own, smallest)
 			}
-			k.ratios = append(k.ratios, d)
+			ratios = append(ratios, d)
 		}
 	}
+	return ratios
 }
 
 func (k *kind) fitTo(list []sample) line {
@@ -172,11 +218,11 @@
 
 // spread is by which factor the slowest tenth goes beyond the prediction.
 func (k *kind) spread() float64 {
-	k.refit()
-	if len(k.ratios) < enough {
+	ratios := k.ratios()
+	if len(ratios) < enough {
 		return spreadUnknown
 	}
-	return max(quantile(k.ratios, mostQuantile), 1)
+	return max(quantile(ratios, mostQuantile), 1)
 }
 
 // ratioMost bounds what a single answer weighs in the mean.
@@ -184,13 +230,13 @@
 
 // meanRatio is the mean of what answers came to, as a part of the prediction.
 func (k *kind) meanRatio() float64 {
-	k.refit()
-	if len(k.ratios) < enough {
+	ratios := k.ratios()
+	if len(ratios) < enough {
 		return 1
 	}
 	total := 0.0
-	for _, r := range k.ratios {
+	for _, r := range ratios {
 		total += min(math.Exp(r), ratioMost)
 	}
-	return total / float64(len(k.ratios))
+	return total / float64(len(ratios))
 }
--- a/internal/pace/line.go
+++ b/internal/pace/line.go
@@ -76,18 +76,6 @@
 	return line{base: l.base * scale, slope: l.slope * scale}
 }
 
-// sizes returns a small and a large size of samples.
-func sizes(list []sample) (low, high float64) {
-	if len(list) == 0 {
-		return 0, 0
-	}
-	all := make([]float64, len(list))
-	for i, s := range list {
-		all[i] = s.size
-	}
-	return quantile(all, 1-mostQuantile), quantile(all, mostQuantile)
-}
-
 // middle returns the line through the medians of lines at two sizes.
 func middle(lines []line, low, high float64) line {
 	at := func(size float64) float64 {
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -113,6 +113,14 @@
 	return Span{Likely: millis(likely), Most: millis(likely * k.spread())}
 }
 
+// Likely is the same without Most, which takes longer to work out the more
+// engines there are.
+func (m *Model) Likely(act Act, service, engine string, prompt int) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return millis(m.kind(service, act).predict(engine, float64(prompt)))
+}
+
 // Step predicts the time of one token at an engine beside other requests.
 func (m *Model) Step(service, engine string, running int) time.Duration {
 	m.mu.Lock()
@@ -195,5 +203,10 @@
 // quantile sorts its argument, which must not be empty.
 func quantile(list []float64, part float64) float64 {
 	slices.Sort(list)
+	return ofSorted(list, part)
+}
+
+// ofSorted is the quantile of what is in order.
+func ofSorted(list []float64, part float64) float64 {
 	return list[min(int(part*float64(len(list))), len(list)-1)]
 }
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -11,12 +11,12 @@
 const anyEngine = ""
 
 func (p *Planner) readTime(service, engine string, prompt int) time.Duration {
-	return p.paces.Span(pace.Read, service, engine, prompt).Likely
+	return p.paces.Likely(pace.Read, service, engine, prompt)
 }
 
 // turnTime is how long a prompt keeps a prefill engine from the next one.
 func (p *Planner) turnTime(service, engine string, prompt int) time.Duration {
-	return p.paces.Span(pace.Turn, service, engine, prompt).Likely
+	return p.paces.Likely(pace.Turn, service, engine, prompt)
 }
 
 // beginTime is how long a decode engine takes to its first event.
@@ -25,7 +25,7 @@
 	if a.Part == Whole {
 		act = pace.Whole
 	}
-	return p.paces.Span(act, a.Service, engine, a.Prompt).Likely
+	return p.paces.Likely(act, a.Service, engine, a.Prompt)
 }
 
 // least is the shortest time from a place to the first event.
--- a/internal/staging/policy.go
+++ b/internal/staging/policy.go
@@ -123,7 +123,7 @@
 // engine between as many requests as its memory and its slots hold.
 func wanted(s Sizes, service *route.Service, paces *pace.Model) float64 {
 	e := service.Engine
-	read := prefillSpare * paces.Span(pace.Turn, service.Name, "", int(s.Prompt)).Likely.Seconds()
+	read := prefillSpare * paces.Likely(pace.Turn, service.Name, "", int(s.Prompt)).Seconds()
 	together := float64(max(e.KVTokens, 1)) / max(s.Prompt+s.Output/2, 1)
 	if e.Slots > 0 {
 		together = min(together, float64(e.Slots))
