tree: one conversion to milliseconds, and less done on each event

Reading the change again: the same conversion stood in three packages, the name for "any engine" in one and bare in another; a usual prompt was predicted for each prefill engine though nobody else works there, and the queue was walked after every event though it is mostly empty. A timer was set without the lock under which its own function reads it, and could be armed once more by a watch that was just ending. Behaviour as it was.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -125,7 +125,8 @@
 	return &Broker{
 		Options: o, ticker: ticker.New(tickBusy, tickIdle), planner: placement.New(o.Zone, o.Paces), view: &directory.View{},
 		holds: map[string]*Place{}, pending: map[string]chan placement.Verdict{},
-		down: map[string]silence{}, used: map[string]clock.Millis{}, met: map[string]bool{}, askers: map[string]netip.AddrPort{}, loadAt: map[string]clock.Millis{}, began: o.Now(),
+		down: map[string]silence{}, used: map[string]clock.Millis{}, met: map[string]bool{},
+		loadAt: map[string]clock.Millis{}, askers: map[string]netip.AddrPort{}, began: o.Now(),
 	}
 }
 
@@ -249,7 +250,7 @@
 	if p.Wait == 0 && p.planner.Name != b.Name {
 		b.Paces.Learn(b.Now(), pace.Observation{
 			Service: p.ask.Service, Engine: p.Prefill, Act: pace.Read,
-			Size: float64(p.ask.Prompt), Outcome: float64(took) / float64(time.Millisecond),
+			Size: float64(p.ask.Prompt), Outcome: clock.InMillis(took),
 		})
 	}
 	b.progress(p, placement.Progress{ID: p.ID, Running: running, Read: true, Took: took})
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -65,6 +65,8 @@
 		s.first = max(p.route.Target, silenceEngine)
 		s.gap = silenceGaps * p.route.GapTarget
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.timer = time.AfterFunc(s.first, s.fire)
 	return s
 }
@@ -98,10 +100,10 @@
 	if s == nil {
 		return nil
 	}
-	s.timer.Stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.over = true
+	s.over = true // first, so that a watch that is just ending is not armed again
+	s.timer.Stop()
 	return s.move
 }
 
--- a/internal/pace/figure.go
+++ b/internal/pace/figure.go
@@ -11,7 +11,7 @@
 	Act     Act     `cbor:"2,keyasint"`
 	Base    float64 `cbor:"3,keyasint"`
 	Slope   float64 `cbor:"4,keyasint"`
-	Low     float64 `cbor:"5,keyasint"`  // a small size, of those seen
+	Low     float64 `cbor:"5,keyasint"` // a small size, of those seen
 	High    float64 `cbor:"6,keyasint"` // a large one
 }
 
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -56,6 +56,9 @@
 	mostQuantile = 0.9
 )
 
+// AnyEngine asks for what engines of a service usually do.
+const AnyEngine = ""
+
 // Observation is one request's outcome. Size and Outcome are as Act says.
 type Observation struct {
 	Service string
@@ -157,7 +160,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	k := m.kind(service, act)
-	tokens := k.predict("", 0)
+	tokens := k.predict(AnyEngine, 0)
 	return int(tokens), k.known
 }
 
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -26,8 +26,6 @@
 	}
 }
 
-func inMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
 // near asserts that got is within a part of want.
 func near(c *qt.C, got, want, part float64) {
 	c.Helper()
@@ -52,8 +50,8 @@
 				reads(m, r, fmt.Sprint("e", i), 8, test.setup, test.perToken)
 			}
 			for _, prompt := range []int{1000, 3000, 5000} {
-				near(c, inMillis(m.Span(pace.Read, "llm", "e1", prompt).Likely), test.setup+test.perToken*float64(prompt), 0.12)
-				near(c, inMillis(m.Span(pace.Read, "llm", "unseen", prompt).Likely), test.setup+test.perToken*float64(prompt), 0.12)
+				near(c, clock.InMillis(m.Span(pace.Read, "llm", "e1", prompt).Likely), test.setup+test.perToken*float64(prompt), 0.12)
+				near(c, clock.InMillis(m.Span(pace.Read, "llm", "unseen", prompt).Likely), test.setup+test.perToken*float64(prompt), 0.12)
 			}
 			c.Assert(m.Span(pace.Read, "other", "e1", 3000), qt.Equals, pace.New(pace.Cautious()).Span(pace.Read, "other", "e1", 3000))
 		})
@@ -79,9 +77,9 @@
 			reads(m, r, "e1", 8, 10, 0.03)
 			reads(m, r, "e2", 8, 10, 0.03)
 			reads(m, r, "odd", 400, 10*test.factor, 0.03*test.factor)
-			near(c, inMillis(m.Span(pace.Read, "llm", "e1", 3000).Likely), 100, 0.15)
-			near(c, inMillis(m.Span(pace.Read, "llm", "unseen", 3000).Likely), 100, 0.15)
-			near(c, inMillis(m.Span(pace.Read, "llm", "odd", 3000).Likely), 100*test.itself, 0.15)
+			near(c, clock.InMillis(m.Span(pace.Read, "llm", "e1", 3000).Likely), 100, 0.15)
+			near(c, clock.InMillis(m.Span(pace.Read, "llm", "unseen", 3000).Likely), 100, 0.15)
+			near(c, clock.InMillis(m.Span(pace.Read, "llm", "odd", 3000).Likely), 100*test.itself, 0.15)
 		})
 	}
 }
@@ -96,8 +94,8 @@
 		reads(m, r, fmt.Sprint("new", i), 12, 5, 0.015)
 	}
 	for i := range 4 {
-		near(c, inMillis(m.Span(pace.Read, "llm", fmt.Sprint("old", i), 3000).Likely), 200, 0.15)
-		near(c, inMillis(m.Span(pace.Read, "llm", fmt.Sprint("new", i), 3000).Likely), 50, 0.15)
+		near(c, clock.InMillis(m.Span(pace.Read, "llm", fmt.Sprint("old", i), 3000).Likely), 200, 0.15)
+		near(c, clock.InMillis(m.Span(pace.Read, "llm", fmt.Sprint("new", i), 3000).Likely), 50, 0.15)
 	}
 }
 
@@ -114,9 +112,9 @@
 		step(clock.Millis(i), "e2", 5)
 		step(clock.Millis(i), "slow", 50)
 	}
-	near(c, inMillis(m.Step("llm", "slow", 8)), 50, 0.01)
+	near(c, clock.InMillis(m.Step("llm", "slow", 8)), 50, 0.01)
 	step(30_000, "e1", 5)
-	near(c, inMillis(m.Step("llm", "slow", 8)), 5, 0.01)
+	near(c, clock.InMillis(m.Step("llm", "slow", 8)), 5, 0.01)
 }
 
 func TestMostIsBeyondLikely(t *testing.T) {
@@ -126,7 +124,7 @@
 		m.Learn(clock.Millis(i), pace.Observation{Service: "llm", Engine: "e", Act: pace.Begin, Size: 3000, Outcome: 100 * math.Exp(0.5*r.NormFloat64())})
 	}
 	s := m.Span(pace.Begin, "llm", "e", 3000)
-	near(c, inMillis(s.Likely), 100, 0.3)
+	near(c, clock.InMillis(s.Likely), 100, 0.3)
 	near(c, float64(s.Most)/float64(s.Likely), 1.9, 0.4) // exp(0.5 * 1.28)
 }
 
@@ -158,15 +156,15 @@
 	reads(old, r, "e1", 16, 5, 0.1)
 	m := pace.New(pace.Cautious())
 	m.Tell("n1", old.Figures())
-	near(c, inMillis(m.Span(pace.Read, "llm", "e9", 3000).Likely), 305, 0.1)
+	near(c, clock.InMillis(m.Span(pace.Read, "llm", "e9", 3000).Likely), 305, 0.1)
 	c.Assert(m.Figures(), qt.HasLen, 0) // hearsay is not passed on
 	m.Tell("n1", []pace.Figure{{Service: "llm", Act: 99}})
 	for i := range 4 {
 		reads(m, r, fmt.Sprint("e", i), 16, 5, 0.02)
 	}
-	near(c, inMillis(m.Span(pace.Read, "llm", "e1", 3000).Likely), 65, 0.15)
+	near(c, clock.InMillis(m.Span(pace.Read, "llm", "e1", 3000).Likely), 65, 0.15)
 	m.Forget(func(engine string) bool { return engine == "e1" })
-	near(c, inMillis(m.Span(pace.Read, "llm", "e1", 3000).Likely), 65, 0.15)
+	near(c, clock.InMillis(m.Span(pace.Read, "llm", "e1", 3000).Likely), 65, 0.15)
 }
 
 // Whatever is observed, predictions are finite and not below zero, and grow with
--- a/internal/pace/prior.go
+++ b/internal/pace/prior.go
@@ -1,6 +1,10 @@
 package pace
 
-import "time"
+import (
+	"time"
+
+	"github.com/trailshed/trailshed/pkg/clock"
+)
 
 // Prior is what is assumed of engines of which nothing was seen yet. Its zero
 // value is of no use; Cautious returns the usual one.
@@ -31,20 +35,18 @@
 func (p Prior) line(act Act) line {
 	switch act {
 	case Read:
-		return line{base: inMillis(p.ReadSetup), slope: inMillis(p.ReadToken)}
+		return line{base: clock.InMillis(p.ReadSetup), slope: clock.InMillis(p.ReadToken)}
 	case Turn:
-		return line{slope: inMillis(p.ReadToken)}
+		return line{slope: clock.InMillis(p.ReadToken)}
 	case Begin:
-		return line{base: inMillis(p.Begin)}
+		return line{base: clock.InMillis(p.Begin)}
 	case Whole:
-		return line{base: inMillis(p.Begin), slope: inMillis(p.WholeToken)}
+		return line{base: clock.InMillis(p.Begin), slope: clock.InMillis(p.WholeToken)}
 	case Step:
-		return line{base: inMillis(p.Step)}
+		return line{base: clock.InMillis(p.Step)}
 	case Length: // an answer is as long as expected; both are logarithms
 		return line{slope: 1}
 	default: // sizes are not assumed
 		return line{base: 1}
 	}
 }
-
-func inMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -69,9 +69,11 @@
 		own += work
 	}
 	done := now.Sub(e.readSince)
-	others, usual := time.Duration(0), p.usualTurn(e)
-	if now.Sub(e.foreignAt) < foreignReads*usual {
-		others = time.Duration(e.foreign) * usual
+	others := time.Duration(0)
+	if e.foreign > 0 {
+		if usual := p.usualTurn(e); now.Sub(e.foreignAt) < foreignReads*usual {
+			others = time.Duration(e.foreign) * usual
+		}
 	}
 	left := max(e.leftUntil.Sub(now), 0)
 	return max(own+others-done, max(own-done, 0)+left, 0)
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -7,9 +7,6 @@
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
-// anyEngine asks for what engines of a service usually do.
-const anyEngine = ""
-
 func (p *Planner) readTime(service, engine string, prompt int) time.Duration {
 	return p.paces.Likely(pace.Read, service, engine, prompt)
 }
@@ -31,9 +28,9 @@
 // least is the shortest time from a place to the first event.
 func (p *Planner) least(a Ask) time.Duration {
 	if a.Part == ReadOnly || a.Part == Both {
-		return p.readTime(a.Service, anyEngine, a.Prompt) + p.beginTime(a, anyEngine)
+		return p.readTime(a.Service, pace.AnyEngine, a.Prompt) + p.beginTime(a, pace.AnyEngine)
 	}
-	return p.beginTime(a, anyEngine)
+	return p.beginTime(a, pace.AnyEngine)
 }
 
 func (p *Planner) length(a Ask) int {
@@ -83,9 +80,9 @@
 	if a.Part == Whole {
 		begin = pace.Whole
 	}
-	learn(begin, g.Decode, float64(a.Prompt), inMillis(s.Begin))
+	learn(begin, g.Decode, float64(a.Prompt), clock.InMillis(s.Begin))
 	if s.Tokens >= tokensLeast {
-		learn(pace.Step, g.Decode, float64(running), inMillis(s.Decoding)/float64(s.Tokens))
+		learn(pace.Step, g.Decode, float64(running), clock.InMillis(s.Decoding)/float64(s.Tokens))
 	}
 	if s.Ended == 0 {
 		return
@@ -99,5 +96,3 @@
 
 // tokensLeast is how many tokens tell their time: events come in bunches.
 const tokensLeast = 32
-
-func inMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -41,6 +41,9 @@
 // 100 more of what answers are worth to them on days of bursts and failures, and
 // half as many are refused twice (docs/BOYAMAR.md: pairs of equal days).
 func (p *Planner) serveQueue(now clock.Millis) {
+	if len(p.queue) == 0 {
+		return // as after most events
+	}
 	blocked := map[string]bool{} // services for which somebody waits who can be in time
 	p.serveWaiting(now, func(w waiting) bool { return !w.late(now) }, blocked)
 	p.serveWaiting(now, func(w waiting) bool { return w.late(now) && !blocked[w.ask.Service] }, nil)
--- a/internal/placement/renew.go
+++ b/internal/placement/renew.go
@@ -143,9 +143,9 @@
 	o := pace.Observation{Service: e.Service, Engine: e.ID, Size: float64(prompt)}
 	switch {
 	case gap >= took && len(e.reads) == 1:
-		o.Act, o.Outcome = pace.Read, inMillis(took)
+		o.Act, o.Outcome = pace.Read, clock.InMillis(took)
 	case took-gap >= p.readTime(e.Service, e.ID, 0):
-		o.Act, o.Outcome = pace.Turn, inMillis(gap)
+		o.Act, o.Outcome = pace.Turn, clock.InMillis(gap)
 	default:
 		return
 	}
--- a/internal/staging/policy.go
+++ b/internal/staging/policy.go
@@ -123,13 +123,13 @@
 // engine between as many requests as its memory and its slots hold.
 func wanted(s Sizes, service *route.Service, paces *pace.Model) float64 {
 	e := service.Engine
-	read := prefillSpare * paces.Likely(pace.Turn, service.Name, "", int(s.Prompt)).Seconds()
+	read := prefillSpare * paces.Likely(pace.Turn, service.Name, pace.AnyEngine, int(s.Prompt)).Seconds()
 	together := float64(max(e.KVTokens, 1)) / max(s.Prompt+s.Output/2, 1)
 	if e.Slots > 0 {
 		together = min(together, float64(e.Slots))
 	}
 	together = max(together, 1)
-	decode := s.Output * paces.Step(service.Name, "", int(together)).Seconds() / together
+	decode := s.Output * paces.Step(service.Name, pace.AnyEngine, int(together)).Seconds() / together
 	if read+decode == 0 {
 		return 0.5
 	}
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -20,6 +20,9 @@
 	return time.Duration(m-o) * time.Millisecond
 }
 
+// InMillis returns a length of time in milliseconds, with their fractions.
+func InMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // Time returns the moment as wall-clock time in UTC.
 func (m Millis) Time() time.Time {
 	return time.UnixMilli(int64(m)).UTC()
