--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -5,7 +5,6 @@
 	"math"
 	"math/rand/v2"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
