placement: forget what was learned of engines that are gone

Cause: the model had a way to forget engines, and nobody called it. Change: the planner, which drops its own engines with each view, has the model do the same. The set of present endpoints is View.IDs, which the balancer's Forget uses too. The test fails without the call.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -228,12 +228,7 @@
 
 // Forget drops endpoints that the view no longer holds and nothing uses.
 func (b *Balancer) Forget(view *directory.View) {
-	known := map[string]bool{}
-	for _, list := range view.Endpoints {
-		for _, e := range list {
-			known[e.ID] = true
-		}
-	}
+	known := view.IDs()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, s := range b.byID {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -74,6 +74,17 @@
 	return n
 }
 
+// IDs are the ids of all endpoints.
+func (v *View) IDs() map[string]bool {
+	ids := make(map[string]bool, v.Size())
+	for _, list := range v.Endpoints {
+		for _, e := range list {
+			ids[e.ID] = true
+		}
+	}
+	return ids
+}
+
 // Engines yields a zone's engines with what their service says of them.
 func (v *View) Engines(zone string) iter.Seq2[*Endpoint, *route.Engine] {
 	return func(yield func(*Endpoint, *route.Engine) bool) {
--- a/internal/placement/learn_test.go
+++ b/internal/placement/learn_test.go
@@ -72,3 +72,21 @@
 	c.Assert(m.Span(pace.Read, "llm", "p1", 5000).Likely, qt.Equals, 130*time.Millisecond)
 	c.Assert(m.Span(pace.Turn, "llm", "p1", 5000).Likely, qt.Equals, 80*time.Millisecond)
 }
+
+// What was learned of an engine goes with it: a service's engines are replaced
+// each day by the thousand, and each would stay in memory and in the medians.
+func TestEnginesThatAreGoneAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	m := paces()
+	p := placement.New("a", m)
+	p.Apply(0, placement.Known{View: view(t, 2)})
+	for i := range 8 {
+		for engine, outcome := range map[string]float64{"d1": 10, "d2": 50} {
+			m.Learn(clock.Millis(i), pace.Observation{Service: "llm", Engine: engine, Act: pace.Step, Size: 4, Outcome: outcome})
+		}
+	}
+	c.Assert(m.Step("llm", "d2", 4), qt.Equals, 50*time.Millisecond)
+	p.Apply(1000, placement.Known{View: view(t, 1)})
+	c.Assert(m.Step("llm", "d2", 4), qt.Equals, 10*time.Millisecond)
+	c.Assert(m.Step("llm", "d1", 4), qt.Equals, 10*time.Millisecond)
+}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -160,6 +160,9 @@
 			delete(p.engines, id)
 		}
 	}
+	// The model also knows engines of other zones, which entries learn of.
+	all := v.IDs()
+	p.paces.Forget(func(engine string) bool { return all[engine] })
 }
 
 // endsIn predicts how long the answer still takes. One that is longer than
