placement: let decode engines read prompts where that is in time

Change: where a request would use up more than three quarters of its time until a prefill engine has read its prompt, a decode engine with room reads it, one prompt at a time. Engines that answer about every second request are used where the others have no room, but not for requests whose next failure would be final: those go to engines that did not fail lately. Ruled out: fewer prompts for each prefill engine by another split of stages: a change of stage takes six seconds, a burst five.

--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -15,10 +15,12 @@
 	slots      int
 	switchTime time.Duration
 	full       clock.Millis             // nothing is given to it until then
-	failed     clock.Millis             // something is given to it before only if all failed
+	failed     clock.Millis             // something is given to it before only if others have no room
+	failures   float64                  // running rate of failed requests
 	reads      map[string]time.Duration // prefills given to it and not finished
 	readSince  clock.Millis             // when the first of them began
 	lastRead   clock.Millis             // when it had read the latest prompt
+	ownRead    clock.Millis             // decode: until when it reads a prompt itself
 	foreign    int                      // requests there that this planner did not place
 	foreignAt  clock.Millis             // when that was learned
 	left       int                      // decode: tokens that others left there
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/pace"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -38,13 +39,20 @@
 	p.effects = append(p.effects, Answer{ID: a.ID, Owner: a.Owner, Verdict: Verdict{Queued: true}})
 }
 
-// decoder returns the decode engine with the most room.
-func (p *Planner) decoder(now clock.Millis, a Ask) (*engine, string) {
+// decoder returns the decode engine with the most room, of those that may be
+// taken.
+func (p *Planner) decoder(now clock.Millis, a Ask, t trust, may func(*engine) bool) (*engine, string) {
+	if a.Once {
+		t = sound
+	}
 	need := p.need(a)
 	var best *engine
-	least := 0.0
-	list := p.open(now, a, func(s directory.Stage) bool { return s != directory.Prefill })
+	least, risk := 0.0, false
+	list := p.open(now, a, t, func(s directory.Stage) bool { return s != directory.Prefill })
 	for _, e := range list {
+		if !may(e) {
+			continue
+		}
 		used := p.used(now, e)
 		if a.Late && used > 0 {
 			// Room for one more is left for whoever comes next and may be in time:
@@ -54,9 +62,9 @@
 		if used+need > e.capacity && used > 0 || len(e.places) >= e.slots {
 			continue
 		}
-		share := float64(used) / float64(max(e.capacity, 1))
-		if best == nil || share < least {
-			best, least = e, share
+		share, risky := float64(used)/float64(max(e.capacity, 1)), a.Once && e.failures > onceMost
+		if best == nil || risk && !risky || risk == risky && share < least {
+			best, least, risk = e, share, risky
 		}
 	}
 	switch {
@@ -71,10 +79,10 @@
 
 // reader returns the prefill engine that is free the soonest, if that is soon
 // enough.
-func (p *Planner) reader(now clock.Millis, a Ask) (*engine, string) {
+func (p *Planner) reader(now clock.Millis, a Ask, t trust) (*engine, string) {
 	var best *engine
 	var least time.Duration
-	for _, e := range p.open(now, a, func(s directory.Stage) bool { return s == directory.Prefill }) {
+	for _, e := range p.open(now, a, t, func(s directory.Stage) bool { return s == directory.Prefill }) {
 		if wait := p.backlog(now, e); best == nil || wait < least {
 			best, least = e, wait
 		}
@@ -103,33 +111,37 @@
 	return false
 }
 
-// open returns the engines that may be used: the sound ones, or all that are
-// not full if none is sound.
-func (p *Planner) open(now clock.Millis, a Ask, fits func(directory.Stage) bool) []*engine {
-	var all, sound []*engine
+// open returns the engines that may be used: those that are trusted, or all that
+// are not full if none is.
+func (p *Planner) open(now clock.Millis, a Ask, t trust, fits func(directory.Stage) bool) []*engine {
+	var all, trusted []*engine
 	for _, e := range p.engines {
 		if !e.serves(a) || !fits(e.Stage) {
 			continue
 		}
 		all = append(all, e)
-		if e.failed <= now && !slices.Contains(a.Avoid, e.ID) {
-			sound = append(sound, e)
+		if e.trusted(now, a, t) {
+			trusted = append(trusted, e)
 		}
 	}
-	if len(sound) == 0 {
-		sound = all
+	if len(trusted) == 0 {
+		trusted = all
 	}
-	sound = slices.DeleteFunc(sound, func(e *engine) bool { return e.full > now })
-	slices.SortFunc(sound, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
-	return sound
+	trusted = slices.DeleteFunc(trusted, func(e *engine) bool { return e.full > now })
+	slices.SortFunc(trusted, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
+	return trusted
 }
 
 // predict is how long until some engine has room for a request and for those
 // that wait; false if none can have.
 func (p *Planner) predict(now clock.Millis, a Ask) (time.Duration, bool) {
 	read := time.Duration(0)
-	if a.Part == Both || a.Part == ReadOnly {
+	switch a.Part {
+	case ReadOnly:
 		read = p.leastBacklog(now, a)
+	case Both:
+		read = min(p.leastBacklog(now, a), p.leastOwnRead(now, a))
+	case DecodeOnly, Whole:
 	}
 	if a.Part == ReadOnly {
 		return read, p.known(a, directory.Prefill)
@@ -172,30 +184,68 @@
 	}
 }
 
-// place grants a request if there is room for it now; else it says why not.
+// place grants a request if there is room for it now; else it says why not. Only
+// where sound engines have no room is it given to one that failed lately.
 func (p *Planner) place(now clock.Millis, a Ask) (reason string) {
-	g := Grant{ID: a.ID}
+	reason = p.placeAt(now, a, sound)
+	if reason != ReasonFull && reason != ReasonBusy || a.Last || !p.someFail(now, a) {
+		return reason
+	}
+	if p.placeAt(now, a, doubtful) == "" {
+		return ""
+	}
+	return reason
+}
+
+// placeAt is the same for engines of a trust.
+func (p *Planner) placeAt(now clock.Millis, a Ask, t trust) (reason string) {
 	var decode, reader *engine
 	if a.Part != ReadOnly {
-		if decode, reason = p.decoder(now, a); decode == nil {
+		if decode, reason = p.decoder(now, a, t, anyEngine); decode == nil {
 			return reason
 		}
-		g.Decode, g.Used, g.Length = decode.ID, p.used(now, decode), p.length(a)
-		g.Begin = p.beginTime(a, decode.ID)
 	}
 	if a.Part == Both || a.Part == ReadOnly {
-		if reader, reason = p.reader(now, a); reader == nil {
+		reader, reason = p.reader(now, a, t)
+		if own := p.readingDecoder(now, a, t, decode, reader, reason); own != nil {
+			decode, reader, reason = own, nil, ""
+		}
+		if reason != "" {
 			return reason
 		}
-		g.Prefill, g.Wait = reader.ID, p.backlog(now, reader)
-		g.Read = p.readTime(a.Service, reader.ID, a.Prompt)
-		reader.read(now, a.ID, p.turnTime(a.Service, reader.ID, a.Prompt))
 	}
-	h := &place{ask: a, grant: g, granted: now, begins: now.Add(g.Wait + g.Read + g.Begin)}
+	p.grant(now, a, decode, reader)
+	return ""
+}
+
+func anyEngine(*engine) bool { return true }
+
+// grant gives a request its engines, either of which may be nil. A decode engine
+// without a reader beside it reads the prompt itself, if that is asked for too.
+func (p *Planner) grant(now clock.Millis, a Ask, decode, reader *engine) {
+	g := Grant{ID: a.ID}
+	h := &place{ask: a, granted: now}
 	if decode != nil {
+		act := pace.Begin
+		if decodeReads(a.Part, reader != nil) {
+			act = pace.Whole
+		}
+		g.Decode, g.Used, g.Length = decode.ID, p.used(now, decode), p.length(a)
+		g.Begin = p.paces.Likely(act, a.Service, decode.ID, a.Prompt)
 		h.step = p.paces.Step(a.Service, decode.ID, len(decode.places))
+		if act == pace.Whole {
+			decode.ownRead = now.Add(g.Begin)
+		}
 	}
+	if reader != nil {
+		g.Prefill, g.Wait = reader.ID, p.backlog(now, reader)
+		g.Read = p.readTime(a.Service, reader.ID, a.Prompt)
+		reader.read(now, a.ID, p.turnTime(a.Service, reader.ID, a.Prompt))
+	}
+	h.grant, h.begins = g, now.Add(g.Wait+g.Read+g.Begin)
 	p.hold(decode, h)
 	p.effects = append(p.effects, Answer{ID: a.ID, Owner: a.Owner, Verdict: Verdict{Grant: &g}})
-	return ""
 }
+
+// decodeReads says whether a decode engine reads the prompt of a request itself.
+func decodeReads(part Part, reader bool) bool { return part == Whole || part == Both && !reader }
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -33,8 +33,8 @@
 	// closedSlack is how much longer than a change of stage takes an engine gets
 	// nothing, unless it says earlier that it has changed: what it runs ends first.
 	closedSlack = 2 * time.Second
-	// failedFor is how long an engine that failed a request gets nothing, unless
-	// all have failed.
+	// failedFor is how long an engine that failed a request gets nothing while
+	// others have room.
 	failedFor = time.Second
 	// foreignPart of a usual answer's time is how long an engine's word on its
 	// load is believed: by then about as much of it has ended.
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -77,7 +77,7 @@
 		m.Learn(now, pace.Observation{Service: a.Service, Engine: engine, Act: act, Size: size, Outcome: outcome})
 	}
 	begin := pace.Begin
-	if a.Part == Whole {
+	if decodeReads(a.Part, g.Prefill != "") {
 		begin = pace.Whole
 	}
 	learn(begin, g.Decode, float64(a.Prompt), clock.InMillis(s.Begin))
--- a/internal/placement/renew.go
+++ b/internal/placement/renew.go
@@ -23,6 +23,7 @@
 	if e := p.engines[h.grant.Decode]; e != nil {
 		e.foreign, e.foreignAt = max(m.Running-len(e.places), 0), now
 		e.leftUntil = 0 // this is newer
+		e.answeredWell()
 	}
 }
 
@@ -56,7 +57,7 @@
 		e.full = max(e.full, now.Add(fullFor))
 	}
 	if e := p.engines[r.Failed]; e != nil {
-		e.failed = now.Add(failedFor)
+		e.answeredBadly(now)
 	}
 }
 
@@ -133,6 +134,7 @@
 	p.learnRead(now, e, h.ask.Prompt, m.Took)
 	e.readDone(now, h.ask.ID)
 	e.lastRead = now
+	e.answeredWell()
 	e.foreign, e.foreignAt = max(m.Running-1-len(e.reads), 0), now
 }
 
