store: start from listings a moment old, check and renew by what is needed

Counted by kind on a small twin, and by the pages (50 keys, so seven for 195 instances and 129 endpoints): each start of an instance listed everything at the full price, each restart once more, because fellows that did not know its new certificate were asked in vain only twice within half a second; renewals by all instances each second; and the revision was checked, and changes gathered, for 2 s in force where this deployment allows 4 s. Change: a process begins with a listing that may be some seconds old, at a tenth of the price, and hears what has changed since like any other change. Instances that do not watch renew each second turn. While the store does not answer, unknown certificates do not have it asked. Ruled out: one watcher a zone instead of two (a watcher that is slow or cut would leave its zone to the checks); leases of more than six seconds (roles would stay longer with instances that are gone).

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -36,6 +36,9 @@
 type Source struct {
 	// List reads everything.
 	List func(ctx context.Context) (News, error)
+	// Begin reads everything as it was up to some seconds ago, which is priced at
+	// a tenth. What has changed since comes with the first watch, or from fellows.
+	Begin func(ctx context.Context) (News, error)
 	// Configuration reads the configuration only; its News has no Revision.
 	Configuration func(ctx context.Context) (News, error)
 	// Fellows reads the entries of our own instances only; its News has no
@@ -50,10 +53,10 @@
 const (
 	// watchWait is how long one watch waits; each ends as one priced call.
 	watchWait = 20 * time.Second
-	// gather is the pause between two watches: changes that come close together,
-	// as when a fleet starts, are told by one call. Changes must be in force
-	// within 2 s.
-	gather = 250 * time.Millisecond
+	// gatherPart of the time within which changes must be in force is the pause
+	// between two watches: changes that come close together, as when a fleet
+	// starts, are told by one call.
+	gatherPart = 0.125
 	// standBy is how often an instance that need not watch asks itself whether
 	// it should.
 	standBy = 200 * time.Millisecond
@@ -71,6 +74,8 @@
 	Log       *eventlog.Log
 	Scope     tally.Scope
 	Now       func() clock.Millis
+	// Bound is the time within which a change must be in force.
+	Bound time.Duration
 	// Lost and Regained are told of each change of the store's reach.
 	Lost, Regained func()
 	// Watching says whether this instance is to follow the store itself; others
@@ -91,7 +96,7 @@
 	// holds until that is done, so that asks during a listing do not have it
 	// repeated: whoever still lacks something then asks again. The others are
 	// taken back when their reading begins: nobody repeats those asks.
-	wantAll, wantTable, wantFellows bool
+	wantBegin, wantAll, wantTable, wantFellows bool
 
 	cancelWatch context.CancelFunc // nil while no watch is in progress
 	asked       chan struct{}      // wakes Run when something is wanted
@@ -99,7 +104,7 @@
 
 // New returns a feed that knows nothing and begins by reading everything.
 func New(o Options) *Feed {
-	return &Feed{Options: o, wantAll: true, asked: make(chan struct{}, 1)}
+	return &Feed{Options: o, wantBegin: true, asked: make(chan struct{}, 1)}
 }
 
 // Run follows until ctx ends.
@@ -134,13 +139,15 @@
 		f.reached(news.Revision)
 		revision = max(revision, news.Revision)
 		f.Told()
-		ticker.Sleep(ctx, gather)
+		ticker.Sleep(ctx, time.Duration(gatherPart*float64(f.Bound)))
 	}
 }
 
 // read makes one call, or those of one reading.
 func (f *Feed) read(ctx context.Context, t task, revision int64) (News, error) {
 	switch t {
+	case begin:
+		return f.Source.Begin(ctx)
 	case readAll:
 		return f.Source.List(ctx)
 	case readTable:
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -25,6 +25,7 @@
 type source struct {
 	version  atomic.Int64
 	takes    time.Duration
+	begins   atomic.Int64
 	lists    atomic.Int64
 	tables   atomic.Int64
 	watches  atomic.Int64
@@ -61,6 +62,12 @@
 				n.Revision, n.Complete = s.version.Load(), true
 				return n, err
 			},
+			Begin: func(ctx context.Context) (feed.News, error) {
+				s.begins.Add(1)
+				n, err := s.news(ctx)
+				n.Revision, n.Complete = s.version.Load(), true
+				return n, err
+			},
 			Configuration: func(ctx context.Context) (feed.News, error) {
 				s.tables.Add(1)
 				return s.news(ctx)
@@ -79,7 +86,7 @@
 			},
 		},
 		Directory: d, Roster: roster.New(clock.System()), Log: log, Scope: tally.NoopScope,
-		Now: clock.System(), Lost: none, Regained: none, Changed: none, Told: none,
+		Now: clock.System(), Bound: 2 * time.Second, Lost: none, Regained: none, Changed: none, Told: none,
 		Watching: s.watching.Load,
 	})
 	return f, d
@@ -121,7 +128,7 @@
 					}
 				})
 				qt.Assert(t, d.View().Table, qt.IsNotNil)
-				qt.Assert(t, s.lists.Load()+s.tables.Load() <= 2, qt.IsTrue, qt.Commentf("%d readings", s.lists.Load()+s.tables.Load()))
+				qt.Assert(t, s.begins.Load()+s.lists.Load()+s.tables.Load() <= 2, qt.IsTrue, qt.Commentf("%d readings", s.begins.Load()+s.lists.Load()+s.tables.Load()))
 			})
 		})
 	}
--- a/internal/feed/task.go
+++ b/internal/feed/task.go
@@ -14,6 +14,7 @@
 	readFellows
 	readTable
 	readAll
+	begin
 )
 
 // watch notes the function that ends the watch in progress; nil: there is none.
@@ -26,7 +27,7 @@
 func (f *Feed) wanted() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.wantAll || f.wantTable || f.wantFellows
+	return f.wantBegin || f.wantAll || f.wantTable || f.wantFellows
 }
 
 // claim returns the next task.
@@ -34,6 +35,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
+	case f.wantBegin:
+		f.wantTable, f.wantFellows = false, false
+		return begin
 	case f.wantAll:
 		f.wantTable, f.wantFellows = false, false
 		return readAll
@@ -51,8 +55,12 @@
 func (f *Feed) met(t task) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if t == readAll {
+	switch t {
+	case begin:
+		f.wantBegin = false
+	case readAll:
 		f.wantAll = false
+	case follow, readTable, readFellows:
 	}
 }
 
@@ -64,7 +72,7 @@
 		f.wantTable = true
 	case readFellows:
 		f.wantFellows = true
-	case readAll, follow:
+	case begin, readAll, follow:
 	}
 }
 
@@ -100,8 +108,12 @@
 	f.ask(&f.wantTable)
 }
 
-// Meet has the entries of fellows read, as when an unknown one knocks.
+// Meet has the entries of fellows read, as when an unknown one knocks. While the
+// store does not answer, that one can have written no entry either.
 func (f *Feed) Meet() {
+	if f.isLost() {
+		return
+	}
 	f.Scope.Counter("feed_fellows_read").Inc(1)
 	f.ask(&f.wantFellows)
 }
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// checkEvery is how often the first in rank asks the store. A change must
-	// be in force within 2 s; a check, the patience and a fetch take 1.2 s.
-	checkEvery = 700 * time.Millisecond
+	// checkPart of the time within which a change must be in force may pass until
+	// the first in rank asks the store. Of 2 s, a check, the patience and a fetch
+	// take 1.2 s.
+	checkPart = 0.35
 	// rankDelay is how much later each next in rank asks, up to ranksMost of
 	// them: in a large zone nobody may wait for twenty silent ones before it.
 	rankDelay = 150 * time.Millisecond
@@ -32,9 +33,12 @@
 	// endpoints it grows with them, so that views take no more of a link.
 	wholeEvery = time.Second
 	viewSize   = 200
-	// asksMost is how often a fellow is asked in vain before the store is: a
-	// fellow that does not know this instance yet refuses its certificate.
-	asksMost = 2
+	// asksPart of the time within which a change must be in force may go by with
+	// fellows asked in vain before the store is: a fellow that does not know this
+	// instance yet refuses its certificate, and hears of it with its next watch.
+	// At twice a second, each restart of an instance cost the store a listing of
+	// everything, a seventh of all calls while a fleet is restarted in turn.
+	asksPart = 0.25
 )
 
 // Action is what the caller must do.
@@ -50,10 +54,11 @@
 
 // Freshness is the state of one instance.
 type Freshness struct {
-	heardAt clock.Millis // when a revision was last heard of
-	newest  int64        // the highest revision heard of
-	behind  clock.Millis // since when the own knowledge is older; 0 if it is not
-	fetched clock.Millis // when it was last fetched
+	bound   time.Duration // within which a change must be in force
+	heardAt clock.Millis  // when a revision was last heard of
+	newest  int64         // the highest revision heard of
+	behind  clock.Millis  // since when the own knowledge is older; 0 if it is not
+	fetched clock.Millis  // when it was last fetched
 	source  string
 	digest  uint64       // of the source's beliefs at newest; 0 if not told
 	asked   int          // times that fellows were asked in vain
@@ -61,6 +66,10 @@
 	whole   clock.Millis // when everything was last asked of a fellow
 }
 
+// New returns the state of an instance that has just begun by reading
+// everything; a change must be in force within bound.
+func New(bound time.Duration) *Freshness { return &Freshness{bound: bound} }
+
 // Known is what an instance has.
 type Known struct {
 	Revision int64 // up to which it knows everything
@@ -110,7 +119,7 @@
 		f.asked = 0 // they answer; while changes go on, there is always more to ask for
 	}
 	f.had = k.Revision
-	if f.source == "" || f.asked >= asksMost {
+	if f.source == "" || f.asked >= int(asksPart*float64(f.bound)/float64(again)) {
 		f.asked = 0
 		return ListStore
 	}
@@ -133,7 +142,7 @@
 	if f.heardAt == 0 {
 		f.heardAt = now // it has just begun by reading everything
 	}
-	if now.Sub(f.heardAt) < checkEvery+time.Duration(min(rank, ranksMost))*rankDelay {
+	if now.Sub(f.heardAt) < time.Duration(checkPart*float64(f.bound))+time.Duration(min(rank, ranksMost))*rankDelay {
 		return Nothing
 	}
 	f.heardAt = now // the answer, or its absence, comes before the next check
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -11,6 +11,9 @@
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
+// bound is the time within which changes must be in force in these tests.
+const bound = 2 * time.Second
+
 // A watch that falls silent must not leave an instance behind: on the standard
 // day scale-1 it served a configuration 5 s old, with every renewal answered.
 func TestSilentWatchIsNoticed(t *testing.T) {
@@ -26,7 +29,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			var f freshness.Freshness
+			f := freshness.New(bound)
 			known := int64(28) // the watch tells nothing newer
 			acted := clock.Millis(0)
 			for now := clock.Millis(10_000); now < 14_000 && acted == 0; now += 50 {
@@ -47,7 +50,7 @@
 
 func TestCaughtUpDoesNothingMore(t *testing.T) {
 	c := qt.New(t)
-	var f freshness.Freshness
+	f := freshness.New(bound)
 	f.Heard(1000, 31, 7, "n1")
 	c.Assert(f.Next(1050, watching(30, 0)), qt.Equals, freshness.Nothing)
 	c.Assert(f.Next(1100, watching(31, 0)), qt.Equals, freshness.Nothing)
@@ -58,7 +61,7 @@
 // Only the first in rank asks while it can be heard.
 func TestOneAsksForTheZone(t *testing.T) {
 	c := qt.New(t)
-	var first, second freshness.Freshness
+	first, second := freshness.New(bound), freshness.New(bound)
 	asked := [2]int{}
 	for now := clock.Millis(10_000); now < 20_000; now += 50 {
 		if first.Next(now, watching(5, 0)) == freshness.AskStore {
@@ -95,7 +98,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			var f freshness.Freshness
+			f := freshness.New(bound)
 			f.Heard(1000, 31, 7, "n1")
 			qt.Assert(t, f.Next(1050, test.known), qt.Equals, test.want)
 		})
@@ -106,7 +109,7 @@
 // is not asked for ever (grown unions, scale-1: a zone knew no endpoint).
 func TestSilentFellowIsGivenUp(t *testing.T) {
 	c := qt.New(t)
-	var f freshness.Freshness
+	f := freshness.New(bound)
 	f.Heard(1000, 31, 7, "n1")
 	counts := map[freshness.Action]int{}
 	for now := clock.Millis(1000); now < 2000 && counts[freshness.ListStore] == 0; now += 50 {
@@ -121,7 +124,7 @@
 // start of the fleet, a call's price each).
 func TestSteadyChangesAreToldByFellows(t *testing.T) {
 	c := qt.New(t)
-	var f freshness.Freshness
+	f := freshness.New(bound)
 	known, newest := int64(30), int64(30)
 	asked := 0
 	for now := clock.Millis(1000); now < 6000; now += 50 {
@@ -144,7 +147,7 @@
 // However many are before it, an instance that hears nothing asks in time.
 func TestLastInRankAsksInTime(t *testing.T) {
 	c := qt.New(t)
-	var f freshness.Freshness
+	f := freshness.New(bound)
 	f.Heard(1000, 31, 7, "n1")
 	asked := clock.Millis(0)
 	for now := clock.Millis(1000); now < 5000 && asked == 0; now += 50 {
@@ -164,7 +167,7 @@
 	for _, test := range tests {
 		t.Run(fmt.Sprint(test.endpoints), func(t *testing.T) {
 			c := qt.New(t)
-			var f freshness.Freshness
+			f := freshness.New(bound)
 			k := freshness.Known{Revision: 30, Digest: 7, Endpoints: test.endpoints}
 			const start = clock.Millis(100_000)
 			c.Assert(f.Whole(start, k, 30, 8), qt.IsTrue)
@@ -192,9 +195,35 @@
 		{"asked a moment ago", 2500, 30, 8, false},
 		{"asked a while ago", 3000, 30, 8, true},
 	}
-	var f freshness.Freshness
+	f := freshness.New(bound)
 	for _, test := range tests {
 		got := f.Whole(test.now, freshness.Known{Revision: 30, Digest: 7}, test.revision, test.digest)
 		qt.Check(t, got, qt.Equals, test.want, qt.Commentf(test.name))
 	}
 }
+
+// How often the store is asked follows from how soon changes must be in force: a
+// deployment that allows 4 s asks half as often as one that allows 2 s.
+func TestChecksFollowTheBound(t *testing.T) {
+	tests := []struct {
+		bound time.Duration
+		asked int // within 28 s, nothing else being heard
+	}{
+		{2 * time.Second, 40},
+		{3 * time.Second, 26},
+		{4 * time.Second, 20},
+	}
+	for _, test := range tests {
+		t.Run(test.bound.String(), func(t *testing.T) {
+			f := freshness.New(test.bound)
+			asked := 0
+			for now := clock.Millis(50); now <= 28_050; now += 50 {
+				if f.Next(now, watching(5, 0)) == freshness.AskStore {
+					asked++
+					f.Heard(now, 5, 0, "")
+				}
+			}
+			qt.Assert(t, asked, qt.Equals, test.asked)
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/feed"
 	"github.com/trailshed/trailshed/internal/forward"
+	"github.com/trailshed/trailshed/internal/freshness"
 	"github.com/trailshed/trailshed/internal/leadership"
 	"github.com/trailshed/trailshed/internal/pace"
 	"github.com/trailshed/trailshed/internal/peer"
@@ -51,9 +52,10 @@
 	// peerQueue is how many messages may wait for one fellow: a second's at the
 	// peak, in a zone of twenty instances.
 	peerQueue = 256
-	// strangerPause is how long an unknown certificate waits to be told of by
-	// the relay, which takes a few hundred ms, before the store is asked.
-	strangerPause = time.Second
+	// strangerPart of the time within which changes must be in force is how long
+	// an unknown certificate waits to be told of by the relay, which takes a few
+	// hundred ms, before the store is asked.
+	strangerPart = 0.5
 	// sweepInterval is how often idle connections and old beliefs are looked at.
 	sweepInterval = 250 * time.Millisecond
 	// bodyPart of the memory limit may hold callers' bodies.
@@ -119,7 +121,7 @@
 	if err := g.openPeers(); err != nil {
 		return nil, err
 	}
-	g.member = roster.NewMember(g.platform.Registry, g.self, g.log, g.feed.Heard)
+	g.member = roster.NewMember(g.platform.Registry, g.self, g.log, g.feed.Heard, g.relay.Watching)
 	g.openStaging()
 	g.openForwarder()
 	if err := g.listen(); err != nil {
@@ -157,7 +159,7 @@
 	})
 	g.relay = &relay.Relay{
 		Name: s.Instance.Name, Transport: g.transport, Roster: g.roster, Directory: g.directory,
-		Zone: s.Instance.Zone, Now: g.now, Log: g.log, Scope: scope,
+		Zone: s.Instance.Zone, Now: g.now, Log: g.log, Scope: scope, Fresh: freshness.New(s.Freshness.Bound()),
 		Tell: func(e directory.Event) { g.feed.Tell(e) },
 		Instances: func(seen []roster.Instance, left []string, whole bool, revision int64) {
 			g.feed.Take(feed.News{Instances: seen, GoneInstances: left, Complete: whole, Revision: revision})
@@ -173,7 +175,7 @@
 func (g *Gateway) trusted(fingerprint string) (string, bool) {
 	name, ok := g.roster.Trusted(fingerprint)
 	if !ok && g.stranger.CompareAndSwap(false, true) {
-		time.AfterFunc(strangerPause, func() {
+		time.AfterFunc(time.Duration(strangerPart*float64(g.settings.Freshness.Bound())), func() {
 			g.stranger.Store(false)
 			if _, known := g.roster.Trusted(fingerprint); !known {
 				g.feed.Meet()
@@ -186,7 +188,7 @@
 func (g *Gateway) openFeed() {
 	g.feed = feed.New(feed.Options{
 		Source: g.platform.Source, Directory: g.directory, Roster: g.roster, Log: g.log,
-		Scope: g.counters.Scope, Now: g.now,
+		Scope: g.counters.Scope, Now: g.now, Bound: g.settings.Freshness.Bound(),
 		Changed:  g.rosterChanged,
 		Watching: func() bool { return g.relay.Watching() }, Told: func() { g.relay.Told() },
 		Lost: func() { g.relay.Lost() }, Regained: func() { g.relay.Regained() },
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -29,6 +29,7 @@
 	Retry     Retry     `yaml:"retry"`
 	Stop      Stop      `yaml:"stop"`
 	Orders    Orders    `yaml:"orders"`
+	Freshness Freshness `yaml:"freshness"`
 	Memory    Memory    `yaml:"memory"`
 	Processor Processor `yaml:"processor"`
 }
@@ -85,6 +86,15 @@
 	Gap time.Duration `yaml:"gap" validate:"min=100ms,max=5m"`
 }
 
+// Freshness is how soon changes must be in force everywhere.
+type Freshness struct {
+	Configuration time.Duration `yaml:"configuration" validate:"min=500ms,max=1m"`
+	Endpoints     time.Duration `yaml:"endpoints" validate:"min=500ms,max=1m"`
+}
+
+// Bound is the shorter time, since changes of both kinds are told together.
+func (f Freshness) Bound() time.Duration { return min(f.Configuration, f.Endpoints) }
+
 // Memory is what this process may use.
 type Memory struct {
 	LimitMB int64 `yaml:"limit_mb" validate:"min=16"`
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -103,8 +103,9 @@
 	pulled clock.Millis
 	cut    atomic.Int32 // questions of a cut-off instance that wait
 
-	mu    sync.Mutex
-	fresh freshness.Freshness
+	mu sync.Mutex
+	// Fresh decides when to ask; the relay guards it.
+	Fresh *freshness.Freshness
 }
 
 // Hint tells fellows a revision that the store has and what the sender believes.
@@ -127,7 +128,7 @@
 	peer.Handle(router, r.Transport, topicHint, func(from peer.Sender, h Hint) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.fresh.Heard(r.Now(), h.Revision, h.Digest, from.Name)
+		r.Fresh.Heard(r.Now(), h.Revision, h.Digest, from.Name)
 	})
 }
 
@@ -175,10 +176,10 @@
 	}
 	v, rank := r.Directory.View(), r.rank()
 	r.mu.Lock()
-	action := r.fresh.Next(now, freshness.Known{
+	action := r.Fresh.Next(now, freshness.Known{
 		Revision: v.Revision, Digest: v.Digest, Rank: rank, Watching: rank < watchers,
 	})
-	source := r.fresh.Source()
+	source := r.Fresh.Source()
 	r.mu.Unlock()
 	switch action {
 	case freshness.AskStore:
@@ -203,9 +204,9 @@
 	revision, err := r.Head(ctx)
 	r.mu.Lock()
 	if err != nil {
-		r.fresh.Failed(r.Now())
+		r.Fresh.Failed(r.Now())
 	} else {
-		r.fresh.Heard(r.Now(), revision, 0, "")
+		r.Fresh.Heard(r.Now(), revision, 0, "")
 	}
 	r.mu.Unlock()
 	if err != nil {
@@ -257,7 +258,7 @@
 	v = r.Directory.View()
 	r.mu.Lock()
 	known := freshness.Known{Revision: v.Revision, Digest: v.Digest, Endpoints: v.Size()}
-	whole := r.fresh.Whole(r.Now(), known, told.Revision, told.Digest)
+	whole := r.Fresh.Whole(r.Now(), known, told.Revision, told.Digest)
 	r.mu.Unlock()
 	if whole {
 		r.Scope.Counter("relay_whole_views").Inc(1)
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -24,8 +24,11 @@
 const (
 	// leaseLife is how long an entry outlives its instance.
 	leaseLife = 6 * time.Second
-	// renewEvery also tells soon that the store is out of reach, as a watch
-	// that waits does not; a renewal is priced at a tenth of a call.
+	// renewEvery is how often an instance that watches the store renews its lease,
+	// and any other after a call that failed: a renewal tells soon that the store
+	// is out of reach, as a watch that waits does not. The others renew at each
+	// second turn, which leaves them two tries more before the entry lapses: all
+	// instances together make most of the calls to the store.
 	renewEvery = time.Second
 )
 
@@ -36,15 +39,18 @@
 	Log      *eventlog.Log
 	// Reached is told of each call's outcome; nil: the store answered.
 	Reached func(error)
+	// Watching says whether this instance watches the store.
+	Watching func() bool
 
 	changed chan Instance
 	lease   int64
 	written bool // the entry, as it is now, is in the store
+	failed  bool // the last call did
 }
 
 // NewMember returns a member that has no entry yet.
-func NewMember(r Registry, self Instance, log *eventlog.Log, reached func(error)) *Member {
-	return &Member{Registry: r, Self: self, Log: log, Reached: reached, changed: make(chan Instance, 4)}
+func NewMember(r Registry, self Instance, log *eventlog.Log, reached func(error), watching func() bool) *Member {
+	return &Member{Registry: r, Self: self, Log: log, Reached: reached, Watching: watching, changed: make(chan Instance, 4)}
 }
 
 // Change writes the entry anew, as when the instance begins to leave, or when
@@ -61,6 +67,7 @@
 	tick := time.NewTicker(renewEvery)
 	defer tick.Stop()
 	m.register(ctx)
+	rested := false // at the last turn
 	for {
 		select {
 		case <-ctx.Done():
@@ -69,11 +76,17 @@
 			m.Self = self
 			m.register(ctx)
 		case <-tick.C:
-			m.renew(ctx)
+			rested = !rested && m.mayRest()
+			if !rested {
+				m.renew(ctx)
+			}
 		}
 	}
 }
 
+// mayRest says whether a renewal may wait for the next turn.
+func (m *Member) mayRest() bool { return m.written && !m.failed && !m.Watching() }
+
 func (m *Member) renew(ctx context.Context) {
 	if m.lease == 0 || !m.written {
 		m.register(ctx)
@@ -85,6 +98,7 @@
 		m.register(ctx)
 		return
 	}
+	m.failed = err != nil
 	m.Reached(err)
 }
 
