placement: look at what waits only when something may have come free

Change: asks and first events, which take room, no longer have the queue looked at; what a smaller request of the same sort was refused is not tried for a larger one in the same look; a waiting request's memory is predicted once; engines are compared by id instead of sorted.

--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -63,7 +63,7 @@
 			continue
 		}
 		share, risky := float64(used)/float64(max(e.capacity, 1)), a.Once && e.failures > onceMost
-		if best == nil || risk && !risky || risk == risky && share < least {
+		if best == nil || risk && !risky || risk == risky && before(share, least, e, best) {
 			best, least, risk = e, share, risky
 		}
 	}
@@ -83,7 +83,7 @@
 	var best *engine
 	var least time.Duration
 	for _, e := range p.open(now, a, t, func(s directory.Stage) bool { return s == directory.Prefill }) {
-		if wait := p.backlog(now, e); best == nil || wait < least {
+		if wait := p.backlog(now, e); best == nil || before(wait, least, e, best) {
 			best, least = e, wait
 		}
 	}
@@ -101,6 +101,12 @@
 	}
 }
 
+// before says whether e, of a figure, comes before best, of figure least; equals
+// go by their ids, so that the same events bring the same grants.
+func before[T cmp.Ordered](figure, least T, e, best *engine) bool {
+	return figure < least || figure == least && e.ID < best.ID
+}
+
 // known says whether any engine of a stage may ever serve a request.
 func (p *Planner) known(a Ask, stage directory.Stage) bool {
 	for _, e := range p.engines {
@@ -128,7 +134,6 @@
 		trusted = all
 	}
 	trusted = slices.DeleteFunc(trusted, func(e *engine) bool { return e.full > now })
-	slices.SortFunc(trusted, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
 	return trusted
 }
 
@@ -149,7 +154,7 @@
 	need := p.need(a)
 	for _, w := range p.queue {
 		if w.ask.Service == a.Service && w.ask.ID != a.ID {
-			need += p.need(w.ask)
+			need += w.need
 		}
 	}
 	room, found := p.roomAfter(now, a, need)
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -257,11 +257,14 @@
 	}
 }
 
-// A burst of some seconds fills prefill engines at once, and decode memory only
-// over the time of an answer. Requests that cannot be in time at a prefill engine
-// are read by decode engines then. Above all it answers a burst in which more than
-// half of the engines lose four answers in ten: the few sound prefill engines are
-// asked for twice of what they can read. Without it XXX.
+// The load pattern is a burst of five seconds in a zone of 25 engines, as each of
+// the large fleet's days has three. It fills prefill engines at once, and decode
+// memory only over the time of an answer. Requests that cannot be in time at a
+// prefill engine are read by decode engines then, and engines that lose some
+// answers are used where the others have no room. While prefill engines alone read
+// and engines that failed got nothing for a second, these shares were in time, in
+// the order of the table: 1, 1, 0.999, 0.887, 0.886, 0.820, 0.998, 0.883; and up to
+// 43 callers were kept for two seconds and more, and then refused.
 func TestBurstIsReadByDecodeEngines(t *testing.T) {
 	tests := []struct {
 		name              string
@@ -272,12 +275,12 @@
 	}{
 		{"the usual rate", 5, 20, 1, 0, 0, 0.999},
 		{"a burst", 5, 20, 1.7, 0, 0, 0.99},
-		{"a large burst", 5, 20, 2.2, 0, 0, 0.93},
-		{"a large burst, few prefill engines", 3, 22, 2, 0, 0, 0.93},
-		{"a burst, and answers lost", 5, 20, 1.7, 0.6, 0, 0.7},
-		{"a large burst, and answers lost", 5, 20, 2.2, 0.6, 0, 0.7},
-		{"a burst, and engines dark", 5, 20, 1.7, 0, 0.2, 0.7},
-		{"a large burst, and engines dark", 5, 20, 2.2, 0, 0.2, 0.7},
+		{"a large burst", 5, 20, 2.2, 0, 0, 0.99},
+		{"a large burst, few prefill engines", 3, 22, 2, 0, 0, 0.99},
+		{"a burst, and answers lost", 5, 20, 1.7, 0.6, 0, 0.94},
+		{"a large burst, and answers lost", 5, 20, 2.2, 0.6, 0, 0.91},
+		{"a burst, and engines dark", 5, 20, 1.7, 0, 0.2, 0.99},
+		{"a large burst, and engines dark", 5, 20, 2.2, 0, 0.2, 0.89},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -289,3 +292,47 @@
 		})
 	}
 }
+
+func BenchmarkPlacement(b *testing.B) {
+	for _, engines := range []int{10, 25, 100, 400} {
+		for _, waiting := range []int{0, 10, 100, 1000} {
+			b.Run(fmt.Sprintf("engines=%d/waiting=%d", engines, waiting), func(b *testing.B) {
+				l := newLoad(b, max(engines/5, 1), engines-max(engines/5, 1))
+				n := 0
+				ask := func(patient bool) placement.Ask {
+					n++
+					return placement.Ask{
+						ID: fmt.Sprint(n), Owner: "n", Service: "llm", Budget: loadTarget, Hold: 3 * loadTarget,
+						Prompt: meanPrompt, Output: meanAnswer, Most: 4 * meanAnswer, Patient: patient,
+					}
+				}
+				for l.planner.Queued() < waiting && n < 20*engines+2*waiting {
+					l.planner.Apply(1000, ask(true))
+				}
+				b.ReportMetric(float64(l.planner.Queued()), "queued")
+				for b.Loop() {
+					l.planner.Apply(1000, ask(false))
+				}
+			})
+		}
+	}
+}
+
+// A look at all waiting requests happens each 10 ms, and whenever something comes
+// free.
+func BenchmarkWaiting(b *testing.B) {
+	for _, waiting := range []int{10, 100} {
+		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
+			l := newLoad(b, 5, 20)
+			for n := 0; l.planner.Queued() < waiting; n++ {
+				l.planner.Apply(1000, placement.Ask{
+					ID: fmt.Sprint(n), Owner: "n", Service: "llm", Budget: loadTarget, Hold: 3 * loadTarget,
+					Prompt: meanPrompt, Output: meanAnswer, Most: 4 * meanAnswer, Patient: true,
+				})
+			}
+			for b.Loop() {
+				l.planner.Apply(1000, placement.Tick{})
+			}
+		})
+	}
+}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -131,10 +131,26 @@
 	case Tick:
 		p.expire(now)
 	}
-	p.serveQueue(now)
+	if mayMakeRoom(e) {
+		p.serveQueue(now)
+	}
 	return p.effects
 }
 
+// mayMakeRoom says whether what waits is to be looked at after an event. Asks and
+// first events take room; they are half of all events, and a look at 100 waiting
+// requests takes as long as 50 asks.
+func mayMakeRoom(e Event) bool {
+	switch e := e.(type) {
+	case Ask:
+		return false
+	case Progress:
+		return e.Read
+	default:
+		return true
+	}
+}
+
 func (p *Planner) learn(v *directory.View) {
 	if v.Table == nil {
 		return
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -9,6 +9,7 @@
 // waiting is a request that waits for room.
 type waiting struct {
 	ask   Ask
+	need  int          // tokens of memory, as predicted when it came
 	until clock.Millis // it can be in time if it gets its place by then
 	end   clock.Millis // it is refused then
 }
@@ -27,7 +28,7 @@
 	if !a.Patient || hopeless && room > a.Hold {
 		return false
 	}
-	w := waiting{ask: a, until: now.Add(max(patience, 0)), end: now.Add(max(patience, a.Hold, 0))}
+	w := waiting{ask: a, need: p.need(a), until: now.Add(max(patience, 0)), end: now.Add(max(patience, a.Hold, 0))}
 	if hopeless {
 		w.until = now
 	}
@@ -62,6 +63,7 @@
 // serveWaiting grants those of the queue that may be granted and fit, and notes
 // the services of those that do not.
 func (p *Planner) serveWaiting(now clock.Millis, may func(waiting) bool, blocked map[string]bool) {
+	failed := failures{}
 	kept := p.queue[:0]
 	for _, w := range p.queue {
 		if p.over[w.ask.ID] != 0 {
@@ -72,8 +74,12 @@
 			continue
 		}
 		w.ask.Late = w.late(now)
-		if p.place(now, w.ask) == "" {
-			continue
+		if !failed.cover(w) {
+			reason := p.place(now, w.ask)
+			if reason == "" {
+				continue
+			}
+			failed.note(w, reason)
 		}
 		if blocked != nil {
 			blocked[w.ask.Service] = true
