feed: catch up with an old listing at once

Change: after its listing each process asks once for what has changed since (a watch that does not wait, one call). The reading of all entries of fellows is gone. Ruled out: a signing key of the fleet in the store, by which no instance would be unknown: whoever can read the store could pass for an instance. Tests: TestOldListingIsCaughtUpWith fails before (no call); TestLostStoreIsNotAskedForStrangers.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -41,9 +41,6 @@
 	Begin func(ctx context.Context) (News, error)
 	// Configuration reads the configuration only; its News has no Revision.
 	Configuration func(ctx context.Context) (News, error)
-	// Fellows reads the entries of our own instances only; its News has no
-	// Revision either.
-	Fellows func(ctx context.Context) (News, error)
 	// Head returns the store's revision.
 	Head func(ctx context.Context) (int64, error)
 	// Watch waits for changes after revision.
@@ -57,6 +54,8 @@
 	// between two watches: changes that come close together, as when a fleet
 	// starts, are told by one call.
 	gatherPart = 0.125
+	// catchUpWait is how long a call for the changes so far waits if there are none.
+	catchUpWait = time.Millisecond
 	// standBy is how often an instance that need not watch asks itself whether
 	// it should.
 	standBy = 200 * time.Millisecond
@@ -92,11 +91,11 @@
 
 	mu   sync.Mutex
 	lost bool
-	// What is to be read: everything, the configuration, or fellows. wantAll
-	// holds until that is done, so that asks during a listing do not have it
-	// repeated: whoever still lacks something then asks again. The others are
-	// taken back when their reading begins: nobody repeats those asks.
-	wantBegin, wantAll, wantTable, wantFellows bool
+	// What is to be read: everything, the configuration, or what changed. wantBegin
+	// and wantAll hold until that is done, so that asks during a listing do not
+	// have it repeated: whoever still lacks something then asks again. The others
+	// are taken back when their reading begins: nobody repeats those asks.
+	wantBegin, wantAll, wantTable, wantChanges bool
 
 	cancelWatch context.CancelFunc // nil while no watch is in progress
 	asked       chan struct{}      // wakes Run when something is wanted
@@ -104,7 +103,7 @@
 
 // New returns a feed that knows nothing and begins by reading everything.
 func New(o Options) *Feed {
-	return &Feed{Options: o, wantBegin: true, asked: make(chan struct{}, 1)}
+	return &Feed{Options: o, wantBegin: true, wantChanges: true, asked: make(chan struct{}, 1)}
 }
 
 // Run follows until ctx ends.
@@ -139,6 +138,9 @@
 		f.reached(news.Revision)
 		revision = max(revision, news.Revision)
 		f.Told()
+		if t == begin {
+			continue // what it lacks comes with the next call
+		}
 		ticker.Sleep(ctx, time.Duration(gatherPart*float64(f.Bound)))
 	}
 }
@@ -152,8 +154,8 @@
 		return f.Source.List(ctx)
 	case readTable:
 		return f.Source.Configuration(ctx)
-	case readFellows:
-		return f.Source.Fellows(ctx)
+	case catchUp:
+		return f.Source.Watch(ctx, max(revision, f.Directory.View().Revision), catchUpWait)
 	default:
 		return f.follow(ctx, revision)
 	}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -72,7 +72,7 @@
 				s.tables.Add(1)
 				return s.news(ctx)
 			},
-			Watch: func(ctx context.Context, revision int64, _ time.Duration) (feed.News, error) {
+			Watch: func(ctx context.Context, revision int64, wait time.Duration) (feed.News, error) {
 				s.watches.Add(1)
 				if s.failing.Load() {
 					return feed.News{}, errDown
@@ -80,7 +80,7 @@
 				select {
 				case <-ctx.Done():
 					return feed.News{}, ctx.Err()
-				case <-time.After(time.Minute):
+				case <-time.After(wait):
 					return feed.News{Revision: revision}, nil
 				}
 			},
@@ -199,3 +199,43 @@
 		qt.Assert(t, s.watches.Load() > before, qt.IsTrue)
 	})
 }
+
+// A listing from which a process begins may be seconds old. After the loss of
+// everything it names certificates that are gone, so that no fellow could tell what
+// has changed since: each process asks the store for that once, also where others
+// watch.
+func TestOldListingIsCaughtUpWith(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{takes: 10 * time.Millisecond}
+		s.version.Store(7)
+		f, _ := s.open(t)
+		play(t, f, 250*time.Millisecond, func() {})
+		qt.Assert(t, s.begins.Load(), qt.Equals, int64(1))
+		qt.Assert(t, s.watches.Load(), qt.Equals, int64(1))
+	})
+}
+
+// Whatever unknown instances knock while the store is lost, it is not asked for them.
+func TestLostStoreIsNotAskedForStrangers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{takes: 10 * time.Millisecond}
+		s.version.Store(7)
+		f, _ := s.open(t)
+		before := int64(0)
+		step := 0
+		play(t, f, 4*time.Second, func() {
+			step++
+			switch {
+			case step == 2:
+				s.failing.Store(true)
+				f.CatchUp() // fails, and shows that the store is lost
+			case step == 6:
+				before = s.watches.Load()
+			case step > 6:
+				f.CatchUp()
+			}
+		})
+		// Only the tries of a process that has lost the store, one each 0.8 s.
+		qt.Assert(t, s.watches.Load()-before <= 4, qt.IsTrue, qt.Commentf("%d calls", s.watches.Load()-before))
+	})
+}
--- a/internal/feed/task.go
+++ b/internal/feed/task.go
@@ -11,7 +11,7 @@
 // The tasks.
 const (
 	follow task = iota
-	readFellows
+	catchUp
 	readTable
 	readAll
 	begin
@@ -27,7 +27,7 @@
 func (f *Feed) wanted() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.wantBegin || f.wantAll || f.wantTable || f.wantFellows
+	return f.wantBegin || f.wantAll || f.wantTable || f.wantChanges
 }
 
 // claim returns the next task.
@@ -36,17 +36,17 @@
 	defer f.mu.Unlock()
 	switch {
 	case f.wantBegin:
-		f.wantTable, f.wantFellows = false, false
+		f.wantTable = false
 		return begin
 	case f.wantAll:
-		f.wantTable, f.wantFellows = false, false
+		f.wantTable, f.wantChanges = false, false
 		return readAll
 	case f.wantTable:
 		f.wantTable = false
 		return readTable
-	case f.wantFellows:
-		f.wantFellows = false
-		return readFellows
+	case f.wantChanges:
+		f.wantChanges = false
+		return catchUp
 	default:
 		return follow
 	}
@@ -60,7 +60,7 @@
 		f.wantBegin = false
 	case readAll:
 		f.wantAll = false
-	case follow, readTable, readFellows:
+	case follow, readTable, catchUp:
 	}
 }
 
@@ -70,8 +70,8 @@
 	switch t {
 	case readTable:
 		f.wantTable = true
-	case readFellows:
-		f.wantFellows = true
+	case catchUp:
+		f.wantChanges = true
 	case begin, readAll, follow:
 	}
 }
@@ -108,14 +108,15 @@
 	f.ask(&f.wantTable)
 }
 
-// Meet has the entries of fellows read, as when an unknown one knocks. While the
-// store does not answer, that one can have written no entry either.
-func (f *Feed) Meet() {
+// CatchUp has the changes read that this process lacks, as when an instance knocks
+// that it does not know. While the store does not answer, that one can have written
+// no entry either.
+func (f *Feed) CatchUp() {
 	if f.isLost() {
 		return
 	}
-	f.Scope.Counter("feed_fellows_read").Inc(1)
-	f.ask(&f.wantFellows)
+	f.Scope.Counter("feed_caught_up").Inc(1)
+	f.ask(&f.wantChanges)
 }
 
 func (f *Feed) ask(want *bool) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,11 @@
 	// an unknown certificate waits to be told of by the relay, which takes a few
 	// hundred ms, before the store is asked.
 	strangerPart = 0.5
+	// strangerYoung is the same in a process that is younger than youngFor: where a
+	// whole fleet has started, nobody that it knows has the certificate that it
+	// knows, and so nobody can tell it of the new ones.
+	strangerYoung = 300 * time.Millisecond
+	youngFor      = 4 * time.Second
 	// sweepInterval is how often idle connections and old beliefs are looked at.
 	sweepInterval = 250 * time.Millisecond
 	// bodyPart of the memory limit may hold callers' bodies.
@@ -175,16 +180,24 @@
 func (g *Gateway) trusted(fingerprint string) (string, bool) {
 	name, ok := g.roster.Trusted(fingerprint)
 	if !ok && g.stranger.CompareAndSwap(false, true) {
-		time.AfterFunc(time.Duration(strangerPart*float64(g.settings.Freshness.Bound())), func() {
+		time.AfterFunc(g.strangerPause(), func() {
 			g.stranger.Store(false)
 			if _, known := g.roster.Trusted(fingerprint); !known {
-				g.feed.Meet()
+				g.feed.CatchUp()
 			}
 		})
 	}
 	return name, ok
 }
 
+// strangerPause is how long an unknown certificate waits to be told of.
+func (g *Gateway) strangerPause() time.Duration {
+	if g.now().Sub(g.began) < youngFor {
+		return strangerYoung
+	}
+	return time.Duration(strangerPart * float64(g.settings.Freshness.Bound()))
+}
+
 func (g *Gateway) openFeed() {
 	g.feed = feed.New(feed.Options{
 		Source: g.platform.Source, Directory: g.directory, Roster: g.roster, Log: g.log,
