loan: let instances use each other's unused retry allowance

Cause: each of 195 instances has a fixed part of the allowance, two sends in ten seconds and a fifth of its requests. Change: an instance that lacks a send asks up to three others of its zone; whoever lends counts the send as made before the borrower may make it, so the sum stays what it was, and a lost reply only loses a send. Ruled out: larger parts with a smaller margin (the sum could be overdrawn); a pool at the zone's planner (two planners of a cut zone would give it out twice).

--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -122,3 +122,62 @@
 	c.Assert(b.Take(5_000, 0), qt.IsTrue)
 	c.Assert(b.Take(5_000, 1), qt.IsFalse)
 }
+
+// Whatever instances lend each other, all together stay within the rule, since
+// each loan is counted by its lender before it is used.
+func TestLoansKeepTheSum(t *testing.T) {
+	const shares = 8
+	rapid.Check(t, func(rt *rapid.T) {
+		var parts []*budget.Budget
+		for range shares {
+			parts = append(parts, budget.New(rule, shares, longAgo))
+		}
+		var requests, extras []clock.Millis
+		borrowed := 0
+		now := clock.Millis(100_000)
+		for range rapid.IntRange(1, 300).Draw(rt, "steps") {
+			now += clock.Millis(rapid.IntRange(0, 100).Draw(rt, "time"))
+			own := parts[rapid.IntRange(0, 2).Draw(rt, "instance")] // the others only lend
+			if rapid.IntRange(0, 3).Draw(rt, "request") == 0 {
+				own.Request(now)
+				requests = append(requests, now)
+				continue
+			}
+			if !own.Take(now, 1) {
+				lent := parts[rapid.IntRange(3, shares-1).Draw(rt, "lender")].Lend(now, 1)
+				borrowed += lent
+				own.Return(now, lent)
+				if !own.Take(now, 1) {
+					continue
+				}
+			}
+			extras = append(extras, now)
+			allowed := rule.Slack + rule.Ratio*float64(within(requests, now, 2*rule.Window))
+			if got := within(extras, now, rule.Window); float64(got) > allowed {
+				rt.Fatalf("%d extra sends in a window, allowed %.1f, borrowed %d", got, allowed, borrowed)
+			}
+		}
+	})
+}
+
+// An instance keeps a send for its own next failure, and lends no more than asked.
+func TestLend(t *testing.T) {
+	tests := []struct {
+		name        string
+		taken, asks int
+		lent        int
+	}{
+		{"nothing spent", 0, 2, 2},
+		{"more than there is", 0, 10, 3}, // a fifth of the slack is a margin
+		{"one is left", 3, 1, 0},
+		{"all spent", 4, 1, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := budget.New(rule, 8, longAgo)
+			c.Assert(b.Take(1000, test.taken), qt.IsTrue)
+			c.Assert(b.Lend(1000, test.asks), qt.Equals, test.lent)
+		})
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -106,6 +106,7 @@
 	}
 	g.broker.Register(router)
 	g.relay.Register(router)
+	g.loans.Register(router)
 	return router, nil
 }
 
