--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// loadAge is how long an endpoint's word on its load is believed.
+	// loadAge is how long an endpoint's load report is believed.
 	loadAge = 1500 * time.Millisecond
 	// zonePenalty is added to the predicted wait at endpoints of other zones:
 	// it outweighs the 3 ms round trip because bytes between zones cost, and
@@ -55,7 +55,7 @@
 	Abandoned                 // we ended it; says nothing about the endpoint
 )
 
-// Load is an endpoint's own word.
+// Load is an endpoint's load report.
 type Load struct {
 	Running, Waiting, Slots int
 }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -39,9 +39,9 @@
 const rolePlanner = "planner"
 
 const (
-	// firstWord is how long a planner may take for its first word. A round
+	// firstAnswer is how long a planner may take for its first answer. A round
 	// trip between zones takes 3 ms; a slowed instance takes some tens.
-	firstWord = 50 * time.Millisecond
+	firstAnswer = 50 * time.Millisecond
 	// firstContact is the same for a planner that this process has not heard
 	// yet, while it is young: the connection must be made, and when a whole
 	// fleet starts at once all make theirs to the same few instances. To plan
@@ -204,11 +204,11 @@
 	return b.conclude(roster.Instance{Name: b.Name}, b.Zone, a, v)
 }
 
-// askAt asks one planner. It returns false if it did not say a word.
+// askAt asks one planner. It returns false if it did not answer.
 func (b *Broker) askAt(ctx context.Context, i roster.Instance, a placement.Ask) (placement.Verdict, bool) {
 	waiting := b.await(a.ID)
 	defer b.forget(a.ID)
-	first, cancel := context.WithTimeout(ctx, b.firstWord(i))
+	first, cancel := context.WithTimeout(ctx, b.firstAnswer(i))
 	defer cancel()
 	v, err := peer.Ask[placement.Ask, placement.Verdict](first, b.Transport, i.Address, topicAsk, a)
 	if err != nil {
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -28,14 +28,14 @@
 // loads has the engines that are asked for their load.
 var loads = make(chan string, 16)
 
-// fellow is a broker with its transport, which accepts every certificate.
-type fellow struct {
+// peer is a broker with its transport, which accepts every certificate.
+type node struct {
 	*Broker
 	self roster.Instance
 	now  atomic.Int64 // ms; it stands still unless a test moves it
 }
 
-func startFellow(t *testing.T, name, zone string) *fellow {
+func startNode(t *testing.T, name, zone string) *node {
 	c := qt.New(t)
 	identity, err := peer.NewIdentity(name)
 	c.Assert(err, qt.IsNil)
@@ -47,7 +47,7 @@
 	transport, err := peer.Listen(name, address, peer.Pinned(identity, everybody), tally.NoopScope)
 	c.Assert(err, qt.IsNil)
 	log := eventlog.Open(io.Discard, name)
-	f := &fellow{}
+	f := &node{}
 	f.now.Store(1000)
 	now := func() clock.Millis { return clock.Millis(f.now.Load()) }
 	b := New(Options{
@@ -92,7 +92,7 @@
 // a request that had to wait: it was held until its time was over, and refused.
 func TestVerdictReachesAnAskerOutsideTheRoster(t *testing.T) {
 	c := qt.New(t)
-	planner, entry := startFellow(t, "n1", "a"), startFellow(t, "n2", "a")
+	planner, entry := startNode(t, "n1", "a"), startNode(t, "n2", "a")
 	entry.Roster.See(planner.self) // and the planner knows nobody
 	ask := placement.Ask{ID: "first", Service: "llm", Prompt: 5000, Output: 100, Budget: time.Minute}
 	first, refusal := planner.findHere(context.Background(), ask)
@@ -111,7 +111,7 @@
 	c.Assert((<-found).Decode, qt.Equals, "da")
 }
 
-func (f *fellow) queued() int {
+func (f *node) queued() int {
 	f.plannerMu.Lock()
 	defer f.plannerMu.Unlock()
 	return f.planner.Queued()
@@ -122,7 +122,7 @@
 // sent it one prompt after the other, each read for nothing.
 func TestFullEngineIsAsked(t *testing.T) {
 	c := qt.New(t)
-	planner := startFellow(t, "n1", "a")
+	planner := startNode(t, "n1", "a")
 	ask := placement.Ask{ID: "first", Service: "llm", Prompt: 2000, Output: 100, Budget: time.Minute}
 	first, _ := planner.findHere(context.Background(), ask)
 	c.Assert(first.Decode, qt.Equals, "da")
@@ -147,9 +147,9 @@
 
 // A planner that has seen nothing predicts by what planners of other zones have
 // learned.
-func TestFellowsTellHowFastEnginesAre(t *testing.T) {
+func TestPeersTellHowFastEnginesAre(t *testing.T) {
 	c := qt.New(t)
-	near, far := startFellow(t, "n1", "a"), startFellow(t, "n2", "b")
+	near, far := startNode(t, "n1", "a"), startNode(t, "n2", "b")
 	near.Roster.See(near.self)
 	near.Roster.See(far.self)
 	for i := range 8 {
--- a/internal/broker/loads.go
+++ b/internal/broker/loads.go
@@ -15,11 +15,11 @@
 const (
 	// loadsPause is how often a young instance looks whether it is to plan.
 	loadsPause = 50 * time.Millisecond
-	// loadsWait bounds one engine's answer; its word is some hundred ms old.
+	// loadsWait bounds one engine's answer, a report that is some hundred ms old.
 	loadsWait = 300 * time.Millisecond
 	// loadsAtOnce is how many engines are asked at a time.
 	loadsAtOnce = 16
-	// loadAgain is how long an engine is not asked again: its word is nearly a
+	// loadAgain is how long an engine is not asked again: its report is nearly a
 	// second old, and each question has a price.
 	loadAgain = 500 * time.Millisecond
 )
@@ -66,7 +66,7 @@
 }
 
 // released takes places back. An engine that turned a request away, though this
-// planner reckoned with room there, works for somebody that this planner does not
+// planner estimated with room there, works for somebody that this planner does not
 // hear, so it is asked what it holds.
 func (b *Broker) released(r placement.Release) {
 	b.apply(r)
--- a/internal/broker/planner.go
+++ b/internal/broker/planner.go
@@ -26,7 +26,7 @@
 	return known && place == 0
 }
 
-// decide asks the own planner and returns its first word. Whatever else the ask
+// decide asks the own planner and returns its first answer. Whatever else the ask
 // brings about is passed on.
 func (b *Broker) decide(a placement.Ask) placement.Verdict {
 	b.Saw(a)
@@ -42,7 +42,7 @@
 	return first
 }
 
-// apply feeds the own planner and passes its words on.
+// apply feeds the own planner and passes its answers on.
 func (b *Broker) apply(e placement.Event) {
 	for _, answer := range b.step(e) {
 		b.pass(answer)
--- a/internal/broker/silence.go
+++ b/internal/broker/silence.go
@@ -33,12 +33,12 @@
 	}
 }
 
-// firstWord is how long a planner may take for its first word.
-func (b *Broker) firstWord(i roster.Instance) time.Duration {
+// firstAnswer is how long a planner may take for its first answer.
+func (b *Broker) firstAnswer(i roster.Instance) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.met[i.Fingerprint] || b.Now().Sub(b.began) > young {
-		return firstWord
+		return firstAnswer
 	}
 	return firstContact
 }
--- a/internal/broker/silence_test.go
+++ b/internal/broker/silence_test.go
@@ -17,7 +17,7 @@
 // was started anew under its old name: after all instances had lost power, 276
 // asks gave up on planners that were being connected to, and 156 prompts were
 // read for nothing (grown couriers, trouble-2, 44 to 46 s).
-func TestFirstWordOfAPlanner(t *testing.T) {
+func TestFirstAnswerOfAPlanner(t *testing.T) {
 	now := clock.Millis(1000)
 	log := eventlog.Open(io.Discard, "n1")
 	defer func() { _ = log.Close() }()
@@ -32,16 +32,16 @@
 		down    bool
 	}{
 		{"never heard", func() {}, before, firstContact, false},
-		{"heard", func() { b.heard(before) }, before, firstWord, false},
-		{"silent", func() { b.silent(before) }, before, firstWord, true},
+		{"heard", func() { b.heard(before) }, before, firstAnswer, false},
+		{"silent", func() { b.silent(before) }, before, firstAnswer, true},
 		{"started anew", func() {}, anew, firstContact, false},
-		{"heard again", func() { b.heard(anew) }, anew, firstWord, false},
+		{"heard again", func() { b.heard(anew) }, anew, firstAnswer, false},
 		{"another, never heard", func() {}, roster.Instance{Fingerprint: "other"}, firstContact, false},
-		{"never heard, and no longer young", func() { now = now.Add(2 * young) }, roster.Instance{Fingerprint: "other"}, firstWord, false},
+		{"never heard, and no longer young", func() { now = now.Add(2 * young) }, roster.Instance{Fingerprint: "other"}, firstAnswer, false},
 	}
 	for _, step := range steps {
 		step.do()
-		qt.Check(t, b.firstWord(step.planner), qt.Equals, step.want, qt.Commentf(step.name))
+		qt.Check(t, b.firstAnswer(step.planner), qt.Equals, step.want, qt.Commentf(step.name))
 		qt.Check(t, b.isDown(step.planner), qt.Equals, step.down, qt.Commentf(step.name))
 	}
 }
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -136,7 +136,7 @@
 }
 
 // TestRefusedAtOnce says that what cannot be in time is refused when that is
-// known, with a word on when to come back, and that an empty cell takes it.
+// known, with when to come back, and that an empty cell takes it.
 func TestRefusedAtOnce(t *testing.T) {
 	c := qt.New(t)
 	w := newWorld(4, 1, 1)
--- a/internal/cell/reservation.go
+++ b/internal/cell/reservation.go
@@ -44,7 +44,7 @@
 	endingSince clock.Millis
 }
 
-// progress takes an entry's word on how far an attempt is.
+// progress takes an entry's report on how far an attempt is.
 func (c *Cell) progress(now clock.Millis, p Progress) {
 	if p.Phase == Withdrawn && c.queue.remove(p.Attempt) {
 		c.decide(now, p.Attempt, "withdrawn while waiting", Terms{})
@@ -144,7 +144,7 @@
 }
 
 // cancelled takes an endpoint's confirmation. An endpoint that held nothing may
-// still receive the start, so its word does not count; its listing will.
+// still receive the start, so its report does not count; its listing will.
 func (c *Cell) cancelled(now clock.Millis, e Cancelled) {
 	r, ok := c.reservations[e.Attempt]
 	if !ok || !r.ending || !e.Known {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -24,7 +24,7 @@
 // live are back within about two seconds of the store's return.
 const settle = 2200 * time.Millisecond
 
-// State is an endpoint's own word on whether it takes new work.
+// State is an endpoint's own statement on whether it takes new work.
 type State int
 
 // States of an endpoint.
@@ -296,7 +296,7 @@
 
 // deny takes an endpoint whose address turned out to belong to another one out
 // of use. It still counts as told by the store, so that the digest shows
-// fellows no difference that they could mend.
+// peers no difference that they could mend.
 func (d *Directory) deny(e Denied) []Change {
 	h := d.endpoints[e.ID]
 	if h == nil || h.denied {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -94,7 +94,7 @@
 	c.Assert(ids(d)["e1"], qt.IsFalse)
 }
 
-// While the store is away, a peer's word on what is gone counts at once.
+// While the store is away, a peer's report of what is gone counts at once.
 func TestPeerSaysGone(t *testing.T) {
 	d := directory.New()
 	d.Apply(0, directory.Seen{Endpoint: endpoint("e1", 1)})
@@ -189,12 +189,12 @@
 }
 
 // An endpoint that another one answered for is out of use, but an instance that
-// found that out believes of the store what its fellows do: a digest of its own
+// found that out believes of the store what its peers do: a digest of its own
 // made followers list the store every second (grown couriers, scale-2).
 func TestDeniedEndpointIsOutOfUse(t *testing.T) {
 	c := qt.New(t)
-	d, fellow := directory.New(), directory.New()
-	for _, each := range []*directory.Directory{d, fellow} {
+	d, other := directory.New(), directory.New()
+	for _, each := range []*directory.Directory{d, other} {
 		each.Apply(0, directory.Listed{Endpoints: []directory.Endpoint{endpoint("e1", 1), endpoint("e2", 2)}, Revision: 2})
 	}
 	changes := d.Apply(10, directory.Denied{ID: "e1"})
@@ -202,7 +202,7 @@
 	c.Assert(changes[0].What, qt.Equals, directory.EndpointDenied)
 	c.Assert(d.Apply(11, directory.Denied{ID: "e1"}), qt.HasLen, 0)
 	c.Assert(ids(d), qt.DeepEquals, map[string]bool{"e2": true})
-	c.Assert(d.View().Digest, qt.Equals, fellow.View().Digest)
+	c.Assert(d.View().Digest, qt.Equals, other.View().Digest)
 	// The same entry told again changes nothing, a new one is believed.
 	d.Apply(20, directory.Listed{Endpoints: []directory.Endpoint{endpoint("e1", 1), endpoint("e2", 2)}, Revision: 3})
 	c.Assert(ids(d), qt.DeepEquals, map[string]bool{"e2": true})
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -14,7 +14,7 @@
 
 const (
 	// answerSlack is how much longer than a request's budget its entry waits
-	// for the dispatcher's word, which comes at the end of it at the latest.
+	// for the dispatcher's answer, which comes at the end of it at the latest.
 	answerSlack = 150 * time.Millisecond
 	movedPause  = 40 * time.Millisecond
 )
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -37,7 +37,7 @@
 	// List reads everything.
 	List func(ctx context.Context) (News, error)
 	// Begin reads everything as it was up to some seconds ago, which is priced at
-	// a tenth. What has changed since comes with the first watch, or from fellows.
+	// a tenth. What has changed since comes with the first watch, or from peers.
 	Begin func(ctx context.Context) (News, error)
 	// Configuration reads the configuration only; its News has no Revision.
 	Configuration func(ctx context.Context) (News, error)
@@ -78,7 +78,7 @@
 	// Lost and Regained are told of each change of the store's reach.
 	Lost, Regained func()
 	// Watching says whether this instance is to follow the store itself; others
-	// hear from fellows. Told is called after news was taken from the store.
+	// hear from peers. Told is called after news was taken from the store.
 	Watching func() bool
 	Told     func()
 	// Changed is told when the roster may have changed.
@@ -179,7 +179,7 @@
 		f.Scope.Counter("store_unreadable").Inc(1)
 		f.Log.Write(eventlog.Line{Event: eventlog.Unreadable, Detail: err.Error(), Revision: n.Revision})
 	}
-	// Instances first: fellows ask by the directory's revision, which must not
+	// Instances first: peers ask by the directory's revision, which must not
 	// be ahead of what they are told of instances.
 	f.takeInstances(n)
 	for _, e := range n.Events {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -201,7 +201,7 @@
 }
 
 // A listing from which a process begins may be seconds old. After the loss of
-// everything it names certificates that are gone, so that no fellow could tell what
+// everything it names certificates that are gone, so that no peer could tell what
 // has changed since: each process asks the store for that once, also where others
 // watch.
 func TestOldListingIsCaughtUpWith(t *testing.T) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -144,7 +144,7 @@
 	}
 }
 
-// rejected takes an endpoint's word that it did not run the request.
+// rejected takes an endpoint's answer that it did not run the request.
 func (p *passage) rejected(r *balance.Reservation, a Answer) {
 	p.failure = "endpoints_full"
 	p.full = r.Endpoint.ID
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -46,7 +46,7 @@
 	tried    []string // prefill engines that failed
 	rejected []string // decode engines that turned the KV cache away
 	// uncertain says that a decode engine that was sent the handle ended the
-	// connection without a word: it may have taken the KV cache.
+	// connection without an answer: it may have taken the KV cache.
 	uncertain bool
 }
 
@@ -118,7 +118,7 @@
 	}
 }
 
-// handleRejected takes a decode engine's word that it did not run the request,
+// handleRejected takes a decode engine's answer that it did not run the request,
 // which may be because it could not have the KV cache: the engine is not excluded
 // for good. A cache that another engine may have taken is gone then.
 func (p *passage) handleRejected(decode string) {
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -28,13 +28,13 @@
 	patience = 200 * time.Millisecond
 	// again is the pause between fetches while still behind.
 	again = 250 * time.Millisecond
-	// wholeEvery is the least time between two whole views from fellows. One is
+	// wholeEvery is the least time between two whole views from peers. One is
 	// 15 KB at 140 endpoints, and links carry 10 Mbit/s. Beyond viewSize
 	// endpoints it grows with them, so that views take no more of a link.
 	wholeEvery = time.Second
 	viewSize   = 200
 	// asksPart of the time within which a change must be in force may go by with
-	// fellows asked in vain before the store is: a fellow that does not know this
+	// peers asked in vain before the store is: a peer that does not know this
 	// instance yet refuses its certificate, and hears of it with its next watch.
 	// At twice a second, each restart of an instance cost the store a listing of
 	// everything, a seventh of all calls while a fleet is restarted in turn.
@@ -49,7 +49,7 @@
 	Nothing   Action = iota
 	AskStore         // ask the store for its revision and call Heard
 	ListStore        // read everything from the store
-	AskFellow        // ask the fellow that Source names
+	AskPeer          // ask the peer that Source names
 )
 
 // Freshness is the state of one instance.
@@ -61,9 +61,9 @@
 	fetched clock.Millis  // when it was last fetched
 	source  string
 	digest  uint64       // of the source's beliefs at newest; 0 if not told
-	asked   int          // times that fellows were asked in vain
+	asked   int          // times that peers were asked in vain
 	had     int64        // the own revision when one was last asked
-	whole   clock.Millis // when everything was last asked of a fellow
+	whole   clock.Millis // when everything was last asked of a peer
 }
 
 // New returns the state of an instance that has just begun by reading
@@ -85,7 +85,7 @@
 	return time.Duration(max(k.Endpoints, viewSize)) * wholeEvery / viewSize
 }
 
-// Heard takes a revision that the store has, told by the fellow called source
+// Heard takes a revision that the store has, told by the peer called source
 // with a digest of its beliefs, or by the store itself if source is empty.
 func (f *Freshness) Heard(now clock.Millis, revision int64, digest uint64, source string) {
 	f.heardAt = now
@@ -98,7 +98,7 @@
 // Failed notes that the store did not answer the question for its revision.
 func (f *Freshness) Failed(now clock.Millis) { f.heardAt = now }
 
-// Source is the fellow that knows more, for AskFellow.
+// Source is the peer that knows more, for AskPeer.
 func (f *Freshness) Source() string { return f.source }
 
 // Next returns what must be done now.
@@ -124,12 +124,12 @@
 		return ListStore
 	}
 	f.asked++
-	return AskFellow
+	return AskPeer
 }
 
-// Whole says whether to ask a fellow for everything, after its changes up to
+// Whole says whether to ask a peer for everything, after its changes up to
 // revision were taken: the beliefs must be the same then. They are not where a
-// change was not passed on by another fellow, which doubted it at that time.
+// change was not passed on by another peer, which doubted it at that time.
 func (f *Freshness) Whole(now clock.Millis, k Known, revision int64, digest uint64) bool {
 	if k.Revision != revision || k.Digest == digest || now.Sub(f.whole) < k.wholePause() {
 		return false
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -20,11 +20,11 @@
 	tests := []struct {
 		name string
 		rank int
-		hint string // fellow that tells of the new revision; empty: the store does
+		hint string // peer that tells of the new revision; empty: the store does
 		want freshness.Action
 	}{
 		{"first in rank lists", 0, "", freshness.ListStore},
-		{"told by a fellow, asks it", 1, "n1", freshness.AskFellow},
+		{"told by a peer, asks it", 1, "n1", freshness.AskPeer},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -82,7 +82,7 @@
 }
 
 // An instance that does not watch asks as soon as it hears of something new,
-// or of other beliefs at the same revision, as when a fellow gave up waiting
+// or of other beliefs at the same revision, as when a peer gave up waiting
 // for an endpoint that the store no longer lists.
 func TestFollowers(t *testing.T) {
 	tests := []struct {
@@ -90,8 +90,8 @@
 		known freshness.Known
 		want  freshness.Action
 	}{
-		{"behind", freshness.Known{Revision: 30, Digest: 7}, freshness.AskFellow},
-		{"believes otherwise", freshness.Known{Revision: 31, Digest: 8}, freshness.AskFellow},
+		{"behind", freshness.Known{Revision: 30, Digest: 7}, freshness.AskPeer},
+		{"believes otherwise", freshness.Known{Revision: 31, Digest: 8}, freshness.AskPeer},
 		{"the same", freshness.Known{Revision: 31, Digest: 7}, freshness.Nothing},
 		{"newer", freshness.Known{Revision: 32, Digest: 8}, freshness.Nothing},
 		{"watches, believes otherwise", freshness.Known{Revision: 31, Digest: 8, Watching: true}, freshness.Nothing},
@@ -105,9 +105,9 @@
 	}
 }
 
-// A fellow that does not answer, because it does not know this instance yet,
+// A peer that does not answer, because it does not know this instance yet,
 // is not asked for ever (grown unions, scale-1: a zone knew no endpoint).
-func TestSilentFellowIsGivenUp(t *testing.T) {
+func TestSilentPeerIsGivenUp(t *testing.T) {
 	c := qt.New(t)
 	f := freshness.New(bound)
 	f.Heard(1000, 31, 7, "n1")
@@ -115,14 +115,14 @@
 	for now := clock.Millis(1000); now < 2000 && counts[freshness.ListStore] == 0; now += 50 {
 		counts[f.Next(now, freshness.Known{Revision: 30, Rank: 5})]++
 	}
-	c.Assert(counts[freshness.AskFellow], qt.Equals, 2)
+	c.Assert(counts[freshness.AskPeer], qt.Equals, 2)
 	c.Assert(counts[freshness.ListStore], qt.Equals, 1)
 }
 
-// While changes go on, an instance is always a little behind. As long as fellows
+// While changes go on, an instance is always a little behind. As long as peers
 // answer, the store is not asked (grown couriers: a hundred listings at each
 // start of the fleet, a call's price each).
-func TestSteadyChangesAreToldByFellows(t *testing.T) {
+func TestSteadyChangesAreToldByPeers(t *testing.T) {
 	c := qt.New(t)
 	f := freshness.New(bound)
 	known, newest := int64(30), int64(30)
@@ -133,7 +133,7 @@
 			f.Heard(now, newest, 7, "n1")
 		}
 		switch f.Next(now, freshness.Known{Revision: known, Rank: 5}) {
-		case freshness.AskFellow:
+		case freshness.AskPeer:
 			asked++
 			known = newest - 1 // the answer was overtaken by the next change
 		case freshness.ListStore, freshness.AskStore:
@@ -177,7 +177,7 @@
 	}
 }
 
-// A fellow that doubted a removal passed its revision on without it; the next
+// A peer that doubted a removal passed its revision on without it; the next
 // one tells only what came later. The beliefs then differ at the same revision,
 // and everything is asked for, once a second at the most (grown unions,
 // trouble-1 820858619590: a leaving endpoint got work for up to nine seconds).
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,7 +50,7 @@
 }
 
 const (
-	// peerQueue is how many messages may wait for one fellow: a second's at the
+	// peerQueue is how many messages may wait for one peer: a second's at the
 	// peak, in a zone of twenty instances.
 	peerQueue = 256
 	// strangerPart of the time within which changes must be in force is how long
@@ -124,7 +124,7 @@
 	g.began = g.now()
 	g.roster = roster.New(g.now)
 	g.pool = uplink.NewPool(g.counters.Scope)
-	g.openFeed() // first, since a fellow's certificate may come as soon as the transport listens
+	g.openFeed() // first, since a peer's certificate may come as soon as the transport listens
 	if err := g.openPeers(); err != nil {
 		return nil, err
 	}
@@ -180,9 +180,9 @@
 	return nil
 }
 
-// trusted names the fellow that has a certificate. One that is not known may
+// trusted names the peer that has a certificate. One that is not known may
 // have started a moment ago; if the relay does not tell of it soon, the entries
-// of fellows are read.
+// of peers are read.
 func (g *Gateway) trusted(fingerprint string) (string, bool) {
 	name, ok := g.roster.Trusted(fingerprint)
 	if !ok && g.stranger.CompareAndSwap(false, true) {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -49,7 +49,7 @@
 // Peers is the QUIC listener between our own processes.
 type Peers struct {
 	Listen string `yaml:"listen" validate:"required,udp_addr"`
-	// Advertise is what fellows are told; empty: what it listens on.
+	// Advertise is what peers are told; empty: what it listens on.
 	Advertise string `yaml:"advertise" validate:"omitempty,udp_addr"`
 }
 
--- a/internal/pace/figure.go
+++ b/internal/pace/figure.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// Figure is one kind's line in short, for fellows.
+// Figure is one kind's line in short, for peers.
 type Figure struct {
 	Service string  `cbor:"1,keyasint"`
 	Act     Act     `cbor:"2,keyasint"`
@@ -42,7 +42,7 @@
 			continue // of a newer version, which knows more acts
 		}
 		k := m.kind(f.Service, f.Act)
-		if _, known := k.told[teller]; !known && len(k.told) >= fellowsMost {
+		if _, known := k.told[teller]; !known && len(k.told) >= peersMost {
 			delete(k.told, slices.Min(slices.Collect(maps.Keys(k.told))))
 		}
 		k.told[teller] = f
--- a/internal/pace/kind.go
+++ b/internal/pace/kind.go
@@ -146,7 +146,7 @@
 const smallest = 0.001
 
 // refit fits the kind's line: at a small and at a large size, the median of what
-// engines, each by its own line, and fellows are seen to take.
+// engines, each by its own line, and peers are seen to take.
 func (k *kind) refit() {
 	if k.fitted {
 		return
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -50,8 +50,8 @@
 	// kindTolerance is how far an engine may be from its kind before it is
 	// predicted for itself: closer than that the difference is mostly chance.
 	kindTolerance = 0.1
-	// fellowsMost bounds how many instances' figures are kept.
-	fellowsMost = 8
+	// peersMost bounds how many instances' figures are kept.
+	peersMost = 8
 	// mostQuantile is the part of requests that take no longer than Most.
 	mostQuantile = 0.9
 )
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -147,9 +147,9 @@
 	c.Assert(m.Length("llm", "r", 4030, 500).Likely, qt.Equals, 500)
 }
 
-// A process that starts predicts what fellows, or the store, tell, until it has
+// A process that starts predicts what peers, or the store, tell, until it has
 // seen enough itself.
-func TestFellowsTell(t *testing.T) {
+func TestPeersTell(t *testing.T) {
 	c := qt.New(t)
 	old, r := pace.New(pace.Cautious()), rand.New(rand.NewPCG(11, 12))
 	reads(old, r, "e1", 16, 5, 0.1)
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -41,7 +41,7 @@
 	return e.Service == a.Service && e.State == directory.Ready && !slices.Contains(a.Exclude, e.ID)
 }
 
-// own is what this planner's places are reckoned to hold, in tokens.
+// own is what this planner's places are estimated to hold, in tokens.
 func (e *engine) own(now clock.Millis) int {
 	total := 0
 	for _, h := range e.places {
@@ -51,7 +51,7 @@
 	return total
 }
 
-// fromStart is the part of an answer that is reckoned as memory from its start.
+// fromStart is the part of an answer that is estimated as memory from its start.
 func fromStart(length int) int { return int(growth * float64(length)) }
 
 // readDone takes a prompt off a prefill engine; the next one begins.
@@ -81,7 +81,7 @@
 	return max(own+others-done, max(own-done, 0)+left, 0)
 }
 
-// used is what an engine is reckoned to hold, in tokens.
+// used is what an engine is estimated to hold, in tokens.
 func (p *Planner) used(now clock.Millis, e *engine) int {
 	total := e.own(now)
 	if e.leftUntil > now {
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -10,7 +10,7 @@
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
-// ask answers an ask: with places, with a refusal, or with the word that it waits.
+// ask answers an ask: with places, with a refusal, or by having it wait.
 func (p *Planner) ask(now clock.Millis, a Ask) {
 	if p.places[a.ID] != nil {
 		return
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -43,10 +43,10 @@
 	Prefill string        `cbor:"2,keyasint"` // id of the prefill engine; empty: the decode engine reads the prompt
 	Decode  string        `cbor:"3,keyasint"` // id of the decode engine
 	Wait    time.Duration `cbor:"4,keyasint"` // predicted until the prefill begins
-	Used    int           `cbor:"5,keyasint"` // tokens that the decode engine is reckoned to hold
+	Used    int           `cbor:"5,keyasint"` // tokens that the decode engine is estimated to hold
 	Read    time.Duration `cbor:"6,keyasint"` // predicted for the prefill itself
 	Begin   time.Duration `cbor:"7,keyasint"` // predicted from the send to the decode engine to the first event
-	Length  int           `cbor:"8,keyasint"` // tokens of the answer that are reckoned with
+	Length  int           `cbor:"8,keyasint"` // tokens of the answer that are expected
 }
 
 // Refusal says that no place will be free in time.
@@ -100,7 +100,7 @@
 	Took time.Duration `cbor:"4,keyasint"`
 }
 
-// Loaded is an engine's own word on all that it works on, from a moment ago.
+// Loaded is an engine's load report, of all that it works on, from a moment ago.
 type Loaded struct {
 	Engine  string
 	Running int // requests
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -17,7 +17,7 @@
 	// useMemory is the part of an engine's KV memory that is given out; blocks
 	// of 16 tokens and answers longer than expected take the rest.
 	useMemory = 0.97
-	// growth is the part of an expected answer that is reckoned as memory
+	// growth is the part of an expected answer that is estimated as memory
 	// from the start: requests at one engine are at different points.
 	growth = 0.5
 	// grantGrace is how long an announcement may still miss a new grant.
@@ -28,7 +28,7 @@
 	// ownerExpiry is how long places outlive their owner's silence.
 	ownerExpiry = 2500 * time.Millisecond
 	// fullFor keeps requests from an engine that turned one away: its memory
-	// is fuller than reckoned, and answers end several times a second.
+	// is fuller than estimated, and answers end several times a second.
 	fullFor = 250 * time.Millisecond
 	// closedSlack is how much longer than a change of stage takes an engine gets
 	// nothing, unless it says earlier that it has changed: what it runs ends first.
@@ -36,8 +36,8 @@
 	// failedFor is how long an engine that failed a request gets nothing while
 	// others have room.
 	failedFor = time.Second
-	// foreignPart of a usual answer's time is how long an engine's word on its
-	// load is believed: by then about as much of it has ended.
+	// foreignPart of a usual answer's time is how long an engine's load
+	// report is believed: by then about as much of it has ended.
 	foreignPart = 0.5
 	// foreignReads is the same for prefill engines, in usual prompts.
 	foreignReads = 3
@@ -71,7 +71,7 @@
 func (Known) event()    {}
 func (Tick) event()     {}
 
-// Answer is the effect of a decision: the word to one entry.
+// Answer is the effect of a decision: the answer to one entry.
 type Answer struct {
 	ID      string
 	Owner   string
@@ -192,5 +192,5 @@
 // distribution, cut at a few times its mean.
 const longPart = 0.3
 
-// size is what an answer is reckoned to hold from the start, in tokens.
+// size is what an answer is estimated to hold from the start, in tokens.
 func (h *place) size() int { return h.ask.Prompt + fromStart(h.grant.Length) }
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -27,7 +27,7 @@
 	return m
 }
 
-// figures of the engines that these tests reckon with.
+// figures of the engines that these tests estimate with.
 var figures = pace.Prior{
 	ReadSetup: 10 * time.Millisecond, ReadToken: 18 * time.Microsecond, Begin: 70 * time.Millisecond,
 	WholeToken: 36 * time.Microsecond, Step: 4500 * time.Microsecond, LengthPart: 0.42,
@@ -166,14 +166,14 @@
 }
 
 // Another planner may give out the same engine while instances are cut off
-// from each other; the engine's own word on its load shows it.
-func TestForeignLoadIsReckonedWith(t *testing.T) {
+// from each other; the engine's load report shows it.
+func TestForeignLoadCounts(t *testing.T) {
 	c := qt.New(t)
 	p := planner(t, 1)
 	c.Assert(verdict(p.Apply(1000, ask("0")), "0").Grant, qt.IsNotNil)
 	p.Apply(1200, placement.Progress{ID: "0", Running: 3})
 	c.Assert(verdict(p.Apply(1201, ask("1")), "1").Refusal, qt.IsNotNil)
-	// The word is old by now.
+	// The report is old by now.
 	c.Assert(verdict(p.Apply(3000, ask("2")), "2").Grant, qt.IsNotNil)
 }
 
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -60,14 +60,14 @@
 	return p.turnTime(e.Service, e.ID, p.usual(pace.Prompt, e))
 }
 
-// foreignFor is how long an engine's word on its load is believed.
+// foreignFor is how long an engine's load report is believed.
 func (p *Planner) foreignFor(e *engine) time.Duration {
 	answer := time.Duration(p.usual(pace.Answer, e)) * p.paces.Step(e.Service, e.ID, len(e.places))
 	return max(time.Duration(foreignPart*float64(answer)), foreignLeast)
 }
 
 // foreignLeast bounds foreignFor from below while no answer has ended yet; some
-// engines' word is a second old when it comes.
+// engines' reports are a second old when they come.
 const foreignLeast = time.Second
 
 // Learn takes what an entry saw of an answer; running is how many requests the
--- a/internal/placement/renew.go
+++ b/internal/placement/renew.go
@@ -8,7 +8,7 @@
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
-// progress compares an engine's word with what was placed there. More runs
+// progress compares an engine's load report with what was placed there. More runs
 // there when another planner gives out the same engine, as when instances are
 // cut off from each other.
 func (p *Planner) progress(now clock.Millis, m Progress) {
@@ -27,7 +27,7 @@
 	}
 }
 
-// loaded takes an engine's word on its load, as at the start, when nobody can
+// loaded takes an engine's load report, as at the start, when nobody can
 // tell what those who are gone have left there. Prefill engines work it off;
 // memory is believed for as long as answers take.
 func (p *Planner) loaded(now clock.Millis, m Loaded) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,4 +1,4 @@
-// Package relay lets instances learn from their fellows what the store says
+// Package relay lets instances learn from their peers what the store says
 // when the store does not tell them itself: they remain bound by configuration
 // and by leaving endpoints. While the store answers everyone, only its revision
 // is passed round within a zone.
@@ -39,21 +39,21 @@
 	// answered once for each change, so that calls would grow with the square
 	// of the fleet if all watched.
 	watchers = 2
-	// routesMost is the largest configuration that fellows pass round. A larger
+	// routesMost is the largest configuration that peers pass round. A larger
 	// one is read from the store, whose link carries more than a small
 	// instance's 10 Mbit/s, unless the store does not answer.
 	routesMost = 100
-	// pullEvery is how often a cut-off instance asks one fellow. Changes must be
-	// in force within 2 s, and some fellows may be cut off as well.
+	// pullEvery is how often a cut-off instance asks one peer. Changes must be
+	// in force within 2 s, and some peers may be cut off as well.
 	pullEvery = 250 * time.Millisecond
 	// pullWait bounds one question while the store answers as well.
 	pullWait = 200 * time.Millisecond
-	// cutWait bounds a question of an instance that has nobody but its fellows.
+	// cutWait bounds a question of an instance that has nobody but its peers.
 	// A configuration of 1,300 routes takes 0.2 s to come over 10 Mbit/s, more
 	// beside other traffic.
 	cutWait = 1500 * time.Millisecond
 	// cutPulls is how many such questions may wait at a time, since some of the
-	// fellows may be cut off as well.
+	// peers may be cut off as well.
 	cutPulls = 4
 )
 
@@ -69,14 +69,14 @@
 type Told struct {
 	Document  *route.Document      `cbor:"1,keyasint,omitempty"`
 	TableRev  int64                `cbor:"2,keyasint"`
-	Whole     bool                 `cbor:"3,keyasint"` // the lists hold all that the fellow believes
+	Whole     bool                 `cbor:"3,keyasint"` // the lists hold all that the other believes
 	Endpoints []directory.Endpoint `cbor:"4,keyasint,omitempty"`
 	Gone      []directory.Removed  `cbor:"5,keyasint,omitempty"`
 	Instances []roster.Instance    `cbor:"6,keyasint,omitempty"`
 	Left      []string             `cbor:"7,keyasint,omitempty"` // names of instances that are gone
 	Revision  int64                `cbor:"8,keyasint"`
 	AskStore  bool                 `cbor:"9,keyasint,omitempty"` // the configuration is too large to pass round
-	Digest    uint64               `cbor:"10,keyasint"`          // of the fellow's beliefs at Revision
+	Digest    uint64               `cbor:"10,keyasint"`          // of the other's beliefs at Revision
 }
 
 // Relay asks and answers.
@@ -87,7 +87,7 @@
 	Directory *directory.Directory
 	Zone      string
 	Tell      func(directory.Event)
-	// Instances takes what a fellow knows of instances; whole says that it is
+	// Instances takes what a peer knows of instances; whole says that it is
 	// all of them.
 	Instances func(seen []roster.Instance, left []string, whole bool, revision int64)
 	// Head asks the store for its revision; List has the feed read everything,
@@ -108,7 +108,7 @@
 	Fresh *freshness.Freshness
 }
 
-// Hint tells fellows a revision that the store has and what the sender believes.
+// Hint tells peers a revision that the store has and what the sender believes.
 type Hint struct {
 	Revision int64  `cbor:"1,keyasint"`
 	Digest   uint64 `cbor:"2,keyasint"`
@@ -120,7 +120,7 @@
 // Regained says that it answers again.
 func (r *Relay) Regained() { r.lost.Store(false) }
 
-// Register adds the handler of fellows' questions.
+// Register adds the handler of peers' questions.
 func (r *Relay) Register(router *message.Router) {
 	peer.Answer(router, r.Transport, topic, func(_ context.Context, _ peer.Sender, q Question) Told {
 		return r.answer(q)
@@ -186,7 +186,7 @@
 		r.check(ctx)
 	case freshness.ListStore:
 		r.List()
-	case freshness.AskFellow:
+	case freshness.AskPeer:
 		r.pull(ctx, source, pullWait)
 	case freshness.Nothing:
 	}
@@ -211,7 +211,7 @@
 	r.mu.Unlock()
 	if err != nil {
 		r.Scope.Counter("relay_check_failed").Inc(1)
-		r.pull(ctx, "", pullWait) // fellows may know more while the store does not answer
+		r.pull(ctx, "", pullWait) // others may know more while the store does not answer
 		return
 	}
 	r.hint(revision)
@@ -240,9 +240,9 @@
 	}
 }
 
-// pull asks the fellow called name, or any, and waits for its answer.
+// pull asks the peer called name, or any, and waits for its answer.
 func (r *Relay) pull(ctx context.Context, name string, wait time.Duration) {
-	fellow, ok := r.pick(name)
+	other, ok := r.pick(name)
 	if !ok {
 		return
 	}
@@ -251,7 +251,7 @@
 	if v.Table != nil {
 		q.Version = v.Table.Version
 	}
-	told, ok := r.ask(ctx, fellow, q, wait)
+	told, ok := r.ask(ctx, other, q, wait)
 	if !ok || told.Whole || told.Revision == 0 || told.Digest == 0 {
 		return
 	}
@@ -262,28 +262,28 @@
 	r.mu.Unlock()
 	if whole {
 		r.Scope.Counter("relay_whole_views").Inc(1)
-		r.ask(ctx, fellow, Question{Version: q.Version, Cut: q.Cut}, wait)
+		r.ask(ctx, other, Question{Version: q.Version, Cut: q.Cut}, wait)
 	}
 }
 
-// ask asks a fellow and takes what it tells.
-func (r *Relay) ask(ctx context.Context, fellow roster.Instance, q Question, wait time.Duration) (Told, bool) {
+// ask asks a peer and takes what it tells.
+func (r *Relay) ask(ctx context.Context, other roster.Instance, q Question, wait time.Duration) (Told, bool) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	told, err := peer.Ask[Question, Told](ctx, r.Transport, fellow.Address, topic, q)
+	told, err := peer.Ask[Question, Told](ctx, r.Transport, other.Address, topic, q)
 	if err != nil {
 		r.Scope.Counter("relay_unanswered").Inc(1)
 		return told, false
 	}
-	r.take(fellow, q, told)
+	r.take(other, q, told)
 	return told, true
 }
 
-func (r *Relay) take(fellow roster.Instance, q Question, t Told) {
+func (r *Relay) take(other roster.Instance, q Question, t Told) {
 	if t.Document != nil {
 		table, err := route.NewTable(*t.Document)
 		if err != nil {
-			r.Log.Write(eventlog.Line{Event: eventlog.Unreadable, Address: fellow.Address.String(), Detail: err.Error()})
+			r.Log.Write(eventlog.Line{Event: eventlog.Unreadable, Address: other.Address.String(), Detail: err.Error()})
 		} else {
 			r.Tell(directory.Configured{Table: table, Revision: t.TableRev})
 		}
@@ -299,13 +299,13 @@
 	if t.Revision == q.Revision {
 		return // other beliefs at the same revision; what they changed has lines of its own
 	}
-	r.Log.Write(eventlog.Line{Event: eventlog.PeerTold, Address: fellow.Address.String(), Revision: t.Revision})
-	if fellow.Zone != r.Zone {
+	r.Log.Write(eventlog.Line{Event: eventlog.PeerTold, Address: other.Address.String(), Revision: t.Revision})
+	if other.Zone != r.Zone {
 		r.hint(t.Revision) // the own zone may have no other way to learn
 	}
 }
 
-// pick returns the fellow called name or, without a name, one at random.
+// pick returns the peer called name or, without a name, one at random.
 func (r *Relay) pick(name string) (roster.Instance, bool) {
 	all := r.Roster.All()
 	if len(all) == 0 {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,4 +1,4 @@
-// Package roster knows this instance's fellows: who they are, where they listen
+// Package roster knows this instance's peers: who they are, where they listen
 // and by which certificate they are recognised. Entries come from the
 // platform's store, each kept there by its instance's lease.
 package roster
@@ -15,7 +15,7 @@
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
-// Instance is one fellow, or this instance itself. In the store it is JSON,
+// Instance is one peer, or this instance itself. In the store it is JSON,
 // beside which the store keeps the revision; between instances it is CBOR, which
 // must name the revision too.
 type Instance struct {
@@ -30,7 +30,7 @@
 }
 
 // JoinTime is how long after it was first seen an instance takes no role: by
-// then those that hold places have told it what they hold. Each fellow reckons
+// then those that hold places have told it what they hold. Each peer estimates
 // it for itself, since a second entry would wake everybody who watches.
 const JoinTime = 1200 * time.Millisecond
 
@@ -88,7 +88,7 @@
 	return !known || before != i
 }
 
-// Remove takes word that an instance's entry is gone. Its certificate stays
+// Remove takes the news that an instance's entry is gone. Its certificate stays
 // trusted: it may only have lost its lease. Remove says whether it is news.
 func (r *Roster) Remove(name string, revision int64) bool {
 	r.mu.Lock()
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -53,7 +53,7 @@
 	qt.Assert(t, r.Ranked("b", "planner"), qt.HasLen, 0)
 }
 
-// Each fellow reckons for itself how long one that started is new; an entry
+// Each peer estimates for itself how long one that started is new; an entry
 // that lapsed and is back does not make it new again.
 func TestJoining(t *testing.T) {
 	c := qt.New(t)
@@ -111,7 +111,7 @@
 	c.Assert(r.Most(), qt.Equals, 1)
 }
 
-// Fellows that do not watch the store learn of a restart, which brings a new
+// Peers that do not watch the store learn of a restart, which brings a new
 // certificate, only from entries that are passed on: these keep the revision.
 func TestEntriesArePassedOnWhole(t *testing.T) {
 	c := qt.New(t)
@@ -126,7 +126,7 @@
 	c.Assert(after == before, qt.IsTrue, qt.Commentf("%+v", after))
 }
 
-// A fellow that missed a removal still tells of the entry that is gone.
+// A peer that missed a removal still tells of the entry that is gone.
 func TestEntryThatIsGoneStaysGone(t *testing.T) {
 	c := qt.New(t)
 	r := roster.New(atStart)
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -21,7 +21,7 @@
 // Bounds are the times and amounts that the promises name.
 type Bounds struct {
 	Contact time.Duration // what must have been calm before a bound on time holds
-	Drain   time.Duration // from an endpoint's word that it leaves
+	Drain   time.Duration // from an endpoint's announcement that it leaves
 	Config  time.Duration // from a configuration's acknowledgement
 	Outer   time.Duration // longer for instances that the store refuses
 	Gone    time.Duration // from a caller's leaving to the end of its work
@@ -55,7 +55,7 @@
 
 	mu        sync.Mutex
 	calls     map[string]caller.Call
-	leaving   map[string]time.Time // endpoint: when its word was acknowledged
+	leaving   map[string]time.Time // endpoint: when its announcement was acknowledged
 	versions  map[int]time.Time    // configuration: when it was acknowledged
 	violation map[string]Violation
 }
@@ -76,7 +76,7 @@
 	c.calls[call.ID] = call
 }
 
-// Leaves notes that the store has an endpoint's word that it leaves.
+// Leaves notes that the store has an endpoint's announcement that it leaves.
 func (c *Checker) Leaves(endpoint string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -263,7 +263,7 @@
 }
 
 // informed says whether an instance could know of a change by now. One that
-// only the store refuses hears of it from its fellows, within a longer bound.
+// only the store refuses hears of it from its peers, within a longer bound.
 func (c *Checker) informed(call caller.Call, changed, now time.Time, bound *time.Duration) bool {
 	from := changed.Add(-c.Bounds.Contact)
 	if !c.Faults.Calm(from, now, call.Gateway.Name, timeline.Process, timeline.Planned, timeline.Peers) ||
--- a/internal/staging/policy_test.go
+++ b/internal/staging/policy_test.go
@@ -15,7 +15,7 @@
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
-// figures of the engines that these tests reckon with.
+// figures of the engines that these tests estimate with.
 var figures = pace.Prior{ReadToken: 23400 * time.Nanosecond, Step: 4500 * time.Microsecond}
 
 // engines returns a view with, for each zone, so many prefill and decode
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -141,7 +141,7 @@
 // words says one line in plain words.
 func words(e Entry) string {
 	text := map[eventlog.Event]string{
-		eventlog.Placed:          fmt.Sprintf("was given decode engine %s%s in zone %s; that engine was reckoned to hold %d tokens", e.Endpoint, reader(e), e.Zone, e.Count),
+		eventlog.Placed:          fmt.Sprintf("was given decode engine %s%s in zone %s; that engine was estimated to hold %d tokens", e.Endpoint, reader(e), e.Zone, e.Count),
 		eventlog.Sent:            fmt.Sprintf("send %d to endpoint %s of %s, with %d ms left, under configuration %d", e.Attempt, e.Endpoint, e.Service, e.Left, e.Version),
 		eventlog.PrefillFailed:   fmt.Sprintf("prefill engine %s failed", e.Endpoint),
 		eventlog.EndpointFailed:  fmt.Sprintf("endpoint %s failed this request (%s)", e.Endpoint, e.Reason),
--- a/internal/trace/report.go
+++ b/internal/trace/report.go
@@ -36,7 +36,7 @@
 	wrong    int // somebody else's answer, or not whole
 	lost     int // no final answer
 	gone     int // the caller gave up
-	untold   int // refused without a word on when to come back
+	untold   int // refused without when to come back
 	reasons  map[string]int
 	ttft     *hdrhistogram.Histogram
 	gaps     *hdrhistogram.Histogram
