feed: instances that are told of together share a line

Volume is to be bounded. Change: more than eight in one reading share a line, which names all. Test: TestManyInstancesShareALine.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -195,17 +197,45 @@
 	if n.Complete {
 		gone = append(gone, f.Roster.Missing(n.Instances)...)
 	}
-	for _, i := range n.Instances {
-		if f.Roster.See(i) {
-			f.Log.Write(eventlog.Line{Event: eventlog.Believed, Outcome: "instance_seen", Detail: i.Name, Address: i.Address.String(), Revision: i.Revision})
+	seen := slices.DeleteFunc(slices.Clone(n.Instances), func(i roster.Instance) bool { return !f.Roster.See(i) })
+	gone = slices.DeleteFunc(gone, func(name string) bool { return !f.Roster.Remove(name, n.Revision) })
+	f.logSeen(seen, n.Revision)
+	f.logGone(gone, n.Revision)
+	f.Changed()
+}
+
+// instanceLines is how many instances that are told of together get a line each;
+// more share one. Where a fleet of 195 starts, three lines in four were these.
+const instanceLines = 8
+
+func (f *Feed) logSeen(seen []roster.Instance, revision int64) {
+	if len(seen) > instanceLines {
+		names := make([]string, len(seen))
+		for n, i := range seen {
+			names[n] = i.Name
 		}
+		f.logMany("instances_seen", names, revision)
+		return
+	}
+	for _, i := range seen {
+		f.Log.Write(eventlog.Line{Event: eventlog.Believed, Outcome: "instance_seen", Detail: i.Name, Address: i.Address.String(), Revision: i.Revision})
+	}
+}
+
+func (f *Feed) logGone(gone []string, revision int64) {
+	if len(gone) > instanceLines {
+		f.logMany("instances_gone", gone, revision)
+		return
 	}
 	for _, name := range gone {
-		if f.Roster.Remove(name, n.Revision) {
-			f.Log.Write(eventlog.Line{Event: eventlog.Believed, Outcome: "instance_gone", Detail: name, Revision: n.Revision})
-		}
+		f.Log.Write(eventlog.Line{Event: eventlog.Believed, Outcome: "instance_gone", Detail: name, Revision: revision})
 	}
-	f.Changed()
+}
+
+func (f *Feed) logMany(outcome string, names []string, revision int64) {
+	f.Log.Write(eventlog.Line{
+		Event: eventlog.Believed, Outcome: outcome, Count: int64(len(names)), Detail: strings.Join(names, " "), Revision: revision,
+	})
 }
 
 // Heard takes the outcome of another call to the store. A failure ends the
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -1,9 +1,12 @@
 package feed_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -239,3 +242,36 @@
 		qt.Assert(t, s.watches.Load()-before <= 4, qt.IsTrue, qt.Commentf("%d calls", s.watches.Load()-before))
 	})
 }
+
+// The start of a large fleet must not flood the log, and no name is left out of it.
+func TestManyInstancesShareALine(t *testing.T) {
+	tests := []struct {
+		name      string
+		instances int
+		lines     int // that name instances
+	}{
+		{"none", 0, 0},
+		{"a few", 8, 8},
+		{"a fleet", 195, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var written bytes.Buffer
+			log := eventlog.Open(&written, "n1")
+			f := feed.New(feed.Options{
+				Directory: directory.New(), Roster: roster.New(clock.System()), Log: log, Scope: tally.NoopScope,
+				Now: clock.System(), Changed: func() {},
+			})
+			var news feed.News
+			for i := range test.instances {
+				news.Instances = append(news.Instances, roster.Instance{Name: fmt.Sprint("front-", i), Fingerprint: fmt.Sprint(i), Revision: 7})
+			}
+			f.Take(news)
+			c.Assert(log.Close(), qt.IsNil)
+			text := written.String()
+			c.Assert(strings.Count(text, "front-"), qt.Equals, test.instances)
+			c.Assert(strings.Count(text, "believed"), qt.Equals, test.lines)
+		})
+	}
+}
