platform: tell the first page of a listing before the last one is read

Change: a process that begins takes the configuration and the endpoints of each page as it comes. The configuration is in the first page; the last pages are peers. What is told early claims no revision.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -39,8 +39,9 @@
 	// List reads everything.
 	List func(ctx context.Context) (News, error)
 	// Begin reads everything as it was up to some seconds ago, which is priced at
-	// a tenth. What has changed since comes with the first watch, or from peers.
-	Begin func(ctx context.Context) (News, error)
+	// a tenth. What it finds first is told to early before the rest is there, and
+	// need not be in its News.
+	Begin func(ctx context.Context, early func(News)) (News, error)
 	// Configuration reads the configuration only; its News has no Revision.
 	Configuration func(ctx context.Context) (News, error)
 	// Head returns the store's revision.
@@ -151,7 +152,7 @@
 func (f *Feed) read(ctx context.Context, t task, revision int64) (News, error) {
 	switch t {
 	case begin:
-		return f.Source.Begin(ctx)
+		return f.Source.Begin(ctx, f.Take)
 	case readAll:
 		return f.Source.List(ctx)
 	case readTable:
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -65,7 +65,7 @@
 				n.Revision, n.Complete = s.version.Load(), true
 				return n, err
 			},
-			Begin: func(ctx context.Context) (feed.News, error) {
+			Begin: func(ctx context.Context, _ func(feed.News)) (feed.News, error) {
 				s.begins.Add(1)
 				n, err := s.news(ctx)
 				n.Revision, n.Complete = s.version.Load(), true
