--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -1,7 +1,6 @@
 // Package budget bounds how often requests are sent again. All instances share
 // one allowance for each service; each takes a fixed part of it, so that no
-// message is needed and instances that lost touch cannot overdraw the sum. What
-// one lends to another counts as its own.
+// message is needed and instances that lost touch cannot overdraw the sum.
 package budget
 
 import (
@@ -89,23 +88,6 @@
 	b.extras[b.slot()] -= float64(n)
 }
 
-// lendKeep is what an instance keeps for its own next failure.
-const lendKeep = 1
-
-// Lend counts up to n extra sends as made, which another instance may make in its
-// place now, and returns how many.
-func (b *Budget) Lend(now clock.Millis, n int) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.advance(now)
-	lent := min(n, int(b.left(now))-lendKeep)
-	if lent <= 0 {
-		return 0
-	}
-	b.extras[b.slot()] += float64(lent)
-	return lent
-}
-
 // Left is how many extra sends are allowed now.
 func (b *Budget) Left(now clock.Millis) float64 {
 	b.mu.Lock()
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -43,9 +43,6 @@
 	// ReadAtPlace the same of the prefill engine, and how long it took.
 	BeganAtPlace func(p *broker.Place, running int)
 	ReadAtPlace  func(p *broker.Place, running int, took time.Duration)
-	// Borrow asks other instances for their part of the retry allowance of a
-	// service and returns how many sends they give; nil: there is nobody to ask.
-	Borrow func(ctx context.Context, service string, sends int) int
 	// Gone is told of an endpoint whose address another one has.
 	Gone func(id string)
 }
@@ -110,11 +107,6 @@
 	return left
 }
 
-// Lend gives up to so many sends of this instance's retry allowance to another one.
-func (f *Forwarder) Lend(service string, sends int) int {
-	return f.budget(service).Lend(f.Now(), sends)
-}
-
 func (f *Forwarder) budget(service string) *budget.Budget {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/forward/passage.go
+++ b/internal/forward/passage.go
@@ -143,19 +143,9 @@
 	return s != nil && s.Engine != nil
 }
 
-// afford takes further sends from the retry budget, and from other instances' if
-// that is spent: on a fleet of 195, a tenth of the requests that met lost answers
-// in a burst ended for lack of a send while two thirds of the allowance were left.
-func (p *passage) afford(ctx context.Context, extra int) bool {
-	budget := p.budget(p.service)
-	if extra == 0 || budget.Take(p.Now(), extra) {
-		return true
-	}
-	if p.Borrow == nil {
-		return false
-	}
-	budget.Return(p.Now(), p.Borrow(ctx, p.service, extra))
-	return budget.Take(p.Now(), extra)
+// afford takes further sends from the retry budget.
+func (p *passage) afford(extra int) bool {
+	return extra == 0 || p.budget(p.service).Take(p.Now(), extra)
 }
 
 // extraSends is how many of a send, and of a prefill before it if reads is set,
@@ -191,7 +181,7 @@
 		p.comeBack = comeBackUnreachable
 		return hopeless
 	}
-	if !p.afford(ctx, p.extraSends(false)) {
+	if !p.afford(p.extraSends(false)) {
 		r.Done(p.Now(), balance.Abandoned)
 		return p.budgetSpent()
 	}
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -85,7 +85,7 @@
 	// not go on is read for nothing.
 	reads := p.prefill.handle == nil && place.Prefill != ""
 	send := p.extraSends(false)
-	if !p.afford(ctx, max(p.extraSends(reads)-paid, 0)) {
+	if !p.afford(max(p.extraSends(reads)-paid, 0)) {
 		if !reads || p.prefill.sends == 0 {
 			return p.budgetSpent()
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,7 +23,6 @@
 	"github.com/trailshed/trailshed/internal/forward"
 	"github.com/trailshed/trailshed/internal/freshness"
 	"github.com/trailshed/trailshed/internal/leadership"
-	"github.com/trailshed/trailshed/internal/loan"
 	"github.com/trailshed/trailshed/internal/pace"
 	"github.com/trailshed/trailshed/internal/peer"
 	"github.com/trailshed/trailshed/internal/placement"
@@ -101,7 +100,6 @@
 	transport *peer.Transport
 	broker    *broker.Broker
 	relay     *relay.Relay
-	loans     *loan.Desk
 	duty      *leadership.Leadership
 	staging   *staging.Runner
 	servers   []*http.Server
@@ -173,10 +171,6 @@
 		},
 		Head: g.platform.Source.Head, List: func() { g.feed.List() }, Configure: func() { g.feed.Configure() },
 	}
-	g.loans = &loan.Desk{
-		Name: s.Instance.Name, Zone: s.Instance.Zone, Transport: g.transport, Roster: g.roster, Scope: scope, Wait: loan.AnswerWait,
-		Lend: func(service string, sends int) int { return g.forwarder.Lend(service, sends) },
-	}
 	return nil
 }
 
@@ -238,8 +232,8 @@
 		Retry:      s.Retry.Rule(),
 		BodyMemory: int64(bodyPart * float64(s.Memory.LimitMB<<20)),
 		FindPlace:  g.broker.Find, ReleasePlace: g.broker.Release, BeganAtPlace: g.broker.Began,
-		ReadAtPlace: g.broker.Read, Borrow: g.loans.Borrow,
-		Gone: func(id string) { g.feed.Tell(directory.Denied{ID: id}) },
+		ReadAtPlace: g.broker.Read,
+		Gone:        func(id string) { g.feed.Tell(directory.Denied{ID: id}) },
 	})
 	g.forwarder.Share(leastShares)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -106,7 +106,6 @@
 	}
 	g.broker.Register(router)
 	g.relay.Register(router)
-	g.loans.Register(router)
 	return router, nil
 }
 
