placement: one place says whether a decode engine reads a prompt

Found on the last read of the change: whether a decode engine only begins or reads the prompt before was decided three times, in the grant, in the prediction and in what is learned. decodeAct serves all three.

--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -231,10 +231,7 @@
 	g := Grant{ID: a.ID}
 	h := &place{ask: a, granted: now}
 	if decode != nil {
-		act := pace.Begin
-		if decodeReads(a.Part, reader != nil) {
-			act = pace.Whole
-		}
+		act := decodeAct(a.Part, reader != nil)
 		g.Decode, g.Used, g.Length = decode.ID, p.used(now, decode), p.length(a)
 		g.Begin = p.paces.Likely(act, a.Service, decode.ID, a.Prompt)
 		h.step = p.paces.Step(a.Service, decode.ID, len(decode.places))
@@ -252,5 +249,11 @@
 	p.effects = append(p.effects, Answer{ID: a.ID, Owner: a.Owner, Verdict: Verdict{Grant: &g}})
 }
 
-// decodeReads says whether a decode engine reads the prompt of a request itself.
-func decodeReads(part Part, reader bool) bool { return part == Whole || part == Both && !reader }
+// decodeAct is what a decode engine does until the first event: it begins, or it
+// reads the prompt itself before, where no other engine does.
+func decodeAct(part Part, reader bool) pace.Act {
+	if part == Whole || part == Both && !reader {
+		return pace.Whole
+	}
+	return pace.Begin
+}
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -16,13 +16,10 @@
 	return p.paces.Likely(pace.Turn, service, engine, prompt)
 }
 
-// beginTime is how long a decode engine takes to its first event.
+// beginTime is how long a decode engine takes to its first event, if another one
+// reads the prompt of a request for both.
 func (p *Planner) beginTime(a Ask, engine string) time.Duration {
-	act := pace.Begin
-	if a.Part == Whole {
-		act = pace.Whole
-	}
-	return p.paces.Likely(act, a.Service, engine, a.Prompt)
+	return p.paces.Likely(decodeAct(a.Part, true), a.Service, engine, a.Prompt)
 }
 
 // least is the shortest time from a place to the first event.
@@ -76,11 +73,7 @@
 	learn := func(act pace.Act, engine string, size, outcome float64) {
 		m.Learn(now, pace.Observation{Service: a.Service, Engine: engine, Act: act, Size: size, Outcome: outcome})
 	}
-	begin := pace.Begin
-	if decodeReads(a.Part, g.Prefill != "") {
-		begin = pace.Whole
-	}
-	learn(begin, g.Decode, float64(a.Prompt), clock.InMillis(s.Begin))
+	learn(decodeAct(a.Part, g.Prefill != ""), g.Decode, float64(a.Prompt), clock.InMillis(s.Begin))
 	if s.Tokens >= tokensLeast {
 		learn(pace.Step, g.Decode, float64(running), clock.InMillis(s.Decoding)/float64(s.Tokens))
 	}
