gateway: workspaces by their keys, and token limits over all instances

Change: the document's workspaces are decoded into the routing table, keys as digests only. A request's workspace is found before anything else is decided (401 without a known key, but for open routes), endpoints are told its name and priority and never the key. Limits are kept by internal/quota (pure) and internal/metering: every instance admits at once by the last word of its zone's ledger and reports sums; two instances of a zone keep the ledger, zones exchange rates. Who is not heard keeps its part of the limit, and nobody else uses it. Where the configuration has no limits nothing is sent.

--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -41,6 +41,7 @@
 	Attempt   int           // send within the request, from 1
 	Route     string        //
 	Service   string        //
+	Workspace string        // name of the workspace whose request it is
 	Endpoint  string        // id of the endpoint
 	Address   string        // of the endpoint or peer
 	Prefill   string        // id of the prefill engine
@@ -71,6 +72,7 @@
 	number(e, "attempt", int64(n.Attempt))
 	text(e, "route", n.Route)
 	text(e, "service", n.Service)
+	text(e, "workspace", n.Workspace)
 	text(e, "endpoint", n.Endpoint)
 	text(e, "address", n.Address)
 	text(e, "prefill", n.Prefill)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -78,7 +78,7 @@
 		m.Rest = restRepeatable
 	}
 	m.Header = p.Dialect.Encode(p.call, Send{
-		Endpoint: r.Endpoint, Wait: max(p.left(), 0), LastEvent: p.last, Priority: p.route.Priority,
+		Endpoint: r.Endpoint, Wait: max(p.left(), 0), LastEvent: p.last, Priority: p.priority(), Workspace: p.workspaceName(),
 		PrefillAt: p.prefill.handle,
 	})
 	p.noteAgain()
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -10,6 +10,7 @@
 
 	"github.com/trailshed/trailshed/internal/balance"
 	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/route"
 )
 
 // Call is a caller's request, decoded.
@@ -19,8 +20,11 @@
 	Prompt    int           // tokens of the prompt; 0 if it does not say
 	Output    int           // most tokens of the answer
 	Hint      int           // tokens of the answer that the caller expects; 0 if it does not say
-	LastEvent string        // the stream goes on after this event
-	Header    http.Header   // what goes to endpoints besides what Send adds
+	Counted   bool          // it tells Prompt and Output
+	Key       route.Key     // what the caller names itself by, if HasKey
+	HasKey    bool
+	LastEvent string      // the stream goes on after this event
+	Header    http.Header // what goes to endpoints besides what Send adds
 }
 
 // Send is what one send to an endpoint adds to the caller's request.
@@ -28,7 +32,8 @@
 	Endpoint  *directory.Endpoint // every other endpoint must turn it away
 	Wait      time.Duration       // how long the endpoint may work
 	LastEvent string
-	Priority  int // 0 is the most urgent
+	Priority  int    // 0 is the most urgent
+	Workspace string // whose request it is; empty if that is not known
 	PrefillAt *Handle
 	Stage     directory.Stage // Prefill: compute the KV cache only
 }
--- a/internal/forward/ending.go
+++ b/internal/forward/ending.go
@@ -60,10 +60,11 @@
 	p.trail.Write(n)
 	p.Scope.Counter("requests_refused").Inc(1)
 	p.Scope.Tagged(map[string]string{"reason": reason}).Counter("refusals").Inc(1)
-	p.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-	http.Error(p.w, "not run: "+reason, http.StatusServiceUnavailable)
+	p.tellRefusal(http.StatusServiceUnavailable, after)
 }
 
+func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
 // fail tells the caller that the request may have run.
 func (p *passage) fail(status int) {
 	n := p.line(eventlog.GaveUp, p.failure, nil)
@@ -87,7 +88,7 @@
 func (p *passage) line(e eventlog.Event, reason string, err error) eventlog.Line {
 	n := eventlog.Line{
 		Event: e, Request: p.call.ID, Attempt: p.sends, Reason: reason,
-		Service: p.service, Took: p.Now().Sub(p.arrived),
+		Service: p.service, Workspace: p.workspaceName(), Took: p.Now().Sub(p.arrived),
 	}
 	if p.view.Table != nil {
 		n.Version = p.view.Table.Version
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -33,7 +33,8 @@
 	Scope     tally.Scope
 	Now       func() clock.Millis
 	// Retry is the allowance of all instances together.
-	Retry budget.Rule
+	Retry  budget.Rule
+	Limits Limiter
 	// BodyMemory bounds the bytes of all bodies held at once.
 	BodyMemory int64
 	// FindPlace asks for places at engines; ReleasePlace gives them back.
--- a/internal/forward/passage.go
+++ b/internal/forward/passage.go
@@ -24,9 +24,13 @@
 	view    *directory.View
 	call    Call
 	route   *route.Route
-	service string
-	limit   clock.Millis // the request's end: the caller's wait or the route's time-out
-	message uplink.Message
+	// workspace is whose request it is; nil on a deployment without workspaces,
+	// and on open routes for callers without a key.
+	workspace *route.Workspace
+	charged   float64 // units of the workspace's limit that the request counts
+	service   string
+	limit     clock.Millis // the request's end: the caller's wait or the route's time-out
+	message   uplink.Message
 
 	sends      int           // messages that may have reached an endpoint
 	runs       int           // sends that may have run
@@ -65,6 +69,9 @@
 		return false
 	}
 	p.route, p.service = match, match.Service(call.ID)
+	if !p.identify() {
+		return false
+	}
 	p.limit = p.arrived.Add(match.Timeout)
 	if call.Wait > 0 {
 		p.limit = min(p.limit, p.arrived.Add(call.Wait))
@@ -77,6 +84,9 @@
 		p.refuse("stopping", comeBackElsewhere)
 		return false
 	}
+	if !p.charge() {
+		return false
+	}
 	p.budget(p.service).Request(p.arrived)
 	return true
 }
@@ -88,6 +98,7 @@
 	defer p.bodies.Add(-size)
 	ctx, cancel := context.WithTimeout(ctx, p.left()+finalGrace)
 	defer cancel()
+	defer p.credit()
 	defer p.freeHandle()
 	defer func() {
 		if m := p.takeMove(); m != nil {
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -177,7 +177,7 @@
 	m := p.message
 	m.To, m.Rest = r.Endpoint.Address, restOnce
 	m.Header = p.Dialect.Encode(p.call, Send{
-		Endpoint: r.Endpoint, Wait: max(p.left(), 0), Priority: p.route.Priority, Stage: directory.Prefill,
+		Endpoint: r.Endpoint, Wait: max(p.left(), 0), Priority: p.priority(), Workspace: p.workspaceName(), Stage: directory.Prefill,
 	})
 	p.prefill.sends++
 	sent := p.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/trailshed/trailshed/internal/forward"
 	"github.com/trailshed/trailshed/internal/freshness"
 	"github.com/trailshed/trailshed/internal/leadership"
+	"github.com/trailshed/trailshed/internal/metering"
 	"github.com/trailshed/trailshed/internal/pace"
 	"github.com/trailshed/trailshed/internal/peer"
 	"github.com/trailshed/trailshed/internal/placement"
@@ -100,6 +101,7 @@
 	transport *peer.Transport
 	broker    *broker.Broker
 	relay     *relay.Relay
+	meter     *metering.Meter
 	duty      *leadership.Leadership
 	staging   *staging.Runner
 	servers   []*http.Server
@@ -162,6 +164,10 @@
 			g.staging.Saw(a.Service, a.Prompt, g.paces.Length(a.Service, a.Route, a.Output, a.Most).Mean)
 		},
 	})
+	g.meter = metering.New(metering.Options{
+		Name: s.Instance.Name, Zone: s.Instance.Zone, Transport: g.transport, Roster: g.roster,
+		Directory: g.directory, Log: g.log, Scope: scope, Now: g.now, Window: s.Limits.Window,
+	})
 	g.relay = &relay.Relay{
 		Name: s.Instance.Name, Transport: g.transport, Roster: g.roster, Directory: g.directory,
 		Zone: s.Instance.Zone, Now: g.now, Log: g.log, Scope: scope, Fresh: freshness.New(s.Freshness.Bound()),
@@ -231,6 +237,7 @@
 		Log: g.log, Scope: g.counters.Scope, Now: g.now,
 		Retry:      s.Retry.Rule(),
 		BodyMemory: int64(bodyPart * float64(s.Memory.LimitMB<<20)),
+		Limits:     forward.Limiter{Admit: g.meter.Admit, Credit: g.meter.Credit},
 		FindPlace:  g.broker.Find, ReleasePlace: g.broker.Release, BeganAtPlace: g.broker.Began,
 		ReadAtPlace: g.broker.Read,
 		Gone:        func(id string) { g.feed.Tell(directory.Denied{ID: id}) },
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -69,7 +69,7 @@
 	n := eventlog.Line{Event: eventlog.Reloaded, Outcome: "applied"}
 	if before.Callers != next.Callers || before.Peers != next.Peers || before.Admin != next.Admin ||
 		before.Store != next.Store || before.Instance != next.Instance || before.Memory != next.Memory ||
-		before.Orders != next.Orders || before.Freshness != next.Freshness || before.Processor != next.Processor {
+		before.Orders != next.Orders || before.Limits != next.Limits || before.Freshness != next.Freshness || before.Processor != next.Processor {
 		n.Outcome = "applied_in_part"
 		n.Detail = "addresses, names and memory are in force from the next start"
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -27,6 +27,7 @@
 	Admin     Admin     `yaml:"admin"`
 	Store     Store     `yaml:"store"`
 	Retry     Retry     `yaml:"retry"`
+	Limits    Limits    `yaml:"limits"`
 	Stop      Stop      `yaml:"stop"`
 	Orders    Orders    `yaml:"orders"`
 	Freshness Freshness `yaml:"freshness"`
@@ -76,6 +77,12 @@
 	return budget.Rule{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window}
 }
 
+// Limits is how workspaces' limits are judged. The limits themselves are in the
+// operators' configuration.
+type Limits struct {
+	Window time.Duration `yaml:"window" validate:"min=400ms,max=10m"`
+}
+
 // Stop bounds a planned stop.
 type Stop struct {
 	Grace time.Duration `yaml:"grace" validate:"min=100ms,max=1h"`
--- /dev/null
+++ b/internal/quota/gate.go
@@ -0,0 +1,230 @@
+// Package quota keeps workspaces within limits that hold over all instances
+// together, without a coordinator and without a message for each request. Each
+// instance has a Gate, which admits at once by what it last heard and reports what
+// was asked and what ran. Some instances of each zone keep a Ledger, which sums
+// the reports of the zone, exchanges sums with other zones' ledgers and tells the
+// gates which part of what is asked they may admit. Far below a limit that is all
+// of it. What is not heard of counts as if it used its part in full, so that
+// instances and zones that are cut off go on with their part and the sum holds.
+// Decisions are pure: the caller gives the time.
+package quota
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+const (
+	// silence is how long a gate trusts the last word of a ledger, which comes at
+	// least every 400 ms; one may be lost.
+	silence = 1000 * time.Millisecond
+	// nearSilence is the same for a workspace that is near its limit, of which words
+	// come every 100 ms: one that sends many times its usual spends in a second
+	// what its limit allows in several.
+	nearSilence = 400 * time.Millisecond
+	// youth is how long a gate that has heard no ledger yet admits everything:
+	// where all instances have started at once they find each other within a
+	// second, and refusals in that time would come on top of the outage.
+	youth = 2 * time.Second
+	// partDepth is how long an instance that is alone may save up its part.
+	partDepth = 4 * time.Second
+	// backLeast and backMost bound when refused callers are told to come back.
+	backLeast = 200 * time.Millisecond
+	backMost  = 4 * time.Second
+	// spread is by which part of it that time differs between callers, so that
+	// those who were refused together do not return together.
+	spread = 0.5
+)
+
+// Limit is what a workspace may run in all instances together.
+type Limit struct {
+	Rate  float64 // units a second
+	Burst float64 // units besides
+}
+
+// over is how many units the limit allows in a window.
+func (l Limit) over(window time.Duration) float64 { return l.Rate*window.Seconds() + l.Burst }
+
+// Verdict is what a gate says to a request.
+type Verdict struct {
+	Admitted bool
+	After    time.Duration // when a refused caller may come back
+	Pass     float64       // part of what is asked that is admitted
+	Used     float64       // units that ran within a window in all instances, as last heard
+	Limit    Limit
+	Age      time.Duration // of what was last heard
+	Alone    bool          // no ledger was heard: the instance keeps to its own part
+}
+
+// String tells the inputs of the verdict, for the log.
+func (v Verdict) String() string {
+	return fmt.Sprintf("used %.0f, limit %.0f a second and %.0f, pass %.2f, alone %t", v.Used, v.Limit.Rate, v.Limit.Burst, v.Pass, v.Alone)
+}
+
+// Use is what one instance was asked for a workspace and what of it ran, in units
+// since the instance began. Sums bear the loss of messages.
+type Use struct {
+	Workspace string  `cbor:"1,keyasint"`
+	Asked     float64 `cbor:"2,keyasint"`
+	Ran       float64 `cbor:"3,keyasint"`
+}
+
+// Word is what a ledger tells gates of one workspace.
+type Word struct {
+	Workspace string  `cbor:"1,keyasint"`
+	Pass      float64 `cbor:"2,keyasint"`           // part of what is asked that may be admitted
+	Used      float64 `cbor:"3,keyasint"`           // units that ran within a window
+	Near      bool    `cbor:"4,keyasint,omitempty"` // it may be held back soon: reports are wanted often
+}
+
+// Gate admits requests of one instance. It is not safe for concurrent use.
+type Gate struct {
+	began   clock.Millis
+	heardAt clock.Millis // when a ledger was last heard; 0: never
+	doors   map[string]*door
+	refused int // requests so far, which spreads their return
+}
+
+// door is a gate's state for one workspace.
+type door struct {
+	use    Use
+	told   Use
+	pass   float64 // the last word
+	used   float64
+	near   bool
+	credit float64 // requests that may pass: it grows by pass with each
+	part   float64 // units saved up while the instance is alone
+	partAt clock.Millis
+}
+
+// NewGate returns the gate of an instance that began at a time.
+func NewGate(began clock.Millis) *Gate { return &Gate{began: began, doors: map[string]*door{}} }
+
+func (g *Gate) door(workspace string) *door {
+	d := g.doors[workspace]
+	if d == nil {
+		d = &door{use: Use{Workspace: workspace}, pass: 1, credit: even(int(g.began) + len(g.doors))}
+		g.doors[workspace] = d
+	}
+	return d
+}
+
+// Admit counts a request of so many units, unless it is refused. instances is how
+// many there are, which divide the limit while they do not hear each other.
+func (g *Gate) Admit(now clock.Millis, workspace string, l Limit, units float64, instances int) Verdict {
+	d := g.door(workspace)
+	d.use.Asked += units
+	v := Verdict{Limit: l, Pass: d.pass, Used: d.used, Age: now.Sub(g.heardAt), Alone: g.alone(now, d)}
+	if v.Alone {
+		v.Admitted, v.After = d.takePart(now, l.Rate/float64(max(instances, 1)), units)
+	} else {
+		v.Admitted, v.After = d.takePass()
+	}
+	if v.Admitted {
+		d.use.Ran += units
+		return v
+	}
+	g.refused++
+	v.After = g.spread(min(max(v.After, backLeast), backMost))
+	return v
+}
+
+// Credit takes back what was counted for a request that did not run.
+func (g *Gate) Credit(workspace string, units float64) { g.door(workspace).use.Ran -= units }
+
+// alone says that this instance must keep to its own part. One that is young and
+// has heard nobody is taken for one whose peers begin with it.
+func (g *Gate) alone(now clock.Millis, d *door) bool {
+	switch {
+	case g.heardAt == 0:
+		return now.Sub(g.began) > youth
+	case d.near:
+		return now.Sub(g.heardAt) > nearSilence
+	default:
+		return now.Sub(g.heardAt) > silence
+	}
+}
+
+// takePass lets that part of the requests pass that the last word allows. It goes
+// by requests and not by units, so that large ones are not refused more often.
+func (d *door) takePass() (bool, time.Duration) {
+	d.partAt, d.part = 0, 0
+	d.credit = min(d.credit+d.pass, 1+d.pass)
+	if d.pass >= 1 || d.credit >= 1 {
+		d.credit = max(d.credit-1, 0)
+		return true, 0
+	}
+	if d.pass <= 0 {
+		return false, backMost
+	}
+	// What is refused in a second takes as long to be worked off.
+	return false, time.Duration((1/d.pass - 1) * float64(time.Second))
+}
+
+// takePart lets a request pass if the instance has saved up enough of its part of
+// the limit. It begins with nothing: what it used before is not known to others.
+func (d *door) takePart(now clock.Millis, perSecond, units float64) (bool, time.Duration) {
+	if d.partAt == 0 {
+		d.partAt = now
+	}
+	d.part = min(d.part+perSecond*now.Sub(d.partAt).Seconds(), max(perSecond*partDepth.Seconds(), units))
+	d.partAt = now
+	if d.part >= units {
+		d.part -= units
+		return true, 0
+	}
+	return false, time.Duration((units - d.part) / max(perSecond, 1) * float64(time.Second))
+}
+
+// golden, times whole numbers, spreads them evenly over a unit interval.
+const golden = 0.6180339887
+
+func even(n int) float64 {
+	_, part := math.Modf(float64(n) * golden)
+	return part
+}
+
+func (g *Gate) spread(after time.Duration) time.Duration {
+	return time.Duration(float64(after) * (1 + spread*(even(g.refused)-0.5)))
+}
+
+// Report returns what has changed since the last one, or everything if all is set.
+func (g *Gate) Report(all bool) []Use {
+	var uses []Use
+	for _, d := range g.doors {
+		if all && d.use != (Use{Workspace: d.use.Workspace}) || d.use != d.told {
+			d.told = d.use
+			uses = append(uses, d.use)
+		}
+	}
+	return uses
+}
+
+// Hear takes a ledger's words; whole says that they are all there are, and that
+// workspaces which they leave out may pass.
+func (g *Gate) Hear(now clock.Millis, words []Word, whole bool) {
+	g.heardAt = now
+	if whole {
+		for _, d := range g.doors {
+			d.pass, d.used, d.near = 1, 0, false
+		}
+	}
+	for _, w := range words {
+		d := g.door(w.Workspace)
+		d.pass, d.used, d.near = w.Pass, w.Used, w.Near
+	}
+}
+
+// Near says whether some workspace is near its limit, as last heard, so that
+// reports are wanted often.
+func (g *Gate) Near() bool {
+	for _, d := range g.doors {
+		if d.near {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/quota/ledger.go
@@ -0,0 +1,321 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+const (
+	// zoneSilence is how long another zone's last sums are taken for true. They
+	// come every 200 ms.
+	zoneSilence = 600 * time.Millisecond
+	// memberSilence is how long an instance's last report is. Reports come at
+	// least every 400 ms.
+	memberSilence = 1000 * time.Millisecond
+	// lapse is how long after an instance or a zone fell silent its part is kept
+	// for it, though it is in no roster any more. One that is cut off from its
+	// peers and from the store uses that part; longer cuts than this exceed a
+	// limit by the part of those cut off.
+	lapse = 30 * time.Second
+	// settlePart of a window is the time over which what a workspace has left is
+	// spread. Shorter, and one that sends many times its usual gets its whole
+	// window's worth at once, at the cost of everybody else; longer, and an
+	// ordinary burst is refused though the window has room for it.
+	settlePart = 0.2
+	// nearPart of a limit is what a workspace must have used to be told of often:
+	// one that is usual uses about half.
+	nearPart = 0.7
+	// workOff is the time over which what ran beyond a limit is worked off. While
+	// the demand rises, sums are a few tenths of a second old; a tenth of a limit
+	// and some may be exceeded for that.
+	workOff = 500 * time.Millisecond
+	// evenPart is by how much of its rate each zone's part of a workspace's limit
+	// is made more even than what was asked there, so that a zone in which nothing
+	// was asked has some.
+	evenPart = 0.05
+)
+
+// Rates are what was asked of one zone for a workspace and what of it ran, in
+// units a second.
+type Rates struct {
+	Workspace string  `cbor:"1,keyasint"`
+	Asked     float64 `cbor:"2,keyasint"`
+	Ran       float64 `cbor:"3,keyasint"`
+}
+
+// Report is what one instance tells the ledgers of its zone.
+type Report struct {
+	Instance string        `cbor:"1,keyasint"`
+	Life     uint64        `cbor:"2,keyasint"` // tells the lives of an instance apart
+	Age      time.Duration `cbor:"3,keyasint"` // of that life
+	Uses     []Use         `cbor:"4,keyasint"`
+}
+
+// Ledger sums one zone's reports. It is not safe for concurrent use.
+type Ledger struct {
+	zone    string
+	window  time.Duration
+	books   map[string]*book
+	members map[string]*member
+	zones   map[string]*zoneSums
+	since   clock.Millis // since when reports have come without a gap; 0: they have not
+	heard   clock.Millis // the last report
+	stepped clock.Millis
+}
+
+// book is a ledger's state for one workspace.
+type book struct {
+	limit Limit
+	asked demand // in the own zone
+	ran   rate   // in the own zone
+	used  window // in all zones
+	sum   float64
+	pass  float64
+}
+
+// member is an instance that reports.
+type member struct {
+	life uint64
+	at   clock.Millis
+	uses map[string]Use
+}
+
+// zoneSums is another zone, as last heard.
+type zoneSums struct {
+	at     clock.Millis
+	rates  map[string]Rates
+	frozen map[string]float64 // its part of each limit, from when it fell silent; nil while it is heard
+}
+
+// NewLedger returns the ledger of a zone that knows nothing. window is the span
+// of time over which limits are judged.
+func NewLedger(zone string, window time.Duration) *Ledger {
+	return &Ledger{
+		zone: zone, window: window,
+		books: map[string]*book{}, members: map[string]*member{}, zones: map[string]*zoneSums{},
+	}
+}
+
+// Take takes an instance's report.
+func (l *Ledger) Take(now clock.Millis, r Report) {
+	if l.since == 0 || now.Sub(l.heard) > memberSilence {
+		l.since = now
+	}
+	l.heard = now
+	m := l.members[r.Instance]
+	if m == nil || m.life != r.Life {
+		m = &member{life: r.Life, uses: map[string]Use{}}
+		l.members[r.Instance] = m
+		if r.Age > now.Sub(l.since) {
+			// Others summed what it used before this ledger began to listen.
+			for _, u := range r.Uses {
+				m.uses[u.Workspace] = u
+			}
+		}
+	}
+	m.at = now
+	for _, u := range r.Uses {
+		before := m.uses[u.Workspace]
+		if u.Asked < before.Asked {
+			continue // overtaken by a later report
+		}
+		b := l.book(now, u.Workspace)
+		b.asked.add(now, u.Asked-before.Asked)
+		b.ran.add(now, u.Ran-before.Ran)
+		b.used.add(now, u.Ran-before.Ran)
+		m.uses[u.Workspace] = u
+	}
+}
+
+// book returns a workspace's book.
+func (l *Ledger) book(now clock.Millis, workspace string) *book {
+	b := l.books[workspace]
+	if b == nil {
+		b = &book{pass: 1, asked: newDemand(), ran: rate{over: surge}, used: window{length: l.window}}
+		l.books[workspace] = b
+	}
+	return b
+}
+
+// TakeSums takes another zone's sums.
+func (l *Ledger) TakeSums(now clock.Millis, zone string, rates []Rates) {
+	z := &zoneSums{at: now, rates: make(map[string]Rates, len(rates))}
+	for _, r := range rates {
+		z.rates[r.Workspace] = r
+	}
+	l.zones[zone] = z
+}
+
+// Sums are the own zone's, for other zones' ledgers.
+func (l *Ledger) Sums(now clock.Millis) []Rates {
+	var all []Rates
+	for name, b := range l.books {
+		r := Rates{Workspace: name, Asked: b.asked.now(now), Ran: b.ran.now(now)}
+		if r.Asked >= least {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+// least is the rate below which nothing is told, in units a second.
+const least = 0.01
+
+// Present is who there is, by the roster.
+type Present struct {
+	Zones     map[string]bool
+	Instances map[string]bool // of the own zone
+	Total     int             // instances of all zones, the most seen at once
+}
+
+// Step lets time pass and judges each workspace anew by its limit.
+func (l *Ledger) Step(now clock.Millis, limits map[string]Limit, p Present) {
+	past := min(now.Sub(l.stepped), l.window)
+	if l.stepped == 0 {
+		past = 0
+	}
+	l.stepped = now
+	l.watch(now, limits, p)
+	away := float64(l.away(now, p)) / float64(max(p.Total, 1))
+	for name := range l.books {
+		if _, ok := limits[name]; !ok {
+			delete(l.books, name)
+		}
+	}
+	for name, limit := range limits {
+		b := l.book(now, name)
+		// Who has listened for less than a window does not know what ran before, and
+		// takes it that the limit was used up.
+		if b.limit.Rate == 0 && (l.since == 0 || now.Sub(l.since) < l.window) {
+			b.fill(now, limit.over(l.window)/l.window.Seconds(), l.window)
+		}
+		b.limit = limit
+		l.judge(now, past, name, b, away)
+	}
+}
+
+// fill takes it that the rest of the window was used at a rate.
+func (b *book) fill(now clock.Millis, perSecond float64, length time.Duration) {
+	ran := b.used.sum(now)
+	b.used = newWindow(now, length, perSecond)
+	b.used.add(now, ran)
+}
+
+// judge decides which part of what is asked for a workspace may be admitted. The
+// rate that is allowed is the limit's, and what the window has left spread over a
+// part of it. Of both, those who are not heard keep their parts; what ran beyond
+// the limit is worked off by those who are.
+func (l *Ledger) judge(now clock.Millis, past time.Duration, name string, b *book, away float64) {
+	asked, reserved := b.asked.now(now), away
+	for _, z := range l.zones {
+		if z.frozen != nil {
+			reserved += z.frozen[name]
+			continue
+		}
+		r := z.rates[name]
+		asked += r.Asked
+		b.used.add(now, r.Ran*past.Seconds())
+	}
+	reserved = min(reserved, 1)
+	b.used.add(now, reserved*b.limit.Rate*past.Seconds())
+	b.sum = b.used.sum(now)
+	left := b.limit.over(l.window) - b.sum
+	allowed := (1 - reserved) * b.limit.Rate
+	switch {
+	case left <= 0:
+		allowed += left / workOff.Seconds()
+	case reserved > 0: // some of it may be used already by those who are not heard
+		allowed += (1 - reserved) * left / l.window.Seconds()
+	default:
+		allowed += left / (settlePart * l.window.Seconds())
+	}
+	b.pass = 1
+	if asked > 0 {
+		b.pass = min(max(allowed/asked, 0), 1)
+	}
+}
+
+// watch notes which zones have fallen silent and keeps for each the part of every
+// limit that it had by what was asked there.
+func (l *Ledger) watch(now clock.Millis, limits map[string]Limit, p Present) {
+	for zone := range p.Zones {
+		if zone != l.zone && l.zones[zone] == nil {
+			l.zones[zone] = &zoneSums{at: now.Add(-zoneSilence - time.Millisecond)} // not heard yet
+		}
+	}
+	for zone, z := range l.zones {
+		if now.Sub(z.at) > lapse && !p.Zones[zone] {
+			delete(l.zones, zone)
+			continue
+		}
+		if now.Sub(z.at) > zoneSilence && z.frozen == nil {
+			z.frozen = l.parts(now, limits, z)
+		}
+	}
+}
+
+// parts are a zone's parts of all limits.
+func (l *Ledger) parts(now clock.Millis, limits map[string]Limit, of *zoneSums) map[string]float64 {
+	parts := make(map[string]float64, len(limits))
+	for name, limit := range limits {
+		even := evenPart*limit.Rate + least
+		total := l.book(now, name).asked.now(now) + even
+		for _, z := range l.zones {
+			total += z.rates[name].Asked + even
+		}
+		parts[name] = (of.rates[name].Asked + even) / total
+	}
+	return parts
+}
+
+// away is how many of the own zone's instances are not heard and may be using
+// their part of the limits alone.
+func (l *Ledger) away(now clock.Millis, p Present) int {
+	n := 0
+	for name, m := range l.members {
+		switch quiet := now.Sub(m.at); {
+		case quiet > lapse && !p.Instances[name]:
+			delete(l.members, name)
+		case quiet > memberSilence:
+			n++
+		}
+	}
+	return n
+}
+
+// Words are what gates are told: of each workspace that something is asked for,
+// or only of those that are near their limit.
+func (l *Ledger) Words(now clock.Millis, near bool) []Word {
+	var words []Word
+	for name, b := range l.books {
+		if near && !l.isNear(b) || !near && b.pass >= 1 && b.asked.now(now) < least {
+			continue
+		}
+		words = append(words, Word{Workspace: name, Pass: b.pass, Used: b.sum, Near: l.isNear(b)})
+	}
+	return words
+}
+
+func (l *Ledger) isNear(b *book) bool { return b.pass < 1 || b.sum > nearPart*b.limit.over(l.window) }
+
+// Near says whether some workspace is near its limit.
+func (l *Ledger) Near() bool {
+	for _, b := range l.books {
+		if l.isNear(b) {
+			return true
+		}
+	}
+	return false
+}
+
+// Held are the workspaces that are held back, with what they used in a window.
+func (l *Ledger) Held() map[string]float64 {
+	held := map[string]float64{}
+	for name, b := range l.books {
+		if b.pass < 1 {
+			held[name] = b.sum
+		}
+	}
+	return held
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -42,6 +42,7 @@
 	Attempts  int           // most endpoints that may run one request
 	Priority  int           // 0 is the most urgent
 	Resumable bool          // a stream may go on at another endpoint
+	Open      bool          // requests need no key
 	Shares    []Share
 }
 
@@ -110,19 +111,22 @@
 
 // Document is one version of the configuration as the operators wrote it.
 type Document struct {
-	Version  int64
-	Routes   []Route
-	Services []Service
-	Limits   Limits
+	Version    int64
+	Routes     []Route
+	Services   []Service
+	Limits     Limits
+	Keyed      bool // requests need a key, though no workspace may be there to have one
+	Workspaces []Workspace
 }
 
-// Table is a checked Document, indexed for Match.
+// Table is a checked Document, indexed for Match and Workspace.
 type Table struct {
-	Version  int64
-	Limits   Limits
-	document Document
-	routes   map[string]map[string]*Route // host, prefix
-	services map[string]*Service
+	Version    int64
+	Limits     Limits
+	document   Document
+	routes     map[string]map[string]*Route // host, prefix
+	services   map[string]*Service
+	workspaces map[Key]*Workspace
 }
 
 // NewTable checks d and indexes it. Errors name the route and what is wrong.
@@ -132,7 +136,10 @@
 	}
 	t := &Table{
 		Version: d.Version, Limits: d.Limits, document: d,
-		routes: map[string]map[string]*Route{}, services: map[string]*Service{},
+		routes: map[string]map[string]*Route{}, services: map[string]*Service{}, workspaces: map[Key]*Workspace{},
+	}
+	if err := t.addWorkspaces(d.Workspaces); err != nil {
+		return nil, err
 	}
 	for i := range d.Services {
 		s := &d.Services[i]
