--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -43,9 +43,13 @@
 	Decode
 )
 
-// Endpoint is one replica of a service, as its entry in the store tells.
+// Endpoint is one life of a replica of a service, as its entry in the store
+// tells. What was learned, held or counted of an endpoint goes by its ID, so that
+// nothing of one life is taken for another's.
 type Endpoint struct {
-	ID       string
+	ID       string // of this life
+	Entry    string // what the store and the endpoint itself know it by, in all its lives
+	Born     int64  // ms since 1970, when this life began; 0 if it does not say
 	Service  string
 	Address  netip.AddrPort
 	Zone     string
@@ -55,6 +59,32 @@
 	Revision int64 // of the store, when this was written
 }
 
+// Live returns the endpoint as the life that began at born.
+func (e Endpoint) Live(born int64) Endpoint {
+	e.Born, e.ID = born, e.Entry
+	if born != 0 {
+		e.ID += "@" + strconv.FormatInt(born, 36)
+	}
+	return e
+}
+
+// entry is what the store knows the endpoint by.
+func (e Endpoint) entry() string {
+	if e.Entry == "" {
+		return e.ID // it has one life
+	}
+	return e.Entry
+}
+
+// before says whether e is older than o: of an earlier life or, within one, of an
+// earlier revision. A word of an earlier life may be written after one of a later.
+func (e Endpoint) before(o Endpoint) bool {
+	if e.Born != o.Born && e.Born != 0 && o.Born != 0 {
+		return e.Born < o.Born
+	}
+	return e.Revision < o.Revision
+}
+
 // View is what requests read: immutable, replaced at each change.
 type View struct {
 	Table     *route.Table // nil while no configuration is known
@@ -112,8 +142,8 @@
 	mu         sync.Mutex
 	table      *route.Table
 	tableRev   int64
-	endpoints  map[string]*held
-	removed    map[string]int64 // id: revision of its removal
+	endpoints  map[string]*held // by entry
+	removed    map[string]int64 // by entry: revision of its removal
 	revision   int64
 	storeLost  bool
 	returnedAt clock.Millis // when the store was last reached again; 0 at first
@@ -187,14 +217,14 @@
 	var changes []Change
 	present := make(map[string]bool, len(e.Endpoints))
 	for _, p := range e.Endpoints {
-		present[p.ID] = true
+		present[p.entry()] = true
 		changes = append(changes, d.see(p)...)
 	}
-	for id, h := range d.endpoints {
-		if present[id] || h.endpoint.Revision > e.Revision {
+	for entry, h := range d.endpoints {
+		if present[entry] || h.endpoint.Revision > e.Revision {
 			continue
 		}
-		changes = append(changes, d.remove(now, Removed{ID: id, Revision: e.Revision})...)
+		changes = append(changes, d.remove(now, Removed{Entry: entry, Revision: e.Revision})...)
 	}
 	d.revision = max(d.revision, e.Revision)
 	return changes
@@ -206,16 +236,16 @@
 	var changes []Change
 	present := make(map[string]bool, len(e.Endpoints))
 	for _, p := range e.Endpoints {
-		present[p.ID] = true
+		present[p.entry()] = true
 		changes = append(changes, d.see(p)...)
 	}
 	for _, g := range e.Gone {
-		if h := d.endpoints[g.ID]; h != nil && h.endpoint.Revision <= g.Revision {
+		if h := d.endpoints[g.Entry]; h != nil && h.endpoint.Revision <= g.Revision {
 			changes = append(changes, d.drop(h, g.Revision)...)
 		}
 	}
-	for id, h := range d.endpoints {
-		if e.Whole && !present[id] && h.endpoint.Revision <= e.Revision {
+	for entry, h := range d.endpoints {
+		if e.Whole && !present[entry] && h.endpoint.Revision <= e.Revision {
 			changes = append(changes, d.drop(h, e.Revision)...)
 		}
 	}
@@ -234,27 +264,37 @@
 			out.Endpoints = append(out.Endpoints, h.endpoint)
 		}
 	}
-	for id, removed := range d.removed {
+	for entry, removed := range d.removed {
 		if removed > revision && revision > 0 {
-			out.Gone = append(out.Gone, Removed{ID: id, Revision: removed})
+			out.Gone = append(out.Gone, Removed{Entry: entry, Revision: removed})
 		}
 	}
 	return out
 }
 
 func (d *Directory) see(p Endpoint) []Change {
-	if d.removed[p.ID] >= p.Revision {
+	if d.removed[p.entry()] >= p.Revision {
 		return nil
 	}
-	h := d.endpoints[p.ID]
+	h := d.endpoints[p.entry()]
 	if h == nil {
-		d.endpoints[p.ID] = &held{endpoint: p}
+		d.endpoints[p.entry()] = &held{endpoint: p}
 		return []Change{{What: EndpointJoined, Endpoint: p, Revision: p.Revision}}
 	}
-	if p.Revision < h.endpoint.Revision {
+	if p.before(h.endpoint) {
+		if h.missing && p.Revision > h.endpoint.Revision {
+			h.missing = false // the entry is there, though an earlier life wrote it
+		}
 		return nil
 	}
 	before := h.endpoint
+	if before.ID != p.ID {
+		d.endpoints[p.entry()] = &held{endpoint: p}
+		return []Change{
+			{What: EndpointGone, Endpoint: before, Revision: p.Revision},
+			{What: EndpointJoined, Endpoint: p, Revision: p.Revision},
+		}
+	}
 	wasMissing := h.missing
 	wasDenied := h.denied
 	h.denied = wasDenied && p.Revision == before.Revision // a new entry is believed anew
@@ -270,9 +310,9 @@
 }
 
 func (d *Directory) remove(now clock.Millis, e Removed) []Change {
-	h := d.endpoints[e.ID]
+	h := d.endpoints[e.Entry]
 	if h == nil {
-		d.removed[e.ID] = max(d.removed[e.ID], e.Revision)
+		d.removed[e.Entry] = max(d.removed[e.Entry], e.Revision)
 		return nil
 	}
 	if e.Revision < h.endpoint.Revision {
@@ -289,8 +329,9 @@
 }
 
 func (d *Directory) drop(h *held, revision int64) []Change {
-	delete(d.endpoints, h.endpoint.ID)
-	d.removed[h.endpoint.ID] = max(d.removed[h.endpoint.ID], revision)
+	entry := h.endpoint.entry()
+	delete(d.endpoints, entry)
+	d.removed[entry] = max(d.removed[entry], revision)
 	return []Change{{What: EndpointGone, Endpoint: h.endpoint, Revision: revision}}
 }
 
@@ -298,12 +339,13 @@
 // of use. It still counts as told by the store, so that the digest shows
 // peers no difference that they could mend.
 func (d *Directory) deny(e Denied) []Change {
-	h := d.endpoints[e.ID]
-	if h == nil || h.denied {
-		return nil
+	for _, h := range d.endpoints {
+		if h.endpoint.ID == e.ID && !h.denied {
+			h.denied = true
+			return []Change{{What: EndpointDenied, Endpoint: h.endpoint, Revision: h.endpoint.Revision}}
+		}
 	}
-	h.denied = true
-	return []Change{{What: EndpointDenied, Endpoint: h.endpoint, Revision: h.endpoint.Revision}}
+	return nil
 }
 
 // unsettled says that entries may be absent only because the store was away.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -88,7 +88,7 @@
 	d.Apply(0, directory.Seen{Endpoint: endpoint("e1", 1)})
 	d.Apply(5_000, directory.StoreLost{})
 	d.Apply(10_000, directory.StoreReached{Revision: 8})
-	d.Apply(11_800, directory.Removed{ID: "e1", Revision: 9})
+	d.Apply(11_800, directory.Removed{Entry: "e1", Revision: 9})
 	c.Assert(ids(d)["e1"], qt.IsTrue)
 	d.Apply(12_300, directory.Tick{})
 	c.Assert(ids(d)["e1"], qt.IsFalse)
@@ -113,7 +113,7 @@
 			revision++
 			id := fmt.Sprint("e", rapid.IntRange(1, 5).Draw(rt, "id"))
 			if rapid.Bool().Draw(rt, "removed") {
-				a.Apply(0, directory.Removed{ID: id, Revision: revision})
+				a.Apply(0, directory.Removed{Entry: id, Revision: revision})
 			} else {
 				a.Apply(0, directory.Seen{Endpoint: endpoint(id, revision)})
 			}
@@ -131,7 +131,7 @@
 func TestRemovedDoesNotReturnByOldWord(t *testing.T) {
 	d := directory.New()
 	d.Apply(0, directory.Seen{Endpoint: endpoint("e1", 3)})
-	d.Apply(1, directory.Removed{ID: "e1", Revision: 5})
+	d.Apply(1, directory.Removed{Entry: "e1", Revision: 5})
 	d.Apply(2, directory.Relayed{Whole: true, Endpoints: []directory.Endpoint{endpoint("e1", 3)}, Revision: 4})
 	qt.Assert(t, ids(d), qt.HasLen, 0)
 	d.Apply(3, directory.Seen{Endpoint: endpoint("e1", 7)})
@@ -176,7 +176,7 @@
 	case 2:
 		return directory.Relayed{Whole: rapid.Bool().Draw(rt, "whole"), Endpoints: []directory.Endpoint{endpoint(id, min(revision, 20))}, Revision: revision}
 	case 3:
-		return directory.Removed{ID: id, Revision: revision}
+		return directory.Removed{Entry: id, Revision: revision}
 	case 4:
 		return directory.StoreLost{}
 	case 5:
@@ -223,7 +223,7 @@
 	doubting.Apply(10, directory.StoreLost{})
 	doubting.Apply(20, directory.StoreReached{Revision: 2})
 	for _, d := range []*directory.Directory{sure, doubting} {
-		d.Apply(30, directory.Removed{ID: "e1", Revision: 5})
+		d.Apply(30, directory.Removed{Entry: "e1", Revision: 5})
 		d.Apply(30, directory.Seen{Endpoint: endpoint("e3", 6)})
 	}
 	c.Assert(doubting.View().Doubtful, qt.IsTrue)
--- a/internal/directory/event.go
+++ b/internal/directory/event.go
@@ -32,7 +32,7 @@
 
 // Removed says that an endpoint's entry is gone from the store.
 type Removed struct {
-	ID       string
+	Entry    string
 	Revision int64
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -26,7 +26,7 @@
 // News is what the store told, up to Revision.
 type News struct {
 	Events   []directory.Event
-	Problems []error // entries that could not be read
+	Problems []Problem
 	Revision int64
 
 	Instances     []roster.Instance // of our own
@@ -34,6 +34,16 @@
 	Complete      bool // Instances are all there are
 }
 
+// Problem is an entry that could not be read.
+type Problem struct {
+	Key      string
+	Revision int64
+	Err      error
+}
+
+// problemsMost bounds how many entries are remembered to have been told of.
+const problemsMost = 256
+
 // Source reads the store.
 type Source struct {
 	// List reads everything.
@@ -100,13 +110,15 @@
 	// are taken back when their reading begins: nobody repeats those asks.
 	wantBegin, wantAll, wantTable, wantChanges bool
 
+	problems map[string]int64 // entries that could not be read: the revision that a line told
+
 	cancelWatch context.CancelFunc // nil while no watch is in progress
 	asked       chan struct{}      // wakes Run when something is wanted
 }
 
 // New returns a feed that knows nothing and begins by reading everything.
 func New(o Options) *Feed {
-	return &Feed{Options: o, wantBegin: true, wantChanges: true, asked: make(chan struct{}, 1)}
+	return &Feed{Options: o, wantBegin: true, wantChanges: true, asked: make(chan struct{}, 1), problems: map[string]int64{}}
 }
 
 // Run follows until ctx ends.
@@ -178,9 +190,8 @@
 
 // Take applies news to the directory and logs what it changed.
 func (f *Feed) Take(n News) {
-	for _, err := range n.Problems {
-		f.Scope.Counter("store_unreadable").Inc(1)
-		f.Log.Write(eventlog.Line{Event: eventlog.Unreadable, Detail: err.Error(), Revision: n.Revision})
+	for _, p := range n.Problems {
+		f.unreadable(p)
 	}
 	// Instances first: peers ask by the directory's revision, which must not
 	// be ahead of what they are told of instances.
@@ -190,6 +201,22 @@
 	}
 }
 
+// unreadable writes a line on an entry, once for each of its revisions.
+func (f *Feed) unreadable(p Problem) {
+	f.mu.Lock()
+	known := f.problems[p.Key] == p.Revision
+	if len(f.problems) >= problemsMost {
+		clear(f.problems)
+	}
+	f.problems[p.Key] = p.Revision
+	f.mu.Unlock()
+	if known {
+		return
+	}
+	f.Scope.Counter("store_unreadable").Inc(1)
+	f.Log.Write(eventlog.Line{Event: eventlog.Unreadable, Detail: p.Err.Error(), Revision: p.Revision})
+}
+
 func (f *Feed) takeInstances(n News) {
 	if !n.Complete && len(n.Instances)+len(n.GoneInstances) == 0 {
 		return
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -72,7 +72,7 @@
 
 func (p *passage) send(ctx context.Context, r *balance.Reservation) (*uplink.Exchange, Answer, error) {
 	m := p.message
-	m.To = r.Endpoint.Address
+	m.To, m.Life = r.Endpoint.Address, r.Endpoint.ID
 	m.Rest = restOnce
 	if p.route.Kind == route.Idempotent {
 		m.Rest = restRepeatable
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -40,8 +40,9 @@
 
 // Handle names the KV cache of a prompt that an endpoint keeps.
 type Handle struct {
-	At netip.AddrPort
-	ID string
+	At   netip.AddrPort
+	Life string // id of the endpoint there
+	ID   string
 }
 
 // Answer is what the head of an endpoint's answer tells.
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -175,7 +175,7 @@
 	ctx, cancel := context.WithTimeout(parent, prefillSlack+prefillTimes*p.place.Read+2*p.place.Wait)
 	defer cancel()
 	m := p.message
-	m.To, m.Rest = r.Endpoint.Address, restOnce
+	m.To, m.Life, m.Rest = r.Endpoint.Address, r.Endpoint.ID, restOnce
 	m.Header = p.Dialect.Encode(p.call, Send{
 		Endpoint: r.Endpoint, Wait: max(p.left(), 0), Priority: p.priority(), Workspace: p.workspaceName(), Stage: directory.Prefill,
 	})
@@ -190,7 +190,7 @@
 	}
 	if err == nil {
 		r.Done(p.Now(), balance.Good)
-		p.prefill.handle = &Handle{At: r.Endpoint.Address, ID: id}
+		p.prefill.handle = &Handle{At: r.Endpoint.Address, Life: r.Endpoint.ID, ID: id}
 		p.prefill.readAt, p.prefill.uncertain = p.Now(), false
 		p.prefill.readBy = r.Endpoint.ID
 		p.ReadAtPlace(p.place, answer.Load.Running, p.prefill.readAt.Sub(sent))
@@ -257,7 +257,7 @@
 		defer cancel()
 		method, target := p.Dialect.Free(*h)
 		x, err := p.Pool.Do(ctx, uplink.Message{
-			To: h.At, Method: method, Target: target, Host: h.At.String(), Rest: restRepeatable,
+			To: h.At, Life: h.Life, Method: method, Target: target, Host: h.At.String(), Rest: restRepeatable,
 		}, func(*http.Response) bool { return true })
 		if err != nil {
 			p.Scope.Counter("handle_free_failed").Inc(1)
--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -22,6 +22,7 @@
 // Message is one request as it goes to an endpoint.
 type Message struct {
 	To     netip.AddrPort
+	Life   string // of the endpoint there; a kept connection carries no other life's
 	Method string
 	Target string // path and query, byte for byte as the caller sent them
 	Host   string
@@ -47,7 +48,7 @@
 // it does not take belong to earlier requests and are skipped. When ctx ends,
 // the connection is closed, which tells the endpoint to stop.
 func (p *Pool) Do(ctx context.Context, m Message, accept func(*http.Response) bool) (*Exchange, error) {
-	c, err := p.take(ctx, m.To, m.Rest)
+	c, err := p.take(ctx, target{m.To, m.Life}, m.Rest)
 	if err != nil {
 		return nil, Error.Wrap(errors.Join(ErrNotSent, err))
 	}
--- a/internal/uplink/pool.go
+++ b/internal/uplink/pool.go
@@ -38,20 +38,27 @@
 	readBuffer      = 4 << 10
 )
 
-// Pool keeps idle connections by endpoint address.
+// Pool keeps idle connections by endpoint.
 type Pool struct {
 	// Dial opens a connection; tests replace it.
 	Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 
 	scope tally.Scope
 	mu    sync.Mutex
-	idle  map[netip.AddrPort][]*conn
+	idle  map[target][]*conn
+}
+
+// target is one life of an endpoint: what starts anew at an address knows nothing
+// of the connections that the one before it had.
+type target struct {
+	address netip.AddrPort
+	life    string
 }
 
 // conn is one connection and what is known of it.
 type conn struct {
 	net.Conn
-	to       netip.AddrPort
+	to       target
 	reader   *bufio.Reader
 	keep     time.Duration
 	restedAt time.Time // when its last exchange ended
@@ -64,13 +71,13 @@
 		Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", to.String())
 		},
-		scope: scope, idle: map[netip.AddrPort][]*conn{},
+		scope: scope, idle: map[target][]*conn{},
 	}
 }
 
 // take returns a connection to an endpoint: one that rested for less than rest
 // and is still open, or a new one.
-func (p *Pool) take(ctx context.Context, to netip.AddrPort, rest time.Duration) (*conn, error) {
+func (p *Pool) take(ctx context.Context, to target, rest time.Duration) (*conn, error) {
 	for {
 		c := p.pop(to)
 		if c == nil {
@@ -83,7 +90,7 @@
 		_ = c.Close()
 	}
 	p.scope.Counter("uplink_dials").Inc(1)
-	raw, err := p.Dial(ctx, to)
+	raw, err := p.Dial(ctx, to.address)
 	if err != nil {
 		p.scope.Counter("uplink_dial_failed").Inc(1)
 		return nil, err
@@ -91,7 +98,7 @@
 	return &conn{Conn: raw, to: to, reader: bufio.NewReaderSize(raw, readBuffer), keep: keepDefault}, nil
 }
 
-func (p *Pool) pop(to netip.AddrPort) *conn {
+func (p *Pool) pop(to target) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[to]
