quota: keep a part of its limit back from a workspace that asks for far more

A workspace of six times its usual had spent most of its window when a third of the fleet was cut off (noticed a second later) and a burst of 1.8 came.

Change: from 1.8 times its rate on, up to 8 in 100 of what a window allows are kept back from a workspace; below that nothing is.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -26,6 +26,14 @@
 	// nearPart of a limit is what a workspace must have used to be told of often:
 	// one that is usual uses about half.
 	nearPart = 0.7
+	// caution is the part of a limit that a workspace does not get while it asks for
+	// far more, from eagerLeast to eagerMost times its rate: what it asks for may
+	// double within the time that sums take to tell of it, as when a burst comes
+	// while a third of the fleet is cut off (up to 4 in 100 over the rule's bound
+	// without it). Below eagerLeast nothing is kept back.
+	caution    = 0.08
+	eagerLeast = 1.8
+	eagerMost  = 2.6
 	// workOff is the time over which what ran beyond a limit is worked off. While
 	// the demand rises, sums are a few tenths of a second old; a tenth of a limit
 	// and some may be exceeded for that.
@@ -220,7 +228,7 @@
 	reserved = min(reserved, 1)
 	b.used.add(now, reserved*b.limit.Rate*past.Seconds())
 	b.sum = b.used.sum(now)
-	left := b.limit.over(l.window) - b.sum
+	left := (1-kept(asked/b.limit.Rate))*b.limit.over(l.window) - b.sum
 	allowed := (1 - reserved) * b.limit.Rate
 	switch {
 	case left <= 0:
@@ -236,6 +244,12 @@
 	}
 }
 
+// kept is the part of a limit that is kept back from a workspace which asks for so
+// many times its rate.
+func kept(times float64) float64 {
+	return caution * min(max((times-eagerLeast)/(eagerMost-eagerLeast), 0), 1)
+}
+
 // watch notes which zones have fallen silent and keeps for each the part of every
 // limit that it had by what was asked there.
 func (l *Ledger) watch(now clock.Millis, limits map[string]Limit, p Present) {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -243,3 +243,22 @@
 		w.apart = func(a, b *instance) bool { return struck(a) != struck(b) }
 	}
 }
+
+// A workspace that sends six times its usual meets a general burst while a third of
+// the instances is cut off: what it asks for nearly doubles at once, when most of its
+// window is spent. Emulated sums are younger than those of a busy fleet, so some room
+// must be left.
+func TestHotWorkspaceMeetsABurst(t *testing.T) {
+	for seed := range uint64(6) {
+		c := qt.New(t)
+		w := newWorld(seed, 78, 3, map[string]quota.Limit{"hot": large})
+		calm := usual * large.Rate
+		w.play(12*time.Second, even(w, 0))
+		w.play(time.Second, even(w, calm))
+		w.apart = func(a, b *instance) bool { return a != b && (a.index%3 == 2 || b.index%3 == 2) }
+		w.play(time.Second, even(w, calm))
+		w.play(4*time.Second, even(w, 6*calm))
+		w.play(5*time.Second, even(w, 6*1.8*calm))
+		c.Check(w.most("hot") <= 0.97*bound(large, slack), qt.IsTrue, qt.Commentf("%.0f of %.0f", w.most("hot"), bound(large, slack)))
+	}
+}
