quota: sum what others ran exactly, after silences too, and answer who reports

(2) Instances whose entry in the store had lapsed (it turned them away) were in no roster, heard no words and kept to their small part, though their peers reached them (200 requests).

Change: zones tell totals, and what part they keep for instances they do not hear; what ran in a silence is spread over it, less what was kept. Words go to whoever reports.

Tests: TestReportAfterASilence fails without it (2.39 million used where 1.8 may be).

--- a/internal/metering/metering.go
+++ b/internal/metering/metering.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -60,12 +61,15 @@
 	Whole bool         `cbor:"2,keyasint"` // of all workspaces
 }
 
-// sums is what a ledger tells other zones' ledgers.
-type sums struct {
-	Zone  string        `cbor:"1,keyasint"`
-	Rates []quota.Rates `cbor:"2,keyasint"`
+// reporter is an instance that reports to this one.
+type reporter struct {
+	address netip.AddrPort
+	at      clock.Millis
 }
 
+// reporterExpiry is how long an instance is told words after its last report.
+const reporterExpiry = 2 * time.Second
+
 // Options are what a Meter works with.
 type Options struct {
 	Name, Zone string
@@ -91,30 +95,34 @@
 	reported clock.Millis
 	told     clock.Millis // when all words were last told
 	summed   clock.Millis
-	heardAt  clock.Millis       // words of another ledger of the zone
-	held     map[string]float64 // workspaces that are held back, as far as a line told
+	heardAt  clock.Millis // words of another ledger of the zone
+	// reporters are told words: also those whose entry in the store has lapsed, as
+	// where it turns them away, and who are in no roster then.
+	reporters map[string]reporter
+	held      map[string]float64 // workspaces that are held back, as far as a line told
 }
 
 // New returns a meter that does not run yet.
 func New(o Options) *Meter {
-	began := o.Now()
+	began, life := o.Now(), rand.Uint64()
 	return &Meter{
-		Options: o, life: rand.Uint64(), began: began,
-		gate: quota.NewGate(began), ledger: quota.NewLedger(o.Zone, o.Window), held: map[string]float64{},
+		Options: o, life: life, began: began,
+		gate: quota.NewGate(began), ledger: quota.NewLedger(o.Zone, life, o.Window), reporters: map[string]reporter{}, held: map[string]float64{},
 	}
 }
 
 // Register adds the handlers of other instances' messages.
 func (m *Meter) Register(r *message.Router) {
-	peer.Handle(r, m.Transport, topicReport, func(_ peer.Sender, v quota.Report) {
+	peer.Handle(r, m.Transport, topicReport, func(from peer.Sender, v quota.Report) {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.ledger.Take(m.Now(), v)
+		m.reporters[v.Instance] = reporter{address: from.Address, at: m.Now()}
 	})
-	peer.Handle(r, m.Transport, topicSums, func(_ peer.Sender, v sums) {
+	peer.Handle(r, m.Transport, topicSums, func(_ peer.Sender, v quota.Sums) {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		m.ledger.TakeSums(m.Now(), v.Zone, v.Rates)
+		m.ledger.TakeSums(m.Now(), v)
 	})
 	peer.Handle(r, m.Transport, topicWords, func(_ peer.Sender, v words) {
 		m.mu.Lock()
@@ -199,7 +207,7 @@
 	m.mu.Unlock()
 	for _, i := range to {
 		if i.Name != m.Name {
-			m.send(i, topicReport, r)
+			m.send(i.Address, topicReport, r)
 			continue
 		}
 		m.mu.Lock()
@@ -217,27 +225,39 @@
 	m.note()
 	speaks := rank == 0 || now.Sub(m.heardAt) > standIn
 	w, tells := m.words(now)
-	s, sends := sums{Zone: m.Zone}, speaks && (m.ledger.Near() || now.Sub(m.summed) >= sumsEvery)
+	sends := speaks && (m.ledger.Near() || now.Sub(m.summed) >= sumsEvery)
+	var s quota.Sums
 	if sends {
 		m.summed = now
-		s.Rates = m.ledger.Sums(now)
+		s = m.ledger.Sums(now)
 	}
+	var hearers []netip.AddrPort
 	if speaks && tells {
 		m.hear(w)
+		hearers = m.hearers(now)
 	}
 	m.mu.Unlock()
-	if speaks && tells {
-		for _, i := range zone {
-			if i.Name != m.Name {
-				m.send(i, topicWords, w)
-			}
-		}
+	for _, to := range hearers {
+		m.send(to, topicWords, w)
 	}
 	if sends {
 		for _, i := range m.otherKeepers(all) {
-			m.send(i, topicSums, s)
+			m.send(i.Address, topicSums, s)
+		}
+	}
+}
+
+// hearers are those who reported lately.
+func (m *Meter) hearers(now clock.Millis) []netip.AddrPort {
+	var list []netip.AddrPort
+	for name, r := range m.reporters {
+		if now.Sub(r.at) > reporterExpiry {
+			delete(m.reporters, name)
+			continue
 		}
+		list = append(list, r.address)
 	}
+	return list
 }
 
 // words are what is to be told now, if anything.
@@ -294,8 +314,8 @@
 	m.held = held
 }
 
-func (m *Meter) send(to roster.Instance, topic string, v any) {
-	if err := peer.Send(m.Transport, to.Address, topic, v); err != nil {
+func (m *Meter) send(to netip.AddrPort, topic string, v any) {
+	if err := peer.Send(m.Transport, to, topic, v); err != nil {
 		m.Scope.Counter("metering_send_failed").Inc(1)
 	}
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -44,12 +44,20 @@
 	evenPart = 0.05
 )
 
-// Rates are what was asked of one zone for a workspace and what of it ran, in
-// units a second.
+// Rates are what was asked of one zone for a workspace and what of it ran.
 type Rates struct {
 	Workspace string  `cbor:"1,keyasint"`
-	Asked     float64 `cbor:"2,keyasint"`
-	Ran       float64 `cbor:"3,keyasint"`
+	Asked     float64 `cbor:"2,keyasint"` // units a second
+	Ran       float64 `cbor:"3,keyasint"` // units a second
+	Total     float64 `cbor:"4,keyasint"` // units that ran since the ledger began
+}
+
+// Sums is what one zone's ledger tells the others.
+type Sums struct {
+	Zone  string  `cbor:"1,keyasint"`
+	Life  uint64  `cbor:"2,keyasint"` // of the ledger: totals of two cannot be compared
+	Rates []Rates `cbor:"3,keyasint"`
+	Away  float64 `cbor:"4,keyasint"` // part of each limit that is kept for instances which the ledger does not hear
 }
 
 // Report is what one instance tells the ledgers of its zone.
@@ -63,21 +71,25 @@
 // Ledger sums one zone's reports. It is not safe for concurrent use.
 type Ledger struct {
 	zone    string
+	life    uint64
 	window  time.Duration
 	books   map[string]*book
 	members map[string]*member
 	zones   map[string]*zoneSums
 	since   clock.Millis // since when reports have come without a gap; 0: they have not
 	heard   clock.Millis // the last report
+	total   int          // instances of all zones
+	away    float64      // part of each limit that is kept for own instances which are not heard
 	stepped clock.Millis
 }
 
 // book is a ledger's state for one workspace.
 type book struct {
 	limit Limit
-	asked demand // in the own zone
-	ran   rate   // in the own zone
-	used  window // in all zones
+	asked demand  // in the own zone
+	ran   rate    // in the own zone
+	total float64 // units that ran in the own zone
+	used  window  // in all zones
 	sum   float64
 	pass  float64
 }
@@ -92,15 +104,17 @@
 // zoneSums is another zone, as last heard.
 type zoneSums struct {
 	at     clock.Millis
+	life   uint64
+	away   float64
 	rates  map[string]Rates
 	frozen map[string]float64 // its part of each limit, from when it fell silent; nil while it is heard
 }
 
-// NewLedger returns the ledger of a zone that knows nothing. window is the span
-// of time over which limits are judged.
-func NewLedger(zone string, window time.Duration) *Ledger {
+// NewLedger returns the ledger of a zone that knows nothing. life tells it from
+// others of the zone; window is the span of time over which limits are judged.
+func NewLedger(zone string, life uint64, window time.Duration) *Ledger {
 	return &Ledger{
-		zone: zone, window: window,
+		zone: zone, life: life, window: window,
 		books: map[string]*book{}, members: map[string]*member{}, zones: map[string]*zoneSums{},
 	}
 }
@@ -122,20 +136,39 @@
 			}
 		}
 	}
+	gap := now.Sub(m.at)
+	if m.at == 0 {
+		gap = 0
+	}
 	m.at = now
 	for _, u := range r.Uses {
 		before := m.uses[u.Workspace]
 		if u.Asked < before.Asked {
 			continue // overtaken by a later report
 		}
-		b := l.book(now, u.Workspace)
-		b.asked.add(now, u.Asked-before.Asked)
-		b.ran.add(now, u.Ran-before.Ran)
-		b.used.add(now, u.Ran-before.Ran)
+		l.book(now, u.Workspace).take(now, gap, l.total, u.Asked-before.Asked, u.Ran-before.Ran)
 		m.uses[u.Workspace] = u
 	}
 }
 
+// take adds what an instance was asked and what of it ran since it was last heard.
+// After a silence that is spread over it, less the part that was kept meanwhile for
+// the instance, which divides the limits with as many as there are in total.
+func (b *book) take(now clock.Millis, gap time.Duration, total int, asked, ran float64) {
+	b.total += ran
+	if gap <= memberSilence {
+		b.asked.add(now, asked)
+		b.ran.add(now, ran)
+		b.used.add(now, ran)
+		return
+	}
+	lately := min(smoothing.Seconds()/gap.Seconds(), 1)
+	b.asked.add(now, asked*lately)
+	b.ran.add(now, ran*lately)
+	kept := b.limit.Rate * (gap - memberSilence).Seconds() / float64(max(total, 1))
+	b.used.addOver(now, gap, max(ran-kept, 0))
+}
+
 // book returns a workspace's book.
 func (l *Ledger) book(now clock.Millis, workspace string) *book {
 	b := l.books[workspace]
@@ -146,25 +179,39 @@
 	return b
 }
 
-// TakeSums takes another zone's sums.
-func (l *Ledger) TakeSums(now clock.Millis, zone string, rates []Rates) {
-	z := &zoneSums{at: now, rates: make(map[string]Rates, len(rates))}
-	for _, r := range rates {
+// TakeSums takes another zone's sums. What ran there is added as it is told; after a
+// silence it is spread over it, less the part that was kept for the zone meanwhile.
+func (l *Ledger) TakeSums(now clock.Millis, s Sums) {
+	z := &zoneSums{at: now, life: s.Life, away: s.Away, rates: make(map[string]Rates, len(s.Rates))}
+	before := l.zones[s.Zone]
+	for _, r := range s.Rates {
 		z.rates[r.Workspace] = r
+		if before == nil || before.rates == nil {
+			continue
+		}
+		gap := now.Sub(before.at)
+		ran := r.Total - before.rates[r.Workspace].Total
+		if before.life != s.Life {
+			ran = r.Ran * min(gap, zoneSilence).Seconds()
+		}
+		b := l.book(now, r.Workspace)
+		if gap > zoneSilence {
+			ran -= before.frozen[r.Workspace] * b.limit.Rate * (gap - zoneSilence).Seconds()
+		}
+		b.used.addOver(now, gap, max(ran, 0))
 	}
-	l.zones[zone] = z
+	l.zones[s.Zone] = z
 }
 
 // Sums are the own zone's, for other zones' ledgers.
-func (l *Ledger) Sums(now clock.Millis) []Rates {
-	var all []Rates
+func (l *Ledger) Sums(now clock.Millis) Sums {
+	s := Sums{Zone: l.zone, Life: l.life, Away: l.away}
 	for name, b := range l.books {
-		r := Rates{Workspace: name, Asked: b.asked.now(now), Ran: b.ran.now(now)}
-		if r.Asked >= least {
-			all = append(all, r)
+		if b.total > 0 {
+			s.Rates = append(s.Rates, Rates{Workspace: name, Asked: b.asked.now(now), Ran: b.ran.now(now), Total: b.total})
 		}
 	}
-	return all
+	return s
 }
 
 // least is the rate below which nothing is told, in units a second.
@@ -183,9 +230,9 @@
 	if l.stepped == 0 {
 		past = 0
 	}
-	l.stepped = now
+	l.stepped, l.total = now, p.Total
 	l.watch(now, limits, p)
-	away := float64(l.away(now, p)) / float64(max(p.Total, 1))
+	l.away = float64(l.unheard(now, p)) / float64(max(p.Total, 1))
 	for name := range l.books {
 		if _, ok := limits[name]; !ok {
 			delete(l.books, name)
@@ -199,7 +246,7 @@
 			b.fill(now, limit.over(l.window)/l.window.Seconds(), l.window)
 		}
 		b.limit = limit
-		l.judge(now, past, name, b, away)
+		l.judge(now, past, name, b)
 	}
 }
 
@@ -214,16 +261,15 @@
 // rate that is allowed is the limit's, and what the window has left spread over a
 // part of it. Of both, those who are not heard keep their parts; what ran beyond
 // the limit is worked off by those who are.
-func (l *Ledger) judge(now clock.Millis, past time.Duration, name string, b *book, away float64) {
-	asked, reserved := b.asked.now(now), away
+func (l *Ledger) judge(now clock.Millis, past time.Duration, name string, b *book) {
+	asked, reserved := b.asked.now(now), l.away
 	for _, z := range l.zones {
 		if z.frozen != nil {
 			reserved += z.frozen[name]
 			continue
 		}
-		r := z.rates[name]
-		asked += r.Asked
-		b.used.add(now, r.Ran*past.Seconds())
+		asked += z.rates[name].Asked
+		reserved += z.away
 	}
 	reserved = min(reserved, 1)
 	b.used.add(now, reserved*b.limit.Rate*past.Seconds())
@@ -283,9 +329,9 @@
 	return parts
 }
 
-// away is how many of the own zone's instances are not heard and may be using
+// unheard is how many of the own zone's instances are not heard and may be using
 // their part of the limits alone.
-func (l *Ledger) away(now clock.Millis, p Present) int {
+func (l *Ledger) unheard(now clock.Millis, p Present) int {
 	n := 0
 	for name, m := range l.members {
 		switch quiet := now.Sub(m.at); {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/trailshed/trailshed/internal/quota"
+	"github.com/trailshed/trailshed/pkg/clock"
 )
 
 // The figures of a shared deployment: a limit is 1.8 times what is usual, an
@@ -262,3 +263,38 @@
 		c.Check(w.most("hot") <= 0.97*bound(large, slack), qt.IsTrue, qt.Commentf("%.0f of %.0f", w.most("hot"), bound(large, slack)))
 	}
 }
+
+// An instance that was not heard for a while, as when a cut ends or another ledger
+// was reported to, tells all that it ran meanwhile at once. Taken as if it had run
+// now, that held back workspaces below their limit for a window.
+func TestReportAfterASilence(t *testing.T) {
+	c := qt.New(t)
+	const instances = 26
+	l := quota.NewLedger("z", 1, span)
+	p := quota.Present{Zones: map[string]bool{"z": true}, Instances: map[string]bool{}, Total: instances}
+	limits := map[string]quota.Limit{"w": large}
+	now := clock.Millis(100_000)
+	ran := 0.0
+	step := func(reported func(n int) bool) {
+		now = now.Add(tick)
+		ran += usual * large.Rate * tick.Seconds() / instances
+		for n := range instances {
+			if reported(n) {
+				l.Take(now, quota.Report{Instance: fmt.Sprint(n), Life: 1, Uses: []quota.Use{{Workspace: "w", Asked: ran, Ran: ran}}})
+			}
+		}
+		l.Step(now, limits, p)
+	}
+	for range 120 {
+		step(func(int) bool { return true })
+	}
+	for range 100 {
+		step(func(n int) bool { return n > 20 })
+	}
+	for range 60 {
+		step(func(int) bool { return true })
+		for _, w := range l.Words(now, false) {
+			c.Assert(w.Pass, qt.Equals, 1.0, qt.Commentf("used %.1f of %.1f", w.Used, large.Rate*span.Seconds()+large.Burst))
+		}
+	}
+}
--- a/internal/quota/rate.go
+++ b/internal/quota/rate.go
@@ -88,6 +88,15 @@
 	w.units[w.last%(spans+1)] += units
 }
 
+// addOver adds units that came evenly over a span of time until now.
+func (w *window) addOver(now clock.Millis, past time.Duration, units float64) {
+	w.advance(now)
+	n := int64(past/w.spanLength()) + 1
+	for i := range min(n, spans+1) {
+		w.units[(w.last-i)%(spans+1)] += units / float64(n)
+	}
+}
+
 func (w *window) sum(now clock.Millis) float64 {
 	w.advance(now)
 	total := 0.0
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -80,8 +80,8 @@
 }
 
 func (w *world) begin(i *instance) {
-	i.gate, i.ledger = quota.NewGate(w.now), quota.NewLedger(i.zone, span)
 	i.life, i.began, i.up, i.heard = w.random.Uint64(), w.now, 0, 0
+	i.gate, i.ledger = quota.NewGate(w.now), quota.NewLedger(i.zone, i.life, span)
 }
 
 // kill ends an instance, which begins anew after a time.
@@ -190,11 +190,11 @@
 		}
 	}
 	if sums || i.ledger.Near() {
-		rates := i.ledger.Sums(w.now)
+		sums := i.ledger.Sums(w.now)
 		for _, zone := range w.zones {
 			for _, o := range w.keepers(zone) {
 				if o.zone != i.zone {
-					w.send(i, o, func() { o.ledger.TakeSums(w.now, i.zone, rates) })
+					w.send(i, o, func() { o.ledger.TakeSums(w.now, sums) })
 				}
 			}
 		}
