feed: read changes sooner while the process is young

Change: in a process's first two seconds readings are 100 ms apart.

TestYoungFeedReadsChangesSooner fails without it (5 readings in the first second, 9 with it).

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -67,6 +67,11 @@
 	// between two watches: changes that come close together, as when a fleet
 	// starts, are told by one call.
 	gatherPart = 0.125
+	// youngGather is the same in a process that is younger than youth. Where all start
+	// at once, each reads in the first half second the certificates by which planners
+	// and entries know each other; a few more calls by those who watch buy that.
+	youngGather = 100 * time.Millisecond
+	youth       = 2 * time.Second
 	// catchUpWait is how long a call for the changes so far waits if there are none.
 	catchUpWait = time.Millisecond
 	// standBy is how often an instance that need not watch asks itself whether
@@ -123,6 +128,7 @@
 
 // Run follows until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
+	began := f.Now()
 	revision := int64(0)
 	pause := retryFirst
 	for ctx.Err() == nil {
@@ -156,10 +162,19 @@
 		if t == begin {
 			continue // what it lacks comes with the next call
 		}
-		ticker.Sleep(ctx, time.Duration(gatherPart*float64(f.Bound)))
+		ticker.Sleep(ctx, f.gather(f.Now().Sub(began)))
 	}
 }
 
+// gather is the pause after a call, at an age of the process.
+func (f *Feed) gather(age time.Duration) time.Duration {
+	usual := time.Duration(gatherPart * float64(f.Bound))
+	if age < youth {
+		return min(usual, youngGather)
+	}
+	return usual
+}
+
 // read makes one call, or those of one reading.
 func (f *Feed) read(ctx context.Context, t task, revision int64) (News, error) {
 	switch t {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -275,3 +275,30 @@
 		})
 	}
 }
+
+// Where a fleet starts, instances must know each other's certificates before they can
+// ask planners, so changes are read at once; later they are gathered.
+func TestYoungFeedReadsChangesSooner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &source{}
+		s.version.Store(1)
+		s.watching.Store(true)
+		f, _ := s.open(t)
+		f.Source.Watch = func(_ context.Context, revision int64, _ time.Duration) (feed.News, error) {
+			s.watches.Add(1)
+			return feed.News{Revision: revision + 1}, nil // something changes all the time
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		young := s.watches.Load()
+		time.Sleep(2 * time.Second)
+		before := s.watches.Load()
+		time.Sleep(time.Second)
+		later := s.watches.Load() - before
+		c.Check(young >= 9, qt.IsTrue, qt.Commentf("%d", young))
+		c.Check(later <= 4, qt.IsTrue, qt.Commentf("%d", later))
+	})
+}
