soak: requests come with keys, in their workspace's name and within its limit

The soak's documents have three workspaces, one of which sends more than its limit of 6 requests a second and 6 besides lets run. Checked on every run: endpoints see the workspace that holds the caller's key and never a key, and no 8 s hold more of the limited workspace's runs than the rule allows.

--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -24,23 +24,49 @@
 	Once    bool // it must not run twice
 	Stream  bool
 	Version int // of the configuration that brought its route; 0: the first one
+	// Workspace is in whose name it is asked.
+	Workspace string
 }
 
+// The workspaces of the soak. Limited sends more than it may.
+const (
+	first   = "thorn"
+	second  = "amber"
+	Limited = "fern"
+)
+
+// Limit of Limited, in requests: a second, and besides.
+const (
+	LimitRate  = 6
+	LimitBurst = 6
+)
+
+// Workspaces are those of every configuration.
+func Workspaces() []standin.Workspace {
+	return []standin.Workspace{
+		{Name: first, Keys: []string{key(first)}, Priority: 1},
+		{Name: second, Keys: []string{key(second)}, Priority: 2},
+		{Name: Limited, Keys: []string{key(Limited)}, Priority: 2, Rate: LimitRate, Burst: LimitBurst},
+	}
+}
+
+func key(workspace string) string { return "key-of-" + workspace }
+
 // Kinds are those of the first configuration.
 func Kinds() []Kind {
 	return []Kind{
-		{Path: "/stream/x", Method: http.MethodPost, Service: "llm", Stream: true},
-		{Path: "/once" + standin.LongPath, Method: http.MethodPost, Service: "llm", Stream: true, Once: true},
-		{Path: "/once/x", Method: http.MethodPost, Service: "llm", Stream: true, Once: true},
-		{Path: "/safe/x", Method: http.MethodGet, Service: "web"},
-		{Path: "/unsafe/x", Method: http.MethodPost, Service: "web", Once: true},
-		{Path: "/unsafe/y", Method: http.MethodPost, Service: "web", Once: true},
+		{Path: "/stream/x", Method: http.MethodPost, Service: "llm", Stream: true, Workspace: first},
+		{Path: "/once" + standin.LongPath, Method: http.MethodPost, Service: "llm", Stream: true, Once: true, Workspace: first},
+		{Path: "/once/x", Method: http.MethodPost, Service: "llm", Stream: true, Once: true, Workspace: second},
+		{Path: "/safe/x", Method: http.MethodGet, Service: "web", Workspace: second},
+		{Path: "/unsafe/x", Method: http.MethodPost, Service: "web", Once: true, Workspace: first},
+		{Path: "/unsafe/y", Method: http.MethodPost, Service: "web", Once: true, Workspace: Limited},
 	}
 }
 
 // Added is the kind that a configuration of a version adds.
 func Added(version int) Kind {
-	return Kind{Path: "/v" + strconv.Itoa(version) + "/x", Method: http.MethodGet, Service: "web", Version: version}
+	return Kind{Path: "/v" + strconv.Itoa(version) + "/x", Method: http.MethodGet, Service: "web", Version: version, Workspace: first}
 }
 
 // Gateway is an instance that takes requests.
@@ -115,7 +141,7 @@
 		timer := time.AfterFunc(after, func() { once.Do(func() { call.Left = true }); cancel() })
 		defer timer.Stop()
 	}
-	ask := standin.Ask{ID: call.ID, To: g.At, Method: k.Method, Path: k.Path, Body: call.Body, Wait: wait}
+	ask := standin.Ask{ID: call.ID, To: g.At, Method: k.Method, Path: k.Path, Body: call.Body, Wait: wait, Key: key(k.Workspace)}
 	reply := ask.Send(ctx, c.client)
 	once.Do(func() {}) // a caller that left later than its answer has not left
 	call.Reply, call.Ended = reply, time.Now()
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -99,6 +99,8 @@
 		Contact: 3 * time.Second, Drain: 2 * time.Second, Config: 2 * time.Second, Outer: 5 * time.Second,
 		Gone: 500 * time.Millisecond, Slack: 1500 * time.Millisecond,
 		Ratio: retryRatio, Extra: retrySlack, Window: retryWindow, Timed: timed,
+		// Instances that are alone, and those that have just begun, may add some.
+		LimitRate: caller.LimitRate, LimitBurst: caller.LimitBurst, LimitSlack: 30, LimitWindow: 8 * time.Second,
 	}
 }
 
@@ -239,7 +241,7 @@
 		k := caller.Added(version)
 		f.routes = append(f.routes, standin.NewRoute(k.Path, k.Path[:len(k.Path)-1], "idempotent", k.Service, 2, false))
 	}
-	f.store.Configure(standin.NewDocument(version, f.routes...))
+	f.store.Configure(standin.NewDocument(version, f.routes...).With(caller.Workspaces()...))
 	f.mu.Unlock()
 	f.checker.Configured(version)
 }
