quota: tell gates only of workspaces near their limit; save parts from the cut on

Cause: at 1,800 instances and 720 workspaces each word to each gate named all workspaces (358 kB an instance and second in emulated time), though what is left out may pass. And an instance that was alone began to save its part up with its first request, which was therefore always refused.

Change: words name workspaces near their limit only; the part is saved up from when the instance is alone, which is when ledgers begin to keep it for it.

Still too much at 1,800: 24 zones exchange the rates of 720 workspaces.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -87,9 +87,9 @@
 func (g *Gate) Admit(now clock.Millis, workspace string, l quota.Limit, units float64, instances int) Verdict {
 	d := g.door(workspace)
 	d.use.Asked += units
-	v := Verdict{Limit: l, Pass: d.pass, Used: d.used, Age: now.Sub(g.heardAt), Alone: g.alone(now, d)}
+	v := Verdict{Limit: l, Pass: d.pass, Used: d.used, Age: now.Sub(g.heardAt), Alone: now > g.trusted(d)}
 	if v.Alone {
-		v.Admitted, v.After = d.takePart(now, l.Rate/float64(max(instances, 1)), units)
+		v.Admitted, v.After = d.takePart(now, g.trusted(d), l.Rate/float64(max(instances, 1)), units)
 	} else {
 		v.Admitted, v.After = d.takePass()
 	}
@@ -105,16 +105,17 @@
 // Credit takes back what was counted for a request that did not run.
 func (g *Gate) Credit(workspace string, units float64) { g.door(workspace).use.Ran -= units }
 
-// alone says that this instance must keep to its own part. One that is young and
-// has heard nobody is taken for one whose peers begin with it.
-func (g *Gate) alone(now clock.Millis, d *door) bool {
+// trusted is until when a workspace's last word is gone by. Later, this instance must
+// keep to its own part of the limit. One that is young and has heard nobody is taken
+// for one whose peers begin with it.
+func (g *Gate) trusted(d *door) clock.Millis {
 	switch {
 	case g.heardAt == 0:
-		return now.Sub(g.began) > youth
+		return g.began.Add(youth)
 	case d.near:
-		return now.Sub(g.heardAt) > nearSilence
+		return g.heardAt.Add(nearSilence)
 	default:
-		return now.Sub(g.heardAt) > silence
+		return g.heardAt.Add(silence)
 	}
 }
 
@@ -135,10 +136,11 @@
 }
 
 // takePart lets a request pass if the instance has saved up enough of its part of
-// the limit. It begins with nothing: what it used before is not known to others.
-func (d *door) takePart(now clock.Millis, perSecond, units float64) (bool, time.Duration) {
+// the limit since it is alone. It begins with nothing: what it used before is not
+// known to others.
+func (d *door) takePart(now, since clock.Millis, perSecond, units float64) (bool, time.Duration) {
 	if d.partAt == 0 {
-		d.partAt = now
+		d.partAt = since
 	}
 	d.part = min(d.part+perSecond*now.Sub(d.partAt).Seconds(), max(perSecond*partDepth.Seconds(), units))
 	d.partAt = now
@@ -173,18 +175,15 @@
 	return uses
 }
 
-// Hear takes a ledger's words; whole says that they are all there are, and that
-// workspaces which they leave out may pass.
-func (g *Gate) Hear(now clock.Millis, words []quota.Word, whole bool) {
+// Hear takes a ledger's words. Workspaces that they leave out may pass.
+func (g *Gate) Hear(now clock.Millis, words []quota.Word) {
 	g.heardAt = now
-	if whole {
-		for _, d := range g.doors {
-			d.pass, d.used, d.near = 1, 0, false
-		}
+	for _, d := range g.doors {
+		d.pass, d.used, d.near = 1, 0, false
 	}
 	for _, w := range words {
 		d := g.door(w.Workspace)
-		d.pass, d.used, d.near = w.Pass, w.Used, w.Near
+		d.pass, d.used, d.near = w.Pass, w.Used, true
 	}
 }
 
--- a/internal/metering/metering.go
+++ b/internal/metering/metering.go
@@ -42,8 +42,8 @@
 	// is near its limit it does so at each tick. At 78 instances, 375 requests a second
 	// are about five reports a second each.
 	reportEvery = 200 * time.Millisecond
-	// wholeEvery is how often instances report and ledgers tell everything, also
-	// that there is nothing new: silence means that the other is not reached.
+	// wholeEvery is how often instances report everything and ledgers tell words, also
+	// if there is nothing new: silence means that the other is not reached.
 	wholeEvery = 400 * time.Millisecond
 	// sumsEvery is how often zones exchange sums; while some workspace is near its
 	// limit they do so at each tick.
@@ -56,10 +56,10 @@
 	standIn = 600 * time.Millisecond
 )
 
-// words is what a ledger tells its zone's instances.
+// words is what a ledger tells its zone's instances: of all workspaces that are near
+// their limits.
 type words struct {
 	Words []quota.Word `cbor:"1,keyasint"`
-	Whole bool         `cbor:"2,keyasint"` // of all workspaces
 }
 
 // reporter is an instance that reports to this one.
@@ -96,7 +96,7 @@
 	gate     *admission.Gate
 	ledger   *quota.Ledger
 	reported clock.Millis
-	told     clock.Millis // when all words were last told
+	told     clock.Millis // when words were last told
 	summed   clock.Millis
 	heardAt  clock.Millis // words of another ledger of the zone
 	// reporters are told words: also those whose entry in the store has lapsed, as
@@ -143,7 +143,7 @@
 	m.ledger.Take(now, r)
 	before := m.reporters[r.Instance]
 	m.reporters[r.Instance] = reporter{address: from.Address, life: r.Life, at: now}
-	return words{Words: m.ledger.Words(now, false), Whole: true}, m.keeps && before.life != r.Life
+	return words{Words: m.ledger.Words()}, m.keeps && before.life != r.Life
 }
 
 // Admit counts a request of so many units to a workspace, unless it is over the
@@ -281,11 +281,12 @@
 
 // words are what is to be told now, if anything.
 func (m *Meter) words(now clock.Millis) (w words, tells bool) {
-	if now.Sub(m.told) >= wholeEvery {
-		m.told = now
-		return words{Words: m.ledger.Words(now, false), Whole: true}, true
+	near := m.ledger.Near()
+	if !near && now.Sub(m.told) < wholeEvery {
+		return words{}, false
 	}
-	return words{Words: m.ledger.Words(now, true)}, m.ledger.Near()
+	m.told = now
+	return words{Words: m.ledger.Words()}, true
 }
 
 func (m *Meter) present(all, zone []roster.Instance) quota.Present {
@@ -315,7 +316,7 @@
 }
 
 // hear gives words to the gate.
-func (m *Meter) hear(w words) { m.gate.Hear(m.Now(), w.Words, w.Whole) }
+func (m *Meter) hear(w words) { m.gate.Hear(m.Now(), w.Words) }
 
 // note writes a line when a workspace begins or ends to be held back.
 func (m *Meter) note() {
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -251,15 +251,14 @@
 	return n
 }
 
-// Words are what gates are told: of each workspace that something is asked for,
-// or only of those that are near their limit.
-func (l *Ledger) Words(now clock.Millis, near bool) []Word {
+// Words are what gates are told: of each workspace that is near its limit. All others
+// may pass.
+func (l *Ledger) Words() []Word {
 	var words []Word
 	for name, b := range l.books {
-		if near && !l.isNear(b) || !near && b.pass >= 1 && b.asked.now(now) < least {
-			continue
+		if l.isNear(b) {
+			words = append(words, Word{Workspace: name, Pass: b.pass, Used: b.sum})
 		}
-		words = append(words, Word{Workspace: name, Pass: b.pass, Used: b.sum, Near: l.isNear(b)})
 	}
 	return words
 }
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -19,12 +19,11 @@
 	Ran       float64 `cbor:"3,keyasint"`
 }
 
-// Word is what a ledger tells gates of one workspace.
+// Word is what a ledger tells gates of one workspace that is near its limit.
 type Word struct {
 	Workspace string  `cbor:"1,keyasint"`
-	Pass      float64 `cbor:"2,keyasint"`           // part of what is asked that may be admitted
-	Used      float64 `cbor:"3,keyasint"`           // units that ran within a window
-	Near      bool    `cbor:"4,keyasint,omitempty"` // it may be held back soon: reports are wanted often
+	Pass      float64 `cbor:"2,keyasint"` // part of what is asked that may be admitted
+	Used      float64 `cbor:"3,keyasint"` // units that ran within a window
 }
 
 // Rates are what was asked of one zone for a workspace and what of it ran.
