--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: build, lint, test, soak, demo, up, down.
+# Targets: build, lint, test, fuzz, soak, demo, up, down.
 BIN := build/bin
 GOFUMPT := $(BIN)/gofumpt-0.12.0
 LINT := $(BIN)/golangci-lint-2.15.0
@@ -19,6 +19,13 @@
 test:
 	go test -race -count=1 -timeout 5m ./...
 
+# What others may write into the store or answer. `make test` runs the seeds of
+# these; new inputs are drawn by hand, as their verdict would vary.
+.PHONY: fuzz
+fuzz:
+	for target in FuzzEntry FuzzDocument FuzzReport; do \
+	  go test ./platform -run '^$$' -fuzz "^$$target$$" -fuzztime 20s -parallel 2 || exit 1; done
+
 # Real processes under faults; bounds on time are not checked, so that the
 # verdict is the same on a busy machine. docs/SOAK.md has the longer runs.
 .PHONY: soak
