admission: bound what an instance admits that has just begun

Change: until it hears a ledger, an instance admits the first request of each workspace, and more by one and a half times its part of the limit.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -20,10 +20,14 @@
 	// come every 100 ms: one that sends many times its usual spends in a second
 	// what its limit allows in several.
 	nearSilence = 400 * time.Millisecond
-	// youth is how long a gate that has heard no ledger yet admits everything:
-	// where all instances have started at once they find each other within a
-	// second, and refusals in that time would come on top of the outage.
-	youth = 1500 * time.Millisecond
+	// youth is how long a gate that has heard no ledger yet admits a first request of
+	// each workspace, and more by youngTimes the instance's part: where all instances
+	// have started at once they find each other within a second, and refusals in that
+	// time would come on top of the outage. Without a bound, 48 instances of 78 that
+	// came back let 180 requests of a workspace pass that had spent its limit, 2.3 s
+	// worth of it.
+	youth      = 1500 * time.Millisecond
+	youngTimes = 1.5
 	// partDepth is how long an instance that is alone may save up its part.
 	partDepth = 4 * time.Second
 	// backLeast and backMost bound when refused callers are told to come back.
@@ -88,9 +92,13 @@
 	d := g.door(workspace)
 	d.use.Asked += units
 	v := Verdict{Limit: l, Pass: d.pass, Used: d.used, Age: now.Sub(g.heardAt), Alone: now > g.trusted(d)}
-	if v.Alone {
-		v.Admitted, v.After = d.takePart(now, g.trusted(d), l.Rate/float64(max(instances, 1)), units)
-	} else {
+	part := l.Rate / float64(max(instances, 1))
+	switch {
+	case v.Alone:
+		v.Admitted, v.After = d.takePart(now, g.trusted(d), part, units)
+	case g.heardAt == 0:
+		v.Admitted = d.use.Ran <= youngTimes*part*now.Sub(g.began).Seconds()
+	default:
 		v.Admitted, v.After = d.takePass()
 	}
 	if v.Admitted {
