metering: an instance that is in no roster keeps no ledger

Cause: where a zone's roster held fewer than two instances, one that was not among them took the second place and judged by itself, though it reached the ledger.

Change: who is not in the roster is no keeper. With it the test fails without the list of reporters (never heard within 2 s) and passes with it, 20 times under the race detector.

--- a/internal/metering/metering.go
+++ b/internal/metering/metering.go
@@ -175,7 +175,7 @@
 		return
 	}
 	ranked := m.Roster.Ranked(m.Zone, roleLedger)
-	rank := len(ranked)
+	rank := keepers // of an instance that is in no roster: it keeps none
 	for n, i := range ranked {
 		if i.Name == m.Name {
 			rank = n
