--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -292,7 +292,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go f.Run(ctx)
-		time.Sleep(time.Second)
+		time.Sleep(time.Second + 50*time.Millisecond) // between two readings, here and below
 		young := s.watches.Load()
 		time.Sleep(2 * time.Second)
 		before := s.watches.Load()
