directory: endpoints are passed on with numbered fields

Change: fields have numbers, as in all other messages between instances.

TestEndpointIsSmallOnTheWire fails without it (bytes of one endpoint in the test's words).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -47,16 +47,16 @@
 // tells. What was learned, held or counted of an endpoint goes by its ID, so that
 // nothing of one life is taken for another's.
 type Endpoint struct {
-	ID       string // of this life
-	Entry    string // what the store and the endpoint itself know it by, in all its lives
-	Born     int64  // ms since 1970, when this life began; 0 if it does not say
-	Service  string
-	Address  netip.AddrPort
-	Zone     string
-	Slots    int
-	State    State
-	Stage    Stage
-	Revision int64 // of the store, when this was written
+	ID       string         `cbor:"1,keyasint"`           // of this life
+	Entry    string         `cbor:"2,keyasint"`           // what the store and the endpoint itself know it by, in all its lives
+	Born     int64          `cbor:"3,keyasint,omitempty"` // ms since 1970, when this life began; 0 if it does not say
+	Service  string         `cbor:"4,keyasint"`
+	Address  netip.AddrPort `cbor:"5,keyasint"`
+	Zone     string         `cbor:"6,keyasint"`
+	Slots    int            `cbor:"7,keyasint"`
+	State    State          `cbor:"8,keyasint,omitempty"`
+	Stage    Stage          `cbor:"9,keyasint,omitempty"`
+	Revision int64          `cbor:"10,keyasint"` // of the store, when this was written
 }
 
 // Live returns the endpoint as the life that began at born.
--- a/internal/directory/event.go
+++ b/internal/directory/event.go
@@ -32,8 +32,8 @@
 
 // Removed says that an endpoint's entry is gone from the store.
 type Removed struct {
-	Entry    string
-	Revision int64
+	Entry    string `cbor:"1,keyasint"`
+	Revision int64  `cbor:"2,keyasint"`
 }
 
 // Denied says that another endpoint answered at this one's address.
--- a/internal/directory/lives_test.go
+++ b/internal/directory/lives_test.go
@@ -1,9 +1,11 @@
 package directory_test
 
 import (
+	"net/netip"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/pkg/clock"
@@ -127,3 +129,19 @@
 		})
 	}
 }
+
+// Whole views of all endpoints go between instances whose links carry 10 Mbit/s; at
+// 3,000 endpoints each byte of one is 2.4 ms there.
+func TestEndpointIsSmallOnTheWire(t *testing.T) {
+	c := qt.New(t)
+	e := directory.Endpoint{
+		Entry: "i-0cfe18b5aa", Service: "member-assist", Zone: "centurion-c", Slots: 16, Stage: directory.Decode,
+		Address: netip.MustParseAddrPort("10.2.67.177:8568"), Revision: 123_456,
+	}.Live(0)
+	data, err := cbor.Marshal(e)
+	c.Assert(err, qt.IsNil)
+	c.Check(len(data) <= 100, qt.IsTrue, qt.Commentf("%d bytes", len(data)))
+	var again directory.Endpoint
+	c.Assert(cbor.Unmarshal(data, &again), qt.IsNil)
+	c.Check(again == e, qt.IsTrue, qt.Commentf("%+v", again))
+}
