tree: one way to refuse, limits kept by table, one look at a word's age

A refusal over the limit repeated what a refusal does (line, counters, answer): both go through refuseWith. The map of limits was built ten times a second from a table that seldom changes: it is kept with its table. The gate worked out twice for each request until when a word is trusted, and the meter's loop for its own rank is slices.IndexFunc.

No test changed. Left: metering_test and broker_test begin a node each with the same lines, and quota.Limit repeats two fields of route.Limit, of which it needs no more.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -91,11 +91,12 @@
 func (g *Gate) Admit(now clock.Millis, workspace string, l quota.Limit, units float64, instances int) Verdict {
 	d := g.door(workspace)
 	d.use.Asked += units
-	v := Verdict{Limit: l, Pass: d.pass, Used: d.used, Age: now.Sub(g.heardAt), Alone: now > g.trusted(d)}
+	trusted := g.trusted(d)
+	v := Verdict{Limit: l, Pass: d.pass, Used: d.used, Age: now.Sub(g.heardAt), Alone: now > trusted}
 	part := l.Rate / float64(max(instances, 1))
 	switch {
 	case v.Alone:
-		v.Admitted, v.After = d.takePart(now, g.trusted(d), part, units)
+		v.Admitted, v.After = d.takePart(now, trusted, part, units)
 	case g.heardAt == 0:
 		v.Admitted = d.use.Ran <= youngTimes*part*now.Sub(g.began).Seconds()
 	default:
--- a/internal/forward/ending.go
+++ b/internal/forward/ending.go
@@ -55,16 +55,19 @@
 // refuse tells the caller that the request did not run and when to come back.
 func (p *passage) refuse(reason string, after time.Duration) {
 	p.failure = reason
-	n := p.line(eventlog.Refused, reason, nil)
-	n.Status, n.Wait = http.StatusServiceUnavailable, after
+	p.refuseWith(http.StatusServiceUnavailable, after, p.line(eventlog.Refused, reason, nil))
+}
+
+// refuseWith is refuse with a status and a line that tells more.
+func (p *passage) refuseWith(status int, after time.Duration, n eventlog.Line) {
+	n.Status, n.Wait = status, after
 	p.trail.Write(n)
 	p.Scope.Counter("requests_refused").Inc(1)
-	p.Scope.Tagged(map[string]string{"reason": reason}).Counter("refusals").Inc(1)
-	p.tellRefusal(http.StatusServiceUnavailable, after)
+	p.Scope.Tagged(map[string]string{"reason": n.Reason}).Counter("refusals").Inc(1)
+	p.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	http.Error(p.w, "not run: "+n.Reason, status)
 }
 
-func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
-
 // fail tells the caller that the request may have run.
 func (p *passage) fail(status int) {
 	n := p.line(eventlog.GaveUp, p.failure, nil)
--- a/internal/forward/workspace.go
+++ b/internal/forward/workspace.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/trailshed/trailshed/internal/admission"
 	"github.com/trailshed/trailshed/internal/eventlog"
@@ -75,12 +74,8 @@
 func (p *passage) refuseOver(v admission.Verdict) {
 	p.failure = "over_limit"
 	n := p.line(eventlog.Refused, p.failure, nil)
-	n.Status, n.Wait, n.Age = http.StatusTooManyRequests, v.After, v.Age
-	n.Detail = v.String()
-	p.trail.Write(n)
-	p.Scope.Counter("requests_refused").Inc(1)
-	p.Scope.Tagged(map[string]string{"reason": p.failure}).Counter("refusals").Inc(1)
-	p.tellRefusal(http.StatusTooManyRequests, v.After)
+	n.Age, n.Detail = v.Age, v.String()
+	p.refuseWith(http.StatusTooManyRequests, v.After, n)
 }
 
 // priority is what engines are told: the workspace's, if it has one.
@@ -98,9 +93,3 @@
 	}
 	return p.workspace.Name
 }
-
-// tellRefusal tells the caller that the request did not run and when to come back.
-func (p *passage) tellRefusal(status int, after time.Duration) {
-	p.w.Header().Set("Retry-After", seconds(after))
-	http.Error(p.w, "not run: "+p.failure, status)
-}
--- a/internal/metering/metering.go
+++ b/internal/metering/metering.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -90,6 +91,9 @@
 	Options
 	life  uint64
 	began clock.Millis
+	// limited are the limits of table; both belong to tick.
+	table   *route.Table
+	limited map[string]quota.Limit
 
 	mu       sync.Mutex
 	keeps    bool // a ledger, by which it has judged
@@ -175,15 +179,10 @@
 		return
 	}
 	ranked := m.Roster.Ranked(m.Zone, roleLedger)
-	rank := keepers // of an instance that is in no roster: it keeps none
-	for n, i := range ranked {
-		if i.Name == m.Name {
-			rank = n
-		}
-	}
+	rank := slices.IndexFunc(ranked, func(i roster.Instance) bool { return i.Name == m.Name })
 	now := m.Now()
 	m.report(now, ranked[:min(len(ranked), keepers)])
-	if rank < keepers {
+	if rank >= 0 && rank < keepers { // who is in no roster keeps none
 		m.keep(now, limits, ranked, rank)
 		return
 	}
@@ -192,19 +191,19 @@
 	m.mu.Unlock()
 }
 
-// limits are those of all workspaces that have one, by name.
+// limits are those of all workspaces that have one, by name. Only tick calls it.
 func (m *Meter) limits() map[string]quota.Limit {
 	t := m.Directory.View().Table
-	if t == nil {
-		return nil
+	if t == m.table {
+		return m.limited
 	}
-	limits := map[string]quota.Limit{}
+	m.table, m.limited = t, map[string]quota.Limit{}
 	for _, w := range t.Workspaces() {
 		if w.Limit.Bound() {
-			limits[w.Name] = limitOf(&w)
+			m.limited[w.Name] = limitOf(&w)
 		}
 	}
-	return limits
+	return m.limited
 }
 
 // report tells the zone's ledgers what was asked here and what ran.
