forward: name the request in the lines of runs that were cut

Cause: two tries of one request have nothing in common in the logs, so that they cannot tell whether the same work ends endpoint after endpoint.

Change: the line of an endpoint that failed under a run carries a fingerprint of workspace, method, host, path, query and body. It is computed only where a run was cut.

Ruled out: the caller's address, which changes with networks and is hidden by shared ones; a fast hash, since callers choose what goes into it.

--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -38,6 +38,7 @@
 	Event     Event
 	At        int64         // ms since 1970; 0: when it is written
 	Request   string        // id of the request it touches
+	Work      string        // fingerprint of what it asks for: the same for all its tries
 	Attempt   int           // send within the request, from 1
 	Route     string        //
 	Service   string        //
@@ -69,6 +70,7 @@
 	}
 	e := begin(l.logger.Log(), n.At, n.Event)
 	text(e, "request", n.Request)
+	text(e, "work", n.Work)
 	number(e, "attempt", int64(n.Attempt))
 	text(e, "route", n.Route)
 	text(e, "service", n.Service)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -13,6 +13,7 @@
 
 	"github.com/trailshed/trailshed/internal/balance"
 	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/quarantine"
 	"github.com/trailshed/trailshed/internal/route"
 	"github.com/trailshed/trailshed/internal/uplink"
 )
@@ -137,6 +138,9 @@
 	ejected := r.Done(p.Now(), result)
 	n := p.line(eventlog.EndpointFailed, p.failure, err)
 	n.Endpoint, n.Address = r.Endpoint.ID, r.Endpoint.Address.String()
+	if result == balance.Failed && err != nil {
+		n.Work = p.work().Fingerprint().String() // a run was cut: which tries are of one request?
+	}
 	p.trail.Write(n)
 	if ejected > 0 {
 		p.Scope.Counter("endpoints_ejected").Inc(1)
@@ -144,6 +148,13 @@
 	}
 }
 
+// work is what the request asks for, whichever try of it this is.
+func (p *passage) work() quarantine.Work {
+	return quarantine.Work{
+		Workspace: p.workspaceName(), Method: p.message.Method, Host: p.message.Host, Target: p.message.Target, Body: p.message.Body,
+	}
+}
+
 // rejected takes an endpoint's answer that it did not run the request.
 func (p *passage) rejected(r *balance.Reservation, a Answer) {
 	p.failure = "endpoints_full"
--- /dev/null
+++ b/internal/quarantine/fingerprint_test.go
@@ -0,0 +1,51 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/trailshed/trailshed/internal/quarantine"
+)
+
+func ExampleWork_Fingerprint() {
+	work := quarantine.Work{Method: "POST", Host: "a.example", Target: "/summaries/7", Body: []byte("prompt")}
+	again := quarantine.Work{Method: "POST", Host: "a.example", Target: "/summaries/7", Body: []byte("prompt")}
+	fmt.Println(work.Fingerprint() == again.Fingerprint())
+	// Output: true
+}
+
+// What differs in anything that the tries of one request have in common is another
+// request, also where the parts run into each other.
+func TestFingerprintsDiffer(t *testing.T) {
+	work := quarantine.Work{Workspace: "acorn", Method: "POST", Host: "a", Target: "/x", Body: []byte("b")}
+	tests := []struct {
+		name  string
+		other quarantine.Work
+	}{
+		{"workspace", quarantine.Work{Workspace: "birch", Method: "POST", Host: "a", Target: "/x", Body: []byte("b")}},
+		{"no workspace", quarantine.Work{Method: "POST", Host: "a", Target: "/x", Body: []byte("b")}},
+		{"method", quarantine.Work{Workspace: "acorn", Method: "PUT", Host: "a", Target: "/x", Body: []byte("b")}},
+		{"host", quarantine.Work{Workspace: "acorn", Method: "POST", Host: "c", Target: "/x", Body: []byte("b")}},
+		{"query", quarantine.Work{Workspace: "acorn", Method: "POST", Host: "a", Target: "/x?y", Body: []byte("b")}},
+		{"body", quarantine.Work{Workspace: "acorn", Method: "POST", Host: "a", Target: "/x", Body: []byte("c")}},
+		{"parts that run together", quarantine.Work{Workspace: "acorn", Method: "POST", Host: "a", Target: "/xb"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, test.other.Fingerprint(), qt.Not(qt.Equals), work.Fingerprint())
+		})
+	}
+}
+
+func TestParseFingerprint(t *testing.T) {
+	f := quarantine.Work{Target: "/x"}.Fingerprint()
+	got, err := quarantine.ParseFingerprint(f.String())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got, qt.Equals, f)
+	for _, text := range []string{"", "zz", f.String()[2:], f.String() + "00"} {
+		_, err := quarantine.ParseFingerprint(text)
+		qt.Assert(t, err, qt.IsNotNil)
+	}
+}
