suspects: a line only where a request is held or cleared

Where a zone was cut off with resets, all that ran in the others was suspected at once, with a line at each instance. What is suspected has its line where the endpoint ended.

--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -342,16 +342,17 @@
 	return true
 }
 
-// note writes a line on what is believed of a request now.
+// note writes a line where a request is held, or is not any more. What is only
+// suspected has its line where the endpoint ended: where a zone is cut, all that ran
+// in the others is suspected at once.
 func (s *Suspects) note(r quarantine.Record) {
-	n := eventlog.Line{Event: eventlog.Believed, Work: r.Work.String(), Count: int64(len(r.Ended)), Outcome: "request_suspected"}
-	switch {
-	case r.Held():
-		n.Outcome = "request_held"
-	case len(r.Ended) == 0:
+	n := eventlog.Line{Event: eventlog.Believed, Work: r.Work.String(), Count: int64(len(r.Ended)), Outcome: "request_held"}
+	if len(r.Ended) == 0 {
 		n.Outcome = "request_cleared"
 	}
-	s.Log.Write(n)
+	if r.Held() || len(r.Ended) == 0 {
+		s.Log.Write(n)
+	}
 	s.mu.Lock()
 	held, suspected := s.table.Count()
 	s.mu.Unlock()
