--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -68,6 +68,7 @@
 	CutAfter       int     `json:"cut_after"`       // streams break after so many tokens
 	LoseCancels    int     `json:"lose_cancels"`    // cancels to fail
 	RepeatTokens   bool    `json:"repeat_tokens"`   // every line is sent twice
+	CrashOn        string  `json:"crash_on"`        // its process ends as it begins a call with this in its body
 }
 
 // Run is one attempt that an engine began to execute.
@@ -82,6 +83,9 @@
 
 // Engine is one endpoint.
 type Engine struct {
+	// Crash ends the process; it is set where CrashOn is used.
+	Crash func()
+
 	traits Traits
 	client *http.Client
 
--- a/internal/standin/engine/service.go
+++ b/internal/standin/engine/service.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,7 +26,12 @@
 	}
 	e.jobs[j.attempt] = j
 	run := e.began(Run{Attempt: j.attempt, Phase: phaseCall, Key: r.Header.Get("Idempotency-Key")})
+	crashOn := e.faults.CrashOn
 	e.mu.Unlock()
+	if crashOn != "" && strings.Contains(string(body), crashOn) {
+		e.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	select {
 	case <-time.After(e.scaled(e.traits.CallTime)):
 	case <-j.gone:
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -86,6 +86,28 @@
 	server := httptest.NewServer(e.Handler())
 	s.Engines[name], s.addresses[name] = e, server.Listener.Addr().String()
 	s.engines[name] = server
+	e.Crash = func() { s.crash(name) }
+}
+
+// StartAgain gives an endpoint that has crashed a new process at its old address.
+func (s *Site) StartAgain(name string) error {
+	l, err := net.Listen("tcp", s.addresses[name]) //nolint:noctx // closed with the site
+	if err != nil {
+		return err
+	}
+	server := httptest.NewUnstartedServer(s.Engines[name].Handler())
+	_ = server.Listener.Close()
+	server.Listener = l
+	server.Start()
+	s.engines[name] = server
+	return nil
+}
+
+// crash ends an endpoint's process from within one of its handlers.
+func (s *Site) crash(name string) {
+	server := s.engines[name]
+	_ = server.Listener.Close()
+	go server.CloseClientConnections() // it waits for the handlers
 }
 
 // KillEngine takes an endpoint's listener away.
