entry: refuse calls that end the services that run them

Cause: as at the gateway, nothing of a call outlived one of its tries.

Change: `trailshed serve` uses the same memory: an entry whose run is cut looks whether the endpoint's process has ended, tells its zone and others, and keeps what is held in the platform. Package suspects gets its peers as a list and tells of what it believes through functions, so that both products share it, and the choice of whom to tell is made in one place.

Ruled out: a second table of its own for serve.

Noticed: net/http sends a GET again by itself when a kept connection ends without an answer, to the same address; the entry's client for calls that may be repeated uses it.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -44,13 +45,15 @@
 	http *http.Client
 	// fresh opens a connection for each call, so that a failure to connect
 	// proves that nothing was sent.
-	fresh *http.Client
+	fresh  *http.Client
+	dialer *net.Dialer
 }
 
 // NewClient returns a client with its own connections.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
+		dialer: dialer,
 		http: &http.Client{Transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost,
 			IdleConnTimeout: idleTimeout, DisableCompression: true,
@@ -61,6 +64,17 @@
 	}
 }
 
+// Ended says whether the endpoint's process has ended: its host refuses a connection
+// to its port. A host that is silent tells nothing.
+func (c *Client) Ended(ctx context.Context, at netip.AddrPort) bool {
+	conn, err := c.dialer.DialContext(ctx, "tcp", at.String())
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close() // nothing was sent on it
+	return false
+}
+
 // Prefill computes a KV cache and returns when it is ready.
 func (c *Client) Prefill(ctx context.Context, to netip.AddrPort, p PrefillRequest) (PrefillResult, error) {
 	var r PrefillResult
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -41,6 +41,14 @@
 	a.phase = p
 }
 
+// addressOf is where one of the attempt's endpoints is.
+func (a *attempt) addressOf(name string) netip.AddrPort {
+	if name == a.grant.Prefill {
+		return a.grant.PrefillAddr
+	}
+	return a.grant.DecodeAddr
+}
+
 // attempts is all attempts of this entry.
 type attempts struct {
 	mu   sync.Mutex
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/trailshed/trailshed/internal/endpoint"
 	"github.com/trailshed/trailshed/internal/member"
 	"github.com/trailshed/trailshed/internal/peer"
+	"github.com/trailshed/trailshed/internal/suspects"
 	"github.com/trailshed/trailshed/internal/ticker"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
@@ -46,6 +47,8 @@
 	// Claim and Abandon reach the claims of requests that may not be repeated.
 	Claim   func(ctx context.Context, c claim.Claim, wait time.Duration) claim.Answer
 	Abandon func(c claim.Claim)
+	// Suspects remember which requests end endpoints.
+	Suspects *suspects.Suspects
 }
 
 // Entry is the state of one process's own requests.
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -37,6 +37,7 @@
 	reasonFenced      = "entry_was_silent"
 	reasonLeaving     = "leaving"
 	reasonLimit       = "workspace_limit"
+	reasonHeld        = "ends_endpoints"
 )
 
 const defaultRetryAfter = time.Second
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -59,6 +59,9 @@
 		return e.count(r, refused(reasonLimit, defaultRetryAfter))
 	}
 	defer leave()
+	if e.options.Suspects.Holds(r.work()) {
+		return e.count(r, refused(reasonHeld, heldRetryAfter))
+	}
 	o := e.tryAll(ctx, r, run)
 	e.abandonIfNotRun(r, o)
 	return e.count(r, o)
@@ -79,11 +82,12 @@
 		}
 		err := e.try(r, a, run)
 		if err == nil {
+			e.options.Suspects.Completed(r.work())
 			return Outcome{Result: Answered}
 		}
 		var again bool
 		last, again = e.judge(ctx, r, a, err)
-		if !again {
+		if !again || e.options.Suspects.Holds(r.work()) {
 			return last
 		}
 	}
@@ -132,6 +136,7 @@
 	var failed *failure
 	if errors.As(err, &failed) {
 		at = failed.at
+		e.runCut(ctx, r, failed, a.addressOf(at))
 	}
 	r.avoid = append(r.avoid, at)
 	e.tell(a, cell.Progress{Phase: cell.Failed, At: at})
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -16,7 +16,7 @@
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/placement"
-	"github.com/trailshed/trailshed/internal/quarantine"
+	"github.com/trailshed/trailshed/internal/suspects"
 	"github.com/trailshed/trailshed/internal/uplink"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
@@ -48,17 +48,7 @@
 	// Gone is told of an endpoint whose address another one has.
 	Gone func(id string)
 	// Suspects remember which requests end endpoints.
-	Suspects Suspects
-}
-
-// Suspects are requests that end the endpoints that run them.
-type Suspects struct {
-	// Holds says whether a request is to be run no more.
-	Holds func(w quarantine.Work) bool
-	// Ended takes that an endpoint ended while it ran a request, Completed that a
-	// request ran to its end.
-	Ended     func(w quarantine.Work, endpoint string)
-	Completed func(w quarantine.Work)
+	Suspects *suspects.Suspects
 }
 
 // Forwarder serves callers' requests.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -245,7 +245,7 @@
 		Limits:     forward.Limiter{Admit: g.meter.Admit, Credit: g.meter.Credit},
 		FindPlace:  g.broker.Find, ReleasePlace: g.broker.Release, BeganAtPlace: g.broker.Began,
 		ReadAtPlace: g.broker.Read,
-		Suspects:    forward.Suspects{Holds: g.suspects.Holds, Ended: g.suspects.Ended, Completed: g.suspects.Completed},
+		Suspects:    g.suspects,
 		Gone:        func(id string) { g.feed.Tell(directory.Denied{ID: id}) },
 	})
 	g.forwarder.Share(leastShares)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -1,86 +1,48 @@
 package gateway
 
 import (
-	"math/rand/v2"
-	"net/netip"
-
-	"github.com/trailshed/trailshed/internal/roster"
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/quarantine"
 	"github.com/trailshed/trailshed/internal/suspects"
 )
 
-const (
-	// rolePassOn is the role of passing on what other zones tell of suspects.
-	rolePassOn = "check"
-	// passersOn is how many instances of a zone do that: if one is dead or cut off,
-	// the other one is told.
-	passersOn = 2
-)
+// rolePassOn is the role of passing on what other zones tell of requests that end
+// endpoints. Those who check on the store have it: their zone's peers talk to them.
+const rolePassOn = "check"
 
 // openSuspects prepares the memory of requests that end endpoints.
 func (g *Gateway) openSuspects() {
 	g.suspects = suspects.New(suspects.Options{
-		Transport: g.transport, Store: g.platform.Suspects, Log: g.log, Scope: g.counters.Scope, Now: g.now,
-		Near: g.zonePeers, Far: g.farPeers, Other: g.comparedPeer,
+		Name: g.self.Name, Zone: g.self.Zone, Transport: g.transport, Store: g.platform.Suspects,
+		Scope: g.counters.Scope, Now: g.now, Peers: g.suspectsPeers,
 		Watching: func() bool { return g.relay.Watching() },
+		Held:     g.requestHeld,
+		Unreadable: func(err error, revision int64) {
+			g.log.Write(eventlog.Line{Event: eventlog.Unreadable, Detail: err.Error(), Revision: revision})
+		},
 	})
 }
 
-// zonePeers are the other instances of the zone.
-func (g *Gateway) zonePeers() []netip.AddrPort {
-	var list []netip.AddrPort
-	for _, i := range g.roster.All() {
-		if i.Zone == g.self.Zone && i.Name != g.self.Name {
-			list = append(list, i.Address)
-		}
+func (g *Gateway) requestHeld(r quarantine.Record) {
+	n := eventlog.Line{Event: eventlog.Believed, Work: r.Work.String(), Count: int64(len(r.Ended)), Outcome: "request_cleared"}
+	if r.Held() {
+		n.Outcome = "request_held"
 	}
-	return list
+	g.log.Write(n)
 }
 
-// farPeers are the first of each other zone.
-func (g *Gateway) farPeers() []netip.AddrPort {
-	seen := map[string]bool{g.self.Zone: true}
-	var list []netip.AddrPort
+// suspectsPeers are all instances, zone by zone in the order in which they pass on.
+func (g *Gateway) suspectsPeers() []suspects.Peer {
+	var list []suspects.Peer
+	seen := map[string]bool{}
 	for _, i := range g.roster.All() {
 		if seen[i.Zone] {
 			continue
 		}
 		seen[i.Zone] = true
-		list = append(list, addresses(g.passers(i.Zone))...)
-	}
-	return list
-}
-
-// comparedPeer is one of the zone that passes on; those ask each other, and every
-// other time one of another zone.
-func (g *Gateway) comparedPeer() (netip.AddrPort, bool) {
-	passers := g.passers(g.self.Zone)
-	var list []netip.AddrPort
-	passesOn := false
-	for _, i := range passers {
-		if i.Name == g.self.Name {
-			passesOn = true
-			continue
+		for _, r := range g.roster.Ranked(i.Zone, rolePassOn) {
+			list = append(list, suspects.Peer{Name: r.Name, Zone: r.Zone, Address: r.Address})
 		}
-		list = append(list, i.Address)
-	}
-	if passesOn && (len(list) == 0 || rand.IntN(2) == 0) {
-		list = g.farPeers()
-	}
-	if len(list) == 0 {
-		return netip.AddrPort{}, false
 	}
-	return list[rand.IntN(len(list))], true
-}
-
-func (g *Gateway) passers(zone string) []roster.Instance {
-	ranked := g.roster.Ranked(zone, rolePassOn)
-	return ranked[:min(len(ranked), passersOn)]
-}
-
-func addresses(list []roster.Instance) []netip.AddrPort {
-	var out []netip.AddrPort
-	for _, i := range list {
-		out = append(out, i.Address)
-	}
-	return out
+	return list
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	"github.com/trailshed/trailshed/internal/peer"
 	"github.com/trailshed/trailshed/internal/platform"
 	"github.com/trailshed/trailshed/internal/settings"
+	"github.com/trailshed/trailshed/internal/suspects"
 	"github.com/trailshed/trailshed/internal/ticker"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
@@ -56,6 +57,7 @@
 	dispatcher *dispatcher.Dispatcher
 	entry      *entry.Entry
 	ledger     *ledger.Ledger
+	suspects   *suspects.Suspects
 	desk       *operator.Desk
 	front      *caller.Front
 
@@ -107,11 +109,13 @@
 	n.ledger = ledger.New(ledger.Options{
 		Shards: s.Claims.Shards, Interval: s.Claims.Interval, Now: n.now, Owner: n.claimOwner,
 	}, n.store, n.transport, scope)
+	n.openSuspects()
 	n.entry = entry.New(entry.Options{
 		Owner: cell.Owner{Node: s.Node.ID, Incarnation: incarnation, Address: n.transport.Address()},
 		Zone:  s.Node.Zone, Announce: s.Dispatch.Announce, OwnerExpiry: s.Dispatch.OwnerExpiry,
 		HeldAnswers: s.Callers.HeldAnswers, Now: n.now, Catalog: n.changes.Current,
 		Dispatcher: n.dispatcherOf, Cells: n.cells, Status: n.status, Claim: n.ledger.Claim, Abandon: n.ledger.Abandon,
+		Suspects: n.suspects,
 	}, n.transport, client, scope)
 	n.desk = operator.New(operator.Options{
 		Zone: s.Node.Zone, Now: n.now, Members: n.members, Cells: n.cells,
@@ -124,6 +128,7 @@
 	n.dispatcher.Register(n.router)
 	n.entry.Register(n.router)
 	n.ledger.Register(n.router)
+	n.suspects.Register(n.router)
 	n.desk.Register(n.router)
 	peer.Handle(n.router, n.transport, topicHeartbeat, n.hear)
 	peer.Answer(n.router, n.transport, topicPull, func(_ context.Context, _ peer.Sender, p changelog.Pull) changelog.Delta {
@@ -153,6 +158,8 @@
 	group.Go(func() { n.dispatcher.Run(serving) })
 	group.Go(func() { n.entry.Run(serving) })
 	group.Go(func() { n.ledger.Run(serving) })
+	group.Go(func() { n.suspects.Run(serving) })
+	group.Go(func() { n.followHeld(serving) })
 	group.Go(func() { n.beatLoop(serving) })
 	group.Go(func() { n.reconcileLoop(serving) })
 	group.Go(func() { n.load(serving) })
--- /dev/null
+++ b/internal/node/suspects.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/trailshed/trailshed/internal/platform"
+	"github.com/trailshed/trailshed/internal/quarantine"
+	"github.com/trailshed/trailshed/internal/suspects"
+	"github.com/trailshed/trailshed/internal/ticker"
+)
+
+const (
+	// heldPrefix holds a record for each request that ends endpoints, under its
+	// fingerprint, as CBOR.
+	heldPrefix = "held/"
+	// heldEvery is how often those who watch the platform read the records; a process
+	// that starts does at once. Between them processes tell each other.
+	heldEvery = 2 * time.Second
+	// heldPage bounds one reading.
+	heldPage = 200
+)
+
+// openSuspects prepares the memory of requests that end endpoints.
+func (n *Node) openSuspects() {
+	n.suspects = suspects.New(suspects.Options{
+		Name: n.settings.Node.ID, Zone: n.settings.Node.Zone, Transport: n.transport, Scope: n.counters.Scope, Now: n.now,
+		Store: suspects.Store{Save: n.saveHeld, Remove: n.removeHeld, Read: n.readHeld},
+		Peers: n.suspectsPeers, Watching: n.watches,
+		Held: func(r quarantine.Record) {
+			n.log.Info().Stringer("work", r.Work).Bool("held", r.Held()).Int("ended", len(r.Ended)).Msg("request that ends endpoints")
+		},
+		Unreadable: func(err error, _ int64) { n.log.Warn().Err(err).Msg("record of a request cannot be read") },
+	})
+}
+
+func (n *Node) suspectsPeers() []suspects.Peer {
+	var list []suspects.Peer
+	for _, m := range n.members() {
+		list = append(list, suspects.Peer{Name: m.ID, Zone: m.Zone, Address: m.Address})
+	}
+	return list
+}
+
+// followHeld reads the records until ctx ends.
+func (n *Node) followHeld(ctx context.Context) {
+	for !n.listHeld(ctx) && ctx.Err() == nil {
+		ticker.Sleep(ctx, heldEvery)
+	}
+	ticker.Every(ctx, heldEvery, func() {
+		if n.watches() {
+			n.listHeld(ctx)
+		}
+	})
+}
+
+func (n *Node) listHeld(ctx context.Context) bool {
+	var news suspects.News
+	after := ""
+	for {
+		page, err := n.store.List(ctx, heldPrefix, after, heldPage)
+		if err != nil {
+			n.counters.Scope.Counter("held_unread").Inc(1)
+			return false
+		}
+		for _, e := range page {
+			stored, err := decodeHeld(e)
+			if err != nil {
+				news.Problems = append(news.Problems, err)
+				continue
+			}
+			news.Records = append(news.Records, stored)
+		}
+		if len(page) < heldPage {
+			n.suspects.TakeStored(news)
+			return true
+		}
+		after = page[len(page)-1].Key
+	}
+}
+
+func (n *Node) saveHeld(ctx context.Context, r quarantine.Record) (int64, error) {
+	value, err := cbor.Marshal(r)
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	version, err := n.store.Put(ctx, heldPrefix+r.Work.String(), value, 0)
+	if errors.Is(err, platform.ErrConflict) {
+		err = errors.Join(suspects.ErrExists, err)
+	}
+	return version, err
+}
+
+func (n *Node) removeHeld(ctx context.Context, work quarantine.Fingerprint) error {
+	key := heldPrefix + work.String()
+	e, err := n.store.Get(ctx, key)
+	if errors.Is(err, platform.ErrMissing) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return n.store.Delete(ctx, key, e.Version)
+}
+
+func (n *Node) readHeld(ctx context.Context, work quarantine.Fingerprint) (quarantine.Stored, error) {
+	e, err := n.store.Get(ctx, heldPrefix+work.String())
+	if err != nil {
+		return quarantine.Stored{}, err
+	}
+	return decodeHeld(e)
+}
+
+func decodeHeld(e platform.Entry) (quarantine.Stored, error) {
+	stored := quarantine.Stored{Revision: e.Version}
+	if err := cbor.Unmarshal(e.Value, &stored.Record); err != nil {
+		return stored, Error.New("key %s: %v", e.Key, err)
+	}
+	return stored, nil
+}
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -16,7 +16,6 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
 
-	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/peer"
 	"github.com/trailshed/trailshed/internal/quarantine"
 	"github.com/trailshed/trailshed/internal/ticker"
@@ -75,18 +74,26 @@
 
 // Options are what Suspects works with.
 type Options struct {
-	Transport *peer.Transport
-	Store     Store
-	Log       *eventlog.Log
-	Scope     tally.Scope
-	Now       func() clock.Millis
-	// Near are the other instances of the zone, Far some of each other zone, who pass
+	Name, Zone string
+	Transport  *peer.Transport
+	Store      Store
+	Scope      tally.Scope
+	Now        func() clock.Millis
+	// Peers are the instances known, this one among them; the first of each zone pass
 	// on what they are told.
-	Near, Far func() []netip.AddrPort
-	// Other is an instance to compare with.
-	Other func() (netip.AddrPort, bool)
+	Peers func() []Peer
 	// Watching says whether this instance follows the store for its zone.
 	Watching func() bool
+	// Held is told of a request that is run no more, or may be run again.
+	Held func(r quarantine.Record)
+	// Unreadable is told of a record in the store that cannot be read.
+	Unreadable func(err error, revision int64)
+}
+
+// Peer is an instance.
+type Peer struct {
+	Name, Zone string
+	Address    netip.AddrPort
 }
 
 // Suspects is one instance's part. It is safe for concurrent use.
@@ -124,7 +131,7 @@
 	peer.Handle(r, s.Transport, topicTold, func(_ peer.Sender, t told) {
 		news := s.take(t.Records)
 		if t.PassOn {
-			s.tell(s.Near(), news, false)
+			s.tell(s.near(), news, false)
 		}
 	})
 	peer.Answer(r, s.Transport, topicCompare, func(_ context.Context, _ peer.Sender, q question) told {
@@ -170,8 +177,8 @@
 	}
 	s.note(r)
 	list := []quarantine.Record{r}
-	s.tell(s.Near(), list, false)
-	s.tell(s.Far(), list, true)
+	s.tell(s.near(), list, false)
+	s.tell(s.far(), list, true)
 }
 
 // take joins records that others told, and returns those that were news.
@@ -214,12 +221,12 @@
 	s.empty.Store(s.table.Empty())
 	s.mu.Unlock()
 	for _, err := range n.Problems {
-		s.Log.Write(eventlog.Line{Event: eventlog.Unreadable, Detail: err.Error(), Revision: n.Revision})
+		s.Unreadable(err, n.Revision)
 	}
 	for _, r := range fresh {
 		s.note(r)
 	}
-	s.tell(s.Near(), fresh, false)
+	s.tell(s.near(), fresh, false)
 }
 
 // Run compares with others and keeps the store's records until ctx ends.
@@ -237,7 +244,7 @@
 		return
 	}
 	s.compared = now
-	other, ok := s.Other()
+	other, ok := s.other()
 	if !ok {
 		return
 	}
@@ -264,7 +271,7 @@
 	}
 	news := s.take(answer.Records)
 	if s.Watching() {
-		s.tell(s.Near(), news, false)
+		s.tell(s.near(), news, false)
 	}
 	theirs := map[quarantine.Fingerprint]bool{}
 	for _, r := range answer.Records {
@@ -342,16 +349,11 @@
 	return true
 }
 
-// note writes a line where a request is held, or is not any more. What is only
-// suspected has its line where the endpoint ended: where a zone is cut, all that ran
-// in the others is suspected at once.
+// note tells where a request is held, or is not any more. What is only suspected is
+// not worth a line each: where a zone is cut, all that ran in the others is.
 func (s *Suspects) note(r quarantine.Record) {
-	n := eventlog.Line{Event: eventlog.Believed, Work: r.Work.String(), Count: int64(len(r.Ended)), Outcome: "request_held"}
-	if len(r.Ended) == 0 {
-		n.Outcome = "request_cleared"
-	}
 	if r.Held() || len(r.Ended) == 0 {
-		s.Log.Write(n)
+		s.Held(r)
 	}
 	s.mu.Lock()
 	held, suspected := s.table.Count()
