clock: count the time for which the machine is suspended

Cause: moments were counted on CLOCK_MONOTONIC, which stands still while a machine is suspended, so that leases, waits and windows were taken to be younger than they are.

Change: beside the steady clock, the clock counts by how much CLOCK_BOOTTIME is ahead of it. That is looked at where the time of day has moved against the steady clock, which a suspension does at once, and once a second. Both products read it; a gateway's clocks come with its platform, a seam for tests.

Ruled out: CLOCK_BOOTTIME at each reading (a call of the system each, which is charged where the machines are small); the time of day, which steps.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/trailshed/trailshed/internal/counter"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/gateway"
+	"github.com/trailshed/trailshed/pkg/clock"
 	"github.com/trailshed/trailshed/platform"
 )
 
@@ -38,6 +39,7 @@
 	g, err := gateway.New(set, counters, gateway.Platform{
 		Dialect: platform.Dialect(), Source: platform.Source(store), Registry: platform.Registry(store),
 		Duty: platform.StagingDuty(store), Order: platform.SendOrder, Load: platform.AskLoad, Suspects: platform.Suspects(store), ReadyPath: platform.ReadyPath,
+		Clocks: clock.Machine(),
 	}, log)
 	if err != nil {
 		return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,7 @@
 	Load      broker.Load
 	Suspects  suspects.Store
 	ReadyPath string
+	Clocks    clock.Source // of the machine
 }
 
 const (
@@ -89,7 +90,8 @@
 	platform Platform
 	log      *eventlog.Log
 	counters *counter.Registry
-	now      func() clock.Millis
+	clock    *clock.Clock
+	now      func() clock.Millis // of clock
 
 	paces     *pace.Model
 	directory *directory.Directory
@@ -120,10 +122,11 @@
 	debug.SetMemoryLimit(int64(heapPart * float64(s.Memory.LimitMB<<20)))
 	debug.SetGCPercent(collectAt)
 	g := &Gateway{
-		settings: s, platform: p, log: log, now: clock.System(),
+		settings: s, platform: p, log: log, clock: clock.Open(p.Clocks),
 		counters: counters, paces: pace.New(pace.Cautious()),
 		directory: directory.New(), balancer: balance.New(s.Instance.Zone),
 	}
+	g.now = g.clock.Now
 	g.began = g.now()
 	g.roster = roster.New(g.now)
 	g.pool = uplink.NewPool(g.counters.Scope)
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -4,7 +4,7 @@
 import "time"
 
 // Millis is a moment in milliseconds since the Unix epoch. Within one process
-// it never runs backwards, because System counts it on the monotonic clock.
+// it never runs backwards, because Clock counts it on the steady clock.
 type Millis int64
 
 // Never is the moment that no deadline reaches.
@@ -28,27 +28,9 @@
 	return time.UnixMilli(int64(m)).UTC()
 }
 
-// Source reads the machine's clocks. Tests replace it.
-type Source struct {
-	// Read returns, in one look, the time of day since 1970 and the steady clock, which
-	// nobody sets, and which stands still while the machine is suspended.
-	Read func() (day, steady time.Duration)
-	// Asleep returns by how much the clock that counts from the machine's start, and
-	// goes on while it is suspended, is ahead of the steady one.
-	Asleep func() (time.Duration, error)
-}
-
-// System returns a function that reads the present moment. It fixes the offset
-// to wall-clock time once and counts on the monotonic clock from there, so that
-// a step of the wall clock moves no deadline.
-func System() func() Millis { return From(Machine()) }
+// System returns a function that reads the present moment of this machine, as
+// Clock.Now does.
+func System() func() Millis { return Open(Machine()).Now }
 
 // From is System for a source.
-func From(s Source) func() Millis {
-	day, start := s.Read()
-	offset := Millis(day.Milliseconds())
-	return func() Millis {
-		_, steady := s.Read()
-		return offset.Add(steady - start)
-	}
-}
+func From(s Source) func() Millis { return Open(s).Now }
