gateway: catch up after the machine was suspended

Cause: callers' waits are timers, which stand still with the steady clock, kept connections counted their rest on it, and connections to peers that those have given up on are taken for sound until an idle timeout of 6 s that stood still as well.

`trailshed serve` meets its peers anew; its attempts are fenced by the clock.

Ruled out: a custom context type, for which the standard library starts a goroutine with each child; setting all timers of the process by hand.

Holders of a duty stop by the clock (TestSuspendedHolderStops), peers are met anew (TestReconnect).

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -8,6 +8,7 @@
 	Started        Event = "started"
 	Stopping       Event = "stopping"
 	Stopped        Event = "stopped"
+	Suspended      Event = "suspended"
 	Reloaded       Event = "reloaded"
 	ReloadRefused  Event = "reload_refused"
 	LinesDropped   Event = "lines_dropped"
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -122,7 +122,7 @@
 	switch {
 	case parent.Err() != nil:
 		result = balance.Abandoned
-		if errors.Is(parent.Err(), context.DeadlineExceeded) {
+		if errors.Is(context.Cause(parent), context.DeadlineExceeded) {
 			result = balance.Failed
 		}
 	case errors.Is(err, uplink.ErrNotSent):
--- a/internal/forward/ending.go
+++ b/internal/forward/ending.go
@@ -28,7 +28,7 @@
 
 // ended answers a request whose time is over or whose caller has left.
 func (p *passage) ended(ctx context.Context) {
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		p.trail.Write(p.line(eventlog.Cancelled, "caller_left", nil))
 		p.Scope.Counter("requests_cancelled").Inc(1)
 		return
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/trailshed/trailshed/internal/balance"
 	"github.com/trailshed/trailshed/internal/broker"
 	"github.com/trailshed/trailshed/internal/budget"
+	"github.com/trailshed/trailshed/internal/deadline"
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/placement"
@@ -58,6 +59,7 @@
 	noStreams atomic.Bool
 	bodies    atomic.Int64
 	running   atomic.Int64
+	deadlines *deadline.Set
 
 	mu      sync.Mutex
 	budgets map[string]*budget.Budget // by service
@@ -67,7 +69,7 @@
 
 // New returns a Forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{Options: o, budgets: map[string]*budget.Budget{}, shares: 1, began: o.Now()}
+	return &Forwarder{Options: o, deadlines: deadline.New(o.Now), budgets: map[string]*budget.Budget{}, shares: 1, began: o.Now()}
 }
 
 // Leave makes answers tell callers to close their connections.
@@ -77,6 +79,10 @@
 // the process does.
 func (f *Forwarder) RefuseStreams() { f.noStreams.Store(true) }
 
+// Resume ends, at their times, requests that were here while the machine was
+// suspended.
+func (f *Forwarder) Resume() { f.deadlines.Resume() }
+
 // Running is the number of requests in progress.
 func (f *Forwarder) Running() int64 { return f.running.Load() }
 
--- a/internal/forward/passage.go
+++ b/internal/forward/passage.go
@@ -96,7 +96,7 @@
 	size := int64(len(p.message.Body))
 	p.bodies.Add(size)
 	defer p.bodies.Add(-size)
-	ctx, cancel := context.WithTimeout(ctx, p.left()+finalGrace)
+	ctx, cancel := p.deadlines.Context(ctx, p.limit.Add(finalGrace))
 	defer cancel()
 	defer p.credit()
 	defer p.freeHandle()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,7 +129,7 @@
 	g.now = g.clock.Now
 	g.began = g.now()
 	g.roster = roster.New(g.now)
-	g.pool = uplink.NewPool(g.counters.Scope)
+	g.pool = uplink.NewPool(g.counters.Scope, g.now)
 	g.openFeed() // first, since a peer's certificate may come as soon as the transport listens
 	if err := g.openPeers(); err != nil {
 		return nil, err
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -45,7 +45,7 @@
 		group.Go(func() { failed <- s.Serve(g.listeners[i]) })
 	}
 	group.Go(func() { failed <- router.Run(ctx) })
-	for _, run := range []func(context.Context){g.feed.Run, g.member.Run, g.broker.Run, g.relay.Run, g.meter.Run, g.suspects.Run, g.sweep, g.duty.Run, g.staging.Run} {
+	for _, run := range []func(context.Context){g.feed.Run, g.member.Run, g.broker.Run, g.relay.Run, g.meter.Run, g.suspects.Run, g.watchClock, g.sweep, g.duty.Run, g.staging.Run} {
 		group.Go(func() { run(ctx) })
 	}
 	g.log.Write(eventlog.Line{Event: eventlog.Started, Address: g.settings.Callers.Listen, Zone: g.settings.Instance.Zone, Detail: g.settings.summary()})
@@ -114,7 +114,7 @@
 // stop goes on serving until the balancer has taken this instance out, then
 // finishes what runs.
 func (g *Gateway) stop() {
-	started := time.Now()
+	started := g.now() // the grace period goes on while the machine is suspended
 	g.leaving.Store(true)
 	g.forwarder.Leave()
 	g.member.Change(g.present())
@@ -122,8 +122,8 @@
 	grace := g.grace()
 	time.Sleep(min(lastStream, grace*lastStreamPart/100))
 	g.forwarder.RefuseStreams()
-	time.Sleep(min(balancerDelay, grace/2) - time.Since(started))
-	left := grace - time.Since(started) - exitMargin
+	time.Sleep(min(balancerDelay, grace/2) - g.now().Sub(started))
+	left := grace - g.now().Sub(started) - exitMargin
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	_ = g.servers[0].Shutdown(ctx) // its only error is that time ran out, which Stopped shows by its count
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,6 +57,38 @@
 	}
 }
 
+// A holder whose machine was suspended for longer than its lease gives no order when it
+// is resumed, though its steady clock stood still.
+func TestSuspendedHolderStops(t *testing.T) {
+	log := eventlog.Open(io.Discard, "test")
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &store{down: map[string]bool{}}
+		var steady, asleep atomic.Int64 // ns
+		now := clock.From(clock.Source{
+			Read: func() (time.Duration, time.Duration) {
+				return time.Hour + time.Duration(steady.Load()+asleep.Load()), time.Duration(steady.Load())
+			},
+			Asleep: func() (time.Duration, error) { return time.Duration(asleep.Load()), nil },
+		})
+		l := &leadership.Leadership{Name: "n1", Registry: s.registry("n1"), Gap: 3 * time.Second, Log: log, Now: now, Candidate: func() bool { return true }}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { l.Run(ctx) })
+		synctest.Wait()
+		steady.Add(int64(4600 * time.Millisecond)) // it may act once a former holder's acts have arrived
+		time.Sleep(time.Second)                    // and has renewed its lease
+		synctest.Wait()
+		_, acts := l.Fence()
+		c.Assert(acts, qt.IsTrue)
+		asleep.Add(int64(3 * time.Second))
+		_, acts = l.Fence()
+		c.Assert(acts, qt.IsFalse)
+		cancel()
+		group.Wait()
+	})
+}
+
 // However the store turns instances away, at most one acts, fences rise with
 // holders, and two holders' acts are further apart than a lease.
 func TestOneActsAtATime(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 	"github.com/trailshed/trailshed/internal/platform"
 	"github.com/trailshed/trailshed/internal/settings"
 	"github.com/trailshed/trailshed/internal/suspects"
+	"github.com/trailshed/trailshed/internal/suspension"
 	"github.com/trailshed/trailshed/internal/ticker"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
@@ -47,7 +48,8 @@
 type Node struct {
 	settings *settings.Settings
 	log      zerolog.Logger
-	now      func() clock.Millis
+	clock    *clock.Clock
+	now      func() clock.Millis // of clock
 	counters *counter.Registry
 
 	store      *platform.Store
@@ -69,7 +71,8 @@
 
 // New opens a node's listeners between processes; Run serves.
 func New(s *settings.Settings, log zerolog.Logger) (*Node, error) {
-	n := &Node{settings: s, log: log, now: clock.System()}
+	n := &Node{settings: s, log: log, clock: clock.Open(clock.Machine())}
+	n.now = n.clock.Now
 	n.counters = counter.Open(map[string]string{"node": s.Node.ID, "zone": s.Node.Zone})
 	certificates, err := peer.Certificates(s.Peers.CA, s.Peers.Certificate, s.Peers.Key)
 	if err != nil {
@@ -159,6 +162,7 @@
 	group.Go(func() { n.entry.Run(serving) })
 	group.Go(func() { n.ledger.Run(serving) })
 	group.Go(func() { n.suspects.Run(serving) })
+	group.Go(func() { suspension.Watch(serving, n.clock, n.resume) })
 	group.Go(func() { n.followHeld(serving) })
 	group.Go(func() { n.beatLoop(serving) })
 	group.Go(func() { n.reconcileLoop(serving) })
@@ -181,6 +185,15 @@
 	return Error.Wrap(n.counters.Close())
 }
 
+// resume makes connections anew once the machine was suspended. Attempts were given to
+// others meanwhile, which the entry sees by the clock, and ends its own.
+func (n *Node) resume(slept time.Duration) {
+	n.log.Info().Dur("slept", slept).Msg("machine was suspended")
+	if slept >= suspension.Long {
+		n.transport.Reconnect()
+	}
+}
+
 // leave hands the roles over and lets every running request finish.
 func (n *Node) leave(front *http.Server) {
 	n.log.Info().Msg("leaving")
--- a/internal/peer/lane.go
+++ b/internal/peer/lane.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -18,6 +19,7 @@
 	transport *Transport
 	to        netip.AddrPort
 	queue     chan frame
+	stale     atomic.Bool // the connection is to be made anew
 	conn      *quic.Conn
 	stream    *quic.SendStream
 }
@@ -67,6 +69,9 @@
 }
 
 func (l *lane) connect() error {
+	if l.stale.Swap(false) {
+		l.close()
+	}
 	if l.conn != nil && l.conn.Context().Err() == nil {
 		return nil
 	}
@@ -80,6 +85,7 @@
 		return Error.Wrap(err)
 	}
 	l.conn, l.stream = conn, stream
+	l.transport.scope.Counter("peer_connections").Inc(1)
 	l.transport.group.Go(func() { l.watch(conn) })
 	return nil
 }
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -185,6 +185,17 @@
 	return t.Publish("reply", m)
 }
 
+// Reconnect has what is sent from now on go over new connections. After a suspension
+// of the machine the others may have given up on the old ones, which this side takes
+// for sound until its own idle timeout of 6 s, since its timers stood still.
+func (t *Transport) Reconnect() {
+	t.lanesMu.Lock()
+	defer t.lanesMu.Unlock()
+	for _, l := range t.lanes {
+		l.stale.Store(true)
+	}
+}
+
 // Close stops listening and drops what is queued.
 func (t *Transport) Close() error {
 	t.stop()
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -73,6 +73,29 @@
 	Number int
 }
 
+// After Reconnect messages go over a new connection, in order, and none is lost.
+func TestReconnect(t *testing.T) {
+	c := qt.New(t)
+	dir := t.TempDir()
+	authority, err := cert.NewAuthority(dir)
+	c.Assert(err, qt.IsNil)
+	scope := tally.NewTestScope("", nil)
+	a, err := peer.Listen("a", netip.MustParseAddrPort(freeAddress(t)), certificates(t, dir, "a", authority), scope)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = a.Close() }()
+	heard := make(chan int, 2)
+	b := open(t, "b", certificates(t, dir, "b", authority), func(n *node) {
+		peer.Handle(n.router, n.Transport, "note", func(_ peer.Sender, v note) { heard <- v.Number })
+	})
+	defer b.close()
+	c.Assert(peer.Send(a, b.Address(), "note", note{1}), qt.IsNil)
+	c.Assert(<-heard, qt.Equals, 1)
+	a.Reconnect()
+	c.Assert(peer.Send(a, b.Address(), "note", note{2}), qt.IsNil)
+	c.Assert(<-heard, qt.Equals, 2)
+	c.Assert(scope.Snapshot().Counters()["peer_connections+"].Value(), qt.Equals, int64(2))
+}
+
 func TestOrderAndReplies(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	c := qt.New(t)
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -36,6 +37,7 @@
 	dir       string
 	authority *cert.Authority
 	server    *httptest.Server
+	enginesMu sync.Mutex // guards engines
 	engines   map[string]*httptest.Server
 	addresses map[string]string
 	seeds     []string
@@ -85,7 +87,7 @@
 	e := engine.New(t)
 	server := httptest.NewServer(e.Handler())
 	s.Engines[name], s.addresses[name] = e, server.Listener.Addr().String()
-	s.engines[name] = server
+	s.setEngine(name, server)
 	e.Crash = func() { s.crash(name) }
 }
 
@@ -99,21 +101,34 @@
 	_ = server.Listener.Close()
 	server.Listener = l
 	server.Start()
-	s.engines[name] = server
+	s.setEngine(name, server)
 	return nil
 }
 
+func (s *Site) setEngine(name string, server *httptest.Server) {
+	s.enginesMu.Lock()
+	defer s.enginesMu.Unlock()
+	s.engines[name] = server
+}
+
+func (s *Site) engine(name string) *httptest.Server {
+	s.enginesMu.Lock()
+	defer s.enginesMu.Unlock()
+	return s.engines[name]
+}
+
 // crash ends an endpoint's process from within one of its handlers.
 func (s *Site) crash(name string) {
-	server := s.engines[name]
+	server := s.engine(name)
 	_ = server.Listener.Close()
 	go server.CloseClientConnections() // it waits for the handlers
 }
 
 // KillEngine takes an endpoint's listener away.
 func (s *Site) KillEngine(name string) {
-	s.engines[name].CloseClientConnections()
-	s.engines[name].Close()
+	server := s.engine(name)
+	server.CloseClientConnections()
+	server.Close()
 }
 
 // Address returns an endpoint's address.
--- a/internal/uplink/pool.go
+++ b/internal/uplink/pool.go
@@ -17,6 +17,8 @@
 
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
+
+	"github.com/trailshed/trailshed/pkg/clock"
 )
 
 // Error marks every error of this package.
@@ -46,6 +48,7 @@
 	Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 
 	scope tally.Scope
+	now   func() clock.Millis
 	mu    sync.Mutex
 	idle  map[target][]*conn
 }
@@ -63,17 +66,19 @@
 	to       target
 	reader   *bufio.Reader
 	keep     time.Duration
-	restedAt time.Time // when its last exchange ended
+	restedAt clock.Millis // when its last exchange ended
 }
 
-// NewPool returns a pool that counts in scope.
-func NewPool(scope tally.Scope) *Pool {
+// NewPool returns a pool that counts in scope. Connections rest also while the machine
+// is suspended, and endpoints close them then as they do at any time, so now must go
+// on meanwhile.
+func NewPool(scope tally.Scope, now func() clock.Millis) *Pool {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	return &Pool{
 		Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", to.String())
 		},
-		scope: scope, idle: map[target][]*conn{},
+		scope: scope, now: now, idle: map[target][]*conn{},
 	}
 }
 
@@ -85,7 +90,7 @@
 		if c == nil {
 			break
 		}
-		rested := time.Since(c.restedAt)
+		rested := p.now().Sub(c.restedAt)
 		if rested < min(rest, c.keep) && quiet(c) {
 			return c, nil
 		}
@@ -117,7 +122,7 @@
 }
 
 func (p *Pool) put(c *conn) {
-	c.restedAt = time.Now()
+	c.restedAt = p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.to]) >= idlePerEndpoint || c.reader.Buffered() > 0 {
@@ -147,7 +152,7 @@
 	for to, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if time.Since(c.restedAt) < c.keep {
+			if p.now().Sub(c.restedAt) < c.keep {
 				kept = append(kept, c)
 				continue
 			}
