soak: requests that end engines, and suspended machines

A refused link refuses now as a dead port does, instead of accepting and resetting. The instances of such runs are the gateway command with clocks that a file suspends.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -18,6 +18,8 @@
 
 	"github.com/jessevdk/go-flags"
 
+	trailshed "github.com/trailshed/trailshed/internal/command"
+	"github.com/trailshed/trailshed/internal/soak/clocks"
 	"github.com/trailshed/trailshed/internal/soak/fleet"
 	"github.com/trailshed/trailshed/internal/soak/schedule"
 )
@@ -40,10 +42,14 @@
 	Callers int           `long:"callers" default:"24" description:"callers at a time"`
 	Timed   bool          `long:"timed" description:"check bounds on time too; not on a machine that is busy"`
 	Only    string        `long:"only" description:"take steps of this kind only, as internal/soak/schedule names them"`
+	Plain   bool          `long:"plain" description:"leave out poisoned requests and suspended machines"`
 	Most    time.Duration `long:"most" description:"begin no further run after so long; 0: no bound"`
 }
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == "gateway" {
+		os.Exit(instance(os.Args[3]))
+	}
 	c := &command{}
 	if _, err := flags.NewParser(c, flags.Default).Parse(); err != nil {
 		os.Exit(2)
@@ -57,6 +63,20 @@
 	}
 }
 
+// instance is the gateway command on a machine that the soak can suspend. Everything
+// but its clocks is the product's.
+func instance(settings string) int {
+	source, err := clocks.Open(clocks.Path(settings))
+	if err == nil {
+		err = trailshed.Gateway(settings, source)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
+
 // run plays all seeds and returns how many runs failed.
 func (c *command) run(ctx context.Context) int {
 	seeds := c.seeds()
@@ -112,6 +132,12 @@
 		Program: c.Program, Dir: c.Dir, Seed: seed, Length: time.Duration(c.Seconds) * time.Second,
 		Network: network(job), PerZone: c.PerZone, Callers: c.Callers, Timed: c.Timed, Only: schedule.Kind(c.Only),
 	}
+	o.More = !c.Plain && !c.Again
+	if o.More || o.Only == schedule.Suspend {
+		if self, err := os.Executable(); err == nil {
+			o.Program = self
+		}
+	}
 	for n := range c.Zones {
 		o.Zones = append(o.Zones, string(rune('a'+n)))
 	}
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -19,15 +19,20 @@
 
 // Execute routes requests on the users' platform until it is told to stop.
 func (c *gatewayCommand) Execute([]string) error {
+	file := c.Settings
+	if file == "" {
+		file = platform.SettingsFile()
+	}
+	return Gateway(file, clock.Machine())
+}
+
+// Gateway is the command with the settings in file, on a machine with such clocks.
+func Gateway(file string, clocks clock.Source) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	signal.Ignore(syscall.SIGPIPE)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	file := c.Settings
-	if file == "" {
-		file = platform.SettingsFile()
-	}
 	set, err := gateway.LoadSettings(file)
 	if err != nil {
 		return err
@@ -39,7 +44,7 @@
 	g, err := gateway.New(set, counters, gateway.Platform{
 		Dialect: platform.Dialect(), Source: platform.Source(store), Registry: platform.Registry(store),
 		Duty: platform.StagingDuty(store), Order: platform.SendOrder, Load: platform.AskLoad, Suspects: platform.Suspects(store), ReadyPath: platform.ReadyPath,
-		Clocks: clock.Machine(),
+		Clocks: clocks,
 	}, log)
 	if err != nil {
 		return err
--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -23,7 +23,8 @@
 	Service string
 	Once    bool // it must not run twice
 	Stream  bool
-	Version int // of the configuration that brought its route; 0: the first one
+	Version int    // of the configuration that brought its route; 0: the first one
+	Body    string // of each request; empty: each has its own
 	// Workspace is in whose name it is asked.
 	Workspace string
 }
@@ -69,6 +70,21 @@
 	return Kind{Path: "/v" + strconv.Itoa(version) + "/x", Method: http.MethodGet, Service: "web", Version: version, Workspace: first}
 }
 
+// PoisonMark is in the bodies of requests that end the engines that run them.
+const PoisonMark = "poison"
+
+// Poison is the n-th such request of a run: each of its tries has the same body.
+func Poison(n int) Kind {
+	k := Kinds()[0]
+	for _, other := range Kinds() {
+		if other.Path == "/stream/x" {
+			k = other
+		}
+	}
+	k.Body = PoisonMark + " " + strconv.Itoa(n)
+	return k
+}
+
 // Gateway is an instance that takes requests.
 type Gateway struct {
 	Name string
@@ -130,7 +146,10 @@
 // Call sends one request.
 func (c *Caller) Call(ctx context.Context, g Gateway, k Kind) Call {
 	call := Call{ID: c.Next(), Kind: k, Gateway: g, Sent: time.Now()}
-	if k.Method == http.MethodPost {
+	switch {
+	case k.Body != "":
+		call.Body = k.Body
+	case k.Method == http.MethodPost:
 		call.Body = "body of " + call.ID
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+graceTime)
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -153,6 +153,7 @@
 	c.checkVersions()
 	c.checkLimit(byCall)
 	if c.Bounds.Timed {
+		c.checkPoison(runs)
 		c.checkBudget(runs, last)
 	}
 	var list []Violation
--- a/internal/soak/fleet/endpoint.go
+++ b/internal/soak/fleet/endpoint.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"slices"
 	"time"
 
+	"github.com/trailshed/trailshed/internal/soak/caller"
 	"github.com/trailshed/trailshed/internal/soak/checker"
 	"github.com/trailshed/trailshed/internal/soak/link"
 	"github.com/trailshed/trailshed/internal/soak/timeline"
@@ -32,7 +34,9 @@
 	link *link.Link
 }
 
-func well() standin.Behaviour { return standin.Behaviour{Delay: work, Pause: pause} }
+func well() standin.Behaviour {
+	return standin.Behaviour{Delay: work, Pause: pause, CrashOn: caller.PoisonMark}
+}
 
 // addEndpoint starts an endpoint and registers it; stage is empty for the plain
 // service.
@@ -51,6 +55,7 @@
 		return err
 	}
 	e.Shown = e.link.Address
+	e.OnCrash = func() { f.poisoned(e) }
 	f.endpoints = append(f.endpoints, e)
 	e.Register(f.store, "ready")
 	return nil
@@ -125,6 +130,18 @@
 	return f.drop(e)
 }
 
+// poisoned takes that a request has ended an endpoint: what is left is as after any
+// other crash.
+func (f *Fleet) poisoned(e *endpoint) {
+	e.link.Set(link.Refused)
+	e.link.Reset()
+	f.steps.Go(func() {
+		if err := f.crash(context.Background(), e, 0, false); err != nil {
+			_, _ = fmt.Fprintf(os.Stderr, "seed %d: an engine in the place of %s: %v\n", f.Seed, e.ID, err)
+		}
+	})
+}
+
 // other is an endpoint of another service.
 func (f *Fleet) other(service string) *endpoint {
 	f.mu.Lock()
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -33,6 +34,7 @@
 	Callers int
 	Timed   bool          // check bounds on time too
 	Only    schedule.Kind // of all steps; empty: all kinds
+	More    bool          // with the steps that came beside the others later
 }
 
 const (
@@ -87,13 +89,24 @@
 	if err := f.open(); err != nil {
 		return Result{}, err
 	}
-	steps := schedule.New(o.Seed, o.Length, o.Only)
+	steps := f.schedule()
 	err := f.play(ctx, steps)
 	r := Result{Seed: o.Seed, Violations: f.checker.Check(true), Steps: len(steps), Faults: f.faults}
 	r.Good, r.All = f.checker.Served()
 	return r, err
 }
 
+func (f *Fleet) schedule() []schedule.Step {
+	if f.Only == schedule.Poison || f.Only == schedule.Suspend {
+		return slices.DeleteFunc(schedule.More(f.Seed, f.Length), func(s schedule.Step) bool { return s.Kind != f.Only })
+	}
+	steps := schedule.New(f.Seed, f.Length, f.Only)
+	if !f.More || f.Only != "" {
+		return steps
+	}
+	return schedule.Join(steps, schedule.More(f.Seed, f.Length))
+}
+
 func bounds(timed bool) checker.Bounds {
 	return checker.Bounds{
 		Contact: 3 * time.Second, Drain: 2 * time.Second, Config: 2 * time.Second, Outer: 5 * time.Second,
--- a/internal/soak/fleet/steps.go
+++ b/internal/soak/fleet/steps.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"github.com/trailshed/trailshed/internal/soak/caller"
+	"github.com/trailshed/trailshed/internal/soak/clocks"
 	"github.com/trailshed/trailshed/internal/soak/link"
 	"github.com/trailshed/trailshed/internal/soak/program"
 	"github.com/trailshed/trailshed/internal/soak/schedule"
@@ -15,6 +17,14 @@
 	"github.com/trailshed/trailshed/platform/standin"
 )
 
+const (
+	// poisonPause is between two tries of a request that ends engines.
+	poisonPause = 250 * time.Millisecond
+	// poisonAfter is for how long it comes beyond its step: twice what instances have
+	// to know of it, and some.
+	poisonAfter = 8 * time.Second
+)
+
 // aftermath is how long a fault still excuses an instance that it struck.
 const aftermath = time.Second
 
@@ -35,6 +45,10 @@
 		return f.kill(ctx, s.For, all...)
 	case schedule.Pause:
 		f.pause(ctx, s.For, i)
+	case schedule.Suspend:
+		return f.suspend(ctx, s.For, i)
+	case schedule.Poison:
+		f.poison(ctx, s)
 	case schedule.Stop:
 		return f.stop(ctx, s.For, i)
 	case schedule.Roll:
@@ -108,6 +122,30 @@
 	time.Sleep(aftermath)
 }
 
+// suspend suspends an instance's machine.
+func (f *Fleet) suspend(ctx context.Context, length time.Duration, i *instance) error {
+	end := f.faults.Begin(timeline.Process, i.name, "suspend")
+	defer end()
+	i.program.Signal(syscall.SIGSTOP)
+	began := time.Now()
+	sleep(ctx, length)
+	err := clocks.Suspend(clocks.Path(i.program.Settings), time.Since(began))
+	i.program.Signal(syscall.SIGCONT)
+	time.Sleep(aftermath)
+	return err
+}
+
+// poison has a caller come again and again, at any instance, with a request that ends
+// whatever engine runs it: while the step lasts, and for long after all must know.
+func (f *Fleet) poison(ctx context.Context, s schedule.Step) {
+	kind := caller.Poison(s.How)
+	for until := time.Now().Add(s.For + poisonAfter); time.Now().Before(until) && sleep(ctx, poisonPause); {
+		if g, ok := f.pick(); ok {
+			f.checker.Called(caller.One(ctx, g, kind, f.id()))
+		}
+	}
+}
+
 // stop stops an instance in order and starts it again.
 func (f *Fleet) stop(ctx context.Context, length time.Duration, i *instance) error {
 	end := f.faults.Begin(timeline.Planned, i.name, "stop")
--- a/internal/soak/link/link.go
+++ b/internal/soak/link/link.go
@@ -21,7 +21,7 @@
 	Delayed         // each piece is held up for Delay
 	NoAnswers       // what goes there passes, what comes back is held
 	Silent          // nothing passes either way; connections stay open
-	Refused         // new connections are reset at once
+	Refused         // nobody listens, as where a process has ended
 )
 
 // Delay is how long a delayed link holds up each piece.
@@ -34,8 +34,8 @@
 type Link struct {
 	Address netip.AddrPort
 
-	listener net.Listener
 	mu       sync.Mutex
+	listener net.Listener // nil while it refuses
 	target   netip.AddrPort
 	fault    Fault
 	turned   chan struct{} // closed and replaced when the fault changes
@@ -52,7 +52,7 @@
 		Address: netip.MustParseAddrPort(l.Addr().String()), listener: l, target: target,
 		turned: make(chan struct{}), open: map[net.Conn]bool{},
 	}
-	go link.accept()
+	go link.accept(l)
 	return link, nil
 }
 
@@ -63,8 +63,35 @@
 	l.fault = f
 	close(l.turned)
 	l.turned = make(chan struct{})
+	switch {
+	case f == Refused && l.listener != nil:
+		_ = l.listener.Close()
+		l.listener = nil
+	case f != Refused && l.listener == nil:
+		l.listen()
+	}
+}
+
+// listen listens again at the link's address. Another process may have it for a moment,
+// as the port of a connection of its own.
+func (l *Link) listen() {
+	for range listenTries {
+		again, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", l.Address.String())
+		if err == nil {
+			l.listener = again
+			go l.accept(again)
+			return
+		}
+		time.Sleep(listenPause)
+	}
 }
 
+// listenTries and listenPause say how long an address is waited for: three seconds.
+const (
+	listenTries = 300
+	listenPause = 10 * time.Millisecond
+)
+
 // Aim sends new connections to another target, as when an address is reused.
 func (l *Link) Aim(target netip.AddrPort) {
 	l.mu.Lock()
@@ -84,14 +111,13 @@
 
 // Close ends the link.
 func (l *Link) Close() {
-	_ = l.listener.Close()
-	l.Set(Clean)
+	l.Set(Refused)
 	l.Reset()
 }
 
-func (l *Link) accept() {
+func (l *Link) accept(from net.Listener) {
 	for {
-		c, err := l.listener.Accept()
+		c, err := from.Accept()
 		if err != nil {
 			return // closed
 		}
@@ -101,12 +127,8 @@
 
 func (l *Link) serve(near net.Conn) {
 	l.mu.Lock()
-	target, fault := l.target, l.fault
+	target := l.target
 	l.mu.Unlock()
-	if fault == Refused {
-		reset(near)
-		return
-	}
 	far, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", target.String())
 	if err != nil {
 		reset(near) // nobody listens there: callers see what a dead port does
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -54,6 +54,12 @@
 	ConfigureStorm Kind = "configure_storm"
 )
 
+// Steps that come beside those drawn by weight.
+const (
+	Poison  Kind = "poison"  // a request comes again and again that ends whatever engine runs it
+	Suspend Kind = "suspend" // one's machine is suspended: its steady clock stands still
+)
+
 // weights say how often each kind comes.
 var weights = []struct {
 	kind   Kind
@@ -98,11 +104,37 @@
 	quiet = 1500 * time.Millisecond
 	// gapMean is the mean time between two steps; faultMost bounds one's length.
 	gapMean   = 900 * time.Millisecond
+	moreGap   = 5 * time.Second // the same, of the steps of More
 	faultMost = 4500 * time.Millisecond
 	// seriesShare of the steps are followed by the same kind again.
 	seriesShare = 0.25
 )
 
+// More draws the steps of a run that come beside those of New, so that a seed's other
+// steps are what they were before there were these.
+func More(seed uint64, length time.Duration) []Step {
+	r := rand.New(rand.NewPCG(seed, 0xd1b54a32d192ed03)) //nolint:gosec // a schedule needs no secrecy
+	var steps []Step
+	for at := quiet; at < length; at += time.Duration(r.ExpFloat64() * float64(moreGap)) {
+		kind := Poison
+		if r.IntN(2) == 0 {
+			kind = Suspend
+		}
+		steps = append(steps, Step{
+			At: at, For: faultMost/10 + time.Duration(r.Float64()*float64(faultMost)*0.9),
+			Kind: kind, Target: r.IntN(1 << 16), How: r.IntN(1 << 16),
+		})
+	}
+	return steps
+}
+
+// Join returns the steps of two lists in the order of their times.
+func Join(a, b []Step) []Step {
+	all := slices.Concat(a, b)
+	slices.SortStableFunc(all, func(a, b Step) int { return int(a.At - b.At) })
+	return all
+}
+
 // New draws the steps of a run of so long, in the order of their times; only, if
 // not empty, is the kind of all of them.
 func New(seed uint64, length time.Duration, only Kind) []Step {
--- a/internal/soak/schedule/schedule_test.go
+++ b/internal/soak/schedule/schedule_test.go
@@ -21,6 +21,13 @@
 		}
 	}
 	c.Assert(kinds, qt.HasLen, 23)
+	more := schedule.More(7, time.Minute)
+	c.Assert(more, qt.DeepEquals, schedule.More(7, time.Minute))
+	for _, s := range more {
+		kinds[s.Kind] = true
+	}
+	c.Assert(kinds, qt.HasLen, 25)
+	c.Assert(schedule.Join(schedule.New(7, time.Minute, ""), more), qt.HasLen, len(schedule.New(7, time.Minute, ""))+len(more))
 	for _, s := range schedule.New(7, time.Minute, schedule.Retire) {
 		c.Assert(s.Kind, qt.Equals, schedule.Retire)
 	}
