--- a/internal/soak/fleet/steps.go
+++ b/internal/soak/fleet/steps.go
@@ -78,15 +78,20 @@
 	case schedule.Configure:
 		f.configureOnce(ctx)
 	case schedule.ConfigureStorm:
-		for range 5 {
-			f.configure()
-			sleep(ctx, 80*time.Millisecond)
-		}
-		f.configureOnce(ctx)
+		f.configureOften(ctx)
 	}
 	return nil
 }
 
+// configureOften writes configurations in quick succession.
+func (f *Fleet) configureOften(ctx context.Context) {
+	for range 5 {
+		f.configure()
+		sleep(ctx, 80*time.Millisecond)
+	}
+	f.configureOnce(ctx)
+}
+
 // kill kills instances at the same moment and starts them again.
 func (f *Fleet) kill(ctx context.Context, length time.Duration, struck ...*instance) error {
 	var ended []<-chan struct{}
