--- /dev/null
+++ b/internal/suspects/suspects_test.go
@@ -0,0 +1,254 @@
+package suspects_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/trailshed/trailshed/internal/peer"
+	"github.com/trailshed/trailshed/internal/quarantine"
+	"github.com/trailshed/trailshed/internal/standin/cert"
+	"github.com/trailshed/trailshed/internal/suspects"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// patience bounds every wait; none asserts that something is fast.
+const patience = 20 * time.Second
+
+var errAway = errors.New("the store is away")
+
+// store keeps records as the platform's does.
+type store struct {
+	mu      sync.Mutex
+	records map[quarantine.Fingerprint]quarantine.Stored
+	rev     int64
+	away    bool
+}
+
+func (s *store) open() suspects.Store {
+	return suspects.Store{
+		Save: func(_ context.Context, r quarantine.Record) (int64, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.away {
+				return 0, errAway
+			}
+			if _, there := s.records[r.Work]; there {
+				return 0, suspects.ErrExists
+			}
+			s.rev++
+			s.records[r.Work] = quarantine.Stored{Record: r, Revision: s.rev}
+			return s.rev, nil
+		},
+		Remove: func(_ context.Context, work quarantine.Fingerprint) error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			delete(s.records, work)
+			return nil
+		},
+		Read: func(_ context.Context, work quarantine.Fingerprint) (quarantine.Stored, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.records[work], nil
+		},
+	}
+}
+
+func (s *store) fail(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+func (s *store) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.records)
+}
+
+// listed is what the store tells whoever reads all of it.
+func (s *store) listed() suspects.News {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	news := suspects.News{Complete: true, Revision: s.rev}
+	for _, r := range s.records {
+		news.Records = append(news.Records, r)
+	}
+	return news
+}
+
+// fleet is instances of two zones.
+type fleet struct {
+	t     *testing.T
+	store *store
+	dir   string
+	ca    *cert.Authority
+	mu    sync.Mutex
+	all   []suspects.Peer
+	cut   map[netip.AddrPort]bool // from and to these nothing passes
+	nodes map[string]*suspects.Suspects
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{
+		t: t, store: &store{records: map[quarantine.Fingerprint]quarantine.Stored{}}, dir: t.TempDir(),
+		cut: map[netip.AddrPort]bool{}, nodes: map[string]*suspects.Suspects{},
+	}
+	var err error
+	f.ca, err = cert.NewAuthority(f.dir)
+	qt.Assert(t, err, qt.IsNil)
+	for _, name := range []string{"a1", "a2", "a3", "b1", "b2", "b3"} {
+		f.start(name)
+	}
+	return f
+}
+
+// start starts an instance, whose zone is the first letter of its name.
+func (f *fleet) start(name string) {
+	qt.Assert(f.t, f.ca.Issue(name), qt.IsNil)
+	file := filepath.Join(f.dir, name)
+	tls, err := peer.Certificates(filepath.Join(f.dir, "ca.pem"), file+".pem", file+".key")
+	qt.Assert(f.t, err, qt.IsNil)
+	transport, err := peer.Listen(name, netip.MustParseAddrPort("127.0.0.1:0"), tls, tally.NoopScope)
+	qt.Assert(f.t, err, qt.IsNil)
+	self := suspects.Peer{Name: name, Zone: name[:1], Address: transport.Address()}
+	transport.Cut(func(to netip.AddrPort) bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.cut[to] != f.cut[self.Address]
+	})
+	f.mu.Lock()
+	f.all = append(f.all, self)
+	f.mu.Unlock()
+	s := suspects.New(suspects.Options{
+		Name: name, Zone: self.Zone, Transport: transport, Store: f.store.open(), Scope: tally.NoopScope, Now: clock.System(),
+		Peers: func() []suspects.Peer {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return append([]suspects.Peer(nil), f.all...)
+		},
+		Watching:   func() bool { return name[1:] != "3" },
+		Held:       func(quarantine.Record) {},
+		Unreadable: func(error, int64) {},
+	})
+	router, err := message.NewRouter(message.RouterConfig{}, watermill.NopLogger{})
+	qt.Assert(f.t, err, qt.IsNil)
+	s.Register(router)
+	ctx, stop := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = router.Run(ctx) })
+	<-router.Running()
+	group.Go(func() { s.Run(ctx) })
+	f.t.Cleanup(func() {
+		stop()
+		_ = transport.Close()
+		group.Wait()
+	})
+	f.nodes[name] = s
+}
+
+// isolate cuts instances of a zone off from those of the other; "" heals.
+func (f *fleet) isolate(zone string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.all {
+		f.cut[p.Address] = p.Zone == zone
+	}
+}
+
+func (f *fleet) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(patience); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("never came true: %s", what)
+		}
+	}
+}
+
+func (f *fleet) heldBy(w quarantine.Work, names ...string) func() bool {
+	return func() bool {
+		for _, name := range names {
+			if !f.nodes[name].Holds(w) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+var poison = quarantine.Work{Method: "POST", Host: "h", Target: "/x", Body: []byte("poison")}
+
+func all() []string { return []string{"a1", "a2", "a3", "b1", "b2", "b3"} }
+
+// Two instances of different zones see one end each; all know, and so does the store.
+func TestEndsAreAddedUp(t *testing.T) {
+	f := newFleet(t)
+	f.nodes["a3"].Ended(poison, "e1")
+	f.nodes["b3"].Ended(poison, "e2")
+	f.eventually("all hold it", f.heldBy(poison, all()...))
+	f.eventually("it is stored", func() bool { return f.store.count() == 1 })
+}
+
+// A zone is cut off while it learns of a request; once the cut is over the others
+// learn of it, also if the store is away all the while.
+func TestCutZoneTellsLater(t *testing.T) {
+	f := newFleet(t)
+	f.store.fail(true)
+	f.isolate("a")
+	f.nodes["a3"].Ended(poison, "e1")
+	f.nodes["a1"].Ended(poison, "e2")
+	f.eventually("its own zone holds it", f.heldBy(poison, "a1", "a2", "a3"))
+	qt.Assert(t, f.nodes["b1"].Holds(poison), qt.IsFalse)
+	f.isolate("")
+	f.eventually("all hold it", f.heldBy(poison, all()...))
+	f.store.fail(false)
+	f.eventually("it is stored", func() bool { return f.store.count() == 1 })
+}
+
+// What is cleared is cleared everywhere, and removed from the store.
+func TestClearedEverywhere(t *testing.T) {
+	f := newFleet(t)
+	f.nodes["a1"].Ended(poison, "e1")
+	f.nodes["a1"].Ended(poison, "e2")
+	f.eventually("all hold it", f.heldBy(poison, all()...))
+	f.eventually("it is stored", func() bool { return f.store.count() == 1 })
+	for _, n := range f.nodes {
+		n.TakeStored(f.store.listed())
+	}
+	f.nodes["b2"].Completed(poison) // it was under way there
+	f.eventually("nobody holds it", func() bool {
+		for _, n := range f.nodes {
+			if n.Holds(poison) {
+				return false
+			}
+		}
+		return true
+	})
+	f.eventually("it is not stored", func() bool { return f.store.count() == 0 })
+}
+
+// Whoever starts learns of it from the store, or from its zone if the store is away.
+func TestStartingInstances(t *testing.T) {
+	f := newFleet(t)
+	f.nodes["a1"].Ended(poison, "e1")
+	f.nodes["a1"].Ended(poison, "e2")
+	f.eventually("it is stored", func() bool { return f.store.count() == 1 })
+	f.start("a4") // hears nothing from the store
+	f.eventually("its zone tells it", f.heldBy(poison, "a4"))
+	f.isolate("b")
+	f.start("c1") // alone
+	f.nodes["c1"].TakeStored(f.store.listed())
+	qt.Assert(t, f.nodes["c1"].Holds(poison), qt.IsTrue)
+	// An operator removes the record.
+	f.nodes["c1"].TakeStored(suspects.News{Released: []quarantine.Release{{Work: poison.Fingerprint(), Revision: 9}}})
+	qt.Assert(t, f.nodes["c1"].Holds(poison), qt.IsFalse)
+}
