soak: a link that refuses keeps its port

A link that refuses closes its listener since such links refuse as dead ports do, and its port was another run's a moment later.

Change: a socket is bound to each link's port that never listens, and listeners share the port with it.

Ruled out: the product, since the id names the other run; no request went to an address that its own run had not told.

--- a/internal/soak/link/link.go
+++ b/internal/soak/link/link.go
@@ -34,6 +34,7 @@
 type Link struct {
 	Address netip.AddrPort
 
+	port     *port
 	mu       sync.Mutex
 	listener net.Listener // nil while it refuses
 	target   netip.AddrPort
@@ -44,12 +45,17 @@
 
 // New opens a link to target.
 func New(target netip.AddrPort) (*Link, error) {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	p, err := reserve()
 	if err != nil {
 		return nil, err
 	}
+	l, err := p.listen()
+	if err != nil {
+		p.release()
+		return nil, err
+	}
 	link := &Link{
-		Address: netip.MustParseAddrPort(l.Addr().String()), listener: l, target: target,
+		Address: p.address, port: p, listener: l, target: target,
 		turned: make(chan struct{}), open: map[net.Conn]bool{},
 	}
 	go link.accept(l)
@@ -72,26 +78,17 @@
 	}
 }
 
-// listen listens again at the link's address. Another process may have it for a moment,
-// as the port of a connection of its own.
+// listen listens again. It can fail only where the machine has no descriptors left;
+// the link refuses on then.
 func (l *Link) listen() {
-	for range listenTries {
-		again, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", l.Address.String())
-		if err == nil {
-			l.listener = again
-			go l.accept(again)
-			return
-		}
-		time.Sleep(listenPause)
+	again, err := l.port.listen()
+	if err != nil {
+		return
 	}
+	l.listener = again
+	go l.accept(again)
 }
 
-// listenTries and listenPause say how long an address is waited for: three seconds.
-const (
-	listenTries = 300
-	listenPause = 10 * time.Millisecond
-)
-
 // Aim sends new connections to another target, as when an address is reused.
 func (l *Link) Aim(target netip.AddrPort) {
 	l.mu.Lock()
@@ -113,6 +110,7 @@
 func (l *Link) Close() {
 	l.Set(Refused)
 	l.Reset()
+	l.port.release()
 }
 
 func (l *Link) accept(from net.Listener) {
--- a/internal/soak/link/link_test.go
+++ b/internal/soak/link/link_test.go
@@ -1,9 +1,11 @@
 package link_test
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/netip"
+	"syscall"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -54,6 +56,24 @@
 	return string(b)
 }
 
+// A link that refuses does so as a dead port does, and nobody else gets its address
+// meanwhile: another run's endpoint there would see requests of this one.
+func TestRefusedLinkKeepsItsPort(t *testing.T) {
+	c := qt.New(t)
+	l, _ := open(t)
+	l.Set(link.Refused)
+	_, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Address.String())
+	c.Assert(errors.Is(err, syscall.ECONNREFUSED), qt.IsTrue, qt.Commentf("%v", err))
+	_, err = (&net.ListenConfig{}).Listen(t.Context(), "tcp", l.Address.String())
+	c.Assert(errors.Is(err, syscall.EADDRINUSE), qt.IsTrue, qt.Commentf("%v", err))
+	l.Set(link.Clean)
+	again, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Address.String())
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = again.Close() }()
+	say(t, again, "back")
+	c.Assert(hear(t, again, 4), qt.Equals, "back")
+}
+
 // Whatever a link holds passes, whole and in order, once it is clean again.
 func TestHeldBytesPassLater(t *testing.T) {
 	tests := []struct {
