quarantine: ends that come together are blamed on nobody

Cause: waves of crashes cut sound requests twice in a row, and two ends have a request refused.

Change: an instance gathers the ends that it sees within 80 ms; where three endpoints ended, only requests that ran at two of them are blamed. A request that ended two is held at once.

--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -49,6 +49,10 @@
 	// saveGrace is how long whoever watches the store waits for the instance that saw
 	// the last end to save it.
 	saveGrace = 600 * time.Millisecond
+	// togetherFor is for how long ends are gathered before any is blamed on a request.
+	// What a fault ends at one moment, an instance with two fifths of a core has looked
+	// at within some tens of ms.
+	togetherFor = 80 * time.Millisecond
 	// savePause is between two tries at what the store did not take.
 	savePause = 500 * time.Millisecond
 )
@@ -105,6 +109,7 @@
 
 	mu    sync.Mutex // never held while sending
 	table *quarantine.Table
+	ends  []quarantine.End // seen within togetherFor
 }
 
 // told is what an instance tells others.
@@ -154,13 +159,34 @@
 	return s.table.Holds(w)
 }
 
-// Ended takes that an endpoint ended while it ran a request, and tells others.
+// Ended takes that an endpoint ended while it ran a request. Others are told a moment
+// later, unless many ended together; at once, if the request ended two.
 func (s *Suspects) Ended(w quarantine.Work, endpoint string) {
 	s.mu.Lock()
-	r, news := s.table.Ended(s.Now(), w, endpoint)
-	s.empty.Store(s.table.Empty())
+	if len(s.ends) == 0 {
+		time.AfterFunc(togetherFor, s.blame)
+	}
+	s.ends = append(s.ends, quarantine.End{Work: w, Endpoint: endpoint})
+	twice := quarantine.Twice(s.ends, w)
 	s.mu.Unlock()
-	s.tellAll(r, news)
+	if twice {
+		s.blame()
+	}
+}
+
+// blame holds the ends seen within a moment against the requests.
+func (s *Suspects) blame() {
+	s.mu.Lock()
+	ends := s.ends
+	s.ends = nil
+	s.mu.Unlock()
+	for _, e := range quarantine.Blamed(ends) {
+		s.mu.Lock()
+		r, news := s.table.Ended(s.Now(), e.Work, e.Endpoint)
+		s.empty.Store(s.table.Empty())
+		s.mu.Unlock()
+		s.tellAll(r, news)
+	}
 }
 
 // Completed takes that a request ran to its end; if it was suspected, others are told.
