quarantine: hash the request of an end once, look at arrivals only where one is held

Found by reading the diff. A fingerprint was made anew for each pair of ends seen within 80 ms, which grows with the square of the runs that a fault cuts at once; each arrival was hashed up to three times for an hour after any endpoint had ended under a run, though only held requests are refused; and ends of one moment went to peers in a message each.

Change: an end carries its fingerprint, arrivals are hashed only while some request is held, ends of one moment go out together.

Checked: the tests of quarantine and suspects with the race detector, and TestCallThatEndsServices.

--- a/internal/quarantine/blame.go
+++ b/internal/quarantine/blame.go
@@ -1,27 +1,25 @@
 package quarantine
 
+import "slices"
+
 // togetherLeast is how many endpoints that end together have a cause of their own.
 const togetherLeast = 3
 
 // End is an endpoint that ended while it ran a request.
 type End struct {
-	Work     Work
-	Endpoint string // id of its life
+	work     Work
+	print    Fingerprint // of work, made once: many may end together
+	endpoint string
 }
 
-// Twice says whether a request ran at two of the endpoints that ended.
-func Twice(ends []End, w Work) bool {
-	work, first := w.Fingerprint(), ""
-	for _, e := range ends {
-		if e.Work.Fingerprint() != work {
-			continue
-		}
-		if first != "" && first != e.Endpoint {
-			return true
-		}
-		first = e.Endpoint
-	}
-	return false
+// NewEnd returns the end of an endpoint's life under a request.
+func NewEnd(w Work, endpoint string) End {
+	return End{work: w, print: w.Fingerprint(), endpoint: endpoint}
+}
+
+// Twice says whether the request of an end ran at another endpoint that ended.
+func Twice(ends []End, last End) bool {
+	return slices.ContainsFunc(ends, func(e End) bool { return e.print == last.print && e.endpoint != last.endpoint })
 }
 
 // Blamed returns those of the ends seen within a moment that speak against the request:
@@ -31,22 +29,15 @@
 // five waves 34 of them were refused without it, and 1 with it (one play each).
 func Blamed(ends []End) []End {
 	endpoints := map[string]bool{}
-	at := map[Fingerprint]map[string]bool{}
-	prints := make([]Fingerprint, len(ends))
-	for i, e := range ends {
-		prints[i] = e.Work.Fingerprint()
-		endpoints[e.Endpoint] = true
-		if at[prints[i]] == nil {
-			at[prints[i]] = map[string]bool{}
-		}
-		at[prints[i]][e.Endpoint] = true
+	for _, e := range ends {
+		endpoints[e.endpoint] = true
 	}
 	if len(endpoints) < togetherLeast {
 		return ends
 	}
 	var blamed []End
-	for i, e := range ends {
-		if len(at[prints[i]]) > 1 {
+	for _, e := range ends {
+		if Twice(ends, e) {
 			blamed = append(blamed, e)
 		}
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -65,7 +65,12 @@
 // Ended takes that an endpoint ended while it ran the request. It returns what is
 // to be told to others, if that is news.
 func (t *Table) Ended(now clock.Millis, w Work, endpoint string) (Record, bool) {
-	r := Record{Work: w.Fingerprint(), Ended: []string{endpoint}, Seen: now, Vouched: t.vouched.has(now, w)}
+	return t.Blame(now, NewEnd(w, endpoint))
+}
+
+// Blame is Ended for an end that was seen before.
+func (t *Table) Blame(now clock.Millis, e End) (Record, bool) {
+	r := Record{Work: e.print, Ended: []string{e.endpoint}, Seen: now, Vouched: t.vouched.has(now, e.work)}
 	if before := t.records[r.Work]; before != nil {
 		r.Cleared = before.Cleared
 	}
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -103,7 +103,7 @@
 // Suspects is one instance's part. It is safe for concurrent use.
 type Suspects struct {
 	Options
-	empty    atomic.Bool // no request is suspected
+	holding  atomic.Bool // some request is held: only then arrivals are looked at
 	compared clock.Millis
 	tried    clock.Millis // when the store was last called
 
@@ -126,9 +126,7 @@
 
 // New returns one that does not run yet.
 func New(o Options) *Suspects {
-	s := &Suspects{Options: o, table: quarantine.NewTable()}
-	s.empty.Store(true)
-	return s
+	return &Suspects{Options: o, table: quarantine.NewTable()}
 }
 
 // Register adds the handlers of other instances' messages.
@@ -151,7 +149,7 @@
 
 // Holds says whether a request is to be run no more.
 func (s *Suspects) Holds(w quarantine.Work) bool {
-	if s.empty.Load() {
+	if !s.holding.Load() {
 		return false
 	}
 	s.mu.Lock()
@@ -162,12 +160,13 @@
 // Ended takes that an endpoint ended while it ran a request. Others are told a moment
 // later, unless many ended together; at once, if the request ended two.
 func (s *Suspects) Ended(w quarantine.Work, endpoint string) {
+	end := quarantine.NewEnd(w, endpoint)
 	s.mu.Lock()
 	if len(s.ends) == 0 {
 		time.AfterFunc(togetherFor, s.blame)
 	}
-	s.ends = append(s.ends, quarantine.End{Work: w, Endpoint: endpoint})
-	twice := quarantine.Twice(s.ends, w)
+	s.ends = append(s.ends, end)
+	twice := quarantine.Twice(s.ends, end)
 	s.mu.Unlock()
 	if twice {
 		s.blame()
@@ -176,17 +175,17 @@
 
 // blame holds the ends seen within a moment against the requests.
 func (s *Suspects) blame() {
+	var fresh []quarantine.Record
 	s.mu.Lock()
 	ends := s.ends
 	s.ends = nil
-	s.mu.Unlock()
 	for _, e := range quarantine.Blamed(ends) {
-		s.mu.Lock()
-		r, news := s.table.Ended(s.Now(), e.Work, e.Endpoint)
-		s.empty.Store(s.table.Empty())
-		s.mu.Unlock()
-		s.tellAll(r, news)
+		if r, news := s.table.Blame(s.Now(), e); news {
+			fresh = append(fresh, r)
+		}
 	}
+	s.mu.Unlock()
+	s.tellAll(fresh)
 }
 
 // Completed takes that a request ran to its end; if it was suspected, others are told.
@@ -194,17 +193,18 @@
 	s.mu.Lock()
 	r, news := s.table.Completed(s.Now(), w)
 	s.mu.Unlock()
-	s.tellAll(r, news)
+	if news {
+		s.tellAll([]quarantine.Record{r})
+	}
 }
 
-func (s *Suspects) tellAll(r quarantine.Record, news bool) {
-	if !news {
+func (s *Suspects) tellAll(fresh []quarantine.Record) {
+	if len(fresh) == 0 {
 		return
 	}
-	s.note(r)
-	list := []quarantine.Record{r}
-	s.tell(s.near(), list, false)
-	s.tell(s.far(), list, true)
+	s.note(fresh)
+	s.tell(s.near(), fresh, false)
+	s.tell(s.far(), fresh, true)
 }
 
 // take joins records that others told, and returns those that were news.
@@ -216,11 +216,8 @@
 			fresh = append(fresh, merged)
 		}
 	}
-	s.empty.Store(s.table.Empty())
 	s.mu.Unlock()
-	for _, r := range fresh {
-		s.note(r)
-	}
+	s.note(fresh)
 	return fresh
 }
 
@@ -244,14 +241,11 @@
 			fresh = append(fresh, r)
 		}
 	}
-	s.empty.Store(s.table.Empty())
 	s.mu.Unlock()
 	for _, err := range n.Problems {
 		s.Unreadable(err, n.Revision)
 	}
-	for _, r := range fresh {
-		s.note(r)
-	}
+	s.note(fresh)
 	s.tell(s.near(), fresh, false)
 }
 
@@ -328,7 +322,7 @@
 // save writes to the store what it lacks, and removes what is not held any more.
 func (s *Suspects) save(ctx context.Context) {
 	now := s.Now()
-	if s.empty.Load() || now.Sub(s.tried) < savePause {
+	if now.Sub(s.tried) < savePause {
 		return
 	}
 	watching := s.Watching()
@@ -377,13 +371,19 @@
 
 // note tells where a request is held, or is not any more. What is only suspected is
 // not worth a line each: where a zone is cut, all that ran in the others is.
-func (s *Suspects) note(r quarantine.Record) {
-	if r.Held() || len(r.Ended) == 0 {
-		s.Held(r)
+func (s *Suspects) note(fresh []quarantine.Record) {
+	if len(fresh) == 0 {
+		return
 	}
 	s.mu.Lock()
 	held, suspected := s.table.Count()
+	s.holding.Store(held > 0)
 	s.mu.Unlock()
+	for _, r := range fresh {
+		if r.Held() || len(r.Ended) == 0 {
+			s.Held(r)
+		}
+	}
 	s.Scope.Gauge("requests_held").Update(float64(held))
 	s.Scope.Gauge("requests_suspected").Update(float64(suspected))
 }
