forward: read what endpoints say of themselves in answers, without acting on it

Cause sought: two incidents in which an instance went on sending to an endpoint that had said in answers that it leaves, or that it wants no requests for a while. No line or counter told what the answers said, so the hypotheses could not be told apart.

Change: the head of every answer is read once, where connections are, so also of answers that belong to no request; reports of engines and answers to orders likewise. Lines and counters only: no choice is changed.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -76,7 +76,8 @@
 	row      int     // ejections in a row
 	ejected  clock.Millis
 	usedAt   clock.Millis
-	silent   bool // it could not be reached the last time
+	silent   bool         // it could not be reached the last time
+	rest     clock.Millis // it wants no request until then
 }
 
 // New returns a balancer for an instance of zone.
@@ -182,6 +183,17 @@
 	s.load, s.loadAt = l, now
 }
 
+// Rest takes an endpoint's word that it wants no request for so long. It returns
+// false if that is known already.
+func (b *Balancer) Rest(now clock.Millis, id string, length time.Duration) (news bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(id)
+	news = now >= s.rest
+	s.rest = max(s.rest, now.Add(length))
+	return news
+}
+
 // Done gives the place back and learns from the result. It returns how long
 // the endpoint is ejected for, 0 if it is not ejected now.
 func (r *Reservation) Done(now clock.Millis, result Result) time.Duration {
@@ -226,13 +238,14 @@
 	return length
 }
 
-// Forget drops endpoints that the view no longer holds and nothing uses.
-func (b *Balancer) Forget(view *directory.View) {
+// Forget drops endpoints that the view no longer holds and nothing uses. What one
+// asked for outlasts a listing that lacks it.
+func (b *Balancer) Forget(now clock.Millis, view *directory.View) {
 	known := view.IDs()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, s := range b.byID {
-		if !known[id] && s.running == 0 {
+		if !known[id] && s.running == 0 && now >= s.rest {
 			delete(b.byID, id)
 		}
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -139,11 +139,14 @@
 type Directory struct {
 	view atomic.Pointer[View]
 
-	mu         sync.Mutex
-	table      *route.Table
-	tableRev   int64
-	endpoints  map[string]*held // by entry
-	removed    map[string]int64 // by entry: revision of its removal
+	mu        sync.Mutex
+	table     *route.Table
+	tableRev  int64
+	endpoints map[string]*held // by entry
+	removed   map[string]int64 // by entry: revision of its removal
+	// leaving are the lives that said in an answer that they leave, and when they
+	// were last known here.
+	leaving    map[string]clock.Millis
 	revision   int64
 	storeLost  bool
 	returnedAt clock.Millis // when the store was last reached again; 0 at first
@@ -158,7 +161,7 @@
 
 // New returns a directory that knows nothing.
 func New() *Directory {
-	d := &Directory{endpoints: map[string]*held{}, removed: map[string]int64{}}
+	d := &Directory{endpoints: map[string]*held{}, removed: map[string]int64{}, leaving: map[string]clock.Millis{}}
 	d.view.Store(&View{Endpoints: map[string][]*Endpoint{}})
 	return d
 }
@@ -198,6 +201,8 @@
 		d.revision = max(d.revision, e.Revision)
 	case Denied:
 		changes = d.deny(e)
+	case Leaving:
+		changes = d.leave(now, e)
 	case StoreLost:
 		d.storeLost = true
 	case StoreReached:
@@ -360,6 +365,22 @@
 	return nil
 }
 
+// leave takes an endpoint's own word that it leaves.
+func (d *Directory) leave(now clock.Millis, e Leaving) []Change {
+	_, known := d.leaving[e.ID]
+	d.leaving[e.ID] = now
+	if known {
+		return nil
+	}
+	change := Change{What: EndpointSaysLeaving, Endpoint: Endpoint{ID: e.ID}, Revision: d.revision}
+	for _, h := range d.endpoints {
+		if h.endpoint.ID == e.ID {
+			change.Endpoint = h.endpoint
+		}
+	}
+	return []Change{change}
+}
+
 // unsettled says that entries may be absent only because the store was away.
 func (d *Directory) unsettled(now clock.Millis) bool {
 	return d.storeLost || d.returnedAt != 0 && now.Sub(d.returnedAt) < settle
--- a/internal/directory/event.go
+++ b/internal/directory/event.go
@@ -39,6 +39,9 @@
 // Denied says that another endpoint answered at this one's address.
 type Denied struct{ ID string }
 
+// Leaving says that an endpoint's answer told that it leaves.
+type Leaving struct{ ID string }
+
 // StoreLost says that the store stopped answering this instance.
 type StoreLost struct{}
 
@@ -55,6 +58,7 @@
 func (Seen) event()         {}
 func (Removed) event()      {}
 func (Denied) event()       {}
+func (Leaving) event()      {}
 func (StoreLost) event()    {}
 func (StoreReached) event() {}
 func (Tick) event()         {}
@@ -68,6 +72,7 @@
 	EndpointJoined       What = "endpoint_joined"
 	EndpointChanged      What = "endpoint_changed"
 	EndpointLeaving      What = "endpoint_leaving"
+	EndpointSaysLeaving  What = "endpoint_says_leaving" // in an answer
 	EndpointMissing      What = "endpoint_missing"
 	EndpointGone         What = "endpoint_gone"
 	EndpointDenied       What = "endpoint_denied"
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -35,6 +35,7 @@
 	EndpointFailed  Event = "endpoint_failed"
 	EndpointEjected Event = "endpoint_ejected"
 	EndpointEnded   Event = "endpoint_ended"
+	EndpointRests   Event = "endpoint_rests"
 	BudgetSpent     Event = "budget_spent"
 	Repeated        Event = "repeated"
 	Resumed         Event = "resumed"
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -57,6 +57,13 @@
 	Streamed bool // the body is a series of events
 }
 
+// Notice is what an endpoint says of itself in the head of an answer, whatever the
+// answer is to.
+type Notice struct {
+	Leaving bool          // it will end soon
+	Rest    time.Duration // it wants no request from this instance for so long
+}
+
 // Dialect translates between the types above and headers.
 type Dialect struct {
 	// Decode reads a caller's request; its error is told to the caller.
@@ -65,6 +72,8 @@
 	Encode func(Call, Send) http.Header
 	// Read reads the head of an endpoint's answer.
 	Read func(*http.Response) Answer
+	// Notice reads what the endpoint says of itself in the head of an answer.
+	Notice func(*http.Response) Notice
 	// Handle reads the body of an answer to a prefill: the id of the KV cache.
 	Handle func([]byte) (string, error)
 	// Free makes the request that frees a KV cache.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,9 +44,10 @@
 	Source   feed.Source
 	Registry roster.Registry
 	// Duty makes one instance give orders, which Order sends.
-	Duty      leadership.Registry
-	Order     func(ctx context.Context, o staging.Order, holder string, fence int64) error
-	Load      broker.Load
+	Duty  leadership.Registry
+	Order func(ctx context.Context, o staging.Order, holder string, fence int64, told func(forward.Notice)) error
+	// Load asks an engine what it works on. Both tell what the engine says of itself.
+	Load      func(ctx context.Context, e directory.Endpoint, told func(forward.Notice)) (placement.Loaded, error)
 	Suspects  suspects.Store
 	ReadyPath string
 	Clocks    clock.Source // of the machine
@@ -130,6 +131,7 @@
 	g.began = g.now()
 	g.roster = roster.New(g.now)
 	g.pool = uplink.NewPool(g.counters.Scope, g.now)
+	g.pool.Heard = func(life string, head *http.Response) { g.noticed(life, g.platform.Dialect.Notice(head)) }
 	g.openFeed() // first, since a peer's certificate may come as soon as the transport listens
 	if err := g.openPeers(); err != nil {
 		return nil, err
@@ -166,7 +168,7 @@
 	g.self.Address = g.transport.Address()
 	g.broker = broker.New(broker.Options{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, Transport: g.transport, Roster: g.roster,
-		Directory: g.directory, Log: g.log, Scope: scope, Now: g.now, Load: g.platform.Load, Paces: g.paces,
+		Directory: g.directory, Log: g.log, Scope: scope, Now: g.now, Load: g.load, Paces: g.paces,
 		Saw: func(a placement.Ask) {
 			g.staging.Saw(a.Service, a.Prompt, g.paces.Length(a.Service, a.Route, a.Output, a.Most).Mean)
 		},
@@ -232,7 +234,7 @@
 		},
 	}
 	g.staging = &staging.Runner{
-		Directory: g.directory, Leadership: g.duty, Send: g.platform.Order,
+		Directory: g.directory, Leadership: g.duty, Send: g.order,
 		Closed: func(o staging.Order) { g.broker.Close(o.Endpoint.Zone, o.Endpoint.ID) },
 		Log:    g.log, Scope: g.counters.Scope, Now: g.now, Paces: g.paces,
 	}
--- /dev/null
+++ b/internal/gateway/notices.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/forward"
+	"github.com/trailshed/trailshed/internal/placement"
+	"github.com/trailshed/trailshed/internal/staging"
+)
+
+// noticed takes what one life of an endpoint says of itself in an answer.
+func (g *Gateway) noticed(life string, n forward.Notice) {
+	if n.Leaving {
+		g.counters.Scope.Counter("answers_leaving").Inc(1)
+		g.feed.Tell(directory.Leaving{ID: life})
+	}
+	if n.Rest <= 0 {
+		return
+	}
+	g.counters.Scope.Counter("answers_resting").Inc(1)
+	if g.balancer.Rest(g.now(), life, n.Rest) {
+		g.log.Write(eventlog.Line{Event: eventlog.EndpointRests, Endpoint: life, Wait: n.Rest})
+	}
+}
+
+// load asks an engine what it works on.
+func (g *Gateway) load(ctx context.Context, e directory.Endpoint) (placement.Loaded, error) {
+	return g.platform.Load(ctx, e, func(n forward.Notice) { g.noticed(e.ID, n) })
+}
+
+// order sends an engine an order.
+func (g *Gateway) order(ctx context.Context, o staging.Order, holder string, fence int64) error {
+	return g.platform.Order(ctx, o, holder, fence, func(n forward.Notice) { g.noticed(o.Endpoint.ID, n) })
+}
--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -124,6 +124,7 @@
 		if err != nil {
 			return err
 		}
+		e.pool.Heard(e.conn.to.life, resp)
 		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
--- a/internal/uplink/pool.go
+++ b/internal/uplink/pool.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"syscall"
@@ -46,6 +47,9 @@
 type Pool struct {
 	// Dial opens a connection; tests replace it.
 	Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+	// Heard is given the head of each answer of one life of an endpoint, also of
+	// those that belong to no request in progress. It must not read the body.
+	Heard func(life string, head *http.Response)
 
 	scope tally.Scope
 	now   func() clock.Millis
@@ -78,6 +82,7 @@
 		Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", to.String())
 		},
+		Heard: func(string, *http.Response) {},
 		scope: scope, now: now, idle: map[target][]*conn{},
 	}
 }
