balance: an endpoint that asks for rest gets no requests until that is over

Cause: the time that an endpoint asks for as it turns a request away was not read. Turned away counts neither as a failure nor as load, so an endpoint that works on nothing looked like the best one to each next request, and the second sends spent the retry allowance. Its class is that of the leaving endpoint: what an answer says of the endpoint itself was not heard.

Change: the balancer, through which every send takes its place, keeps the time by life of the endpoint, over restarts of entries. Plain services pass it by, also where nothing else is left; places that planners gave at such an engine are given back, and asks name it; reports, orders and calls that free a KV cache are not made. Where all that could serve a request rest, its caller is told at once when the first may be asked.

Ruled out: ejection, whose length is ours and which gives way where nothing else is left; a field of the release that planners get, since the time is asked of one instance only, and others may be served.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -94,7 +95,8 @@
 }
 
 // Reserve picks the endpoint with the least predicted wait. Ejected endpoints
-// are taken only if no other is left. It returns nil if there is none at all.
+// are taken only if no other is left, those that rest never. It returns nil if there
+// is none at all.
 func (b *Balancer) Reserve(now clock.Millis, view *directory.View, a Ask) *Reservation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -104,10 +106,13 @@
 	from := rand.IntN(len(list) + 1)
 	for i := range list {
 		e := list[(from+i)%len(list)]
-		if e.State != directory.Ready || !plays(e, a.Stage) || contains(a.Exclude, e.ID) {
+		if !a.fits(e) {
 			continue
 		}
 		s := b.state(e.ID)
+		if now < s.rest {
+			continue
+		}
 		if s.silent && now < s.ejected && now.Sub(s.usedAt) < probePause {
 			continue // one request at a time finds out whether it is back
 		}
@@ -122,20 +127,60 @@
 	return b.reserve(now, best)
 }
 
-// ReserveAt takes a place at an endpoint that was chosen elsewhere.
+// ReserveAt takes a place at an endpoint that was chosen elsewhere. It returns nil if
+// the endpoint rests.
 func (b *Balancer) ReserveAt(now clock.Millis, e *directory.Endpoint) *Reservation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if now < b.state(e.ID).rest {
+		return nil
+	}
 	return b.reserve(now, e)
 }
 
+// Resting returns the ids of the endpoints that rest now.
+func (b *Balancer) Resting(now clock.Millis) []string {
+	return b.those(func(s *state) bool { return now < s.rest })
+}
+
+// Rests says whether an endpoint rests now.
+func (b *Balancer) Rests(now clock.Millis, id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.byID[id]
+	return s != nil && now < s.rest
+}
+
+// RestsFor is how long until the first of the endpoints that an ask fits may be used, if
+// all of them rest now; else it is 0.
+func (b *Balancer) RestsFor(now clock.Millis, view *directory.View, a Ask) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	least, found := time.Duration(0), false
+	for _, e := range view.Endpoints[a.Service] {
+		if !a.fits(e) {
+			continue
+		}
+		left := max(b.state(e.ID).rest.Sub(now), 0)
+		if !found || left < least {
+			least, found = left, true
+		}
+	}
+	return least
+}
+
 // Ejected returns the ids of the endpoints that are ejected now.
 func (b *Balancer) Ejected(now clock.Millis) []string {
+	return b.those(func(s *state) bool { return now < s.ejected })
+}
+
+// those returns the ids of the endpoints whose state is so.
+func (b *Balancer) those(is func(*state) bool) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var ids []string
 	for id, s := range b.byID {
-		if now < s.ejected {
+		if is(s) {
 			ids = append(ids, id)
 		}
 	}
@@ -184,7 +229,10 @@
 }
 
 // Rest takes an endpoint's word that it wants no request for so long. It returns
-// false if that is known already.
+// false if that is known already. A request that is turned away counts neither as a
+// failure nor as load, so that without this an endpoint that turned all away got 53
+// requests in the 3 s for which it wanted none; their second sends spent the retry
+// allowance, and 75 callers were refused in 9 s.
 func (b *Balancer) Rest(now clock.Millis, id string, length time.Duration) (news bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -257,11 +305,7 @@
 	return e.Stage == s || e.Stage == directory.Whole && s == directory.Decode
 }
 
-func contains(list []string, id string) bool {
-	for _, l := range list {
-		if l == id {
-			return true
-		}
-	}
-	return false
+// fits says whether an endpoint may ever be used for what is asked.
+func (a Ask) fits(e *directory.Endpoint) bool {
+	return e.State == directory.Ready && plays(e, a.Stage) && !slices.Contains(a.Exclude, e.ID)
 }
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -113,3 +114,26 @@
 	}
 	return list
 }
+
+// An endpoint that wants no requests gets none until that is over, also where nothing
+// else is left, and also if its entry is gone and back meanwhile.
+func TestRest(t *testing.T) {
+	c := qt.New(t)
+	near := directory.Endpoint{ID: "near", Zone: "a", Slots: 2, Service: "web"}
+	far := directory.Endpoint{ID: "far", Zone: "b", Slots: 2}
+	b := balance.New("a")
+	ask := balance.Ask{Service: "web", Stage: directory.Decode}
+	c.Assert(b.Rest(1000, "near", 3*time.Second), qt.IsTrue)
+	c.Assert(b.Rest(1500, "near", time.Second), qt.IsFalse) // sooner than it said before
+	c.Assert(b.Reserve(1501, view(near, far), ask).Endpoint.ID, qt.Equals, "far")
+	c.Assert(b.Reserve(1501, view(near), ask), qt.IsNil)
+	c.Assert(b.ReserveAt(1501, &near), qt.IsNil)
+	c.Assert(b.Resting(1501), qt.DeepEquals, []string{"near"})
+	c.Assert(b.RestsFor(1500, view(near), ask), qt.Equals, 2500*time.Millisecond)
+	c.Assert(b.RestsFor(1500, view(near, far), ask), qt.Equals, time.Duration(0))
+	b.Forget(2000, view(far))
+	c.Assert(b.Rests(3999, "near"), qt.IsTrue)
+	c.Assert(b.Rests(4000, "near"), qt.IsFalse)
+	c.Assert(b.ReserveAt(4000, &near), qt.IsNotNil)
+	c.Assert(b.Rest(4000, "near", time.Second), qt.IsTrue)
+}
--- a/internal/forward/passage.go
+++ b/internal/forward/passage.go
@@ -190,10 +190,11 @@
 	if m := p.takeMove(); m != nil {
 		return p.plainAttempt(ctx, m.reservation)
 	}
-	r := p.Balancer.Reserve(p.Now(), p.view, balance.Ask{Service: p.service, Exclude: p.tried, Stage: directory.Decode})
+	ask := balance.Ask{Service: p.service, Exclude: p.tried, Stage: directory.Decode}
+	r := p.Balancer.Reserve(p.Now(), p.view, ask)
 	if r == nil {
 		p.because("no_endpoint")
-		p.comeBack = comeBackUnreachable
+		p.comeBack = max(comeBackUnreachable, p.Balancer.RestsFor(p.Now(), p.view, ask))
 		return hopeless
 	}
 	if !p.afford(p.extraSends(false)) {
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -91,7 +91,7 @@
 // closed are the engines that take nothing from this instance, as their answers told
 // it. Planners on other instances may not know.
 func (p *passage) closed() []string {
-	return p.Directory.View().Leaving[p.service]
+	return slices.Concat(p.Directory.View().Leaving[p.service], p.Balancer.Resting(p.Now()))
 }
 
 // endpoint returns the engine with an id, unless it leaves. The planner may know one
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/trailshed/trailshed/internal/balance"
+	"github.com/trailshed/trailshed/internal/broker"
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/uplink"
@@ -70,7 +71,8 @@
 	place, paid, refusal := p.nextPlace(ctx)
 	if place == nil {
 		p.failure = refusal.Reason
-		p.comeBack = refusal.After
+		ask := balance.Ask{Service: p.service, Exclude: p.tried, Stage: directory.Decode}
+		p.comeBack = max(refusal.After, p.Balancer.RestsFor(p.Now(), p.view, ask))
 		return hopeless
 	}
 	p.full, p.failed, p.place, p.seen = "", "", place, seen{}
@@ -80,8 +82,11 @@
 		return hopeless
 	}
 	decode := p.endpoint(place.Decode)
-	if decode == nil {
-		p.tried = append(p.tried, place.Decode)
+	if decode == nil || p.rests(place) {
+		if decode == nil {
+			p.tried = append(p.tried, place.Decode)
+		}
+		p.budget(p.service).Return(p.Now(), paid)
 		return again
 	}
 	// Both sends are paid for before the first: a prompt that is read and may
@@ -100,6 +105,11 @@
 		return again
 	}
 	r := p.Balancer.ReserveAt(p.Now(), decode)
+	if r == nil { // it has asked for rest while the prompt was read
+		p.full = decode.ID
+		p.budget(p.service).Return(p.Now(), send)
+		return again
+	}
 	if p.attempt(ctx, r) {
 		return answered
 	}
@@ -169,10 +179,27 @@
 		p.prefill.tried = append(p.prefill.tried, id)
 		return false
 	}
-	p.prefillAt(ctx, p.Balancer.ReserveAt(p.Now(), e))
+	r := p.Balancer.ReserveAt(p.Now(), e)
+	if r == nil {
+		p.full = id
+		return false
+	}
+	p.prefillAt(ctx, r)
 	return p.prefill.handle != nil
 }
 
+// rests says whether an engine of a place wants no requests from this instance now,
+// which its planner may not know. The planner is told as of one that is full.
+func (p *passage) rests(place *broker.Place) bool {
+	for _, id := range []string{place.Decode, place.Prefill} {
+		if p.Balancer.Rests(p.Now(), id) {
+			p.failure, p.full = "endpoint_rests", id
+			return true
+		}
+	}
+	return false
+}
+
 // prefillAt sends the prompt to one prefill engine and keeps the handle.
 func (p *passage) prefillAt(parent context.Context, r *balance.Reservation) {
 	ctx, cancel := context.WithTimeout(parent, prefillSlack+prefillTimes*p.place.Read+2*p.place.Wait)
@@ -251,13 +278,17 @@
 }
 
 // freeHandle gives back a KV cache that will not be used. It lapses by itself
-// if the call fails, so the call's outcome is only counted.
+// if the call fails, so the call's outcome is only counted, and it is left to lapse at
+// an engine that wants to be left alone.
 func (p *passage) freeHandle() {
 	h := p.prefill.handle
 	if h == nil {
 		return
 	}
 	p.prefill.handle, p.prefill.uncertain = nil, false
+	if p.Balancer.Rests(p.Now(), h.Life) {
+		return
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), freeWait)
 		defer cancel()
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -10,6 +10,9 @@
 	"github.com/trailshed/trailshed/internal/staging"
 )
 
+// errRests says that a call was not made because its engine wants none now.
+var errRests = Error.New("the engine rests")
+
 // noticed takes what one life of an endpoint says of itself in an answer.
 func (g *Gateway) noticed(life string, n forward.Notice) {
 	if n.Leaving {
@@ -25,12 +28,18 @@
 	}
 }
 
-// load asks an engine what it works on.
+// load asks an engine what it works on, unless it wants to be left alone.
 func (g *Gateway) load(ctx context.Context, e directory.Endpoint) (placement.Loaded, error) {
+	if g.balancer.Rests(g.now(), e.ID) {
+		return placement.Loaded{}, errRests
+	}
 	return g.platform.Load(ctx, e, func(n forward.Notice) { g.noticed(e.ID, n) })
 }
 
-// order sends an engine an order.
+// order sends an engine an order, unless it wants to be left alone.
 func (g *Gateway) order(ctx context.Context, o staging.Order, holder string, fence int64) error {
+	if g.balancer.Rests(g.now(), o.Endpoint.ID) {
+		return errRests
+	}
 	return g.platform.Order(ctx, o, holder, fence, func(n forward.Notice) { g.noticed(o.Endpoint.ID, n) })
 }
