--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -69,6 +69,8 @@
 	LoseCancels    int     `json:"lose_cancels"`    // cancels to fail
 	RepeatTokens   bool    `json:"repeat_tokens"`   // every line is sent twice
 	CrashOn        string  `json:"crash_on"`        // its process ends as it begins a call with this in its body
+	Leaving        bool    `json:"leaving"`         // all answers tell that it leaves
+	Rest           float64 `json:"rest"`            // work is turned away, with the wish for none in so many seconds
 }
 
 // Run is one attempt that an engine began to execute.
@@ -91,6 +93,7 @@
 
 	mu      sync.Mutex
 	faults  Faults
+	asked   int             // how often for work
 	jobs    map[string]*job // all attempts that hold memory
 	queue   []*job          // prefill: waiting, in order of arrival
 	runs    []*Run
@@ -133,18 +136,55 @@
 // Handler returns the engine's endpoint and, under /control, its switches.
 func (e *Engine) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Post("/prefill", e.prefill)
-	r.Post("/decode", e.decode)
+	r.Use(e.says)
+	r.Post("/prefill", e.work(e.prefill))
+	r.Post("/decode", e.work(e.decode))
 	r.Post("/kv/{attempt}", e.fetch)
 	r.Post("/cancel", e.cancel)
 	r.Get("/report", e.report)
 	r.Post("/order", e.order)
-	r.HandleFunc("/call/*", e.call)
+	r.HandleFunc("/call/*", e.work(e.call))
 	r.Put("/control/faults", e.setFaults)
 	r.Get("/control/runs", e.getRuns)
 	return r
 }
 
+// says has all answers tell what the engine says of itself.
+func (e *Engine) says(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		if e.faults.Leaving {
+			w.Header().Set("Leaving", "1")
+		}
+		e.mu.Unlock()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// work counts how often work is asked for, and turns it away where it is told to.
+func (e *Engine) work(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		e.asked++
+		rest := e.faults.Rest
+		e.mu.Unlock()
+		if rest == 0 {
+			next(w, r)
+			return
+		}
+		w.Header().Set("Not-Run", "1")
+		w.Header().Set("Retry-After", strconv.FormatFloat(rest, 'f', -1, 64))
+		http.Error(w, "busy", http.StatusTooManyRequests)
+	}
+}
+
+// Asked is how often the engine was asked for work.
+func (e *Engine) Asked() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.asked
+}
+
 // SetFaults replaces the switches.
 func (e *Engine) SetFaults(f Faults) {
 	e.mu.Lock()
