node: endpoints that say that they leave, or want no work for a while, get none

Change: one reading of each answer's head, below all calls (internal/notice keeps what was said, by address); asks to dispatchers name such endpoints, and a place at one is given back, not counted as its failure. What an answer says is one type for both programs. An endpoint that leaves is believed to for 30 s after the last answer that says so, since nothing in serve tells a process from the next at its address.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/trailshed/trailshed/internal/notice"
 )
 
 // Error marks every error of this package.
@@ -40,8 +42,14 @@
 	idlePerHost  = 64
 )
 
+// headerLeaving is in all answers of an endpoint that leaves.
+const headerLeaving = "Leaving"
+
 // Client calls endpoints over HTTP.
 type Client struct {
+	// Heard is told what an endpoint says of itself in the head of each answer.
+	Heard func(at netip.AddrPort, n notice.Notice)
+
 	http *http.Client
 	// fresh opens a connection for each call, so that a failure to connect
 	// proves that nothing was sent.
@@ -52,16 +60,41 @@
 // NewClient returns a client with its own connections.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{
-		dialer: dialer,
-		http: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost,
-			IdleConnTimeout: idleTimeout, DisableCompression: true,
-		}},
-		fresh: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
-		}},
+	c := &Client{dialer: dialer, Heard: func(netip.AddrPort, notice.Notice) {}}
+	c.http = &http.Client{Transport: hearing{c, &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}}}
+	c.fresh = &http.Client{Transport: hearing{c, &http.Transport{
+		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
+	}}}
+	return c
+}
+
+// hearing is a transport that passes on what endpoints say of themselves.
+type hearing struct {
+	client *Client
+	next   http.RoundTripper
+}
+
+// RoundTrip makes one exchange.
+func (h hearing) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := h.next.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if at, err := netip.ParseAddrPort(r.URL.Host); err == nil { // it always is one
+		h.client.Heard(at, readNotice(resp))
+	}
+	return resp, nil
+}
+
+func readNotice(r *http.Response) notice.Notice {
+	n := notice.Notice{Leaving: r.Header.Get(headerLeaving) == "1"}
+	if r.StatusCode == http.StatusTooManyRequests || r.StatusCode == http.StatusServiceUnavailable {
+		n.Rest = notice.ReadRest(r.Header)
 	}
+	return n
 }
 
 // Ended says whether the endpoint's process has ended: its host refuses a connection
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -77,13 +77,29 @@
 	a.ask = cell.Ask{
 		Cell: to.cell, Attempt: id, Request: r.ID, Owner: e.options.Owner, Workspace: r.Workspace,
 		Kind: r.Kind, Class: r.workspace.Class, Tokens: r.Tokens, Blocks: r.Blocks,
-		MaxTokens: r.MaxTokens, Budget: r.left(), Avoid: r.avoid, Retry: r.tried > 0,
+		MaxTokens: r.MaxTokens, Budget: r.left(), Avoid: slices.Concat(r.avoid, e.closed()), Retry: r.tried > 0,
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	e.attempts.add(a, e.options.Now())
 	return a
 }
 
+// closed are the endpoints that want no requests from this process. Dispatchers on
+// others may not know.
+func (e *Entry) closed() []string {
+	list := e.options.Notices.All(e.options.Now())
+	if len(list) == 0 {
+		return nil // as nearly always
+	}
+	var names []string
+	for name, p := range e.options.Catalog().Endpoints {
+		if slices.Contains(list, p.Address) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // close ends an attempt; whatever still comes for it is late.
 func (e *Entry) close(a *attempt) {
 	e.attempts.remove(a.ask.Attempt)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/trailshed/trailshed/internal/dispatcher"
 	"github.com/trailshed/trailshed/internal/endpoint"
 	"github.com/trailshed/trailshed/internal/member"
+	"github.com/trailshed/trailshed/internal/notice"
 	"github.com/trailshed/trailshed/internal/peer"
 	"github.com/trailshed/trailshed/internal/suspects"
 	"github.com/trailshed/trailshed/internal/ticker"
@@ -49,6 +50,9 @@
 	Abandon func(c claim.Claim)
 	// Suspects remember which requests end endpoints.
 	Suspects *suspects.Suspects
+	// Notices are the endpoints that want no requests from this process, as their
+	// answers told it.
+	Notices *notice.Table[netip.AddrPort]
 }
 
 // Entry is the state of one process's own requests.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"time"
 
 	"github.com/trailshed/trailshed/internal/cell"
@@ -133,6 +134,10 @@
 		e.tell(a, cell.Progress{Phase: cell.Withdrawn})
 		return endpointError(endpoint.ErrMayHaveRun, cause)
 	}
+	if errors.Is(err, errClosed) { // the endpoint did not fail; the next ask names it
+		e.tell(a, cell.Progress{Phase: cell.Withdrawn})
+		return err
+	}
 	var failed *failure
 	if errors.As(err, &failed) {
 		at = failed.at
@@ -217,6 +222,9 @@
 
 // runCall sends a plain service's call.
 func (e *Entry) runCall(ctx context.Context, r *request, a *attempt) (endpoint.Answer, error) {
+	if err := e.openAt(a.grant.Decode, a.grant.DecodeAddr); err != nil {
+		return endpoint.Answer{}, err
+	}
 	began := e.options.Now()
 	e.tell(a, cell.Progress{Phase: cell.Streaming})
 	answer, err := e.client.Call(ctx, a.grant.DecodeAddr, endpoint.Call{
@@ -233,6 +241,9 @@
 // runModel computes the prompt, lets the decode endpoint fetch the KV cache and
 // passes its tokens on.
 func (e *Entry) runModel(ctx context.Context, r *request, a *attempt, emit func(endpoint.Token) error) error {
+	if err := e.openAt(a.grant.Prefill, a.grant.PrefillAddr); err != nil {
+		return err
+	}
 	began := e.options.Now()
 	prefillCtx, cancel := context.WithTimeout(ctx, prefillLimit)
 	defer cancel()
@@ -247,9 +258,24 @@
 	if e.silent() {
 		return endpointError(endpoint.ErrMayHaveRun, errFenced)
 	}
+	if err := e.openAt(a.grant.Decode, a.grant.DecodeAddr); err != nil {
+		return err
+	}
 	return e.decode(ctx, r, a, emit)
 }
 
+// errClosed says that nothing was sent to an endpoint that wants no requests now.
+var errClosed = errors.New("endpoint wants no requests")
+
+// openAt returns an error if an endpoint has come to want no requests since its place
+// was asked for.
+func (e *Entry) openAt(name string, at netip.AddrPort) error {
+	if !e.options.Notices.Closed(e.options.Now(), at) {
+		return nil
+	}
+	return &failure{at: name, cause: endpointError(endpoint.ErrNotRun, errClosed)}
+}
+
 func (e *Entry) decode(ctx context.Context, r *request, a *attempt, emit func(endpoint.Token) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -10,6 +10,7 @@
 
 	"github.com/trailshed/trailshed/internal/balance"
 	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/notice"
 	"github.com/trailshed/trailshed/internal/route"
 )
 
@@ -57,13 +58,6 @@
 	Streamed bool // the body is a series of events
 }
 
-// Notice is what an endpoint says of itself in the head of an answer, whatever the
-// answer is to.
-type Notice struct {
-	Leaving bool          // it will end soon
-	Rest    time.Duration // it wants no request from this instance for so long
-}
-
 // Dialect translates between the types above and headers.
 type Dialect struct {
 	// Decode reads a caller's request; its error is told to the caller.
@@ -73,7 +67,7 @@
 	// Read reads the head of an endpoint's answer.
 	Read func(*http.Response) Answer
 	// Notice reads what the endpoint says of itself in the head of an answer.
-	Notice func(*http.Response) Notice
+	Notice func(*http.Response) notice.Notice
 	// Handle reads the body of an answer to a prefill: the id of the KV cache.
 	Handle func([]byte) (string, error)
 	// Free makes the request that frees a KV cache.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/trailshed/trailshed/internal/freshness"
 	"github.com/trailshed/trailshed/internal/leadership"
 	"github.com/trailshed/trailshed/internal/metering"
+	"github.com/trailshed/trailshed/internal/notice"
 	"github.com/trailshed/trailshed/internal/pace"
 	"github.com/trailshed/trailshed/internal/peer"
 	"github.com/trailshed/trailshed/internal/placement"
@@ -45,9 +46,9 @@
 	Registry roster.Registry
 	// Duty makes one instance give orders, which Order sends.
 	Duty  leadership.Registry
-	Order func(ctx context.Context, o staging.Order, holder string, fence int64, told func(forward.Notice)) error
+	Order func(ctx context.Context, o staging.Order, holder string, fence int64, told func(notice.Notice)) error
 	// Load asks an engine what it works on. Both tell what the engine says of itself.
-	Load      func(ctx context.Context, e directory.Endpoint, told func(forward.Notice)) (placement.Loaded, error)
+	Load      func(ctx context.Context, e directory.Endpoint, told func(notice.Notice)) (placement.Loaded, error)
 	Suspects  suspects.Store
 	ReadyPath string
 	Clocks    clock.Source // of the machine
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -5,7 +5,7 @@
 
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
-	"github.com/trailshed/trailshed/internal/forward"
+	"github.com/trailshed/trailshed/internal/notice"
 	"github.com/trailshed/trailshed/internal/placement"
 	"github.com/trailshed/trailshed/internal/staging"
 )
@@ -14,7 +14,7 @@
 var errRests = Error.New("the engine rests")
 
 // noticed takes what one life of an endpoint says of itself in an answer.
-func (g *Gateway) noticed(life string, n forward.Notice) {
+func (g *Gateway) noticed(life string, n notice.Notice) {
 	if n.Leaving {
 		g.counters.Scope.Counter("answers_leaving").Inc(1)
 		g.feed.Tell(directory.Leaving{ID: life})
@@ -33,7 +33,7 @@
 	if g.balancer.Rests(g.now(), e.ID) {
 		return placement.Loaded{}, errRests
 	}
-	return g.platform.Load(ctx, e, func(n forward.Notice) { g.noticed(e.ID, n) })
+	return g.platform.Load(ctx, e, func(n notice.Notice) { g.noticed(e.ID, n) })
 }
 
 // order sends an engine an order, unless it wants to be left alone.
@@ -41,5 +41,5 @@
 	if g.balancer.Rests(g.now(), o.Endpoint.ID) {
 		return errRests
 	}
-	return g.platform.Order(ctx, o, holder, fence, func(n forward.Notice) { g.noticed(o.Endpoint.ID, n) })
+	return g.platform.Order(ctx, o, holder, fence, func(n notice.Notice) { g.noticed(o.Endpoint.ID, n) })
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/trailshed/trailshed/internal/entry"
 	"github.com/trailshed/trailshed/internal/ledger"
 	"github.com/trailshed/trailshed/internal/member"
+	"github.com/trailshed/trailshed/internal/notice"
 	"github.com/trailshed/trailshed/internal/operator"
 	"github.com/trailshed/trailshed/internal/peer"
 	"github.com/trailshed/trailshed/internal/platform"
@@ -43,6 +44,11 @@
 
 const reconcileInterval = 100 * time.Millisecond
 
+// leavingMemory is how long it is believed that an endpoint leaves once no answer says
+// so any more. It ends within that time; what starts anew at its address is another
+// process, which nothing here tells from it.
+const leavingMemory = 30 * time.Second
+
 // Node is one process. Lock order: mu is taken last and never held while
 // another part is called.
 type Node struct {
@@ -101,6 +107,12 @@
 	n.changes = changelog.New(n.store, scope, n.log)
 	n.changes.Changed = n.changed
 	client := endpoint.NewClient()
+	notices := notice.NewTable[netip.AddrPort](leavingMemory)
+	client.Heard = func(at netip.AddrPort, said notice.Notice) {
+		if notices.Take(n.now(), at, said) {
+			n.log.Info().Stringer("address", at).Bool("leaving", said.Leaving).Dur("rest", said.Rest).Msg("endpoint wants no requests")
+		}
+	}
 	n.dispatcher = dispatcher.New(dispatcher.Options{
 		Node: s.Node.ID, Zone: s.Node.Zone, Listing: s.Dispatch.Listing, Now: n.now, Mine: n.dispatches,
 		Cell: cell.Options{
@@ -118,7 +130,7 @@
 		Zone:  s.Node.Zone, Announce: s.Dispatch.Announce, OwnerExpiry: s.Dispatch.OwnerExpiry,
 		HeldAnswers: s.Callers.HeldAnswers, Now: n.now, Catalog: n.changes.Current,
 		Dispatcher: n.dispatcherOf, Cells: n.cells, Status: n.status, Claim: n.ledger.Claim, Abandon: n.ledger.Abandon,
-		Suspects: n.suspects,
+		Suspects: n.suspects, Notices: notices,
 	}, n.transport, client, scope)
 	n.desk = operator.New(operator.Options{
 		Zone: s.Node.Zone, Now: n.now, Members: n.members, Cells: n.cells,
