--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -154,6 +154,7 @@
 	c.checkLimit(byCall)
 	if c.Bounds.Timed {
 		c.checkPoison(runs)
+		c.checkWords(runs)
 		c.checkBudget(runs, last)
 	}
 	var list []Violation
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -84,6 +84,36 @@
 	return s
 }
 
+// words is a scene of a call whose endpoint's answer says something, and of calls that
+// come so much later.
+func words(say func(*checker.Run), later ...time.Duration) scene {
+	s := one("/safe/x", func(_ *caller.Call, r *checker.Run) { say(r) })
+	for n, after := range later {
+		c := call(fmt.Sprint("later", n), "/safe/x")
+		c.Sent, c.Ended = c.Sent.Add(after), c.Ended.Add(after)
+		s.calls, s.runs = append(s.calls, c), append(s.runs, run(c))
+	}
+	return s
+}
+
+func leaves(r *checker.Run) { r.Leaving = true }
+
+func rests(r *checker.Run) { r.Rest, r.Ran = 3*time.Second, false }
+
+// during adds a fault that lasts to a scene.
+func during(s scene, scope timeline.Scope, target string) scene {
+	s.begin = func(f *timeline.Timeline) { f.Begin(scope, target, "trouble") }
+	return s
+}
+
+// elsewhere has all but the first call of a scene go through another instance.
+func elsewhere(s scene) scene {
+	for n := range s.calls[1:] {
+		s.calls[n+1].Gateway.Name = "a-2"
+	}
+	return s
+}
+
 func TestPromises(t *testing.T) {
 	tests := []struct {
 		name string
@@ -167,6 +197,17 @@
 			s.begin = func(f *timeline.Timeline) { f.Begin(timeline.Door, "a-1", "busy") }
 			return s
 		}()},
+		{"an endpoint whose answer says that it leaves gets work", "announced leave", words(leaves, 3*time.Second)},
+		{"the same while the store is away", "announced leave", during(words(leaves, 3*time.Second), timeline.Store, "")},
+		{"it gets work for a moment", "", words(leaves, time.Second)},
+		{"from an instance that was not told", "", elsewhere(words(leaves, 3*time.Second))},
+		{"from one that has started anew", "", during(words(leaves, 3*time.Second), timeline.Process, "a-1")},
+		{"the answer did not arrive", "", words(func(r *checker.Run) { r.Leaving, r.Cancelled = true, true }, 3*time.Second)},
+		{"an endpoint that wants none gets three", "rest", words(rests, time.Second, 2*time.Second, 2*time.Second)},
+		{"the same while the store is away", "rest", during(words(rests, time.Second, time.Second, 2*time.Second), timeline.Store, "")},
+		{"it gets two, and others before and after", "", words(rests, 100*time.Millisecond, time.Second, 2*time.Second, 4*time.Second)},
+		{"from others", "", elsewhere(words(rests, time.Second, time.Second, 2*time.Second))},
+		{"the way to it is bad", "", during(words(rests, time.Second, time.Second, 2*time.Second), timeline.Endpoint, "e1")},
 		{"a version is not in force", "configuration", func() scene {
 			c := call("r1", "/safe/x")
 			c.Kind, c.Reply = caller.Added(2), standin.Reply{Status: http.StatusNotFound}
--- a/internal/soak/fleet/endpoint.go
+++ b/internal/soak/fleet/endpoint.go
@@ -23,6 +23,11 @@
 	entryLag = 2500 * time.Millisecond
 	// drainTime is how long a leaving endpoint serves on.
 	drainTime = 4 * time.Second
+	// announceTime is how long one says in its answers that it leaves before its entry
+	// tells: beyond the users' bound and the slack for a busy machine.
+	announceTime = 6 * time.Second
+	// restAsked is what one that turns all away asks for.
+	restAsked = 4 * time.Second
 	// reuseAfter is when the address of an endpoint that is gone may be given
 	// to another one.
 	reuseAfter = 2 * time.Second
@@ -175,6 +180,26 @@
 	return nil
 }
 
+// announce has an endpoint leave that says so in its answers for a time before its entry
+// tells, or goes.
+func (f *Fleet) announce(ctx context.Context, e *endpoint, vanish bool) error {
+	e.SayLeaving()
+	sleep(ctx, announceTime)
+	return f.retire(ctx, e, vanish)
+}
+
+// rest has an endpoint turn all away and ask for rest, again and again.
+func (f *Fleet) rest(ctx context.Context, e *endpoint) {
+	b := well()
+	b.Full, b.Rest = true, restAsked
+	end := f.faults.Begin(timeline.Load, e.ID, "rests")
+	defer end()
+	e.Behave(b)
+	sleep(ctx, 2*restAsked)
+	e.Behave(well())
+	sleep(ctx, restAsked)
+}
+
 // ways in which an endpoint may answer badly.
 func misbehaviours() []standin.Behaviour {
 	list := []standin.Behaviour{
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -97,7 +97,7 @@
 }
 
 func (f *Fleet) schedule() []schedule.Step {
-	if f.Only == schedule.Poison || f.Only == schedule.Suspend {
+	if schedule.IsBeside(f.Only) {
 		return slices.DeleteFunc(schedule.More(f.Seed, f.Length), func(s schedule.Step) bool { return s.Kind != f.Only })
 	}
 	steps := schedule.New(f.Seed, f.Length, f.Only)
--- a/internal/soak/fleet/steps.go
+++ b/internal/soak/fleet/steps.go
@@ -38,6 +38,9 @@
 func (f *Fleet) strike(ctx context.Context, s schedule.Step) error {
 	all := f.all()
 	i := all[s.Target%len(all)]
+	if schedule.IsBeside(s.Kind) {
+		return f.strikeBeside(ctx, s, i)
+	}
 	switch s.Kind {
 	case schedule.Kill:
 		return f.kill(ctx, s.For, i)
@@ -45,10 +48,6 @@
 		return f.kill(ctx, s.For, all...)
 	case schedule.Pause:
 		f.pause(ctx, s.For, i)
-	case schedule.Suspend:
-		return f.suspend(ctx, s.For, i)
-	case schedule.Poison:
-		f.poison(ctx, s)
 	case schedule.Stop:
 		return f.stop(ctx, s.For, i)
 	case schedule.Roll:
@@ -83,6 +82,21 @@
 	return nil
 }
 
+// strikeBeside takes a step of those that come beside the others.
+func (f *Fleet) strikeBeside(ctx context.Context, s schedule.Step, i *instance) error {
+	switch s.Kind {
+	case schedule.Suspend:
+		return f.suspend(ctx, s.For, i)
+	case schedule.Announce:
+		return f.announce(ctx, f.endpoint(s.Target), s.How%2 == 0)
+	case schedule.Poison:
+		f.poison(ctx, s)
+	case schedule.Rest:
+		f.rest(ctx, f.endpoint(s.Target))
+	}
+	return nil
+}
+
 // configureOften writes configurations in quick succession.
 func (f *Fleet) configureOften(ctx context.Context) {
 	for range 5 {
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -58,6 +58,10 @@
 const (
 	Poison  Kind = "poison"  // a request comes again and again that ends whatever engine runs it
 	Suspend Kind = "suspend" // one's machine is suspended: its steady clock stands still
+	// An endpoint's answers say that it leaves, while its entry tells nothing of that.
+	Announce Kind = "announce"
+	// An endpoint turns everything away and wants nothing for a while.
+	Rest Kind = "rest"
 )
 
 // weights say how often each kind comes.
@@ -110,16 +114,41 @@
 	seriesShare = 0.25
 )
 
-// More draws the steps of a run that come beside those of New, so that a seed's other
-// steps are what they were before there were these.
+// beside are the streams of steps that come beside those of New, in the order in which
+// they were added, each with kinds of its own, so that a seed's other steps are what they
+// were before there were these.
+var beside = []struct {
+	stream uint64
+	kinds  []Kind
+}{
+	{0xd1b54a32d192ed03, []Kind{Suspend, Poison}},
+	{0xaef17502108ef2d9, []Kind{Announce, Rest}},
+}
+
+// More draws the steps of a run that come beside those of New.
 func More(seed uint64, length time.Duration) []Step {
-	r := rand.New(rand.NewPCG(seed, 0xd1b54a32d192ed03)) //nolint:gosec // a schedule needs no secrecy
 	var steps []Step
-	for at := quiet; at < length; at += time.Duration(r.ExpFloat64() * float64(moreGap)) {
-		kind := Poison
-		if r.IntN(2) == 0 {
-			kind = Suspend
+	for _, b := range beside {
+		steps = Join(steps, drawBeside(seed, b.stream, length, b.kinds))
+	}
+	return steps
+}
+
+// IsBeside says whether a kind is drawn by More.
+func IsBeside(k Kind) bool {
+	for _, b := range beside {
+		if slices.Contains(b.kinds, k) {
+			return true
 		}
+	}
+	return false
+}
+
+func drawBeside(seed, stream uint64, length time.Duration, kinds []Kind) []Step {
+	r := rand.New(rand.NewPCG(seed, stream)) //nolint:gosec // a schedule needs no secrecy
+	var steps []Step
+	for at := quiet; at < length; at += time.Duration(r.ExpFloat64() * float64(moreGap)) {
+		kind := kinds[r.IntN(len(kinds))]
 		steps = append(steps, Step{
 			At: at, For: faultMost/10 + time.Duration(r.Float64()*float64(faultMost)*0.9),
 			Kind: kind, Target: r.IntN(1 << 16), How: r.IntN(1 << 16),
--- a/internal/soak/timeline/timeline.go
+++ b/internal/soak/timeline/timeline.go
@@ -20,6 +20,7 @@
 	Store    Scope = "store"    // the store, for everybody
 	Door     Scope = "door"     // the store, for one instance
 	Endpoint Scope = "endpoint" // an endpoint or the link to it
+	Load     Scope = "load"     // an endpoint turns requests away, and says so
 )
 
 // Fault is one disturbance of a target, which is a name or, if empty, all.
