--- a/internal/soak/fleet/steps.go
+++ b/internal/soak/fleet/steps.go
@@ -38,10 +38,9 @@
 func (f *Fleet) strike(ctx context.Context, s schedule.Step) error {
 	all := f.all()
 	i := all[s.Target%len(all)]
-	if schedule.IsBeside(s.Kind) {
-		return f.strikeBeside(ctx, s, i)
-	}
 	switch s.Kind {
+	case schedule.Suspend, schedule.Poison, schedule.Announce, schedule.Rest:
+		return f.strikeBeside(ctx, s, i)
 	case schedule.Kill:
 		return f.kill(ctx, s.For, i)
 	case schedule.KillAll:
@@ -84,16 +83,17 @@
 
 // strikeBeside takes a step of those that come beside the others.
 func (f *Fleet) strikeBeside(ctx context.Context, s schedule.Step, i *instance) error {
-	switch s.Kind {
-	case schedule.Suspend:
+	if s.Kind == schedule.Suspend {
 		return f.suspend(ctx, s.For, i)
-	case schedule.Announce:
+	}
+	if s.Kind == schedule.Announce {
 		return f.announce(ctx, f.endpoint(s.Target), s.How%2 == 0)
-	case schedule.Poison:
+	}
+	if s.Kind == schedule.Poison {
 		f.poison(ctx, s)
-	case schedule.Rest:
-		f.rest(ctx, f.endpoint(s.Target))
+		return nil
 	}
+	f.rest(ctx, f.endpoint(s.Target))
 	return nil
 }
 
