balance: endpoints that rest are kept in the table that serve uses

One copy of how long an endpoint wants nothing, in place of a field beside a balancer's own state: it outlasts entries without a rule of its own in Forget, and who rests is read from a short list instead of all endpoints. The holder of the duty of giving orders puts an order to such an engine off before it closes the engine at its planner, not after.

Behaviour is as it was but for that; the tests of rests pass unchanged, but that Forget takes no time any more.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/notice"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -61,11 +62,12 @@
 	Running, Waiting, Slots int
 }
 
-// Balancer is the table of endpoints.
+// Balancer is the table of endpoints. Lock order: its own lock, then that of rests.
 type Balancer struct {
-	zone string
-	mu   sync.Mutex
-	byID map[string]*state
+	zone  string
+	rests *notice.Table[string] // who wants no requests, by id
+	mu    sync.Mutex
+	byID  map[string]*state
 }
 
 type state struct {
@@ -77,13 +79,12 @@
 	row      int     // ejections in a row
 	ejected  clock.Millis
 	usedAt   clock.Millis
-	silent   bool         // it could not be reached the last time
-	rest     clock.Millis // it wants no request until then
+	silent   bool // it could not be reached the last time
 }
 
 // New returns a balancer for an instance of zone.
 func New(zone string) *Balancer {
-	return &Balancer{zone: zone, byID: map[string]*state{}}
+	return &Balancer{zone: zone, rests: notice.NewTable[string](0), byID: map[string]*state{}}
 }
 
 // Reservation is a request's place at an endpoint, until Done.
@@ -102,17 +103,14 @@
 	defer b.mu.Unlock()
 	var best *directory.Endpoint
 	bestScore, bestEjected := 0.0, true
-	list := view.Endpoints[a.Service]
+	list, resting := view.Endpoints[a.Service], b.rests.All(now)
 	from := rand.IntN(len(list) + 1)
 	for i := range list {
 		e := list[(from+i)%len(list)]
-		if !a.fits(e) {
+		if !a.fits(e) || slices.Contains(resting, e.ID) {
 			continue
 		}
 		s := b.state(e.ID)
-		if now < s.rest {
-			continue
-		}
 		if s.silent && now < s.ejected && now.Sub(s.usedAt) < probePause {
 			continue // one request at a time finds out whether it is back
 		}
@@ -132,37 +130,27 @@
 func (b *Balancer) ReserveAt(now clock.Millis, e *directory.Endpoint) *Reservation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if now < b.state(e.ID).rest {
+	if b.rests.Closed(now, e.ID) {
 		return nil
 	}
 	return b.reserve(now, e)
 }
 
 // Resting returns the ids of the endpoints that rest now.
-func (b *Balancer) Resting(now clock.Millis) []string {
-	return b.those(func(s *state) bool { return now < s.rest })
-}
+func (b *Balancer) Resting(now clock.Millis) []string { return b.rests.All(now) }
 
 // Rests says whether an endpoint rests now.
-func (b *Balancer) Rests(now clock.Millis, id string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.byID[id]
-	return s != nil && now < s.rest
-}
+func (b *Balancer) Rests(now clock.Millis, id string) bool { return b.rests.Closed(now, id) }
 
 // RestsFor is how long until the first of the endpoints that an ask fits may be used, if
 // all of them rest now; else it is 0.
 func (b *Balancer) RestsFor(now clock.Millis, view *directory.View, a Ask) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	least, found := time.Duration(0), false
 	for _, e := range view.Endpoints[a.Service] {
 		if !a.fits(e) {
 			continue
 		}
-		left := max(b.state(e.ID).rest.Sub(now), 0)
-		if !found || left < least {
+		if left := b.rests.Left(now, e.ID); !found || left < least {
 			least, found = left, true
 		}
 	}
@@ -171,16 +159,11 @@
 
 // Ejected returns the ids of the endpoints that are ejected now.
 func (b *Balancer) Ejected(now clock.Millis) []string {
-	return b.those(func(s *state) bool { return now < s.ejected })
-}
-
-// those returns the ids of the endpoints whose state is so.
-func (b *Balancer) those(is func(*state) bool) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var ids []string
 	for id, s := range b.byID {
-		if is(s) {
+		if now < s.ejected {
 			ids = append(ids, id)
 		}
 	}
@@ -234,12 +217,7 @@
 // requests in the 3 s for which it wanted none; their second sends spent the retry
 // allowance, and 75 callers were refused in 9 s.
 func (b *Balancer) Rest(now clock.Millis, id string, length time.Duration) (news bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.state(id)
-	news = now >= s.rest
-	s.rest = max(s.rest, now.Add(length))
-	return news
+	return b.rests.Take(now, id, notice.Notice{Rest: length})
 }
 
 // Done gives the place back and learns from the result. It returns how long
@@ -288,12 +266,12 @@
 
 // Forget drops endpoints that the view no longer holds and nothing uses. What one
 // asked for outlasts a listing that lacks it.
-func (b *Balancer) Forget(now clock.Millis, view *directory.View) {
+func (b *Balancer) Forget(view *directory.View) {
 	known := view.IDs()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, s := range b.byID {
-		if !known[id] && s.running == 0 && now >= s.rest {
+		if !known[id] && s.running == 0 {
 			delete(b.byID, id)
 		}
 	}
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -131,7 +131,7 @@
 	c.Assert(b.Resting(1501), qt.DeepEquals, []string{"near"})
 	c.Assert(b.RestsFor(1500, view(near), ask), qt.Equals, 2500*time.Millisecond)
 	c.Assert(b.RestsFor(1500, view(near, far), ask), qt.Equals, time.Duration(0))
-	b.Forget(2000, view(far))
+	b.Forget(view(far))
 	c.Assert(b.Rests(3999, "near"), qt.IsTrue)
 	c.Assert(b.Rests(4000, "near"), qt.IsFalse)
 	c.Assert(b.ReserveAt(4000, &near), qt.IsNotNil)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -236,6 +236,7 @@
 	}
 	g.staging = &staging.Runner{
 		Directory: g.directory, Leadership: g.duty, Send: g.order,
+		Rests:  func(engine string) bool { return g.balancer.Rests(g.now(), engine) },
 		Closed: func(o staging.Order) { g.broker.Close(o.Endpoint.Zone, o.Endpoint.ID) },
 		Log:    g.log, Scope: g.counters.Scope, Now: g.now, Paces: g.paces,
 	}
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -36,10 +36,7 @@
 	return g.platform.Load(ctx, e, func(n notice.Notice) { g.noticed(e.ID, n) })
 }
 
-// order sends an engine an order, unless it wants to be left alone.
+// order sends an engine an order.
 func (g *Gateway) order(ctx context.Context, o staging.Order, holder string, fence int64) error {
-	if g.balancer.Rests(g.now(), o.Endpoint.ID) {
-		return errRests
-	}
 	return g.platform.Order(ctx, o, holder, fence, func(n notice.Notice) { g.noticed(o.Endpoint.ID, n) })
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -133,7 +133,7 @@
 	ticker.Every(ctx, sweepInterval, func() {
 		g.pool.Sweep()
 		g.feed.Tell(directory.Tick{})
-		g.balancer.Forget(g.now(), g.directory.View())
+		g.balancer.Forget(g.directory.View())
 		g.measure()
 	})
 }
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -77,8 +77,11 @@
 }
 
 // Closed says whether an endpoint wants no requests now.
-func (t *Table[K]) Closed(now clock.Millis, endpoint K) bool {
+func (t *Table[K]) Closed(now clock.Millis, endpoint K) bool { return t.Left(now, endpoint) > 0 }
+
+// Left is for how long an endpoint still wants no requests.
+func (t *Table[K]) Left(now clock.Millis, endpoint K) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return now < t.until[endpoint]
+	return max(t.until[endpoint].Sub(now), 0)
 }
