forward: a refusal tells that all endpoints rest

Operators read no_endpoint or a planner's reason where in truth all that could serve the request had asked for rest; now the reason is endpoints_rest.

--- a/internal/forward/passage.go
+++ b/internal/forward/passage.go
@@ -194,7 +194,7 @@
 	r := p.Balancer.Reserve(p.Now(), p.view, ask)
 	if r == nil {
 		p.because("no_endpoint")
-		p.comeBack = max(comeBackUnreachable, p.Balancer.RestsFor(p.Now(), p.view, ask))
+		p.comeBackAfter(comeBackUnreachable, ask)
 		return hopeless
 	}
 	if !p.afford(p.extraSends(false)) {
@@ -211,6 +211,16 @@
 	return again
 }
 
+// comeBackAfter notes when the caller of a request that cannot be served may come back:
+// where all that could serve it rest, when the first of them may be asked.
+func (p *passage) comeBackAfter(usual time.Duration, ask balance.Ask) {
+	rest := p.Balancer.RestsFor(p.Now(), p.view, ask)
+	if rest > 0 {
+		p.failure = "endpoints_rest"
+	}
+	p.comeBack = max(usual, rest)
+}
+
 // because notes why the request cannot be served, unless an endpoint's failure
 // says more.
 func (p *passage) because(reason string) {
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -71,8 +71,7 @@
 	place, paid, refusal := p.nextPlace(ctx)
 	if place == nil {
 		p.failure = refusal.Reason
-		ask := balance.Ask{Service: p.service, Exclude: p.tried, Stage: directory.Decode}
-		p.comeBack = max(refusal.After, p.Balancer.RestsFor(p.Now(), p.view, ask))
+		p.comeBackAfter(refusal.After, balance.Ask{Service: p.service, Exclude: p.tried, Stage: directory.Decode})
 		return hopeless
 	}
 	p.full, p.failed, p.place, p.seen = "", "", place, seen{}
@@ -193,7 +192,7 @@
 func (p *passage) rests(place *broker.Place) bool {
 	for _, id := range []string{place.Decode, place.Prefill} {
 		if p.Balancer.Rests(p.Now(), id) {
-			p.failure, p.full = "endpoint_rests", id
+			p.failure, p.full = "endpoints_rest", id
 			return true
 		}
 	}
