--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -4,24 +4,20 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
-	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/ThreeDotsLabs/watermill"
-	"github.com/ThreeDotsLabs/watermill/message"
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/pace"
-	"github.com/trailshed/trailshed/internal/peer"
 	"github.com/trailshed/trailshed/internal/placement"
 	"github.com/trailshed/trailshed/internal/roster"
 	"github.com/trailshed/trailshed/internal/route"
+	"github.com/trailshed/trailshed/internal/standin/peers"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -37,16 +33,9 @@
 
 func startNode(t *testing.T, name, zone string) *node {
 	c := qt.New(t)
-	identity, err := peer.NewIdentity(name)
-	c.Assert(err, qt.IsNil)
-	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
-	c.Assert(err, qt.IsNil)
-	address := netip.MustParseAddrPort(udp.LocalAddr().String())
-	c.Assert(udp.Close(), qt.IsNil)
-	everybody := func(string) (string, bool) { return map[string]string{"n1": "n2", "n2": "n1"}[name], true }
-	transport, err := peer.Listen(name, address, peer.Pinned(identity, everybody), tally.NoopScope)
-	c.Assert(err, qt.IsNil)
+	transport, fingerprint := peers.Listen(t, name)
 	log := eventlog.Open(io.Discard, name)
+	t.Cleanup(func() { _ = log.Close() })
 	f := &node{}
 	f.now.Store(1000)
 	now := func() clock.Millis { return clock.Millis(f.now.Load()) }
@@ -58,19 +47,9 @@
 			return placement.Loaded{Engine: e.ID, Running: 1, Used: 60_000}, nil
 		},
 	})
-	router, err := message.NewRouter(message.RouterConfig{}, watermill.NopLogger{})
-	c.Assert(err, qt.IsNil)
-	b.Register(router)
-	ctx, cancel := context.WithCancel(context.Background())
-	go func() { _ = router.Run(ctx) }()
-	<-router.Running()
-	t.Cleanup(func() {
-		cancel()
-		_ = transport.Close()
-		_ = log.Close()
-	})
+	peers.Route(t, b.Register)
 	f.Broker = b
-	f.self = roster.Instance{Name: name, Zone: zone, Address: transport.Address(), Fingerprint: identity.Fingerprint, Revision: 1}
+	f.self = roster.Instance{Name: name, Zone: zone, Address: transport.Address(), Fingerprint: fingerprint, Revision: 1}
 	return f
 }
 
--- a/internal/metering/metering_test.go
+++ b/internal/metering/metering_test.go
@@ -1,23 +1,19 @@
 package metering
 
 import (
-	"context"
 	"io"
-	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/ThreeDotsLabs/watermill"
-	"github.com/ThreeDotsLabs/watermill/message"
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
-	"github.com/trailshed/trailshed/internal/peer"
 	"github.com/trailshed/trailshed/internal/roster"
 	"github.com/trailshed/trailshed/internal/route"
+	"github.com/trailshed/trailshed/internal/standin/peers"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -32,12 +28,9 @@
 func startNode(t *testing.T, name string, capacity float64) *node {
 	t.Helper()
 	c := qt.New(t)
-	identity, err := peer.NewIdentity(name)
-	c.Assert(err, qt.IsNil)
-	everybody := func(string) (string, bool) { return map[string]string{"n1": "n2", "n2": "n1"}[name], true }
-	transport, err := peer.Listen(name, netip.MustParseAddrPort("127.0.0.1:0"), peer.Pinned(identity, everybody), tally.NoopScope)
-	c.Assert(err, qt.IsNil)
+	transport, _ := peers.Listen(t, name)
 	log := eventlog.Open(io.Discard, name)
+	t.Cleanup(func() { c.Check(log.Close(), qt.IsNil) })
 	n := &node{}
 	n.now.Store(1000)
 	now := func() clock.Millis { return clock.Millis(n.now.Load()) }
@@ -47,17 +40,7 @@
 		Scope: tally.NoopScope, Now: now, Window: 8 * time.Second,
 	})
 	n.Roster.See(n.self)
-	router, err := message.NewRouter(message.RouterConfig{}, watermill.NopLogger{})
-	c.Assert(err, qt.IsNil)
-	n.Register(router)
-	ctx, cancel := context.WithCancel(t.Context())
-	go func() { _ = router.Run(ctx) }()
-	<-router.Running()
-	t.Cleanup(func() {
-		cancel()
-		_ = transport.Close() // the router, which subscribes through it, may have closed it
-		c.Check(log.Close(), qt.IsNil)
-	})
+	peers.Route(t, n.Register)
 	return n
 }
 
