deadline: a test of cancelling no longer hangs on who is first

With 20 ms between the two it fails each time.

Change: the test takes an hour, of which 59 minutes pass in emulated time before the cancel, so it demands more than before. clock.Never, which nothing else used and whose distance from any moment overflows, is gone; Sub says what it holds.

--- a/internal/deadline/deadline_test.go
+++ b/internal/deadline/deadline_test.go
@@ -48,10 +48,16 @@
 	}
 }
 
+// A context that is cancelled before its moment ends for that reason, however long its
+// timer had been running.
 func TestCancelled(t *testing.T) {
-	set := deadline.New(clock.System())
-	ctx, cancel := set.Context(t.Context(), clock.Never/2)
-	cancel()
-	set.Resume()
-	qt.Assert(t, context.Cause(ctx), qt.Equals, context.Canceled)
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		set := deadline.New(func() clock.Millis { return clock.Millis(1000).Add(time.Since(started)) })
+		ctx, cancel := set.Context(t.Context(), clock.Millis(1000).Add(time.Hour))
+		time.Sleep(59 * time.Minute)
+		cancel()
+		set.Resume()
+		qt.Assert(t, context.Cause(ctx), qt.Equals, context.Canceled)
+	})
 }
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -7,15 +7,13 @@
 // it never runs backwards, because Clock counts it on the steady clock.
 type Millis int64
 
-// Never is the moment that no deadline reaches.
-const Never = Millis(1<<63 - 1)
-
 // Add returns the moment d later, rounded down to a millisecond.
 func (m Millis) Add(d time.Duration) Millis {
 	return m + Millis(d.Milliseconds())
 }
 
-// Sub returns the time from o to m; it is negative when m is the earlier.
+// Sub returns the time from o to m; it is negative when m is the earlier. The two must
+// be within 292 years, which is what a time.Duration holds.
 func (m Millis) Sub(o Millis) time.Duration {
 	return time.Duration(m-o) * time.Millisecond
 }
