entry, forward, directory: one look for a life, one ask for who runs a request

Two loops of the directory looked for the endpoint of a life by its id; one ask of the balancer was written in two places; the check before a send in serve wrapped its error in a failure that nobody read, with a name that nobody else needed; a comparison of ids stood twice. Behaviour is as it was, and no test is changed.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -370,10 +370,19 @@
 // of use. It still counts as told by the store, so that the digest shows
 // peers no difference that they could mend.
 func (d *Directory) deny(e Denied) []Change {
+	h := d.life(e.ID)
+	if h == nil || h.denied {
+		return nil
+	}
+	h.denied = true
+	return []Change{{What: EndpointDenied, Endpoint: h.endpoint, Revision: h.endpoint.Revision}}
+}
+
+// life returns the endpoint whose present life has an id; nil if there is none.
+func (d *Directory) life(id string) *held {
 	for _, h := range d.endpoints {
-		if h.endpoint.ID == e.ID && !h.denied {
-			h.denied = true
-			return []Change{{What: EndpointDenied, Endpoint: h.endpoint, Revision: h.endpoint.Revision}}
+		if h.endpoint.ID == id {
+			return h
 		}
 	}
 	return nil
@@ -388,13 +397,11 @@
 		return nil
 	}
 	change := Change{What: EndpointSaysLeaving, Endpoint: Endpoint{ID: e.ID}, Revision: d.revision}
-	entry := ""
-	for name, h := range d.endpoints {
-		if h.endpoint.ID == e.ID {
-			change.Endpoint, entry = h.endpoint, name
-		}
+	said := departure{at: now}
+	if h := d.life(e.ID); h != nil {
+		change.Endpoint, said.entry = h.endpoint, h.endpoint.entry()
 	}
-	d.leaving[e.ID] = departure{entry: entry, at: now}
+	d.leaving[e.ID] = said
 	return []Change{change}
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -222,7 +222,7 @@
 
 // runCall sends a plain service's call.
 func (e *Entry) runCall(ctx context.Context, r *request, a *attempt) (endpoint.Answer, error) {
-	if err := e.openAt(a.grant.Decode, a.grant.DecodeAddr); err != nil {
+	if err := e.openAt(a.grant.DecodeAddr); err != nil {
 		return endpoint.Answer{}, err
 	}
 	began := e.options.Now()
@@ -241,7 +241,7 @@
 // runModel computes the prompt, lets the decode endpoint fetch the KV cache and
 // passes its tokens on.
 func (e *Entry) runModel(ctx context.Context, r *request, a *attempt, emit func(endpoint.Token) error) error {
-	if err := e.openAt(a.grant.Prefill, a.grant.PrefillAddr); err != nil {
+	if err := e.openAt(a.grant.PrefillAddr); err != nil {
 		return err
 	}
 	began := e.options.Now()
@@ -258,7 +258,7 @@
 	if e.silent() {
 		return endpointError(endpoint.ErrMayHaveRun, errFenced)
 	}
-	if err := e.openAt(a.grant.Decode, a.grant.DecodeAddr); err != nil {
+	if err := e.openAt(a.grant.DecodeAddr); err != nil {
 		return err
 	}
 	return e.decode(ctx, r, a, emit)
@@ -269,11 +269,11 @@
 
 // openAt returns an error if an endpoint has come to want no requests since its place
 // was asked for.
-func (e *Entry) openAt(name string, at netip.AddrPort) error {
+func (e *Entry) openAt(at netip.AddrPort) error {
 	if !e.options.Notices.Closed(e.options.Now(), at) {
 		return nil
 	}
-	return &failure{at: name, cause: endpointError(endpoint.ErrNotRun, errClosed)}
+	return endpointError(endpoint.ErrNotRun, errClosed)
 }
 
 func (e *Entry) decode(ctx context.Context, r *request, a *attempt, emit func(endpoint.Token) error) error {
--- a/internal/forward/passage.go
+++ b/internal/forward/passage.go
@@ -190,11 +190,10 @@
 	if m := p.takeMove(); m != nil {
 		return p.plainAttempt(ctx, m.reservation)
 	}
-	ask := balance.Ask{Service: p.service, Exclude: p.tried, Stage: directory.Decode}
-	r := p.Balancer.Reserve(p.Now(), p.view, ask)
+	r := p.Balancer.Reserve(p.Now(), p.view, p.runAsk())
 	if r == nil {
 		p.because("no_endpoint")
-		p.comeBackAfter(comeBackUnreachable, ask)
+		p.comeBackAfter(comeBackUnreachable)
 		return hopeless
 	}
 	if !p.afford(p.extraSends(false)) {
@@ -211,10 +210,15 @@
 	return again
 }
 
+// runAsk is for an endpoint that runs the request, of those that were not tried.
+func (p *passage) runAsk() balance.Ask {
+	return balance.Ask{Service: p.service, Exclude: p.tried, Stage: directory.Decode}
+}
+
 // comeBackAfter notes when the caller of a request that cannot be served may come back:
 // where all that could serve it rest, when the first of them may be asked.
-func (p *passage) comeBackAfter(usual time.Duration, ask balance.Ask) {
-	rest := p.Balancer.RestsFor(p.Now(), p.view, ask)
+func (p *passage) comeBackAfter(usual time.Duration) {
+	rest := p.Balancer.RestsFor(p.Now(), p.view, p.runAsk())
 	if rest > 0 {
 		p.failure = "endpoints_rest"
 	}
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -99,12 +99,13 @@
 // that one leaves.
 func (p *passage) endpoint(id string) *directory.Endpoint {
 	for _, e := range p.view.Endpoints[p.service] {
-		if e.ID == id && e.State == directory.Ready {
-			return e
+		if e.ID != id {
+			continue
 		}
-		if e.ID == id {
+		if e.State != directory.Ready {
 			return nil
 		}
+		return e
 	}
 	for _, e := range p.place.New {
 		if e.ID == id && !p.Directory.Refutes(e) {
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -71,7 +71,7 @@
 	place, paid, refusal := p.nextPlace(ctx)
 	if place == nil {
 		p.failure = refusal.Reason
-		p.comeBackAfter(refusal.After, balance.Ask{Service: p.service, Exclude: p.tried, Stage: directory.Decode})
+		p.comeBackAfter(refusal.After)
 		return hopeless
 	}
 	p.full, p.failed, p.place, p.seen = "", "", place, seen{}
