--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/trailshed/trailshed/internal/eventlog"
@@ -42,10 +43,11 @@
 	// Watching says whether this instance watches the store.
 	Watching func() bool
 
-	changed chan Instance
-	lease   int64
-	written bool // the entry, as it is now, is in the store
-	failed  bool // the last call did
+	changed    chan Instance
+	lease      int64
+	written    bool // the entry, as it is now, is in the store
+	failed     bool // the last call did
+	registered atomic.Bool
 }
 
 // NewMember returns a member that has no entry yet.
@@ -53,6 +55,9 @@
 	return &Member{Registry: r, Self: self, Log: log, Reached: reached, Watching: watching, changed: make(chan Instance, 4)}
 }
 
+// Registered says whether the entry has ever been in the store, from which peers know it.
+func (m *Member) Registered() bool { return m.registered.Load() }
+
 // Change writes the entry anew, as when the instance begins to leave, or when
 // its entry was found missing.
 func (m *Member) Change(self Instance) {
@@ -110,6 +115,9 @@
 	}
 	m.Reached(err)
 	m.written = err == nil
+	if m.written {
+		m.registered.Store(true)
+	}
 	if err != nil {
 		m.Log.Write(eventlog.Line{Event: eventlog.RegisterFailed, Detail: err.Error()})
 		return
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -5,14 +5,11 @@
 
 import (
 	"cmp"
-	"maps"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -57,8 +54,9 @@
 // Roster is the table of instances. It is safe for concurrent use.
 type Roster struct {
 	now       func() clock.Millis
-	mu        sync.RWMutex
+	mu        sync.Mutex
 	instances map[string]Instance
+	present   *orders             // of instances; nil: to be made anew
 	known     map[string]identity // by fingerprint; all instances ever seen
 	gone      map[string]int64    // name: revision of its removal
 	most      int
@@ -88,6 +86,7 @@
 	}
 	delete(r.gone, i.Name)
 	r.instances[i.Name] = i
+	r.present = nil
 	if _, met := r.known[i.Fingerprint]; !met {
 		r.known[i.Fingerprint] = identity{name: i.Name, seen: r.now()}
 	}
@@ -106,14 +105,15 @@
 		return false
 	}
 	delete(r.instances, d.Name)
+	r.present = nil
 	r.gone[d.Name] = d.Revision
 	return true
 }
 
 // Since returns the instances seen, and those gone, after a revision.
 func (r *Roster) Since(revision int64) (seen []Instance, gone []Departure) {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, i := range r.instances {
 		if i.Revision > revision {
 			seen = append(seen, i)
@@ -145,42 +145,44 @@
 
 // Trusted returns the name of the instance with a certificate.
 func (r *Roster) Trusted(fingerprint string) (string, bool) {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	id, ok := r.known[fingerprint]
 	return id.name, ok
 }
 
-// All returns the instances in the order of their names.
+// All returns the instances in the order of their names. The list is not to be changed.
 func (r *Roster) All() []Instance {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	now := r.now()
-	all := make([]Instance, 0, len(r.instances))
-	for _, i := range r.instances {
-		i.Joining = now.Sub(r.known[i.Fingerprint].seen) < JoinTime
-		all = append(all, i)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.orders().all
+}
+
+// Find returns the instance called name.
+func (r *Roster) Find(name string) (i Instance, known bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := r.orders().all
+	at, known := slices.BinarySearchFunc(all, name, func(i Instance, name string) int { return cmp.Compare(i.Name, name) })
+	if !known {
+		return Instance{}, false
 	}
-	slices.SortFunc(all, func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
-	return all
+	return all[at], true
 }
 
 // Size is the number of instances.
 func (r *Roster) Size() int {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	return len(r.instances)
 }
 
-// Zones returns the zones that have instances, in the order of their names.
+// Zones returns the zones that have instances, in the order of their names. The list is
+// not to be changed.
 func (r *Roster) Zones() []string {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	zones := map[string]bool{}
-	for _, i := range r.instances {
-		zones[i.Zone] = true
-	}
-	return slices.Sorted(maps.Keys(zones))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.orders().zones
 }
 
 // FirstOfOthers returns the first n instances, in the order for a role, of each zone but
@@ -198,35 +200,27 @@
 
 // Most is the largest number of instances seen at once.
 func (r *Roster) Most() int {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	return r.most
 }
 
 // Rank returns the place, from 0, of the instance called name in a zone's order
 // for a role.
 func (r *Roster) Rank(zone, key, name string) (place int, known bool) {
-	for n, i := range r.Ranked(zone, key) {
-		if i.Name == name {
-			return n, true
-		}
-	}
-	return 0, false
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	place, known = r.orders().ranked(zone, key).places[name]
+	return place, known
 }
 
 // Ranked returns a zone's instances in the order in which they take the role
 // called key: the strongest first, because a role's work comes on top of the
 // requests that all have alike, then in rendezvous order. Those that have just
-// started come after these, and those that are leaving last.
+// started come after these, and those that are leaving last. The list is not to be
+// changed.
 func (r *Roster) Ranked(zone, key string) []Instance {
-	all := slices.DeleteFunc(r.All(), func(i Instance) bool { return i.Zone != zone })
-	weight := func(i Instance) uint64 { return xxhash.Sum64String(key + "\x00" + i.Name) }
-	slices.SortFunc(all, func(a, b Instance) int {
-		return cmp.Or(
-			cmp.Compare(a.readiness(), b.readiness()),
-			cmp.Compare(b.Capacity, a.Capacity),
-			cmp.Compare(weight(b), weight(a)),
-		)
-	})
-	return all
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.orders().ranked(zone, key).list
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -155,3 +155,48 @@
 		c.Assert(got[n], qt.Equals, want)
 	}
 }
+
+// Who is first for a role is asked some hundred times a second, at fleets of any size:
+// between two changes an answer costs nothing.
+func TestOrdersAreMadeOnce(t *testing.T) {
+	c := qt.New(t)
+	now := clock.Millis(0)
+	r := roster.New(func() clock.Millis { return now })
+	const instances = 1000
+	for n := range instances {
+		r.See(instance(fmt.Sprintf("n%04d", n), int64(n+1)))
+	}
+	now = now.Add(roster.JoinTime)
+	ask := func() {
+		r.Find("n0500")
+		r.Rank("a", "planner", "n0500")
+		r.Ranked("a", "planner")
+		r.All()
+		r.Zones()
+	}
+	ask()
+	c.Assert(testing.AllocsPerRun(100, ask), qt.Equals, 0.0)
+	first := r.Ranked("a", "planner")[0]
+	c.Assert(r.Remove(roster.Departure{Name: first.Name, Revision: instances}), qt.IsTrue)
+	c.Assert(r.Ranked("a", "planner"), qt.HasLen, instances-1)
+	c.Assert(r.Ranked("a", "planner")[0], qt.Not(qt.Equals), first)
+	c.Assert(r.All(), qt.HasLen, instances-1)
+}
+
+func TestFind(t *testing.T) {
+	c := qt.New(t)
+	r := roster.New(atStart)
+	for n, name := range []string{"n2", "n1", "n3"} {
+		r.See(instance(name, int64(n+1)))
+	}
+	for _, name := range []string{"n1", "n2", "n3"} {
+		i, known := r.Find(name)
+		c.Check(known, qt.IsTrue)
+		c.Check(i.Fingerprint, qt.Equals, "f-"+name)
+	}
+	c.Assert(r.Remove(roster.Departure{Name: "n2", Revision: 9}), qt.IsTrue)
+	for _, name := range []string{"n2", "n4", ""} {
+		_, known := r.Find(name)
+		c.Check(known, qt.IsFalse)
+	}
+}
