--- a/internal/peer/certificates.go
+++ b/internal/peer/certificates.go
@@ -26,19 +26,25 @@
 		return nil, Error.New("certificate %s: %v", certificate, err)
 	}
 	return &tls.Config{
-		Certificates: []tls.Certificate{pair},
-		RootCAs:      pool,
-		ClientCAs:    pool,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		ServerName:   serverName,
-		NextProtos:   []string{protocol},
-		MinVersion:   tls.VersionTLS13,
+		Certificates:     []tls.Certificate{pair},
+		RootCAs:          pool,
+		ClientCAs:        pool,
+		ClientAuth:       tls.RequireAndVerifyClientCert,
+		ServerName:       serverName,
+		NextProtos:       []string{protocol},
+		MinVersion:       tls.VersionTLS13,
+		CurvePreferences: curves,
 	}, nil
 }
 
 // serverName is the DNS name that every node's certificate carries.
 const serverName = "trailshed"
 
+// curves are those of the key exchange. The default one is a hybrid that costs several
+// times as much, in processor time and in bytes: a zone's planner has a connection with
+// each of hundreds of instances.
+var curves = []tls.CurveID{tls.X25519}
+
 func signedBy(pool *x509.CertPool, pair tls.Certificate) error {
 	leaf, err := x509.ParseCertificate(pair.Certificate[0])
 	if err != nil {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -5,6 +5,7 @@
 	"io"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/s2"
 )
 
 // maxFrame bounds what one message may occupy on the wire, in bytes.
@@ -17,6 +18,36 @@
 	ReplyTo string `cbor:"3,keyasint,omitempty"`
 	Address string `cbor:"4,keyasint"`
 	Payload []byte `cbor:"5,keyasint"`
+	Packed  bool   `cbor:"6,keyasint,omitempty"` // Payload is compressed
+}
+
+// packFrom is the length in bytes from which a payload is compressed. Lists of endpoints
+// and instances are long and much alike.
+const packFrom = 2 << 10
+
+// pack compresses a payload that is worth it.
+func pack(payload []byte) (out []byte, packed bool) {
+	if len(payload) < packFrom {
+		return payload, false
+	}
+	return s2.Encode(nil, payload), true
+}
+
+// unpack undoes pack.
+func (f *frame) unpack() error {
+	if !f.Packed {
+		return nil
+	}
+	size, err := s2.DecodedLen(f.Payload)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if size > maxFrame {
+		return Error.New("payload of %d bytes is over the limit of %d", size, maxFrame)
+	}
+	f.Payload, err = s2.Decode(nil, f.Payload)
+	f.Packed = false
+	return Error.Wrap(err)
 }
 
 func writeFrame(w io.Writer, f frame) (int, error) {
@@ -46,5 +77,5 @@
 	if err := cbor.Unmarshal(body, &f); err != nil {
 		return frame{}, Error.Wrap(err)
 	}
-	return f, nil
+	return f, f.unpack()
 }
--- a/internal/peer/pinned.go
+++ b/internal/peer/pinned.go
@@ -73,6 +73,7 @@
 		ServerName:             serverName,
 		NextProtos:             []string{protocol},
 		MinVersion:             tls.VersionTLS13,
+		CurvePreferences:       curves,
 	}
 }
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -7,6 +7,8 @@
 import (
 	"context"
 	"crypto/tls"
+	"crypto/x509"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -29,6 +31,7 @@
 	From    = "from"     // certified name of the sender
 	Address = "address"  // listening address of the sender
 	replyTo = "reply_to" // UUID of the message that this one answers
+	packed  = "packed"   // set where the payload is compressed
 )
 
 const (
@@ -53,9 +56,10 @@
 	group   sync.WaitGroup
 	cut     atomic.Pointer[func(netip.AddrPort) bool]
 
-	// Lock order: lanes, then asks; neither is held while sending.
+	// Lock order: lanes, then a lane's own, then asks; none is held while sending.
 	lanesMu sync.Mutex
 	lanes   map[netip.AddrPort]*lane
+	dialled map[netip.AddrPort]*quic.Conn // by peers, by the addresses that they tell
 	asksMu  sync.Mutex
 	asks    map[string]ask
 	subsMu  sync.RWMutex
@@ -82,7 +86,7 @@
 	t := &Transport{
 		name: name, address: conn.LocalAddr().(*net.UDPAddr).AddrPort(), tls: certificates, scope: scope, queue: queueLength,
 		quic:  &quic.Transport{Conn: conn},
-		lanes: map[netip.AddrPort]*lane{}, asks: map[string]ask{},
+		lanes: map[netip.AddrPort]*lane{}, dialled: map[netip.AddrPort]*quic.Conn{}, asks: map[string]ask{},
 		subs: map[string]*subscription{},
 	}
 	t.ctx, t.stop = context.WithCancel(context.Background())
@@ -110,7 +114,7 @@
 func (t *Transport) Advertise(address netip.AddrPort) { t.address = address }
 
 // Queue sets how many frames may wait for one address. It is called before the
-// first message; a frame's place takes about 100 bytes also while it is empty.
+// first message.
 func (t *Transport) Queue(frames int) { t.queue = frames }
 
 // Cut loses every message to an address for which lost returns true, as a cut
@@ -131,9 +135,9 @@
 		}
 		f := frame{
 			UUID: m.UUID, Topic: topic, ReplyTo: m.Metadata.Get(replyTo),
-			Address: t.address.String(), Payload: m.Payload,
+			Address: t.address.String(), Payload: m.Payload, Packed: m.Metadata.Get(packed) != "",
 		}
-		if err := t.lane(to).push(f); err != nil {
+		if err := t.push(to, f); err != nil {
 			return err
 		}
 	}
@@ -162,8 +166,7 @@
 	t.asks[id] = ask{to: to, reply: reply}
 	t.asksMu.Unlock()
 	defer t.forget(id)
-	m := message.NewMessage(id, payload)
-	m.Metadata.Set(To, to.String())
+	m := newMessage(id, payload, to.String())
 	if err := t.Publish(topic, m); err != nil {
 		return nil, err
 	}
@@ -179,18 +182,37 @@
 
 // Reply answers a message that came through Ask.
 func (t *Transport) Reply(asked *message.Message, payload []byte) error {
-	m := message.NewMessage(watermill.NewUUID(), payload)
-	m.Metadata.Set(To, asked.Metadata.Get(Address))
+	m := newMessage(watermill.NewUUID(), payload, asked.Metadata.Get(Address))
 	m.Metadata.Set(replyTo, asked.UUID)
 	return t.Publish("reply", m)
 }
 
+// newMessage returns a message to an address.
+func newMessage(id string, payload []byte, to string) *message.Message {
+	payload, isPacked := pack(payload)
+	m := message.NewMessage(id, payload)
+	m.Metadata.Set(To, to)
+	if isPacked {
+		m.Metadata.Set(packed, "s2")
+	}
+	return m
+}
+
+// Busy says whether something that was sent to an address still waits for its link.
+func (t *Transport) Busy(to netip.AddrPort) bool {
+	t.lanesMu.Lock()
+	l := t.lanes[to]
+	t.lanesMu.Unlock()
+	return l != nil && l.busy()
+}
+
 // Reconnect has what is sent from now on go over new connections. After a suspension
 // of the machine the others may have given up on the old ones, which this side takes
 // for sound until its own idle timeout of 6 s, since its timers stood still.
 func (t *Transport) Reconnect() {
 	t.lanesMu.Lock()
 	defer t.lanesMu.Unlock()
+	clear(t.dialled)
 	for _, l := range t.lanes {
 		l.stale.Store(true)
 	}
@@ -223,18 +245,61 @@
 	}
 }
 
+// push queues a frame at the lane to an address.
+func (t *Transport) push(to netip.AddrPort, f frame) error {
+	for {
+		if err := t.lane(to).push(f); !errors.Is(err, errLaneEnded) {
+			return err
+		}
+	}
+}
+
 func (t *Transport) lane(to netip.AddrPort) *lane {
 	t.lanesMu.Lock()
 	defer t.lanesMu.Unlock()
 	l, ok := t.lanes[to]
 	if !ok {
-		l = &lane{transport: t, to: to, queue: make(chan frame, t.queue)}
+		l = newLane(t, to)
 		t.lanes[to] = l
 		t.group.Go(l.run)
 	}
 	return l
 }
 
+// inbound returns a connection that the peer at an address has dialled, or nil.
+func (t *Transport) inbound(from netip.AddrPort) *quic.Conn {
+	t.lanesMu.Lock()
+	defer t.lanesMu.Unlock()
+	conn := t.dialled[from]
+	if conn != nil && conn.Context().Err() != nil {
+		delete(t.dialled, from)
+		return nil
+	}
+	return conn
+}
+
+func (t *Transport) forgetInbound(from netip.AddrPort) {
+	t.lanesMu.Lock()
+	defer t.lanesMu.Unlock()
+	delete(t.dialled, from)
+}
+
+// heard notes that a peer has sent something, and on which connection it may be answered:
+// one for both directions halves the connections of the fleet.
+func (t *Transport) heard(from netip.AddrPort, conn *quic.Conn) {
+	t.lanesMu.Lock()
+	before, l := t.dialled[from], t.lanes[from]
+	t.dialled[from] = conn
+	t.lanesMu.Unlock()
+	if l == nil {
+		return
+	}
+	l.used.Store(true)
+	if before != conn {
+		l.supersede(conn)
+	}
+}
+
 func (t *Transport) accept() {
 	for {
 		conn, err := t.listen.Accept(t.ctx)
@@ -253,18 +318,37 @@
 	for {
 		s, err := conn.AcceptUniStream(t.ctx)
 		if err != nil {
+			t.lost(conn)
 			return
 		}
-		t.group.Go(func() { t.drain(name, s) })
+		t.group.Go(func() { t.drain(name, conn, s) })
+	}
+}
+
+// lost forgets a connection that has ended.
+func (t *Transport) lost(conn *quic.Conn) {
+	t.lanesMu.Lock()
+	defer t.lanesMu.Unlock()
+	for from, other := range t.dialled {
+		if other == conn {
+			delete(t.dialled, from)
+		}
 	}
 }
 
-func (t *Transport) drain(from string, s *quic.ReceiveStream) {
+func (t *Transport) drain(from string, conn *quic.Conn, s *quic.ReceiveStream) {
+	address := netip.AddrPort{}
 	for {
 		f, err := readFrame(s)
 		if err != nil {
 			return
 		}
+		if !address.IsValid() {
+			address, _ = netip.ParseAddrPort(f.Address) // of no use: then it is not answered here
+		}
+		if address.IsValid() {
+			t.heard(address, conn)
+		}
 		t.scope.Counter("peer_received_bytes").Inc(int64(len(f.Payload)))
 		t.deliver(from, f)
 	}
@@ -304,9 +388,16 @@
 }
 
 func certifiedName(conn *quic.Conn) string {
-	chain := conn.ConnectionState().TLS.PeerCertificates
-	if len(chain) == 0 {
-		return ""
+	if leaf := certificate(conn); leaf != nil {
+		return leaf.Subject.CommonName
 	}
-	return chain[0].Subject.CommonName
+	return ""
+}
+
+// certificate is the peer's, or nil.
+func certificate(conn *quic.Conn) *x509.Certificate {
+	if chain := conn.ConnectionState().TLS.PeerCertificates; len(chain) > 0 {
+		return chain[0]
+	}
+	return nil
 }
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
 	"net/netip"
 	"path/filepath"
@@ -38,7 +39,15 @@
 // open starts a transport; register must add a handler, as a router without
 // any never runs.
 func open(t testing.TB, name string, c *tls.Config, register func(*node)) *node {
-	tr, err := peer.Listen(name, netip.MustParseAddrPort(freeAddress(t)), c, tally.NoopScope)
+	return openIn(t, name, c, tally.NoopScope, register)
+}
+
+func openIn(t testing.TB, name string, c *tls.Config, scope tally.Scope, register func(*node)) *node {
+	return openAt(t, name, netip.MustParseAddrPort(freeAddress(t)), c, scope, register)
+}
+
+func openAt(t testing.TB, name string, address netip.AddrPort, c *tls.Config, scope tally.Scope, register func(*node)) *node {
+	tr, err := peer.Listen(name, address, c, scope)
 	qt.Assert(t, err, qt.IsNil)
 	n := &node{Transport: tr, ended: make(chan struct{})}
 	n.router, err = message.NewRouter(message.RouterConfig{}, watermill.NopLogger{})
@@ -96,6 +105,106 @@
 	c.Assert(scope.Snapshot().Counters()["peer_connections+"].Value(), qt.Equals, int64(2))
 }
 
+// What is long and alike is compressed on its way, and comes as it was sent, to each of
+// those to whom it is sent at once.
+func TestLongMessages(t *testing.T) {
+	c := qt.New(t)
+	dir := t.TempDir()
+	authority, err := cert.NewAuthority(dir)
+	c.Assert(err, qt.IsNil)
+	scope := tally.NewTestScope("", nil)
+	type long struct{ Rows []string }
+	heard := make(chan long, 2)
+	hear := func(n *node) {
+		peer.Handle(n.router, n.Transport, "long", func(_ peer.Sender, v long) { heard <- v })
+		peer.Answer(n.router, n.Transport, "again", func(_ context.Context, _ peer.Sender, v long) long { return v })
+	}
+	a := openIn(t, "a", certificates(t, dir, "a", authority), scope, hear)
+	defer a.close()
+	b := open(t, "b", certificates(t, dir, "b", authority), hear)
+	defer b.close()
+	d := open(t, "d", certificates(t, dir, "d", authority), hear)
+	defer d.close()
+	var v long
+	for n := range 2000 {
+		v.Rows = append(v.Rows, fmt.Sprintf("endpoint %d of a zone", n))
+	}
+	c.Assert(peer.SendAll(a.Transport, []netip.AddrPort{b.Address(), d.Address()}, "long", v), qt.Equals, 0)
+	c.Assert(<-heard, qt.DeepEquals, v)
+	c.Assert(<-heard, qt.DeepEquals, v)
+	reply, err := peer.Ask[long, long](t.Context(), a.Transport, b.Address(), "again", v)
+	c.Assert(err, qt.IsNil)
+	c.Assert(reply, qt.DeepEquals, v)
+	c.Assert(a.Busy(b.Address()), qt.IsFalse)
+	sent := scope.Snapshot().Counters()["peer_sent_bytes+"].Value()
+	c.Assert(sent < 3*40_000, qt.IsTrue, qt.Commentf("%d bytes for three messages of 46 kB", sent))
+}
+
+// Whoever is asked answers, and sends what it has itself, on the connection of who asked:
+// a planner that hundreds of instances ask has one connection with each.
+func TestOneConnectionForBothDirections(t *testing.T) {
+	c := qt.New(t)
+	dir := t.TempDir()
+	authority, err := cert.NewAuthority(dir)
+	c.Assert(err, qt.IsNil)
+	scope := tally.NewTestScope("", nil)
+	heard := make(chan int, 2)
+	open := func(name string) *node {
+		n := openIn(t, name, certificates(t, dir, name, authority), scope, func(n *node) {
+			peer.Handle(n.router, n.Transport, "note", func(_ peer.Sender, v note) { heard <- v.Number })
+			peer.Answer(n.router, n.Transport, "double", func(_ context.Context, _ peer.Sender, v note) note {
+				return note{Number: 2 * v.Number}
+			})
+		})
+		t.Cleanup(n.close)
+		return n
+	}
+	a, b := open("a"), open("b")
+	reply, err := peer.Ask[note, note](t.Context(), a.Transport, b.Address(), "double", note{Number: 21})
+	c.Assert(err, qt.IsNil)
+	c.Assert(reply.Number, qt.Equals, 42)
+	c.Assert(peer.Send(b.Transport, a.Address(), "note", note{1}), qt.IsNil)
+	c.Assert(<-heard, qt.Equals, 1)
+	reply, err = peer.Ask[note, note](t.Context(), b.Transport, a.Address(), "double", note{Number: 4})
+	c.Assert(err, qt.IsNil)
+	c.Assert(reply.Number, qt.Equals, 8)
+	c.Assert(scope.Snapshot().Counters()["peer_connections+"].Value(), qt.Equals, int64(1))
+
+	b.Reconnect() // what a had dialled may be dead
+	c.Assert(peer.Send(b.Transport, a.Address(), "note", note{2}), qt.IsNil)
+	c.Assert(<-heard, qt.Equals, 2)
+	c.Assert(scope.Snapshot().Counters()["peer_connections+"].Value(), qt.Equals, int64(2))
+}
+
+// A peer that starts again at its address is reached anew by those whom it had dialled.
+func TestPeerThatStartsAgain(t *testing.T) {
+	c := qt.New(t)
+	dir := t.TempDir()
+	authority, err := cert.NewAuthority(dir)
+	c.Assert(err, qt.IsNil)
+	heard := make(chan int, 2)
+	note2 := func(n *node) {
+		peer.Handle(n.router, n.Transport, "note", func(_ peer.Sender, v note) { heard <- v.Number })
+	}
+	a := open(t, "a", certificates(t, dir, "a", authority), note2)
+	defer a.close()
+	b := open(t, "b", certificates(t, dir, "b", authority), note2)
+	address := b.Address()
+	c.Assert(peer.Send(b.Transport, a.Address(), "note", note{1}), qt.IsNil)
+	c.Assert(<-heard, qt.Equals, 1)
+	b.close()
+	b = openAt(t, "b", address, certificates(t, dir, "b", authority), tally.NoopScope, note2)
+	defer b.close()
+	for number := 2; ; number++ { // what is sent while it is away is lost
+		c.Assert(peer.Send(a.Transport, address, "note", note{number}), qt.IsNil)
+		select {
+		case <-heard:
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
 func TestOrderAndReplies(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	c := qt.New(t)
--- a/internal/peer/typed.go
+++ b/internal/peer/typed.go
@@ -15,9 +15,27 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	m := message.NewMessage(watermill.NewUUID(), payload)
-	m.Metadata.Set(To, to.String())
-	return t.Publish(topic, m)
+	return t.Publish(topic, newMessage(watermill.NewUUID(), payload, to.String()))
+}
+
+// SendAll publishes v to several addresses, encoded once. It returns to how many it was
+// not sent; what cannot be encoded is sent to none and counted as malformed.
+func SendAll[T any](t *Transport, to []netip.AddrPort, topic string, v T) (unsent int) {
+	payload, err := cbor.Marshal(v)
+	if err != nil {
+		t.scope.Counter("peer_malformed").Inc(1)
+		return len(to)
+	}
+	first := newMessage("", payload, "")
+	for _, address := range to {
+		m := message.NewMessage(watermill.NewUUID(), first.Payload)
+		m.Metadata.Set(To, address.String())
+		m.Metadata.Set(packed, first.Metadata.Get(packed))
+		if t.Publish(topic, m) != nil {
+			unsent++ // a full queue; the next message tells more
+		}
+	}
+	return unsent
 }
 
 // Ask sends a question as CBOR and decodes the reply.
