--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -11,6 +11,7 @@
 
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/notice"
+	"github.com/trailshed/trailshed/internal/residency"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -21,6 +22,9 @@
 	// it outweighs the 3 ms round trip because bytes between zones cost, and
 	// cut links strike there.
 	zonePenalty = 40.0 // ms
+	// regionPenalty is added besides at endpoints of other regions: the way there is
+	// several times as long, and bytes cost more.
+	regionPenalty = 40.0 // ms
 	// ejectBase doubles with each ejection in a row, up to ejectMost.
 	ejectBase = time.Second
 	ejectMost = 8 * time.Second
@@ -43,6 +47,7 @@
 	Service string
 	Stage   directory.Stage
 	Exclude []string // ids of endpoints already tried
+	Area    residency.Area
 	// Withheld are endpoints that may get no such request for a while, by id.
 	Withheld map[string]time.Duration
 }
@@ -66,10 +71,12 @@
 
 // Balancer is the table of endpoints. Lock order: its own lock, then that of rests.
 type Balancer struct {
-	zone  string
-	rests *notice.Table[string] // who wants no requests, by id
-	mu    sync.Mutex
-	byID  map[string]*state
+	zone string
+	// regions has the region of each zone.
+	regions map[string]string
+	rests   *notice.Table[string] // who wants no requests, by id
+	mu      sync.Mutex
+	byID    map[string]*state
 }
 
 type state struct {
@@ -84,9 +91,9 @@
 	silent   bool // it could not be reached the last time
 }
 
-// New returns a balancer for an instance of zone.
-func New(zone string) *Balancer {
-	return &Balancer{zone: zone, rests: notice.NewTable[string](0), byID: map[string]*state{}}
+// New returns a balancer for an instance of zone; regions has the region of each zone.
+func New(zone string, regions map[string]string) *Balancer {
+	return &Balancer{zone: zone, regions: regions, rests: notice.NewTable[string](0), byID: map[string]*state{}}
 }
 
 // Reservation is a request's place at an endpoint, until Done.
@@ -105,20 +112,23 @@
 	defer b.mu.Unlock()
 	var best *directory.Endpoint
 	bestScore, bestEjected := 0.0, true
-	list, resting := view.Endpoints[a.Service], b.rests.All(now)
-	from := rand.IntN(len(list) + 1)
-	for i := range list {
-		e := list[(from+i)%len(list)]
+	resting, ties := b.rests.All(now), 0
+	for e := range view.Service(a.Service) {
 		if !a.fits(e) || slices.Contains(resting, e.ID) || a.Withheld[e.ID] > 0 {
 			continue
 		}
-		s := b.state(e.ID)
+		s := b.known(e.ID)
 		if s.silent && now < s.ejected && now.Sub(s.usedAt) < probePause {
 			continue // one request at a time finds out whether it is back
 		}
 		score, out := b.score(now, e, s), now < s.ejected
-		if best == nil || bestEjected && !out || bestEjected == out && score < bestScore {
-			best, bestScore, bestEjected = e, score, out
+		switch {
+		case best == nil || bestEjected && !out || bestEjected == out && score < bestScore:
+			best, bestScore, bestEjected, ties = e, score, out, 1
+		case bestEjected == out && score == bestScore:
+			if ties++; rand.IntN(ties) == 0 { // each of those that are equal is as likely
+				best = e
+			}
 		}
 	}
 	if best == nil {
@@ -148,11 +158,14 @@
 // all of them rest or are withheld now, and whether that one is withheld; else it is 0.
 func (b *Balancer) RestsFor(now clock.Millis, view *directory.View, a Ask) (least time.Duration, withheld bool) {
 	found := false
-	for _, e := range view.Endpoints[a.Service] {
+	for e := range view.Service(a.Service) {
 		if !a.fits(e) {
 			continue
 		}
 		rest := b.rests.Left(now, e.ID)
+		if rest <= 0 && a.Withheld[e.ID] <= 0 {
+			return 0, false
+		}
 		if left := max(rest, a.Withheld[e.ID]); !found || left < least {
 			least, found, withheld = left, true, left > rest
 		}
@@ -194,9 +207,24 @@
 	if e.Zone != b.zone {
 		score += zonePenalty
 	}
+	if b.regions[e.Zone] != b.regions[b.zone] {
+		score += regionPenalty
+	}
 	return score
 }
 
+// untried is the state of an endpoint to which this instance has sent nothing.
+var untried = state{work: startWork}
+
+// known is what is known of an endpoint. Only what is used gets a state of its own: a
+// look at all endpoints of a large fleet leaves nothing behind.
+func (b *Balancer) known(id string) *state {
+	if s := b.byID[id]; s != nil {
+		return s
+	}
+	return &untried
+}
+
 func (b *Balancer) state(id string) *state {
 	s := b.byID[id]
 	if s == nil {
@@ -269,11 +297,10 @@
 // Forget drops endpoints that the view no longer holds and nothing uses. What one
 // asked for outlasts a listing that lacks it.
 func (b *Balancer) Forget(view *directory.View) {
-	known := view.IDs()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, s := range b.byID {
-		if !known[id] && s.running == 0 {
+		if s.running == 0 && view.Find(id) == nil {
 			delete(b.byID, id)
 		}
 	}
@@ -287,5 +314,5 @@
 
 // fits says whether an endpoint may ever be used for what is asked.
 func (a Ask) fits(e *directory.Endpoint) bool {
-	return e.State == directory.Ready && plays(e, a.Stage) && !slices.Contains(a.Exclude, e.ID)
+	return e.State == directory.Ready && plays(e, a.Stage) && a.Area.Allows(e.Zone) && !slices.Contains(a.Exclude, e.ID)
 }
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -12,12 +12,12 @@
 )
 
 func view(endpoints ...directory.Endpoint) *directory.View {
-	v := &directory.View{Endpoints: map[string][]*directory.Endpoint{}}
+	var list []*directory.Endpoint
 	for _, e := range endpoints {
 		e.Service = "web"
-		v.Endpoints["web"] = append(v.Endpoints["web"], &e)
+		list = append(list, &e)
 	}
-	return v
+	return directory.NewView(nil, list...)
 }
 
 func TestReserve(t *testing.T) {
@@ -41,7 +41,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			b := balance.New("a")
+			b := balance.New("a", nil)
 			ask := balance.Ask{Service: "web", Stage: directory.Decode, Exclude: test.exclude}
 			for range test.before {
 				b.Reserve(1000, test.view, ask)
@@ -72,7 +72,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			b := balance.New("a")
+			b := balance.New("a", nil)
 			only := view(directory.Endpoint{ID: "e1", Zone: "a", Slots: 2})
 			both := view(directory.Endpoint{ID: "e1", Zone: "a", Slots: 2}, directory.Endpoint{ID: "e2", Zone: "b", Slots: 2})
 			ask := balance.Ask{Service: "web", Stage: directory.Decode}
@@ -95,7 +95,7 @@
 // are refused at once instead of waiting for a dial (incident inc-1404).
 func TestSilentEndpointsAreProbed(t *testing.T) {
 	c := qt.New(t)
-	b := balance.New("a")
+	b := balance.New("a", nil)
 	only := view(directory.Endpoint{ID: "e1", Zone: "a", Slots: 2})
 	ask := balance.Ask{Service: "web", Stage: directory.Decode}
 	b.Reserve(1000, only, ask).Done(1250, balance.Unreachable)
@@ -121,7 +121,7 @@
 	c := qt.New(t)
 	near := directory.Endpoint{ID: "near", Zone: "a", Slots: 2, Service: "web"}
 	far := directory.Endpoint{ID: "far", Zone: "b", Slots: 2}
-	b := balance.New("a")
+	b := balance.New("a", nil)
 	ask := balance.Ask{Service: "web", Stage: directory.Decode}
 	c.Assert(b.Rest(1000, "near", 3*time.Second), qt.IsTrue)
 	c.Assert(b.Rest(1500, "near", time.Second), qt.IsFalse) // sooner than it said before
@@ -152,3 +152,16 @@
 	c.Assert(b.ReserveAt(4000, &near), qt.IsNotNil)
 	c.Assert(b.Rest(4000, "near", time.Second), qt.IsTrue)
 }
+
+// A request goes to its own zone, then to another one of its region, and leaves the region
+// when both have more to do than the way is long.
+func TestOwnRegionFirst(t *testing.T) {
+	regions := map[string]string{"a": "north", "b": "north", "c": "south"}
+	endpoints := []directory.Endpoint{{ID: "e-a", Zone: "a", Slots: 1}, {ID: "e-b", Zone: "b", Slots: 1}, {ID: "e-c", Zone: "c", Slots: 1}}
+	b := balance.New("a", regions)
+	var order []string
+	for range 4 {
+		order = append(order, b.Reserve(0, view(endpoints...), balance.Ask{Service: "web", Stage: directory.Decode}).Endpoint.ID)
+	}
+	qt.Assert(t, order, qt.DeepEquals, []string{"e-a", "e-b", "e-a", "e-c"})
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -7,8 +7,10 @@
 package broker
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,6 +82,8 @@
 	Log        *eventlog.Log
 	Scope      tally.Scope
 	Now        func() clock.Millis
+	// Regions has the region of each availability zone.
+	Regions map[string]string
 	// Paces is what this instance learns of the engines.
 	Paces *pace.Model
 	// Load asks an engine of the own zone what it works on.
@@ -126,7 +130,7 @@
 // New returns a broker.
 func New(o Options) *Broker {
 	return &Broker{
-		Options: o, ticker: ticker.New(tickBusy, tickIdle), planner: placement.New(o.Zone, o.Name, o.Paces), view: &directory.View{},
+		Options: o, ticker: ticker.New(tickBusy, tickIdle), planner: placement.New(o.Zone, o.Name, o.Paces), view: directory.NewView(nil),
 		holds: map[string]*Place{}, pending: map[string]chan placement.Verdict{},
 		down: map[string]silence{}, used: map[string]clock.Millis{}, met: map[string]bool{},
 		loadAt: map[string]clock.Millis{}, askers: map[string]netip.AddrPort{}, began: o.Now(),
@@ -155,16 +159,22 @@
 	group.Wait()
 }
 
-// zones returns the own zone and those where others are known.
+// zones returns the own zone and those where others are known, those of the own region
+// first.
 func (b *Broker) zones() []string {
 	list := []string{b.Zone}
-	seen := map[string]bool{b.Zone: true}
-	for _, i := range b.Roster.All() {
-		if !seen[i.Zone] {
-			seen[i.Zone] = true
-			list = append(list, i.Zone)
+	for _, zone := range b.Roster.Zones() {
+		if zone != b.Zone {
+			list = append(list, zone)
 		}
 	}
+	away := func(zone string) int {
+		if b.Regions[zone] == b.Regions[b.Zone] {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(list[1:], func(x, y string) int { return cmp.Compare(away(x), away(y)) })
 	return list
 }
 
--- a/internal/broker/find.go
+++ b/internal/broker/find.go
@@ -2,18 +2,23 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/trailshed/trailshed/internal/placement"
+	"github.com/trailshed/trailshed/internal/residency"
 )
 
-// Find asks for places for a whole request. It tries, until one succeeds:
+// Find asks for places for a whole request in an area. It tries, until one succeeds:
 // prefill and decode in the own zone, in another zone, prefill in one zone and
 // decode in another, decode engines that read the prompt themselves where no
 // zone has a prefill engine, and, with patience, the zone that promised room
 // the soonest.
-func (b *Broker) Find(ctx context.Context, a placement.Ask) (*Place, *placement.Refusal) {
+func (b *Broker) Find(ctx context.Context, a placement.Ask, area residency.Area) (*Place, *placement.Refusal) {
 	a.Owner = b.Name
-	zones := b.zones()
+	zones := slices.DeleteFunc(b.zones(), func(zone string) bool { return !area.Allows(zone) })
+	if len(zones) == 0 {
+		return nil, &placement.Refusal{Reason: placement.ReasonNoZone, After: downFor}
+	}
 	s := b.survey(ctx, zones, a)
 	if s.place != nil {
 		return s.place, nil
--- a/internal/broker/planner.go
+++ b/internal/broker/planner.go
@@ -6,8 +6,18 @@
 	"github.com/trailshed/trailshed/internal/placement"
 )
 
-// tick lets time pass in the own planner; it is busy while requests wait.
+// tick lets time pass in the own planner; it is busy while requests wait. One that has
+// given out nothing is left alone: most instances never plan, and need not follow what
+// becomes of thousands of engines.
 func (b *Broker) tick() (busy bool) {
+	b.plannerMu.Lock()
+	idle := b.planner.Idle()
+	b.plannerMu.Unlock()
+	if idle {
+		v := b.Directory.View()
+		b.Paces.Forget(func(engine string) bool { return v.Find(engine) != nil })
+		return false
+	}
 	b.apply(placement.Tick{})
 	b.plannerMu.Lock()
 	defer b.plannerMu.Unlock()
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -6,14 +6,16 @@
 package directory
 
 import (
-	"iter"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+	"unique"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/tidwall/btree"
 
 	"github.com/trailshed/trailshed/internal/route"
 	"github.com/trailshed/trailshed/pkg/clock"
@@ -24,11 +26,6 @@
 // live are back within about two seconds of the store's return.
 const settle = 2200 * time.Millisecond
 
-// leavingMemory is how long the word of an endpoint that leaves is kept once nothing
-// tells of it any more: an entry that lapsed while the store was away comes back with
-// the store, and outages last minutes. It costs some 100 bytes for each such endpoint.
-const leavingMemory = time.Hour
-
 // State is an endpoint's own statement on whether it takes new work.
 type State int
 
@@ -36,6 +33,7 @@
 const (
 	Ready State = iota
 	Draining
+	Evacuated // its zone is; only views tell it, as an endpoint knows nothing of it
 )
 
 // Stage is the part an engine plays.
@@ -61,14 +59,15 @@
 	Slots    int            `cbor:"7,keyasint"`
 	State    State          `cbor:"8,keyasint,omitempty"`
 	Stage    Stage          `cbor:"9,keyasint,omitempty"`
-	Revision int64          `cbor:"10,keyasint"` // of the store, when this was written
+	Revision int64          `cbor:"10,keyasint"`           // of the store, when this was written
+	Cold     time.Duration  `cbor:"11,keyasint,omitempty"` // how long it still was cold, when this was written
 }
 
 // Live returns the endpoint as the life that began at born.
 func (e Endpoint) Live(born int64) Endpoint {
 	e.Born, e.ID = born, e.Entry
 	if born != 0 {
-		e.ID += "@" + strconv.FormatInt(born, 36)
+		e.ID += lifeMark + strconv.FormatInt(born, 36)
 	}
 	return e
 }
@@ -90,57 +89,36 @@
 	return e.Revision < o.Revision
 }
 
-// View is what requests read: immutable, replaced at each change.
-type View struct {
-	Table     *route.Table // nil while no configuration is known
-	Endpoints map[string][]*Endpoint
-	Revision  int64  // up to which this view is complete
-	TableRev  int64  // of the store, when Table was written
-	Digest    uint64 // of the ids and revisions that the store tells
-	// Leaving are, by service, the ids of those that leave as only their own answers to
-	// this instance tell. Others may take them for ready.
-	Leaving  map[string][]string
-	Doubtful bool // the store may lack some of the endpoints only because it was away
+// earlier orders endpoints by their revisions.
+func (e *Endpoint) earlier(o *Endpoint) bool {
+	return e.Revision < o.Revision || e.Revision == o.Revision && e.entry() < o.entry()
 }
 
-// Size is the number of endpoints.
-func (v *View) Size() int {
-	n := 0
-	for _, list := range v.Endpoints {
-		n += len(list)
-	}
-	return n
+// mark is what a digest of beliefs has of an endpoint.
+func (e *Endpoint) mark() uint64 {
+	return xxhash.Sum64String(e.ID + strconv.FormatInt(e.Revision, 16))
 }
 
-// IDs are the ids of all endpoints.
-func (v *View) IDs() map[string]bool {
-	ids := make(map[string]bool, v.Size())
-	for _, list := range v.Endpoints {
-		for _, e := range list {
-			ids[e.ID] = true
-		}
+// compact returns the endpoint with its texts shared: thousands of endpoints have a few
+// services and zones between them.
+func (e Endpoint) compact() Endpoint {
+	e.Service, e.Zone = unique.Make(e.Service).Value(), unique.Make(e.Zone).Value()
+	if strings.HasPrefix(e.ID, e.Entry) {
+		e.ID = strings.Clone(e.ID)
+		e.Entry = e.ID[:len(e.Entry)]
 	}
-	return ids
+	return e
 }
 
-// Engines yields a zone's engines with what their service says of them.
-func (v *View) Engines(zone string) iter.Seq2[*Endpoint, *route.Engine] {
-	return func(yield func(*Endpoint, *route.Engine) bool) {
-		if v.Table == nil {
-			return
-		}
-		for name, list := range v.Endpoints {
-			service := v.Table.Service(name)
-			if service == nil || service.Engine == nil {
-				continue
-			}
-			for _, e := range list {
-				if e.Zone == zone && !yield(e, service.Engine) {
-					return
-				}
-			}
-		}
+// lifeMark is between an entry and the time when a life began, in an id.
+const lifeMark = "@"
+
+// entryOf is the entry of the life that has an id.
+func entryOf(id string) string {
+	if i := strings.LastIndex(id, lifeMark); i >= 0 {
+		return id[:i]
 	}
+	return id
 }
 
 // Directory is the aggregate.
@@ -150,31 +128,40 @@
 	mu         sync.Mutex
 	table      *route.Table
 	tableRev   int64
-	endpoints  map[string]*held     // by entry
-	removed    map[string]int64     // by entry: revision of its removal
-	leaving    map[string]departure // by id: lives that said in an answer that they leave
+	endpoints  map[string]*held       // by entry
+	newest     *btree.BTreeG[*held]   // endpoints by revision and entry
+	removed    map[string]int64       // by entry: revision of its removal
+	removals   *btree.BTreeG[Removed] // the same by revision and entry
+	leaving    map[string]departure   // by id: lives that said in an answer that they leave
+	leavers    map[string][]string    // of leaving, for views; nil: to be made anew
+	zones      map[string]Evacuation  // by zone, also those that are over
+	shown      shown                  // what the next view has
+	missing    int                    // endpoints that the store does not list
+	digest     uint64                 // of the endpoints
 	revision   int64
 	storeLost  bool
 	returnedAt clock.Millis // when the store was last reached again; 0 at first
 }
 
-// departure is what is known of a life that said that it leaves.
-type departure struct {
-	entry string       // its own; empty if that was not known then
-	at    clock.Millis // when something last told of it
-}
-
 // held is an endpoint with what is doubted of it.
 type held struct {
-	endpoint Endpoint
-	missing  bool // the store does not list it
-	denied   bool // another endpoint answered at its address: it is not used
+	endpoint *Endpoint // replaced and never changed, since views share it
+	missing  bool      // the store does not list it
+	denied   bool      // another endpoint answered at its address: it is not used
 }
 
 // New returns a directory that knows nothing.
 func New() *Directory {
-	d := &Directory{endpoints: map[string]*held{}, removed: map[string]int64{}, leaving: map[string]departure{}}
-	d.view.Store(&View{Endpoints: map[string][]*Endpoint{}})
+	d := &Directory{
+		endpoints: map[string]*held{}, removed: map[string]int64{}, leaving: map[string]departure{}, zones: map[string]Evacuation{},
+		shown: newShown(),
+	}
+	unlocked := btree.Options{NoLocks: true} // the directory's own lock guards them
+	d.newest = btree.NewBTreeGOptions(func(a, b *held) bool { return a.endpoint.earlier(b.endpoint) }, unlocked)
+	d.removals = btree.NewBTreeGOptions(func(a, b Removed) bool {
+		return a.Revision < b.Revision || a.Revision == b.Revision && a.Entry < b.Entry
+	}, unlocked)
+	d.publish()
 	return d
 }
 
@@ -182,16 +169,16 @@
 func (d *Directory) View() *View { return d.view.Load() }
 
 // Refutes says whether more is known here of an endpoint than a peer knew who told
-// of it: that it is gone or leaves, that its address is another's, or that it started
-// anew.
+// of it: that it is gone or leaves, that its zone is evacuated, that its address is
+// another's, or that it started anew.
 func (d *Directory) Refutes(e Endpoint) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if _, leaving := d.leaving[e.ID]; leaving || d.removed[e.entry()] >= e.Revision {
+	if _, leaving := d.leaving[e.ID]; leaving || d.removed[e.entry()] >= e.Revision || d.isEvacuated(e.Zone) {
 		return true
 	}
 	h := d.endpoints[e.entry()]
-	return h != nil && (h.denied && h.endpoint.ID == e.ID || e.before(h.endpoint))
+	return h != nil && (h.denied && h.endpoint.ID == e.ID || e.before(*h.endpoint))
 }
 
 // Apply takes one event and returns what it changed.
@@ -212,6 +199,9 @@
 	case Removed:
 		changes = d.remove(now, e)
 		d.revision = max(d.revision, e.Revision)
+	case Evacuation:
+		changes = d.evacuate(e)
+		d.revision = max(d.revision, e.Revision)
 	case Denied:
 		changes = d.deny(e)
 	case Leaving:
@@ -246,17 +236,21 @@
 // shortly after an outage, once it has stayed missing.
 func (d *Directory) list(now clock.Millis, e Listed) []Change {
 	var changes []Change
-	present := make(map[string]bool, len(e.Endpoints))
+	present := make(map[string]bool, len(e.Endpoints)+len(e.Present))
 	for _, p := range e.Endpoints {
 		present[p.entry()] = true
 		changes = append(changes, d.see(p)...)
 	}
+	for _, entry := range e.Present {
+		present[entry] = true
+	}
 	for entry, h := range d.endpoints {
 		if present[entry] || h.endpoint.Revision > e.Revision {
 			continue
 		}
 		changes = append(changes, d.remove(now, Removed{Entry: entry, Revision: e.Revision})...)
 	}
+	changes = append(changes, d.evacuateOnly(e.Evacuations, e.Revision)...)
 	d.revision = max(d.revision, e.Revision)
 	return changes
 }
@@ -280,24 +274,46 @@
 			changes = append(changes, d.drop(h, e.Revision)...)
 		}
 	}
+	if e.Whole {
+		changes = append(changes, d.evacuateOnly(e.Evacuations, e.Revision)...)
+	} else {
+		for _, z := range e.Evacuations {
+			changes = append(changes, d.evacuate(z)...)
+		}
+	}
 	d.revision = max(d.revision, e.Revision)
 	return changes
 }
 
-// Since returns what changed after a revision, for a peer that has seen the
-// rest.
-func (d *Directory) Since(revision int64) Relayed {
+// Since returns what changed after a revision, for a peer that has seen the rest: all of
+// it, or the first so many endpoints if most is not 0.
+func (d *Directory) Since(revision int64, most int) Relayed {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := Relayed{Whole: revision == 0, Revision: d.revision, Digest: d.view.Load().Digest}
-	for _, h := range d.endpoints {
-		if h.endpoint.Revision > revision {
-			out.Endpoints = append(out.Endpoints, h.endpoint)
+	out := Relayed{Revision: d.revision, Digest: d.view.Load().Digest}
+	after := revision + 1
+	d.newest.Ascend(&held{endpoint: &Endpoint{Revision: after}}, func(h *held) bool {
+		// Those of one revision stay together: the peer asks on from there.
+		if told := len(out.Endpoints); most > 0 && told >= most && out.Endpoints[told-1].Revision < h.endpoint.Revision {
+			out.More, out.Revision, out.Digest = true, out.Endpoints[told-1].Revision, 0
+			return false
 		}
+		out.Endpoints = append(out.Endpoints, *h.endpoint)
+		return true
+	})
+	out.Whole = revision == 0 && !out.More
+	if revision > 0 {
+		d.removals.Ascend(Removed{Revision: after}, func(r Removed) bool {
+			if r.Revision > out.Revision {
+				return false
+			}
+			out.Gone = append(out.Gone, r)
+			return true
+		})
 	}
-	for entry, removed := range d.removed {
-		if removed > revision && revision > 0 {
-			out.Gone = append(out.Gone, Removed{Entry: entry, Revision: removed})
+	for _, z := range d.zones {
+		if z.Revision > revision && (revision > 0 || !z.Over) {
+			out.Evacuations = append(out.Evacuations, z)
 		}
 	}
 	return out
@@ -307,29 +323,31 @@
 	if d.removed[p.entry()] >= p.Revision {
 		return nil
 	}
+	p = p.compact()
 	h := d.endpoints[p.entry()]
 	if h == nil {
-		d.endpoints[p.entry()] = &held{endpoint: p}
+		d.join(p)
 		return []Change{{What: EndpointJoined, Endpoint: p, Revision: p.Revision}}
 	}
-	if p.before(h.endpoint) {
-		if h.missing && p.Revision > h.endpoint.Revision {
-			h.missing = false // the entry is there, though an earlier life wrote it
+	before := *h.endpoint
+	if p.before(before) {
+		if h.missing && p.Revision > before.Revision {
+			d.setMissing(h, false) // the entry is there, though an earlier life wrote it
 		}
 		return nil
 	}
-	before := h.endpoint
 	if before.ID != p.ID {
-		d.endpoints[p.entry()] = &held{endpoint: p}
+		d.part(h)
+		d.join(p)
 		return []Change{
 			{What: EndpointGone, Endpoint: before, Revision: p.Revision},
 			{What: EndpointJoined, Endpoint: p, Revision: p.Revision},
 		}
 	}
-	wasMissing := h.missing
-	wasDenied := h.denied
+	wasMissing, wasDenied := h.missing, h.denied
 	h.denied = wasDenied && p.Revision == before.Revision // a new entry is believed anew
-	h.endpoint, h.missing = p, false
+	d.setMissing(h, false)
+	d.replace(h, p)
 	if before.State != p.State {
 		return []Change{{What: EndpointLeaving, Endpoint: p, Revision: p.Revision}}
 	}
@@ -343,7 +361,7 @@
 func (d *Directory) remove(now clock.Millis, e Removed) []Change {
 	h := d.endpoints[e.Entry]
 	if h == nil {
-		d.removed[e.Entry] = max(d.removed[e.Entry], e.Revision)
+		d.bury(e)
 		return nil
 	}
 	if e.Revision < h.endpoint.Revision {
@@ -351,8 +369,8 @@
 	}
 	if d.state(h) == Ready && d.unsettled(now) {
 		if !h.missing {
-			h.missing = true
-			return []Change{{What: EndpointMissing, Endpoint: h.endpoint, Revision: e.Revision}}
+			d.setMissing(h, true)
+			return []Change{{What: EndpointMissing, Endpoint: *h.endpoint, Revision: e.Revision}}
 		}
 		return nil
 	}
@@ -360,10 +378,22 @@
 }
 
 func (d *Directory) drop(h *held, revision int64) []Change {
-	entry := h.endpoint.entry()
-	delete(d.endpoints, entry)
-	d.removed[entry] = max(d.removed[entry], revision)
-	return []Change{{What: EndpointGone, Endpoint: h.endpoint, Revision: revision}}
+	d.part(h)
+	d.bury(Removed{Entry: h.endpoint.entry(), Revision: revision})
+	return []Change{{What: EndpointGone, Endpoint: *h.endpoint, Revision: revision}}
+}
+
+// bury notes that an entry was removed, so that no older fact brings it back.
+func (d *Directory) bury(r Removed) {
+	before, known := d.removed[r.Entry]
+	if known && before >= r.Revision {
+		return
+	}
+	if known {
+		d.removals.Delete(Removed{Entry: r.Entry, Revision: before})
+	}
+	d.removed[r.Entry] = r.Revision
+	d.removals.Set(r)
 }
 
 // deny takes an endpoint whose address turned out to belong to another one out
@@ -375,33 +405,80 @@
 		return nil
 	}
 	h.denied = true
-	return []Change{{What: EndpointDenied, Endpoint: h.endpoint, Revision: h.endpoint.Revision}}
+	d.show(h)
+	return []Change{{What: EndpointDenied, Endpoint: *h.endpoint, Revision: h.endpoint.Revision}}
 }
 
 // life returns the endpoint whose present life has an id; nil if there is none.
 func (d *Directory) life(id string) *held {
-	for _, h := range d.endpoints {
-		if h.endpoint.ID == id {
+	for _, entry := range []string{id, entryOf(id)} {
+		if h := d.endpoints[entry]; h != nil && h.endpoint.ID == id {
 			return h
 		}
 	}
 	return nil
 }
 
-// leave takes an endpoint's own word that it leaves. It holds for that life, whatever
-// its entry tells: while the store is away no entry tells of a leaving endpoint.
-func (d *Directory) leave(now clock.Millis, e Leaving) []Change {
-	if known, ok := d.leaving[e.ID]; ok {
-		d.leaving[e.ID] = departure{entry: known.entry, at: now}
-		return nil
+// join begins to hold an endpoint.
+func (d *Directory) join(p Endpoint) {
+	h := &held{endpoint: &p}
+	d.endpoints[p.entry()] = h
+	d.newest.Set(h)
+	d.digest ^= p.mark()
+	d.show(h)
+}
+
+// part holds an endpoint no more.
+func (d *Directory) part(h *held) {
+	d.setMissing(h, false)
+	delete(d.endpoints, h.endpoint.entry())
+	d.newest.Delete(h)
+	d.digest ^= h.endpoint.mark()
+	d.shown.drop(h.endpoint.ID)
+	d.leavers = nil
+}
+
+// replace takes a newer entry of the same life.
+func (d *Directory) replace(h *held, p Endpoint) {
+	d.newest.Delete(h)
+	d.digest ^= h.endpoint.mark() ^ p.mark()
+	h.endpoint = &p
+	d.newest.Set(h)
+	d.show(h)
+}
+
+func (d *Directory) setMissing(h *held, missing bool) {
+	if h.missing == missing {
+		return
 	}
-	change := Change{What: EndpointSaysLeaving, Endpoint: Endpoint{ID: e.ID}, Revision: d.revision}
-	said := departure{at: now}
-	if h := d.life(e.ID); h != nil {
-		change.Endpoint, said.entry = h.endpoint, h.endpoint.entry()
+	h.missing = missing
+	if missing {
+		d.missing++
+	} else {
+		d.missing--
 	}
-	d.leaving[e.ID] = said
-	return []Change{change}
+}
+
+// show has the next view tell of an endpoint as it is now.
+func (d *Directory) show(h *held) {
+	if len(d.leaving) > 0 {
+		d.leavers = nil
+	}
+	if h.denied {
+		d.shown.drop(h.endpoint.ID)
+		return
+	}
+	e := h.endpoint
+	state := d.state(h)
+	if d.isEvacuated(e.Zone) {
+		state = Evacuated
+	}
+	if state != e.State {
+		other := *e
+		other.State = state
+		e = &other
+	}
+	d.shown.put(e)
 }
 
 // state is an endpoint's, as its entry or its answers tell.
@@ -412,27 +489,13 @@
 	return h.endpoint.State
 }
 
-// forgetLeaving forgets the lives of which nothing has told for long. It runs some times
-// a second, so it looks at those that leave and not at all endpoints.
-func (d *Directory) forgetLeaving(now clock.Millis) {
-	for id, l := range d.leaving {
-		h := d.endpoints[l.entry]
-		switch {
-		case h != nil && h.endpoint.ID == id:
-			d.leaving[id] = departure{entry: l.entry, at: now}
-		case now.Sub(l.at) > leavingMemory:
-			delete(d.leaving, id)
-		}
-	}
-}
-
 // unsettled says that entries may be absent only because the store was away.
 func (d *Directory) unsettled(now clock.Millis) bool {
 	return d.storeLost || d.returnedAt != 0 && now.Sub(d.returnedAt) < settle
 }
 
 func (d *Directory) expire(now clock.Millis) []Change {
-	if d.unsettled(now) {
+	if d.missing == 0 || d.unsettled(now) {
 		return nil
 	}
 	var changes []Change
@@ -445,21 +508,10 @@
 }
 
 func (d *Directory) publish() {
-	v := &View{
-		Table: d.table, TableRev: d.tableRev, Revision: d.revision,
-		Endpoints: map[string][]*Endpoint{}, Leaving: map[string][]string{},
-	}
-	for _, h := range d.endpoints {
-		p := h.endpoint
-		v.Digest ^= xxhash.Sum64String(p.ID + strconv.FormatInt(p.Revision, 16))
-		v.Doubtful = v.Doubtful || h.missing
-		if h.denied {
-			continue
-		}
-		if p.State = d.state(h); p.State != h.endpoint.State {
-			v.Leaving[p.Service] = append(v.Leaving[p.Service], p.ID)
-		}
-		v.Endpoints[p.Service] = append(v.Endpoints[p.Service], &p)
-	}
+	v := d.shown.view()
+	v.Table, v.TableRev, v.Revision = d.table, d.tableRev, d.revision
+	v.Leaving, v.Doubtful = d.leavingByService(), d.missing > 0
+	zones, digest := d.evacuated()
+	v.Evacuated, v.Digest = zones, d.digest^digest
 	d.view.Store(v)
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -20,7 +20,7 @@
 
 func ids(d *directory.Directory) map[string]bool {
 	found := map[string]bool{}
-	for _, e := range d.View().Endpoints["web"] {
+	for e := range d.View().Service("web") {
 		found[e.ID] = true
 	}
 	return found
@@ -118,10 +118,10 @@
 				a.Apply(0, directory.Seen{Endpoint: endpoint(id, revision)})
 			}
 			if rapid.IntRange(0, 3).Draw(rt, "told") == 0 {
-				b.Apply(0, a.Since(b.View().Revision))
+				b.Apply(0, a.Since(b.View().Revision, 0))
 			}
 		}
-		b.Apply(0, a.Since(b.View().Revision))
+		b.Apply(0, a.Since(b.View().Revision, 0))
 		if !maps.Equal(ids(a), ids(b)) || a.View().Digest != b.View().Digest {
 			rt.Fatalf("%v and %v", ids(a), ids(b))
 		}
@@ -155,7 +155,7 @@
 				}
 				version = v.Table.Version
 			}
-			for _, e := range v.Endpoints["web"] {
+			for e := range v.Service("web") {
 				if e.Revision < revisions[e.ID] {
 					rt.Fatalf("%s went back from %d to %d", e.ID, revisions[e.ID], e.Revision)
 				}
@@ -228,12 +228,12 @@
 	}
 	c.Assert(doubting.View().Doubtful, qt.IsTrue)
 	c.Assert(sure.View().Doubtful, qt.IsFalse)
-	third.Apply(40, doubting.Since(2))
-	news := sure.Since(6)
+	third.Apply(40, doubting.Since(2, 0))
+	news := sure.Since(6, 0)
 	third.Apply(50, news)
 	c.Assert(third.View().Revision, qt.Equals, news.Revision)
 	c.Assert(third.View().Digest, qt.Not(qt.Equals), news.Digest)
-	third.Apply(60, sure.Since(0))
+	third.Apply(60, sure.Since(0, 0))
 	c.Assert(ids(third), qt.DeepEquals, map[string]bool{"e2": true, "e3": true})
 	c.Assert(third.View().Digest, qt.Equals, sure.View().Digest)
 }
--- a/internal/directory/event.go
+++ b/internal/directory/event.go
@@ -11,20 +11,25 @@
 	Revision int64
 }
 
-// Listed brings all endpoints, complete up to Revision.
+// Listed brings all endpoints and all zones that are evacuated, complete up to Revision.
 type Listed struct {
 	Endpoints []Endpoint
-	Revision  int64
+	// Present are the entries of those that were told before.
+	Present     []string
+	Evacuations []Evacuation
+	Revision    int64
 }
 
 // Relayed brings what a peer believes beyond what was asked for: everything if
 // Whole, else what changed and what is gone, up to Revision.
 type Relayed struct {
-	Whole     bool
-	Endpoints []Endpoint
-	Gone      []Removed
-	Revision  int64
-	Digest    uint64 // of the peer's beliefs at Revision
+	Whole       bool
+	Endpoints   []Endpoint
+	Gone        []Removed
+	Evacuations []Evacuation
+	Revision    int64
+	Digest      uint64 // of the peer's beliefs at Revision; 0 if that is not all
+	More        bool   // there is more after Revision
 }
 
 // Seen brings one endpoint's new entry.
@@ -36,6 +41,14 @@
 	Revision int64  `cbor:"2,keyasint"`
 }
 
+// Evacuation says whether the operators have a zone evacuated: its endpoints get
+// nothing until that is over.
+type Evacuation struct {
+	Zone     string `cbor:"1,keyasint"`
+	Over     bool   `cbor:"2,keyasint,omitempty"`
+	Revision int64  `cbor:"3,keyasint"` // of the store
+}
+
 // Denied says that another endpoint answered at this one's address.
 type Denied struct{ ID string }
 
@@ -57,6 +70,7 @@
 func (Relayed) event()      {}
 func (Seen) event()         {}
 func (Removed) event()      {}
+func (Evacuation) event()   {}
 func (Denied) event()       {}
 func (Leaving) event()      {}
 func (StoreLost) event()    {}
@@ -76,12 +90,15 @@
 	EndpointMissing      What = "endpoint_missing"
 	EndpointGone         What = "endpoint_gone"
 	EndpointDenied       What = "endpoint_denied"
+	ZoneEvacuated        What = "zone_evacuated"
+	ZoneRestored         What = "zone_restored"
 )
 
 // Change is one change of belief.
 type Change struct {
 	What     What
 	Endpoint Endpoint // of endpoint changes
+	Zone     string   // of evacuations
 	Version  int64    // of configuration changes
 	Revision int64    // of the store, that brought it
 }
--- a/internal/directory/leaving_test.go
+++ b/internal/directory/leaving_test.go
@@ -12,7 +12,7 @@
 // usable are the ids of the endpoints that may get requests.
 func usable(d *directory.Directory) []string {
 	var list []string
-	for _, e := range d.View().Endpoints["web"] {
+	for e := range d.View().Service("web") {
 		if e.State == directory.Ready {
 			list = append(list, e.ID)
 		}
--- a/internal/directory/lives_test.go
+++ b/internal/directory/lives_test.go
@@ -19,7 +19,7 @@
 // lives are the ids of a service's endpoints in the view.
 func lives(d *directory.Directory) []string {
 	var list []string
-	for _, e := range d.View().Endpoints["web"] {
+	for e := range d.View().Service("web") {
 		list = append(list, e.ID)
 	}
 	return list
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -35,6 +35,8 @@
 	Complete      bool // Instances are all there are
 
 	Suspects suspects.News
+
+	Partial bool // there is too much for each instance to read
 }
 
 // Problem is an entry that could not be read.
@@ -49,8 +51,10 @@
 
 // Source reads the store.
 type Source struct {
-	// List reads everything.
-	List func(ctx context.Context) (News, error)
+	// Most is how many entries each instance may read for itself.
+	Most int
+	// List reads everything, and tells read how many entries each page has.
+	List func(ctx context.Context, read func(entries int)) (News, error)
 	// Begin reads everything as it was up to some seconds ago, which is priced at
 	// a tenth. What it finds first is told to early before the rest is there, and
 	// need not be in its News.
@@ -59,6 +63,8 @@
 	Configuration func(ctx context.Context) (News, error)
 	// Head returns the store's revision.
 	Head func(ctx context.Context) (int64, error)
+	// Zone reads the instances of a zone; its News has no others.
+	Zone func(ctx context.Context, zone string) (News, error)
 	// Watch waits for changes after revision.
 	Watch func(ctx context.Context, revision int64, wait time.Duration) (News, error)
 }
@@ -72,9 +78,14 @@
 	gatherPart = 0.125
 	// youngGather is the same in a process that is younger than youth. Where all start
 	// at once, each reads in the first half second the certificates by which planners
-	// and entries know each other; a few more calls by those who watch buy that.
+	// and entries know each other; a few more calls by those who watch buy that. Each
+	// change is told to the whole zone, so the pause grows with it by tellTime.
 	youngGather = 100 * time.Millisecond
 	youth       = 2 * time.Second
+	tellTime    = 3 * time.Millisecond
+	// plenty is how many changes are enough for one telling: a store that has more to
+	// tell gives it in parts, some hundred at a time.
+	plenty = 100
 	// catchUpWait is how long a call for the changes so far waits if there are none.
 	catchUpWait = time.Millisecond
 	// standBy is how often an instance that need not watch asks itself whether
@@ -104,6 +115,14 @@
 	Told     func()
 	// Changed is told when the roster may have changed.
 	Changed func()
+	// Warming is told of an endpoint whose entry says that it is cold.
+	Warming func(directory.Endpoint)
+	// ZoneSize is how many instances the own zone has.
+	ZoneSize func() int
+	// Progressed is told of each page of a reading of everything.
+	Progressed func(entries int)
+	// Seed learns from peers what is too much to read; false: it is to be read after all.
+	Seed func(context.Context) bool
 	// Suspects takes what the store tells of requests that end endpoints.
 	Suspects func(suspects.News)
 }
@@ -120,6 +139,8 @@
 	// are taken back when their reading begins: nobody repeats those asks.
 	wantBegin, wantAll, wantTable, wantChanges bool
 
+	large bool // there was too much to read at the beginning; only Run uses it
+
 	problems map[string]int64 // entries that could not be read: the revision that a line told
 
 	cancelWatch context.CancelFunc // nil while no watch is in progress
@@ -138,6 +159,11 @@
 	pause := retryFirst
 	for ctx.Err() == nil {
 		t := f.claim()
+		if t == readAll && f.isLarge() && f.seed(ctx) {
+			f.met(t)
+			revision = max(revision, f.Directory.View().Revision)
+			continue // the zone knew everything
+		}
 		if t == follow && !f.Watching() && !f.isLost() {
 			f.rest(ctx, standBy)
 			revision = f.Directory.View().Revision
@@ -162,12 +188,19 @@
 		f.met(t)
 		f.Take(news)
 		f.reached(news.Revision)
-		revision = max(revision, news.Revision)
+		if news.Partial {
+			f.large = true
+			f.ask(&f.wantTable) // what it began with is old
+			f.ask(&f.wantAll)
+		}
+		revision = max(revision, news.Revision, f.Directory.View().Revision)
 		f.Told()
 		if t == begin {
 			continue // what it lacks comes with the next call
 		}
-		ticker.Sleep(ctx, f.gather(f.Now().Sub(began)))
+		if len(news.Events) < plenty {
+			ticker.Sleep(ctx, f.gather(f.Now().Sub(began)))
+		}
 	}
 }
 
@@ -175,7 +208,7 @@
 func (f *Feed) gather(age time.Duration) time.Duration {
 	usual := time.Duration(gatherPart * float64(f.Bound))
 	if age < youth {
-		return min(usual, youngGather)
+		return min(usual, max(youngGather, time.Duration(f.ZoneSize())*tellTime))
 	}
 	return usual
 }
@@ -186,7 +219,7 @@
 	case begin:
 		return f.Source.Begin(ctx, f.Take)
 	case readAll:
-		return f.Source.List(ctx)
+		return f.list(ctx)
 	case readTable:
 		return f.Source.Configuration(ctx)
 	case catchUp:
@@ -219,9 +252,11 @@
 	if s := n.Suspects; f.Suspects != nil && (s.Complete || len(s.Records)+len(s.Released)+len(s.Problems) > 0) {
 		f.Suspects(s)
 	}
+	var changes []directory.Change
 	for _, e := range n.Events {
-		f.Tell(e)
+		changes = append(changes, f.Directory.Apply(f.Now(), e)...)
 	}
+	f.note(changes)
 }
 
 // unreadable writes a line on an entry, once for each of its revisions.
@@ -297,6 +332,15 @@
 	})
 }
 
+// Roll reads a zone's instances from the store.
+func (f *Feed) Roll(ctx context.Context, zone string) error {
+	news, err := f.Source.Zone(ctx, zone)
+	if err == nil {
+		f.takeInstances(news)
+	}
+	return err
+}
+
 // Heard takes the outcome of another call to the store. A failure ends the
 // watch in progress, which may wait on a connection that is dead.
 func (f *Feed) Heard(err error) {
@@ -308,12 +352,36 @@
 	f.endWatch()
 }
 
+// changeLines is how many changes of one kind that come together get a line each; more
+// share one. A start would write ten thousand, at each instance of a large fleet.
+const changeLines = 16
+
 // Tell applies one event to the directory and logs what it changed.
-func (f *Feed) Tell(e directory.Event) {
-	for _, c := range f.Directory.Apply(f.Now(), e) {
+func (f *Feed) Tell(e directory.Event) { f.note(f.Directory.Apply(f.Now(), e)) }
+
+// note logs what was changed, and passes on which endpoints are cold.
+func (f *Feed) note(changes []directory.Change) {
+	many := map[directory.What]int{}
+	for _, c := range changes {
+		many[c.What]++
+	}
+	for what, count := range many {
+		if count > changeLines {
+			f.Log.Write(eventlog.Line{
+				Event: eventlog.Believed, Outcome: string(what), Count: int64(count), Revision: f.Directory.View().Revision,
+			})
+		}
+	}
+	for _, c := range changes {
+		if c.Endpoint.Cold > 0 && (c.What == directory.EndpointJoined || c.What == directory.EndpointChanged) {
+			f.Warming(c.Endpoint)
+		}
+		if many[c.What] > changeLines {
+			continue
+		}
 		n := eventlog.Line{
 			Event: eventlog.Believed, Outcome: string(c.What), Version: c.Version, Revision: c.Revision,
-			Endpoint: c.Endpoint.ID, Service: c.Endpoint.Service,
+			Endpoint: c.Endpoint.ID, Service: c.Endpoint.Service, Zone: c.Zone,
 		}
 		if c.Endpoint.ID != "" {
 			n.Address = c.Endpoint.Address.String()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -36,6 +36,9 @@
 	watching atomic.Bool
 }
 
+// most is how many entries each instance may read.
+const most = 600
+
 var errDown = errors.New("down")
 
 func (s *source) news(ctx context.Context) (feed.News, error) {
@@ -59,7 +62,8 @@
 	t.Cleanup(func() { _ = log.Close() })
 	f := feed.New(feed.Options{
 		Source: feed.Source{
-			List: func(ctx context.Context) (feed.News, error) {
+			Most: most,
+			List: func(ctx context.Context, _ func(int)) (feed.News, error) {
 				s.lists.Add(1)
 				n, err := s.news(ctx)
 				n.Revision, n.Complete = s.version.Load(), true
@@ -89,8 +93,8 @@
 			},
 		},
 		Directory: d, Roster: roster.New(clock.System()), Log: log, Scope: tally.NoopScope,
-		Now: clock.System(), Bound: 2 * time.Second, Lost: none, Regained: none, Changed: none, Told: none,
-		Watching: s.watching.Load,
+		Now: clock.System(), Bound: 2 * time.Second, Lost: none, Regained: none, Changed: none, Told: none, Progressed: func(int) {},
+		Watching: s.watching.Load, ZoneSize: func() int { return 1 },
 	})
 	return f, d
 }
@@ -302,3 +306,182 @@
 		c.Check(later <= 4, qt.IsTrue, qt.Commentf("%d", later))
 	})
 }
+
+// A start tells of ten thousand endpoints; what one event brings of many writes a line or
+// two, of a few a line each.
+func TestManyChangesShareALine(t *testing.T) {
+	tests := []struct{ endpoints, lines int }{{3, 3}, {1000, 1}}
+	for _, test := range tests {
+		c := qt.New(t)
+		var out bytes.Buffer
+		log := eventlog.Open(&out, "n1")
+		f := feed.New(feed.Options{Directory: directory.New(), Log: log, Now: func() clock.Millis { return 0 }, Scope: tally.NoopScope})
+		var all []directory.Endpoint
+		var news feed.News
+		for n := range test.endpoints {
+			all = append(all, directory.Endpoint{ID: fmt.Sprint("e", n), Service: "web", Zone: "a", Revision: int64(n + 1)})
+		}
+		for _, e := range all {
+			news.Events = append(news.Events, directory.Seen{Endpoint: e})
+		}
+		f.Take(news)
+		c.Assert(log.Close(), qt.IsNil)
+		c.Assert(strings.Count(out.String(), "endpoint_joined"), qt.Equals, test.lines)
+		c.Assert(test.lines > 1 || strings.Contains(out.String(), `"count":1000`), qt.IsTrue)
+	}
+}
+
+// Where the store holds too much for each instance to read, one that lacks something asks
+// its zone before it reads everything, at its start and later; who is told by nobody reads.
+func TestLargeStoresAreReadByFew(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			s := &source{}
+			s.version.Store(1)
+			f, _ := s.open(t)
+			seeds := 0
+			f.Seed = func(context.Context) bool { seeds++; return told }
+			begin := f.Source.Begin
+			f.Source.Begin = func(ctx context.Context, early func(feed.News)) (feed.News, error) {
+				n, err := begin(ctx, early)
+				n.Partial, n.Revision, n.Complete = true, 0, false
+				return n, err
+			}
+			done := make(chan struct{})
+			go func() { defer close(done); f.Run(ctx) }()
+			time.Sleep(3 * time.Second)
+			f.List()
+			time.Sleep(3 * time.Second)
+			cancel()
+			<-done
+			want := int64(2)
+			if told {
+				want = 0
+			}
+			c.Check(seeds, qt.Equals, 2)
+			c.Check(s.lists.Load(), qt.Equals, want)
+		})
+	}
+}
+
+// A store that was small when an instance began, as where all of a fleet starts together,
+// is large once it has filled.
+func TestStoresGrowLarge(t *testing.T) {
+	for _, size := range []int{most, most + 1} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s := &source{}
+			s.version.Store(1)
+			f, _ := s.open(t)
+			seeds := 0
+			f.Seed = func(context.Context) bool { seeds++; return true }
+			done := make(chan struct{})
+			go func() { defer close(done); f.Run(ctx) }()
+			time.Sleep(time.Second)
+			for n := range size {
+				f.Tell(directory.Seen{Endpoint: directory.Endpoint{ID: fmt.Sprint("e", n), Service: "llm", Zone: "a", Revision: int64(n + 2)}})
+			}
+			f.List()
+			time.Sleep(time.Second)
+			cancel()
+			<-done
+			qt.Check(t, seeds == 1, qt.Equals, size > most)
+			qt.Check(t, s.lists.Load() == 0, qt.Equals, size > most)
+		})
+	}
+}
+
+// To learn of all endpoints of a large store takes long; a configuration that is written
+// meanwhile, or was written since the old listing with which an instance begins, comes
+// into force all the same.
+func TestConfigurationIsReadWhileEndpointsAreLearned(t *testing.T) {
+	tests := []struct {
+		name string
+		told bool // by the zone; else everything is read
+	}{{"told by the zone", true}, {"read", false}}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			const long = 10 * time.Second
+			ctx, cancel := context.WithCancel(t.Context())
+			s := &source{takes: 50 * time.Millisecond}
+			s.version.Store(1)
+			f, d := s.open(t)
+			f.Seed = func(context.Context) bool {
+				if test.told {
+					time.Sleep(long)
+				}
+				return test.told
+			}
+			begin := f.Source.Begin
+			f.Source.Begin = func(ctx context.Context, early func(feed.News)) (feed.News, error) {
+				n, err := begin(ctx, early)
+				n.Partial, n.Revision, n.Complete = true, 0, false
+				s.version.Store(2)
+				return n, err
+			}
+			f.Source.List = func(context.Context, func(int)) (feed.News, error) {
+				time.Sleep(long)
+				return feed.News{}, nil
+			}
+			done := make(chan struct{})
+			go func() { defer close(done); f.Run(ctx) }()
+			version := func() int64 { return d.View().Table.Version }
+			time.Sleep(200 * time.Millisecond)
+			c.Check(version(), qt.Equals, int64(2), qt.Commentf(test.name))
+
+			s.version.Store(3)
+			s.failing.Store(true)
+			f.Configure()
+			time.Sleep(time.Second)
+			s.failing.Store(false)
+			time.Sleep(time.Second)
+			c.Check(version(), qt.Equals, int64(3), qt.Commentf(test.name))
+			time.Sleep(long)
+			cancel()
+			<-done
+		})
+	}
+}
+
+// A store with thousands of changes to tell gives them in parts; the pause in which changes
+// are gathered is for few, and between such parts would take half a minute at a fleet's
+// start.
+func TestPlentyOfChangesIsTakenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &source{}
+		s.version.Store(1)
+		s.watching.Store(true)
+		f, d := s.open(t)
+		const part, all = 500, 10_000
+		f.Source.Watch = func(ctx context.Context, _ int64, _ time.Duration) (feed.News, error) {
+			time.Sleep(5 * time.Millisecond)
+			if d.View().Size() >= all {
+				<-ctx.Done()
+				return feed.News{}, ctx.Err()
+			}
+			news := feed.News{}
+			for n := range part {
+				at := d.View().Size() + n
+				news.Events = append(news.Events, directory.Seen{Endpoint: directory.Endpoint{
+					ID: fmt.Sprint("e", at), Service: "llm", Zone: "a", Revision: int64(at + 2),
+				}})
+				news.Revision = int64(at + 2)
+			}
+			return news, nil
+		}
+		began := time.Now()
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		for d.View().Size() < all && time.Since(began) < time.Minute {
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.Check(time.Since(began) < time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+		cancel()
+		<-done
+	})
+}
--- a/internal/feed/task.go
+++ b/internal/feed/task.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/trailshed/trailshed/internal/ticker"
 )
 
 // task is what Run does next.
@@ -39,7 +41,7 @@
 		f.wantTable = false
 		return begin
 	case f.wantAll:
-		f.wantTable, f.wantChanges = false, false
+		f.wantTable, f.wantChanges = f.wantTable && f.isLarge(), false
 		return readAll
 	case f.wantTable:
 		f.wantTable = false
@@ -76,9 +78,9 @@
 	}
 }
 
-// rest waits until something is wanted, at most for a time.
-func (f *Feed) rest(ctx context.Context, most time.Duration) {
-	timer := time.NewTimer(most)
+// rest waits until something is wanted, at most until an interval ends.
+func (f *Feed) rest(ctx context.Context, interval time.Duration) {
+	timer := time.NewTimer(ticker.UntilNext(interval))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -124,6 +126,11 @@
 	defer f.mu.Unlock()
 	*want = true
 	f.endWatch()
+	f.wake()
+}
+
+// wake has Run see what is wanted.
+func (f *Feed) wake() {
 	select {
 	case f.asked <- struct{}{}:
 	default: // it is awake already
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -28,6 +28,8 @@
 	// wholeAnswer is the size up to which an answer is taken whole before any
 	// of it is passed on, so that a broken one can be replaced.
 	wholeAnswer = 256 << 10
+	// smallAnswer bounds, in bytes, what is taken whole without memory set apart for it.
+	smallAnswer = 4 << 10
 	// restRepeatable and restOnce bound the idle time of kept connections: an
 	// endpoint may close one at any moment, and a request that may run only
 	// once is lost if that crosses it.
@@ -71,7 +73,7 @@
 	if answer.Streamed && exchange.Response.StatusCode < http.StatusMultipleChoices {
 		return p.stream(parent, r, exchange, answer, silence)
 	}
-	return p.plain(parent, r, exchange, answer)
+	return p.plain(parent, r, exchange, answer, silence)
 }
 
 func (p *passage) send(ctx context.Context, r *balance.Reservation) (*uplink.Exchange, Answer, error) {
@@ -166,17 +168,22 @@
 }
 
 // plain takes an answer that is no stream.
-func (p *passage) plain(parent context.Context, r *balance.Reservation, x *uplink.Exchange, a Answer) bool {
+func (p *passage) plain(parent context.Context, r *balance.Reservation, x *uplink.Exchange, a Answer, s *silence) bool {
 	resp := x.Response
 	header := p.Dialect.Passed(resp.Header)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeAnswer+1))
-	if err == nil && len(body) > wholeAnswer {
-		return p.passLong(parent, r, x, header, body)
-	}
 	good := resp.StatusCode < http.StatusMultipleChoices
+	most := wholeAnswer
+	if good && resp.ContentLength > smallAnswer && !p.hold(min(resp.ContentLength, wholeAnswer)) {
+		most = smallAnswer // passed on as it comes, for lack of memory
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(most)+1))
 	if err == nil && good && (!a.Signed || a.Encoded) {
 		err = Error.New("the answer is not the endpoint's own")
 	}
+	if err == nil && len(body) > most {
+		s.hold() // it has begun, so it cannot move
+		return p.passLong(parent, r, x, header, body)
+	}
 	if err != nil {
 		x.Close(false)
 		p.sendFailed(parent, r, err)
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/trailshed/trailshed/internal/eventlog"
 )
@@ -14,17 +15,19 @@
 	if !p.message.HasBody {
 		return true
 	}
+	// A connection that is closed has no deadline to set; reading tells that it is.
+	_ = p.w.control.SetReadDeadline(time.Now().Add(p.left()))
+	defer func() { _ = p.w.control.SetReadDeadline(time.Time{}) }() // it would end the watch for the caller's leaving
 	most := p.view.Table.Limits.BodyBytes
 	if r.ContentLength > most {
 		p.reject(http.StatusRequestEntityTooLarge, "body_too_large", Error.New("the body is over %d bytes", most))
 		return false
 	}
-	if p.bodies.Load()+max(r.ContentLength, 0) > p.BodyMemory {
-		p.refuse("body_memory_full", comeBackBusy)
-		return false
-	}
 	var err error
-	if r.ContentLength > 0 {
+	switch {
+	case !p.hold(max(r.ContentLength, 0)):
+		err = errMemory
+	case r.ContentLength > 0:
 		p.message.Body = make([]byte, r.ContentLength)
 		_, err = io.ReadFull(r.Body, p.message.Body)
 		if err == nil {
@@ -33,8 +36,12 @@
 				err = nil
 			}
 		}
-	} else {
-		p.message.Body, err = io.ReadAll(io.LimitReader(r.Body, most+1))
+	default:
+		p.message.Body, err = io.ReadAll(held{io.LimitReader(r.Body, most+1), p})
+	}
+	if errors.Is(err, errMemory) {
+		p.refuse("body_memory_full", comeBackBusy)
+		return false
 	}
 	if err != nil {
 		p.trail.Write(p.line(eventlog.Cancelled, "body_unfinished", err))
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -43,6 +43,7 @@
 type Handle struct {
 	At   netip.AddrPort
 	Life string // id of the endpoint there
+	Zone string // of that endpoint
 	ID   string
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -17,6 +17,7 @@
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/placement"
+	"github.com/trailshed/trailshed/internal/residency"
 	"github.com/trailshed/trailshed/internal/suspects"
 	"github.com/trailshed/trailshed/internal/uplink"
 	"github.com/trailshed/trailshed/pkg/clock"
@@ -41,13 +42,19 @@
 	Permits Permits
 	// BodyMemory bounds the bytes of all bodies held at once.
 	BodyMemory int64
+	// Stall is how long a caller may leave an answer unread.
+	Stall time.Duration
 	// FindPlace asks for places at engines; ReleasePlace gives them back.
-	FindPlace    func(context.Context, placement.Ask) (*broker.Place, *placement.Refusal)
+	FindPlace    func(context.Context, placement.Ask, residency.Area) (*broker.Place, *placement.Refusal)
 	ReleasePlace func(p *broker.Place, full, failed string, seen *placement.Seen)
 	// BeganAtPlace is told how many requests a decode engine says it runs,
 	// ReadAtPlace the same of the prefill engine, and how long it took.
 	BeganAtPlace func(p *broker.Place, running int)
 	ReadAtPlace  func(p *broker.Place, running int, took time.Duration)
+	// Regions has the region of each availability zone.
+	Regions map[string]string
+	// Isolated says that no change can reach this instance.
+	Isolated func() bool
 	// Gone is told of an endpoint whose address another one has.
 	Gone func(id string)
 	// Suspects remember which requests end endpoints.
@@ -137,8 +144,9 @@
 	if f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	p := &passage{Forwarder: f, w: w, arrived: f.Now(), view: f.Directory.View(), trail: f.Log.Trail()}
+	p := &passage{Forwarder: f, w: newCaller(w, f.Stall), arrived: f.Now(), view: f.Directory.View(), trail: f.Log.Trail()}
 	defer func() { p.trail.End(p.inTime) }()
+	defer p.release()
 	if p.admit(r) {
 		p.run(r.Context())
 	}
--- a/internal/forward/guards_test.go
+++ b/internal/forward/guards_test.go
@@ -18,6 +18,7 @@
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/placement"
+	"github.com/trailshed/trailshed/internal/residency"
 	"github.com/trailshed/trailshed/internal/route"
 	"github.com/trailshed/trailshed/internal/suspects"
 	"github.com/trailshed/trailshed/internal/uplink"
@@ -69,7 +70,7 @@
 	log := eventlog.Open(io.Discard, "n1")
 	t.Cleanup(func() { c.Check(log.Close(), qt.IsNil) })
 	f := New(Options{
-		Directory: d, Balancer: balance.New("a"), Pool: pool, Log: log, Scope: tally.NoopScope, Now: now,
+		Directory: d, Balancer: balance.New("a", nil), Pool: pool, Log: log, Scope: tally.NoopScope, Now: now, Stall: time.Minute,
 		Dialect: Dialect{Free: func(Handle) (string, string) { return "DELETE", "/handle" }},
 		Permits: Permits{
 			Take:     func(_ context.Context, endpoint string, _ int) time.Duration { return g.withheld[endpoint] },
@@ -77,7 +78,7 @@
 			Withheld: func(int) map[string]time.Duration { return g.withheld },
 			Unnamed:  func(string, clock.Millis) {},
 		},
-		FindPlace: func(_ context.Context, a placement.Ask) (*broker.Place, *placement.Refusal) {
+		FindPlace: func(_ context.Context, a placement.Ask, _ residency.Area) (*broker.Place, *placement.Refusal) {
 			g.asked = append(g.asked, a)
 			return &broker.Place{Grant: placement.Grant{Decode: decoder, Prefill: reader}, Zone: "a"}, nil
 		},
@@ -189,7 +190,7 @@
 			c.Assert(g.engineStep(t.Context()), qt.Equals, again)
 			c.Check(asks, qt.Equals, test.asks)
 			c.Check(urgency < 0, qt.Equals, test.begun)
-			g.FindPlace = func(context.Context, placement.Ask) (*broker.Place, *placement.Refusal) {
+			g.FindPlace = func(context.Context, placement.Ask, residency.Area) (*broker.Place, *placement.Refusal) {
 				return nil, &placement.Refusal{Reason: placement.ReasonLimited, After: test.denied}
 			}
 			want := hopeless
--- a/internal/forward/passage.go
+++ b/internal/forward/passage.go
@@ -17,7 +17,7 @@
 // passage is one request on its way.
 type passage struct {
 	*Forwarder
-	w       http.ResponseWriter
+	w       *caller
 	arrived clock.Millis
 	trail   *eventlog.Trail
 	inTime  bool // it was answered well, within its target
@@ -31,6 +31,7 @@
 	service   string
 	limit     clock.Millis // the request's end: the caller's wait or the route's time-out
 	message   uplink.Message
+	holds     int64 // bytes of bodies
 
 	sends      int           // messages that may have reached an endpoint
 	runs       int           // sends that may have run
@@ -42,6 +43,7 @@
 	firstEvent time.Duration // from arrival to the first event; 0 before
 	predicted  time.Duration // the same, predicted when the request got its place
 	last       string        // id of the last event passed on
+	unread     time.Duration // the longest that the caller took to take an event of this send
 	prefill    prefill
 	asks       int           // for places
 	place      *broker.Place // at engines, of the send in progress
@@ -57,6 +59,10 @@
 		p.refuse("no_configuration", comeBackStarting)
 		return false
 	}
+	if p.Isolated() {
+		p.refuse("out_of_touch", comeBackElsewhere)
+		return false
+	}
 	call, err := p.Dialect.Decode(r)
 	if err != nil {
 		p.reject(http.StatusBadRequest, "malformed", err)
@@ -97,9 +103,6 @@
 
 // run sends the request until it is answered or given up.
 func (p *passage) run(ctx context.Context) {
-	size := int64(len(p.message.Body))
-	p.bodies.Add(size)
-	defer p.bodies.Add(-size)
 	ctx, cancel := p.deadlines.Context(ctx, p.limit.Add(finalGrace))
 	defer cancel()
 	defer p.credit()
@@ -193,7 +196,7 @@
 	ask := p.runAsk()
 	r := p.reserve(ctx, &ask, p.priority())
 	if r == nil {
-		p.because("no_endpoint")
+		p.because(p.withoutEndpoint())
 		p.comeBackAfter(ask, comeBackUnreachable)
 		return hopeless
 	}
@@ -214,7 +217,7 @@
 
 // runAsk is for an endpoint that runs the request, of those that were not tried.
 func (p *passage) runAsk() balance.Ask {
-	return balance.Ask{Service: p.service, Exclude: p.tried, Stage: directory.Decode}
+	return balance.Ask{Service: p.service, Exclude: p.tried, Area: p.area(), Stage: directory.Decode}
 }
 
 // comeBackAfter notes when the caller of a request that cannot be served may come back:
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -30,7 +30,7 @@
 	ask.Exclude = slices.Concat(p.tried, p.prefill.tried, p.prefill.rejected, p.closed())
 	ask.Avoid = p.Balancer.Ejected(p.Now())
 	ask.Part = p.wantedPart()
-	return p.FindPlace(ctx, ask)
+	return p.FindPlace(ctx, ask, p.area())
 }
 
 // setPatience says how long the request may wait for a place.
@@ -97,21 +97,19 @@
 	return slices.Concat(p.Directory.View().Leaving[p.service], p.Balancer.Resting(p.Now()), withheld)
 }
 
-// endpoint returns the engine with an id, unless it leaves. The planner may know one
-// that this instance has not heard of yet, and tells where it is; it may not know yet
-// that one leaves.
+// endpoint returns the engine with an id, unless it leaves or the request may not go to
+// its zone. The planner may know one that this instance has not heard of yet, and tells
+// where it is; it may not know yet that one leaves.
 func (p *passage) endpoint(id string) *directory.Endpoint {
-	for _, e := range p.view.Endpoints[p.service] {
-		if e.ID != id {
-			continue
-		}
-		if e.State != directory.Ready {
+	area := p.area()
+	if e := p.view.Find(id); e != nil && e.Service == p.service {
+		if e.State != directory.Ready || !area.Allows(e.Zone) {
 			return nil
 		}
 		return e
 	}
 	for _, e := range p.place.New {
-		if e.ID == id && !p.Directory.Refutes(e) {
+		if e.ID == id && area.Allows(e.Zone) && !p.Directory.Refutes(e) {
 			return &e
 		}
 	}
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -72,14 +72,7 @@
 	p.dropStaleHandle()
 	place, paid, refusal := p.nextPlace(ctx)
 	if place == nil {
-		p.failure = refusal.Reason
-		if refusal.Reason == placement.ReasonLimited && p.waitResumed(ctx, refusal.After) {
-			return again
-		}
-		ask := p.runAsk()
-		ask.Withheld = p.Permits.Withheld(p.urgency())
-		p.comeBackAfter(ask, refusal.After)
-		return hopeless
+		return p.withoutPlace(ctx, refusal)
 	}
 	p.full, p.failed, p.place, p.seen = "", "", place, seen{}
 	p.logPlace(place)
@@ -118,6 +111,22 @@
 	return again
 }
 
+// withoutPlace ends a request for which planners have no place, or has a stream that has
+// begun wait for a permit.
+func (p *passage) withoutPlace(ctx context.Context, refusal *placement.Refusal) progress {
+	p.failure = refusal.Reason
+	if refusal.Reason == placement.ReasonNoZone {
+		p.failure = p.withoutEndpoint()
+	}
+	if refusal.Reason == placement.ReasonLimited && p.waitResumed(ctx, refusal.After) {
+		return again
+	}
+	ask := p.runAsk()
+	ask.Withheld = p.Permits.Withheld(p.urgency())
+	p.comeBackAfter(ask, refusal.After)
+	return hopeless
+}
+
 // unaffordable ends a request, or has a decode engine read its prompt, where the retry
 // budget does not allow its sends. Both are paid for before the first: a prompt that is
 // read and may not go on is read for nothing.
@@ -234,7 +243,7 @@
 	}
 	if err == nil {
 		r.Done(p.Now(), balance.Good)
-		p.prefill.handle = &Handle{At: r.Endpoint.Address, Life: r.Endpoint.ID, ID: id}
+		p.prefill.handle = &Handle{At: r.Endpoint.Address, Life: r.Endpoint.ID, Zone: r.Endpoint.Zone, ID: id}
 		p.prefill.readAt, p.prefill.uncertain = p.Now(), false
 		p.prefill.readBy = r.Endpoint.ID
 		p.ReadAtPlace(p.place, answer.Load.Running, p.prefill.readAt.Sub(sent))
@@ -293,14 +302,15 @@
 
 // freeHandle gives back a KV cache that will not be used. It lapses by itself
 // if the call fails, so the call's outcome is only counted, and it is left to lapse at
-// an engine that wants to be left alone or whose limit has no room.
+// an engine that wants to be left alone, whose zone is evacuated or whose limit has no
+// room.
 func (p *passage) freeHandle() {
 	h := p.prefill.handle
 	if h == nil {
 		return
 	}
 	p.prefill.handle, p.prefill.uncertain = nil, false
-	if p.Balancer.Rests(p.Now(), h.Life) {
+	if p.Balancer.Rests(p.Now(), h.Life) || p.Directory.View().Evacuated[h.Zone] {
 		return
 	}
 	go func() {
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/trailshed/trailshed/internal/balance"
@@ -35,6 +36,8 @@
 	find       func() *move // nil: there is nowhere to go now
 	timer      *time.Timer
 
+	held atomic.Bool // the caller does not read
+
 	mu   sync.Mutex
 	over bool
 	move *move
@@ -71,7 +74,10 @@
 }
 
 func (s *silence) fire() {
-	m := s.find()
+	var m *move
+	if !s.held.Load() {
+		m = s.find()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -86,9 +92,21 @@
 	}
 }
 
+// hold suspends the watch while an event is written. Under backpressure nothing is read
+// from the endpoint, so that its silence means nothing.
+func (s *silence) hold() {
+	if s != nil {
+		s.held.Store(true)
+	}
+}
+
 // heard starts the time anew.
 func (s *silence) heard() {
-	if s != nil && s.gap > 0 {
+	if s == nil {
+		return
+	}
+	s.held.Store(false)
+	if s.gap > 0 {
 		s.timer.Reset(s.gap)
 	}
 }
@@ -121,7 +139,7 @@
 		ask.Budget = min(lateBudget, left)
 		ask.Exclude = slices.Concat(exclude, p.closed())
 		ask.Avoid = p.Balancer.Ejected(p.Now())
-		place, _ := p.FindPlace(ctx, ask)
+		place, _ := p.FindPlace(ctx, ask, p.area())
 		if place == nil {
 			return nil
 		}
@@ -145,7 +163,7 @@
 func (p *passage) findEndpoint(ctx context.Context, exclude []string) func() *move {
 	service, budget, priority := p.service, p.budget(p.service), p.priority()
 	return func() *move {
-		r := p.reserve(ctx, &balance.Ask{Service: service, Exclude: exclude, Stage: directory.Decode}, priority)
+		r := p.reserve(ctx, &balance.Ask{Service: service, Exclude: exclude, Area: p.area(), Stage: directory.Decode}, priority)
 		if r == nil {
 			return nil
 		}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/trailshed/trailshed/internal/balance"
@@ -25,14 +24,19 @@
 		p.sendFailed(parent, r, Error.New("the stream is not the endpoint's own"))
 		return false
 	}
+	p.unread = 0
 	events := bufio.NewReader(x.Response.Body)
 	for {
 		event, id, err := readEvent(events)
 		if err != nil {
 			return p.streamEnded(parent, r, x, event, err)
 		}
+		s.hold()
+		began := p.Now()
+		passed := p.passEvent(x, event)
+		p.unread = max(p.unread, p.Now().Sub(began))
 		s.heard()
-		if !p.passEvent(x, event) {
+		if !passed {
 			x.Close(false)
 			r.Done(p.Now(), balance.Abandoned)
 			p.trail.Write(p.line(eventlog.Cancelled, "caller_left", nil))
@@ -59,7 +63,20 @@
 	if _, err := p.w.Write(event); err != nil {
 		return false
 	}
-	return http.NewResponseController(p.w).Flush() == nil
+	return p.w.control.Flush() == nil
+}
+
+// unreadTime is the stall of a caller from which on a broken stream is put down to it:
+// endpoints cut off after some seconds what nobody reads. Data in flight still arrives
+// then, so that the cut is seen later.
+const unreadTime = time.Second
+
+// cutUnread notes a stream that its endpoint cut for the caller's stall. That is no failure
+// of the endpoint; the stream may resume elsewhere.
+func (p *passage) cutUnread(r *balance.Reservation, err error) {
+	p.failure = "answer_unread"
+	p.Scope.Counter("answers_cut_unread").Inc(1)
+	p.endpointFailed(r, balance.Abandoned, err)
 }
 
 // streamEnded judges the end of an endpoint's stream: whole only if it ended
@@ -67,6 +84,10 @@
 func (p *passage) streamEnded(parent context.Context, r *balance.Reservation, x *uplink.Exchange, rest []byte, err error) bool {
 	if !errors.Is(err, io.EOF) || len(rest) > 0 {
 		x.Close(false)
+		if p.unread >= unreadTime {
+			p.cutUnread(r, err)
+			return false
+		}
 		p.sendFailed(parent, r, err)
 		p.failure = "stream_cut"
 		return false
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -9,6 +9,7 @@
 package freshness
 
 import (
+	"math"
 	"time"
 
 	"github.com/trailshed/trailshed/pkg/clock"
@@ -19,10 +20,10 @@
 	// the first in rank asks the store. Of 2 s, a check, the patience and a fetch
 	// take 1.2 s.
 	checkPart = 0.35
-	// rankDelay is how much later each next in rank asks, up to ranksMost of
-	// them: in a large zone nobody may wait for twenty silent ones before it.
+	// rankDelay is how much later each next in rank asks, and turnsMost how much later
+	// the last of a zone does.
 	rankDelay = 150 * time.Millisecond
-	ranksMost = 4
+	turnsMost = 4 * rankDelay
 	// patience is how long the watch may take to tell of a revision that was
 	// heard of. Watches are told within a few milliseconds.
 	patience = 200 * time.Millisecond
@@ -75,6 +76,7 @@
 	Revision int64 // up to which it knows everything
 	Digest   uint64
 	Rank     int  // its place in its zone, from 0
+	Zone     int  // instances of the zone
 	Watching bool // it watches the store itself
 	// Endpoints is how many a whole view holds.
 	Endpoints int
@@ -101,12 +103,18 @@
 // Source is the peer that knows more, for AskPeer.
 func (f *Freshness) Source() string { return f.source }
 
+// PutOff notes that a peer is there and will answer: it was not asked in vain.
+func (f *Freshness) PutOff() { f.asked = max(f.asked-1, 0) }
+
+// Behind says whether something was lacking when it was last decided what to do.
+func (f *Freshness) Behind() bool { return f.behind != 0 }
+
 // Next returns what must be done now.
 func (f *Freshness) Next(now clock.Millis, k Known) Action {
 	differs := !k.Watching && f.source != "" && k.Revision == f.newest && f.digest != k.Digest
 	if k.Revision >= f.newest && !differs {
 		f.behind, f.asked = 0, 0
-		return f.check(now, k.Rank)
+		return f.check(now, k)
 	}
 	if f.behind == 0 {
 		f.behind = now
@@ -138,13 +146,24 @@
 	return true
 }
 
-func (f *Freshness) check(now clock.Millis, rank int) Action {
+func (f *Freshness) check(now clock.Millis, k Known) Action {
 	if f.heardAt == 0 {
 		f.heardAt = now // it has just begun by reading everything
 	}
-	if now.Sub(f.heardAt) < time.Duration(checkPart*float64(f.bound))+time.Duration(min(rank, ranksMost))*rankDelay {
+	if now.Sub(f.heardAt) < time.Duration(checkPart*float64(f.bound))+k.turn() {
 		return Nothing
 	}
 	f.heardAt = now // the answer, or its absence, comes before the next check
 	return AskStore
 }
+
+// turn is how long an instance waits for those before it. In a zone of many, ever more
+// take their turns together, so that the last need not wait long, and its whole crowd
+// does not ask at one moment: each turn doubles those who have asked.
+func (k Known) turn() time.Duration {
+	if k.Rank == 0 {
+		return 0
+	}
+	part := math.Log(float64(1+k.Rank)) / math.Log(float64(1+max(k.Rank, k.Zone)))
+	return min(time.Duration(k.Rank)*rankDelay, time.Duration(part*float64(turnsMost)))
+}
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -158,6 +158,31 @@
 	c.Assert(asked > 0 && asked <= 2400, qt.IsTrue, qt.Commentf("asked at %d", asked))
 }
 
+// Where those who watch have fallen silent, the instances of a large zone do not ask all at
+// once: whoever asks tells the others, and a turn later twice as many have asked at most.
+func TestCrowdDoesNotAskAtOnce(t *testing.T) {
+	for _, zone := range []int{20, 200, 2000} {
+		c := qt.New(t)
+		const tick, answer = 50, 20 // ms
+		all := make([]*freshness.Freshness, zone)
+		for n := range all {
+			all[n] = freshness.New(bound)
+			all[n].Heard(1000, 31, 7, "n1")
+		}
+		asked, told := 0, clock.Millis(0)
+		for now := clock.Millis(1000); now < 5000 && (told == 0 || now < told); now += tick {
+			for rank := 2; rank < zone; rank++ {
+				if all[rank].Next(now, freshness.Known{Revision: 31, Digest: 7, Rank: rank, Zone: zone}) != freshness.AskStore {
+					continue
+				}
+				asked++
+				told = now + answer
+			}
+		}
+		c.Check(asked > 0 && asked <= 3, qt.IsTrue, qt.Commentf("%d of %d asked", asked, zone))
+	}
+}
+
 // Whole views take the same part of a link whatever the number of endpoints.
 func TestLargeViewsAreAskedForSeldom(t *testing.T) {
 	tests := []struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,7 +128,7 @@
 	g := &Gateway{
 		settings: s, platform: p, log: log, clock: clock.Open(p.Clocks),
 		counters: counters, paces: pace.New(pace.Cautious()),
-		directory: directory.New(), balancer: balance.New(s.Instance.Zone),
+		directory: directory.New(), balancer: balance.New(s.Instance.Zone, s.Zones),
 	}
 	g.now = g.clock.Now
 	g.began = g.now()
@@ -176,7 +176,7 @@
 	})
 	g.broker = broker.New(broker.Options{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, Transport: g.transport, Roster: g.roster,
-		Directory: g.directory, Log: g.log, Scope: scope, Now: g.now, Load: g.load, Paces: g.paces, Spent: g.throttle.Spent,
+		Directory: g.directory, Log: g.log, Scope: scope, Now: g.now, Load: g.load, Paces: g.paces, Regions: s.Zones, Spent: g.throttle.Spent,
 		Saw: func(a placement.Ask) {
 			g.staging.Saw(a.Service, a.Prompt, g.paces.Length(a.Service, a.Route, a.Output, a.Most).Mean)
 		},
@@ -185,15 +185,16 @@
 		Name: s.Instance.Name, Zone: s.Instance.Zone, Transport: g.transport, Roster: g.roster,
 		Directory: g.directory, Log: g.log, Scope: scope, Now: g.now, Window: s.Limits.Window,
 	})
-	g.relay = &relay.Relay{
+	g.relay = relay.New(relay.Options{
 		Name: s.Instance.Name, Transport: g.transport, Roster: g.roster, Directory: g.directory,
-		Zone: s.Instance.Zone, Now: g.now, Log: g.log, Scope: scope, Fresh: freshness.New(s.Freshness.Bound()),
+		Zone: s.Instance.Zone, Now: g.now, Log: g.log, Scope: scope, Fresh: freshness.New(s.Freshness.Bound()), Bound: s.Freshness.Bound(),
 		Tell: func(e directory.Event) { g.feed.Tell(e) },
 		Instances: func(seen []roster.Instance, left []roster.Departure, whole bool, revision int64) {
 			g.feed.Take(feed.News{Instances: seen, GoneInstances: left, Complete: whole, Revision: revision})
 		},
-		Head: g.platform.Source.Head, List: func() { g.feed.List() }, Configure: func() { g.feed.Configure() },
-	}
+		Capacity: s.Processor.Capacity(), Roll: func(ctx context.Context) error { return g.feed.Roll(ctx, s.Instance.Zone) },
+		Head: g.platform.Source.Head, List: func() { g.feed.List() }, CatchUp: func() { g.feed.CatchUp() }, Configure: func() { g.feed.Configure() },
+	})
 	return nil
 }
 
@@ -228,7 +229,11 @@
 		Changed:  g.rosterChanged,
 		Watching: func() bool { return g.relay.Watching() }, Told: func() { g.relay.Told() },
 		Lost: func() { g.relay.Lost() }, Regained: func() { g.relay.Regained() },
-		Suspects: func(n suspects.News) { g.suspects.TakeStored(n) },
+		Suspects:   func(n suspects.News) { g.suspects.TakeStored(n) },
+		Warming:    g.warming,
+		ZoneSize:   func() int { return g.relay.ZoneSize() },
+		Progressed: func(entries int) { g.relay.Progressed(entries) },
+		Seed:       func(ctx context.Context) bool { return g.relay.Seed(ctx) },
 	})
 }
 
@@ -255,13 +260,13 @@
 		Dialect: g.platform.Dialect, Directory: g.directory, Balancer: g.balancer, Pool: g.pool,
 		Log: g.log, Scope: g.counters.Scope, Now: g.now,
 		Retry:      s.Retry.Rule(),
-		BodyMemory: int64(bodyPart * float64(s.Memory.LimitMB<<20)),
-		Limits:     forward.Limiter{Admit: g.meter.Admit, Credit: g.meter.Credit},
-		Permits:    forward.Permits{Take: g.throttle.Take, Return: g.throttle.Return, Withheld: g.throttle.Withheld, Unnamed: g.throttle.Unnamed},
-		FindPlace:  g.broker.Find, ReleasePlace: g.broker.Release, BeganAtPlace: g.broker.Began,
+		BodyMemory: int64(bodyPart * float64(s.Memory.LimitMB<<20)), Stall: s.Callers.Stall,
+		Limits:    forward.Limiter{Admit: g.meter.Admit, Credit: g.meter.Credit},
+		Permits:   forward.Permits{Take: g.throttle.Take, Return: g.throttle.Return, Withheld: g.throttle.Withheld, Unnamed: g.throttle.Unnamed},
+		FindPlace: g.broker.Find, ReleasePlace: g.broker.Release, BeganAtPlace: g.broker.Began,
 		ReadAtPlace: g.broker.Read,
-		Suspects:    g.suspects,
-		Gone:        func(id string) { g.feed.Tell(directory.Denied{ID: id}) },
+		Suspects:    g.suspects, Regions: s.Zones, Isolated: g.isolated,
+		Gone: func(id string) { g.feed.Tell(directory.Denied{ID: id}) },
 	})
 	g.forwarder.Share(leastShares)
 }
@@ -273,10 +278,8 @@
 // again if it was there and is there no more.
 func (g *Gateway) rosterChanged() {
 	g.forwarder.Share(max(g.roster.Most(), leastShares))
-	for _, i := range g.roster.All() {
-		if i.Name == g.self.Name && i.Fingerprint == g.self.Fingerprint {
-			return
-		}
+	if i, known := g.roster.Find(g.self.Name); known && i.Fingerprint == g.self.Fingerprint {
+		return
 	}
 	if _, was := g.roster.Trusted(g.self.Fingerprint); was {
 		g.member.Change(g.present())
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -34,26 +34,34 @@
 }
 
 // spares says whether an engine is to get no call of this instance's own now: it wants to
-// be left alone, or its limit has no room.
-func (g *Gateway) spares(ctx context.Context, engine string) bool {
-	return g.balancer.Rests(g.now(), engine) || g.throttle.Take(ctx, engine, permit.Background) > 0
+// be left alone, its zone is evacuated, or its limit has no room.
+func (g *Gateway) spares(ctx context.Context, engine *directory.Endpoint) bool {
+	return g.balancer.Rests(g.now(), engine.ID) || g.directory.View().Evacuated[engine.Zone] ||
+		g.throttle.Take(ctx, engine.ID, permit.Background) > 0
+}
+
+// warming takes that an endpoint is cold, if its service bounds what a cold one takes.
+func (g *Gateway) warming(e directory.Endpoint) {
+	t := g.directory.View().Table
+	if t == nil {
+		return
+	}
+	if s := t.Service(e.Service); s != nil && s.ColdRate > 0 {
+		g.throttle.Warming(e.ID, e.Zone, s.ColdRate, e.Cold)
+	}
 }
 
 // zoneOf is an endpoint's zone; the own one if it is not known.
 func (g *Gateway) zoneOf(life string) string {
-	for _, list := range g.directory.View().Endpoints {
-		for _, e := range list {
-			if e.ID == life {
-				return e.Zone
-			}
-		}
+	if e := g.directory.View().Find(life); e != nil {
+		return e.Zone
 	}
 	return g.self.Zone
 }
 
 // load asks an engine what it works on, unless it wants to be left alone.
 func (g *Gateway) load(ctx context.Context, e directory.Endpoint) (placement.Loaded, error) {
-	if g.spares(ctx, e.ID) {
+	if g.spares(ctx, &e) {
 		return placement.Loaded{}, errRests
 	}
 	return g.platform.Load(ctx, e, func(n notice.Notice) { g.noticed(e.ID, n) })
--- /dev/null
+++ b/internal/gateway/notices_test.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/trailshed/trailshed/internal/balance"
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/notice"
+	"github.com/trailshed/trailshed/internal/placement"
+	"github.com/trailshed/trailshed/internal/roster"
+	"github.com/trailshed/trailshed/internal/staging"
+	"github.com/trailshed/trailshed/internal/throttle"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// Reports and orders are for nobody's request, so an engine that wants none, whose limit
+// has no room or whose zone is evacuated gets neither.
+func TestEnginesThatGetNoCallsOfOurOwn(t *testing.T) {
+	engine := directory.Endpoint{ID: "e1", Service: "llm", Zone: "b", Stage: directory.Decode, Revision: 1}
+	tests := []struct {
+		name   string
+		spared bool
+		make   func(g *Gateway)
+	}{
+		{"nothing is said of it", false, func(*Gateway) {}},
+		{"it rests", true, func(g *Gateway) { g.balancer.Rest(g.now(), engine.ID, time.Second) }},
+		{"its limit has no room", true, func(g *Gateway) { g.throttle.Named(engine.ID, 0) }},
+		{"another one's limit has no room", false, func(g *Gateway) { g.throttle.Named("e2", 0) }},
+		{"its zone is evacuated", true, func(g *Gateway) {
+			g.directory.Apply(0, directory.Evacuation{Zone: engine.Zone, Revision: 2})
+		}},
+		{"another zone is evacuated", false, func(g *Gateway) {
+			g.directory.Apply(0, directory.Evacuation{Zone: "a", Revision: 2})
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := func() clock.Millis { return 1000 }
+			log := eventlog.Open(io.Discard, "n1")
+			t.Cleanup(func() { c.Check(log.Close(), qt.IsNil) })
+			calls := 0
+			g := &Gateway{
+				now: now, directory: directory.New(), balancer: balance.New("a", nil), log: log,
+				platform: Platform{Load: func(context.Context, directory.Endpoint, func(notice.Notice)) (placement.Loaded, error) {
+					calls++
+					return placement.Loaded{}, nil
+				}},
+			}
+			g.throttle = throttle.New(throttle.Options{
+				Name: "n1", Zone: "a", Roster: roster.New(now), Log: log, Scope: tally.NoopScope, Now: now,
+				ZoneOf: g.zoneOf, StoreAway: func() bool { return false },
+			})
+			g.staging = &staging.Runner{Spared: g.spares}
+			g.directory.Apply(0, directory.Seen{Endpoint: engine})
+			test.make(g)
+			c.Check(g.staging.Spared(t.Context(), &engine), qt.Equals, test.spared)
+			_, err := g.load(t.Context(), engine)
+			c.Check(err != nil, qt.Equals, test.spared)
+			c.Check(calls == 0, qt.Equals, test.spared)
+		})
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -77,7 +77,7 @@
 func (g *Gateway) listen() error {
 	callers := &http.Server{
 		Addr: g.settings.Callers.Listen, Handler: g.forwarder,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ConnState: g.accepted,
 	}
 	ready := &http.Server{Addr: g.settings.Callers.Ready, Handler: g.readiness(), ReadHeaderTimeout: headerTimeout}
 	admin := &http.Server{Addr: g.settings.Admin.Listen, Handler: g.admin(), ReadHeaderTimeout: headerTimeout}
@@ -145,32 +145,45 @@
 	scope.Gauge("requests_running").Update(float64(g.forwarder.Running()))
 	scope.Gauge("log_lines_dropped").Update(float64(g.log.Dropped()))
 	scope.Gauge("log_lines_sampled").Update(float64(g.log.Sampled()))
-	scope.Gauge("instances_known").Update(float64(len(g.roster.All())))
+	scope.Gauge("instances_known").Update(float64(g.roster.Size()))
 	scope.Gauge("store_revision").Update(float64(v.Revision))
 	if v.Table != nil {
 		scope.Gauge("configuration_version").Update(float64(v.Table.Version))
 	}
-	ready, leaving := 0, 0
-	for _, list := range v.Endpoints {
-		for _, e := range list {
-			if e.State == directory.Ready {
-				ready++
-			} else {
-				leaving++
-			}
-		}
-	}
-	scope.Gauge("endpoints_ready").Update(float64(ready))
-	scope.Gauge("endpoints_leaving").Update(float64(leaving))
+	scope.Gauge("endpoints_ready").Update(float64(v.Ready))
+	scope.Gauge("endpoints_leaving").Update(float64(v.Size() - v.Ready))
+	scope.Gauge("zones_evacuated").Update(float64(len(v.Evacuated)))
 	scope.Gauge("endpoints_ejected").Update(float64(len(g.balancer.Ejected(g.now()))))
 	for service, left := range g.forwarder.BudgetLeft() {
 		scope.Tagged(map[string]string{"service": service}).Gauge("budget_left").Update(left)
 	}
 }
 
+// callerBuffer bounds, in bytes, the kernel's send buffer of a caller's connection.
+// Auto-tuning lets it grow to megabytes, and a blocked write resumes only once a third is
+// free: a slow reader would look like a stalled one.
+const callerBuffer = 64 << 10
+
+// accepted bounds what a new connection holds.
+func (g *Gateway) accepted(c net.Conn, state http.ConnState) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok || state != http.StateNew {
+		return
+	}
+	if err := tcp.SetWriteBuffer(callerBuffer); err != nil {
+		g.counters.Scope.Counter("connections_unbounded").Inc(1)
+	}
+}
+
 // ready says whether new connections should come here.
 func (g *Gateway) ready() bool {
-	return !g.leaving.Load() && g.directory.View().Table != nil
+	return !g.leaving.Load() && g.directory.View().Table != nil && !g.isolated()
+}
+
+// isolated says whether no change can reach this instance: the store does not answer, and
+// peers do not answer an instance that was never registered there.
+func (g *Gateway) isolated() bool {
+	return !g.member.Registered() && g.relay.LostFor() > g.settings.Freshness.Bound()
 }
 
 func (g *Gateway) readiness() http.Handler {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -21,18 +21,20 @@
 
 // Settings are those of one gateway process.
 type Settings struct {
-	Instance  Instance  `yaml:"instance"`
-	Callers   Callers   `yaml:"callers"`
-	Peers     Peers     `yaml:"peers"`
-	Admin     Admin     `yaml:"admin"`
-	Store     Store     `yaml:"store"`
-	Retry     Retry     `yaml:"retry"`
-	Limits    Limits    `yaml:"limits"`
-	Stop      Stop      `yaml:"stop"`
-	Orders    Orders    `yaml:"orders"`
-	Freshness Freshness `yaml:"freshness"`
-	Memory    Memory    `yaml:"memory"`
-	Processor Processor `yaml:"processor"`
+	Instance Instance `yaml:"instance"`
+	// Zones has the region of each availability zone.
+	Zones     map[string]string `yaml:"zones"`
+	Callers   Callers           `yaml:"callers"`
+	Peers     Peers             `yaml:"peers"`
+	Admin     Admin             `yaml:"admin"`
+	Store     Store             `yaml:"store"`
+	Retry     Retry             `yaml:"retry"`
+	Limits    Limits            `yaml:"limits"`
+	Stop      Stop              `yaml:"stop"`
+	Orders    Orders            `yaml:"orders"`
+	Freshness Freshness         `yaml:"freshness"`
+	Memory    Memory            `yaml:"memory"`
+	Processor Processor         `yaml:"processor"`
 }
 
 // Instance says which instance this is.
@@ -45,6 +47,8 @@
 type Callers struct {
 	Listen string `yaml:"listen" validate:"required,tcp_addr"`
 	Ready  string `yaml:"ready" validate:"required,tcp_addr"`
+	// Stall is how long a caller may leave an answer unread.
+	Stall time.Duration `yaml:"stall" validate:"gt=0"`
 }
 
 // Peers is the QUIC listener between our own processes.
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -34,13 +34,8 @@
 // suspectsPeers are all instances, zone by zone in the order in which they pass on.
 func (g *Gateway) suspectsPeers() []suspects.Peer {
 	var list []suspects.Peer
-	seen := map[string]bool{}
-	for _, i := range g.roster.All() {
-		if seen[i.Zone] {
-			continue
-		}
-		seen[i.Zone] = true
-		for _, r := range g.roster.Ranked(i.Zone, rolePassOn) {
+	for _, zone := range g.roster.Zones() {
+		for _, r := range g.roster.Ranked(zone, rolePassOn) {
 			list = append(list, suspects.Peer{Name: r.Name, Zone: r.Zone, Address: r.Address})
 		}
 	}
--- a/internal/metering/metering.go
+++ b/internal/metering/metering.go
@@ -39,6 +39,8 @@
 const (
 	// tickEvery is how often an instance looks at what to send.
 	tickEvery = 100 * time.Millisecond
+	// idleEvery is the same while no workspace has a limit.
+	idleEvery = 400 * time.Millisecond
 	// reportEvery is how often it reports what has changed; while some workspace
 	// is near its limit it does so at each tick. At 78 instances, 375 requests a second
 	// are about five reports a second each.
@@ -171,13 +173,18 @@
 }
 
 // Run keeps the limits until ctx ends.
-func (m *Meter) Run(ctx context.Context) { ticker.Every(ctx, tickEvery, m.tick) }
+func (m *Meter) Run(ctx context.Context) { ticker.New(tickEvery, idleEvery).Run(ctx, m.tick) }
 
-func (m *Meter) tick() {
+// tick is busy while there are limits.
+func (m *Meter) tick() (busy bool) {
 	limits := m.limits()
-	if len(limits) == 0 {
-		return
+	if len(limits) > 0 {
+		m.step(limits)
 	}
+	return len(limits) > 0
+}
+
+func (m *Meter) step(limits map[string]quota.Limit) {
 	ranked := m.Roster.Ranked(m.Zone, roleLedger)
 	rank := slices.IndexFunc(ranked, func(i roster.Instance) bool { return i.Name == m.Name })
 	now := m.Now()
--- a/internal/placement/alone_test.go
+++ b/internal/placement/alone_test.go
@@ -6,7 +6,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/placement"
 )
 
@@ -18,12 +17,7 @@
 func TestPlannersThatAreAloneSpread(t *testing.T) {
 	c := qt.New(t)
 	const instances, prefills, decodes = 26, 16, 31
-	v := view(t, decodes)
-	for n := 1; n < prefills; n++ {
-		v.Endpoints["llm"] = append(v.Endpoints["llm"], &directory.Endpoint{
-			ID: fmt.Sprint("q", n), Service: "llm", Zone: "a", Slots: 8, Stage: directory.Prefill,
-		})
-	}
+	v := viewOf(t, prefills, decodes)
 	reads, decoded := map[string]int{}, map[string]int{}
 	for n := range instances {
 		p := placement.New("a", fmt.Sprint("n", n), paces())
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -12,6 +12,7 @@
 type engine struct {
 	directory.Endpoint
 	joined     clock.Millis // when this planner learned of it
+	seen       int          // number of the view that told of it last
 	turn       uint64       // its place among equals at this planner
 	capacity   int          // tokens
 	slots      int
@@ -35,6 +36,9 @@
 	if len(e.reads) == 0 {
 		e.readSince = now
 	}
+	if e.reads == nil {
+		e.reads = map[string]time.Duration{}
+	}
 	e.reads[id] = work
 }
 
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -185,9 +185,13 @@
 
 func (p *Planner) hold(e *engine, h *place) {
 	p.places[h.ask.ID] = h
-	if e != nil {
-		e.places[h.ask.ID] = h
+	if e == nil {
+		return
+	}
+	if e.places == nil {
+		e.places = map[string]*place{}
 	}
+	e.places[h.ask.ID] = h
 }
 
 // place grants a request if there is room for it now; else it says why not. Only
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -76,14 +76,15 @@
 		{Name: "llm", Engine: &route.Engine{Slots: loadSlots, KVTokens: loadTokens}},
 	}})
 	qt.Assert(t, err, qt.IsNil)
-	v := &directory.View{Table: table, Endpoints: map[string][]*directory.Endpoint{}}
+	var list []*directory.Endpoint
 	for i := range prefills + decodes {
 		e := &directory.Endpoint{ID: fmt.Sprintf("e%02d", i), Service: "llm", Zone: "a", Slots: loadSlots, Stage: directory.Decode}
 		if i < prefills {
 			e.Stage = directory.Prefill
 		}
-		v.Endpoints["llm"] = append(v.Endpoints["llm"], e)
+		list = append(list, e)
 	}
+	v := directory.NewView(table, list...)
 	m := pace.New(loadFigures)
 	m.Tell("test", []pace.Figure{
 		{Service: "llm", Act: pace.Prompt, Base: meanPrompt}, {Service: "llm", Act: pace.Answer, Base: meanAnswer},
@@ -294,7 +295,7 @@
 }
 
 func BenchmarkPlacement(b *testing.B) {
-	for _, engines := range []int{10, 25, 100, 400} {
+	for _, engines := range []int{10, 25, 100, 400, 2000, 8000} {
 		for _, waiting := range []int{0, 10, 100, 1000} {
 			b.Run(fmt.Sprintf("engines=%d/waiting=%d", engines, waiting), func(b *testing.B) {
 				l := newLoad(b, max(engines/5, 1), engines-max(engines/5, 1))
--- a/internal/placement/message.go
+++ b/internal/placement/message.go
@@ -75,6 +75,7 @@
 	ReasonFull       = "decode_memory_full"
 	ReasonBusy       = "prefill_busy"
 	ReasonMoved      = "planner_moved"
+	ReasonNoZone     = "no_zone_allowed"
 )
 
 // Release gives places back.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -91,6 +91,7 @@
 	instance string // on which it runs
 	paces    *pace.Model
 	engines  map[string]*engine
+	views    int // that it has learned from
 	places   map[string]*place
 	owners   map[string]clock.Millis // when last heard
 	over     map[string]clock.Millis // attempts that ended
@@ -163,30 +164,28 @@
 	if v.Table == nil {
 		return
 	}
-	seen := map[string]bool{}
+	p.views++
 	for e, data := range v.Engines(p.zone) {
-		seen[e.ID] = true
 		known := p.engines[e.ID]
 		if known == nil {
-			known = &engine{joined: now, turn: xxhash.Sum64String(p.instance + "\x00" + e.ID), places: map[string]*place{}, reads: map[string]time.Duration{}}
+			known = &engine{joined: now, turn: xxhash.Sum64String(p.instance + "\x00" + e.ID)}
 			p.engines[e.ID] = known
 		}
 		if known.Stage != e.Stage {
 			known.full = 0 // it has changed its stage and takes work again
 		}
-		known.Endpoint = *e
+		known.Endpoint, known.seen = *e, p.views
 		known.capacity = int(useMemory * float64(data.KVTokens))
 		known.slots = data.Slots
 		known.switchTime = data.Switch()
 	}
-	for id := range p.engines {
-		if !seen[id] {
+	for id, e := range p.engines {
+		if e.seen != p.views {
 			delete(p.engines, id)
 		}
 	}
 	// The model also knows engines of other zones, which entries learn of.
-	all := v.IDs()
-	p.paces.Forget(func(engine string) bool { return all[engine] })
+	p.paces.Forget(func(engine string) bool { return v.Find(engine) != nil })
 }
 
 // endsIn predicts how long the answer still takes. One that is longer than
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -33,22 +33,27 @@
 	WholeToken: 36 * time.Microsecond, Step: 4500 * time.Microsecond, LengthPart: 0.42,
 }
 
-func view(t interface{ Fatal(...any) }, decodes int) *directory.View {
+func view(t interface{ Fatal(...any) }, decodes int) *directory.View { return viewOf(t, 1, decodes) }
+
+// viewOf is a zone of so many prefill engines, from p1 on, and decode engines, from d1 on.
+func viewOf(t interface{ Fatal(...any) }, prefills, decodes int) *directory.View {
 	table, err := route.NewTable(route.Document{Version: 1, Services: []route.Service{
 		{Name: "llm", Engine: &route.Engine{Slots: 8, KVTokens: capacity}},
 	}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	v := &directory.View{Table: table, Endpoints: map[string][]*directory.Endpoint{}}
+	var list []*directory.Endpoint
 	add := func(id string, stage directory.Stage) {
-		v.Endpoints["llm"] = append(v.Endpoints["llm"], &directory.Endpoint{ID: id, Service: "llm", Zone: "a", Slots: 8, Stage: stage})
+		list = append(list, &directory.Endpoint{ID: id, Service: "llm", Zone: "a", Slots: 8, Stage: stage})
+	}
+	for i := range prefills {
+		add(fmt.Sprint("p", i+1), directory.Prefill)
 	}
-	add("p1", directory.Prefill)
 	for i := range decodes {
 		add(fmt.Sprint("d", i+1), directory.Decode)
 	}
-	return v
+	return directory.NewView(table, list...)
 }
 
 func planner(t interface{ Fatal(...any) }, decodes int) *placement.Planner {
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -17,6 +17,9 @@
 // late says whether the request cannot be in time any more.
 func (w waiting) late(now clock.Millis) bool { return w.ask.Late || now >= w.until }
 
+// Idle says whether there is nothing that time could change.
+func (p *Planner) Idle() bool { return len(p.queue)+len(p.places)+len(p.over) == 0 }
+
 // Queued is the number of requests that wait.
 func (p *Planner) Queued() int { return len(p.queue) }
 
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -43,6 +43,15 @@
 // Table is the limits that are known. It is not safe for concurrent use.
 type Table struct {
 	known map[string]word
+	cold  map[string]warmup
+}
+
+// warmup is what an endpoint takes while it is cold, as its entry in the store tells all
+// instances. It ends by time and not by what answers name.
+type warmup struct {
+	zone  string
+	rate  float64
+	until clock.Millis
 }
 
 // word is a statement with the time of its answer in place of its age.
@@ -52,7 +61,15 @@
 }
 
 // NewTable returns a table that knows nothing.
-func NewTable() *Table { return &Table{known: map[string]word{}} }
+func NewTable() *Table { return &Table{known: map[string]word{}, cold: map[string]warmup{}} }
+
+// Warming takes that an endpoint is cold for some time and takes no more than a rate
+// meanwhile. It says whether that is news.
+func (t *Table) Warming(now clock.Millis, endpoint, zone string, rate float64, left time.Duration) (news bool) {
+	_, known := t.cold[endpoint]
+	t.cold[endpoint] = warmup{zone: zone, rate: rate, until: now.Add(left)}
+	return !known
+}
 
 // Named takes that an answer of an endpoint names a rate. It says whether that is news.
 func (t *Table) Named(now clock.Millis, endpoint, zone string, rate float64) (news bool) {
@@ -99,14 +116,23 @@
 
 // Limit returns the rate that binds an endpoint and the endpoint's zone, if any does.
 func (t *Table) Limit(endpoint string) (rate float64, zone string, limited bool) {
-	w, known := t.known[endpoint]
-	return w.Rate, w.Zone, known && !w.Over
+	w, named := t.known[endpoint]
+	named = named && !w.Over
+	c, cold := t.cold[endpoint]
+	switch {
+	case named && cold:
+		return min(w.Rate, c.rate), c.zone, true
+	case cold:
+		return c.rate, c.zone, true
+	default:
+		return w.Rate, w.Zone, named
+	}
 }
 
 // Binds says whether a limit binds an endpoint.
 func (t *Table) Binds(endpoint string) bool {
-	w, known := t.known[endpoint]
-	return known && !w.Over
+	_, _, limited := t.Limit(endpoint)
+	return limited
 }
 
 // Digest is the same for two tables by which the same rates bind the same endpoints.
@@ -130,8 +156,33 @@
 	return list
 }
 
+// Bound returns the endpoints that limits bind, with their rates.
+func (t *Table) Bound() []Statement {
+	list := make([]Statement, 0, len(t.known)+len(t.cold))
+	add := func(endpoint string) {
+		rate, zone, limited := t.Limit(endpoint)
+		if limited {
+			list = append(list, Statement{Endpoint: endpoint, Zone: zone, Rate: rate})
+		}
+	}
+	for endpoint := range t.known {
+		add(endpoint)
+	}
+	for endpoint := range t.cold {
+		if _, both := t.known[endpoint]; !both {
+			add(endpoint)
+		}
+	}
+	return list
+}
+
 // Expire forgets what is too old.
 func (t *Table) Expire(now clock.Millis) {
+	for endpoint, c := range t.cold {
+		if now >= c.until {
+			delete(t.cold, endpoint)
+		}
+	}
 	for endpoint, w := range t.known {
 		age := now.Sub(w.heard)
 		if w.Over && age > afterlife || age > memory {
@@ -141,27 +192,19 @@
 }
 
 // Empty says whether nothing is known, not even that a limit is over.
-func (t *Table) Empty() bool { return len(t.known) == 0 }
+func (t *Table) Empty() bool { return len(t.known) == 0 && len(t.cold) == 0 }
 
-// Size is how many limits bind.
-func (t *Table) Size() int {
-	n := 0
-	for _, w := range t.known {
-		if !w.Over {
-			n++
-		}
-	}
-	return n
-}
+// Size is how many endpoints are limited.
+func (t *Table) Size() int { return len(t.Bound()) }
 
 // Zones are the zones of endpoints whose limits bind.
 func (t *Table) Zones() []string {
 	var list []string
 	seen := map[string]bool{}
-	for _, w := range t.known {
-		if !w.Over && !seen[w.Zone] {
-			seen[w.Zone] = true
-			list = append(list, w.Zone)
+	for _, s := range t.Bound() {
+		if !seen[s.Zone] {
+			seen[s.Zone] = true
+			list = append(list, s.Zone)
 		}
 	}
 	return list
--- a/internal/ratelimit/table_test.go
+++ b/internal/ratelimit/table_test.go
@@ -88,6 +88,36 @@
 	}
 }
 
+// A cold endpoint takes a rate for a time, whatever its answers name, and the lower of
+// two rates binds. Peers are not told, as each hears it with the endpoint's entry.
+func TestColdEndpoint(t *testing.T) {
+	cold := func(t *ratelimit.Table) { t.Warming(1000, "e1", "a", 8, 3*time.Second) }
+	tests := []struct {
+		name string
+		hear func(t *ratelimit.Table)
+		want float64
+	}{
+		{"it is cold", cold, 8},
+		{"it answers and names nothing", func(t *ratelimit.Table) { cold(t); t.Unnamed(2000, "e1", 1500) }, 8},
+		{"it names less", func(t *ratelimit.Table) { cold(t); t.Named(2000, "e1", "a", 4) }, 4},
+		{"it names more", func(t *ratelimit.Table) { cold(t); t.Named(2000, "e1", "a", 20) }, 8},
+		{"its time is nearly over", func(t *ratelimit.Table) { cold(t); t.Expire(3999) }, 8},
+		{"its time is over", func(t *ratelimit.Table) { cold(t); t.Expire(4000) }, -1},
+		{"its time is over, and it names less", func(t *ratelimit.Table) { cold(t); t.Named(2000, "e1", "a", 4); t.Expire(4000) }, 4},
+		{"it turns cold again", func(t *ratelimit.Table) { cold(t); t.Warming(3000, "e1", "a", 8, 3*time.Second); t.Expire(4000) }, 8},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := ratelimit.NewTable()
+			test.hear(table)
+			qt.Assert(t, rate(table), qt.Equals, test.want)
+			qt.Assert(t, table.Empty(), qt.Equals, test.want < 0)
+			qt.Assert(t, len(table.Bound()) == 1, qt.Equals, test.want >= 0)
+			qt.Assert(t, table.Size(), qt.Equals, len(table.Zones()))
+		})
+	}
+}
+
 // Two who tell each other the same word do not keep it alive.
 func TestWordsGrowOldBetweenPeers(t *testing.T) {
 	c := qt.New(t)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,8 +5,12 @@
 package relay
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
+	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,8 +37,10 @@
 const roleCheck = "check"
 
 const (
-	// tickEvery is how often it is decided what to do.
-	tickEvery = 50 * time.Millisecond
+	// tickBusy and tickIdle are how often it is decided what to do, while something is
+	// lacking and while nothing is.
+	tickBusy = 50 * time.Millisecond
+	tickIdle = 200 * time.Millisecond
 	// watchers is how many instances of a zone watch the store. Each watch is
 	// answered once for each change, so that calls would grow with the square
 	// of the fleet if all watched.
@@ -52,6 +58,14 @@
 	// A configuration of 1,300 routes takes 0.2 s to come over 10 Mbit/s, more
 	// beside other traffic.
 	cutWait = 1500 * time.Millisecond
+	// silentFor is how long an instance that has begun tells nobody.
+	silentFor = roster.JoinTime / 2
+	// tellMost is how many endpoints one answer tells, some 100 bytes each: a link of
+	// 20 Mbit/s carries it in 50 ms. Who lacks more asks on.
+	tellMost = 1000
+	// deputyPart of the time within which a change must be in force is the delay of the
+	// second watcher: the first may gather changes for an eighth of it.
+	deputyPart = 0.2
 	// cutPulls is how many such questions may wait at a time, since some of the
 	// peers may be cut off as well.
 	cutPulls = 4
@@ -63,6 +77,10 @@
 	Revision int64  `cbor:"2,keyasint"` // of the view of endpoints
 	Digest   uint64 `cbor:"3,keyasint"` // of that view
 	Cut      bool   `cbor:"4,keyasint"` // the store does not answer the asker
+	// Seeding says that the asker has just begun and wants all that there is.
+	Seeding bool `cbor:"5,keyasint,omitempty"`
+	// Whole asks for everything at once, as the asker has to find out what there is not.
+	Whole bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Told is what the asker lacks.
@@ -75,98 +93,229 @@
 	Instances []roster.Instance    `cbor:"6,keyasint,omitempty"`
 	Left      []roster.Departure   `cbor:"7,keyasint,omitempty"`
 	Revision  int64                `cbor:"8,keyasint"`
-	AskStore  bool                 `cbor:"9,keyasint,omitempty"` // the configuration is too large to pass round
+	AskStore  bool                 `cbor:"9,keyasint,omitempty"` // a newer configuration is not told here
 	Digest    uint64               `cbor:"10,keyasint"`          // of the other's beliefs at Revision
+	// Evacuations are the operators' orders on zones.
+	Evacuations []directory.Evacuation `cbor:"11,keyasint,omitempty"`
+	More        bool                   `cbor:"12,keyasint,omitempty"` // there is more after Revision
+	// Later says that an answer to an earlier question is still on its way.
+	Later bool `cbor:"14,keyasint,omitempty"`
+	// Others are instances that were told all lately, where who is asked cannot tell it now.
+	Others []string `cbor:"13,keyasint,omitempty"`
+	// Progress grows while who is asked reads everything or tells it to others.
+	Progress int64 `cbor:"15,keyasint,omitempty"`
+	// Version is the newest configuration's that the other has heard of, if it has it or not.
+	Version int64 `cbor:"16,keyasint,omitempty"`
 }
 
-// Relay asks and answers.
-type Relay struct {
+// Options are what a Relay works with.
+type Options struct {
 	Name      string
 	Transport *peer.Transport
 	Roster    *roster.Roster
 	Directory *directory.Directory
 	Zone      string
+	Capacity  float64 // of the own processor, in cores
 	Tell      func(directory.Event)
 	// Instances takes what a peer knows of instances; whole says that it is
 	// all of them.
 	Instances func(seen []roster.Instance, left []roster.Departure, whole bool, revision int64)
+	// Roll reads the instances of the own zone from the store.
+	Roll func(context.Context) error
 	// Head asks the store for its revision; List has the feed read everything,
-	// Configure the configuration only.
+	// CatchUp what changed, Configure the configuration only.
 	Head      func(context.Context) (int64, error)
 	List      func()
+	CatchUp   func()
 	Configure func()
 	Log       *eventlog.Log
 	Scope     tally.Scope
 	Now       func() clock.Millis
+	// Fresh decides when to ask; the relay guards it.
+	Fresh *freshness.Freshness
+	// Bound is the time within which a change must be in force.
+	Bound time.Duration
+}
 
-	lost   atomic.Bool
+// Relay asks and answers.
+type Relay struct {
+	Options
+	began  clock.Millis
+	lost   atomic.Int64 // since when the store does not answer, in milliseconds; 0: it does
 	pulled clock.Millis
-	cut    atomic.Int32 // questions of a cut-off instance that wait
+	// caughtUp is from which revision on changes were last asked of the store.
+	caughtUp int64
+	cut      atomic.Int32 // questions of a cut-off instance that wait
+	turn     atomic.Int64 // of acquaintances; a silent one has all replaced
 
-	mu sync.Mutex
-	// Fresh decides when to ask; the relay guards it.
-	Fresh *freshness.Freshness
+	seeding  atomic.Bool
+	progress atomic.Int64 // see Progressed
+	tellAt   atomic.Int64 // when the zone is to be told, in milliseconds; 0: nothing is put off
+	ticker   *ticker.Ticker
+
+	mu     sync.Mutex
+	wanted awaited
+	told   int64                   // up to which the zone was told, by this instance or the first
+	seeds  map[string]clock.Millis // who is being told of all endpoints here, by name
+	seeded []string                // who was, lately
 }
 
-// Hint tells peers a revision that the store has and what the sender believes.
+// Hint tells peers a revision that the store has and what the sender believes. Hints before
+// it have what has changed since the zone was last told: most need not ask.
 type Hint struct {
 	Revision int64  `cbor:"1,keyasint"`
 	Digest   uint64 `cbor:"2,keyasint"`
+	Since    int64  `cbor:"3,keyasint,omitempty"`
+	News     *Told  `cbor:"4,keyasint,omitempty"` // after Since
+	Version  int64  `cbor:"5,keyasint,omitempty"` // as in Told
+	AskStore bool   `cbor:"6,keyasint,omitempty"` // for a configuration of that version
+}
+
+// New returns a relay that does not run yet.
+func New(o Options) *Relay {
+	return &Relay{Options: o, ticker: ticker.New(tickBusy, tickIdle), began: o.Now(), seeds: map[string]clock.Millis{}}
 }
 
 // Lost says that the store does not answer this instance.
-func (r *Relay) Lost() { r.lost.Store(true) }
+func (r *Relay) Lost() {
+	r.lost.Store(int64(r.Now()))
+	r.ticker.Wake()
+}
 
 // Regained says that it answers again.
-func (r *Relay) Regained() { r.lost.Store(false) }
+func (r *Relay) Regained() { r.lost.Store(0) }
 
 // IsLost says whether the store does not answer this instance.
-func (r *Relay) IsLost() bool { return r.lost.Load() }
+func (r *Relay) IsLost() bool { return r.lost.Load() != 0 }
+
+// LostFor is how long the store has not answered this instance; 0: it does.
+func (r *Relay) LostFor() time.Duration {
+	since := clock.Millis(r.lost.Load())
+	if since == 0 {
+		return 0
+	}
+	return r.Now().Sub(since)
+}
 
 // Register adds the handler of peers' questions.
 func (r *Relay) Register(router *message.Router) {
-	peer.Answer(router, r.Transport, topic, func(_ context.Context, _ peer.Sender, q Question) Told {
-		return r.answer(q)
-	})
-	peer.Handle(router, r.Transport, topicHint, func(from peer.Sender, h Hint) {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.Fresh.Heard(r.Now(), h.Revision, h.Digest, from.Name)
+	peer.Answer(router, r.Transport, topic, func(_ context.Context, s peer.Sender, q Question) Told {
+		if r.Transport.Busy(s.Address) {
+			// It asks again before it has the last answer: more would only fill its link.
+			r.Scope.Counter("relay_put_off").Inc(1)
+			return Told{Later: true}
+		}
+		return r.answer(s.Name, q)
 	})
+	peer.Handle(router, r.Transport, topicHint, r.hear)
+}
+
+// hear takes a hint.
+func (r *Relay) hear(from peer.Sender, h Hint) {
+	if h.AskStore {
+		r.askStore(h.Version)
+	}
+	if h.News != nil {
+		r.takeNews(from, h)
+		return // the last hint of several has none
+	}
+	place, known := r.Roster.Rank(r.Zone, roleCheck, from.Name)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Fresh.Heard(r.Now(), h.Revision, h.Digest, from.Name)
+	if known && place == 0 {
+		r.told = max(r.told, h.Revision)
+	}
+	r.ticker.Wake()
+}
+
+// takeNews takes what came with a hint, if it goes on from what is known here. News from
+// beyond a configuration that was not heard of is not taken: with its revision this
+// instance would have nothing left to ask for.
+func (r *Relay) takeNews(from peer.Sender, h Hint) {
+	v := r.Directory.View()
+	known := v.Revision
+	if known < h.Since || known >= h.News.Revision || known == 0 || h.News.Version > r.version(v) || r.seeding.Load() || r.Watching() {
+		return
+	}
+	r.take(roster.Instance{Name: from.Name, Address: from.Address, Zone: r.Zone}, Question{Revision: known}, *h.News)
+}
+
+// news is what has changed since the zone was last told, in parts.
+func (r *Relay) news(v *directory.View) (list []Hint) {
+	r.mu.Lock()
+	since := r.told
+	r.told = max(r.told, v.Revision)
+	r.mu.Unlock()
+	if since == 0 || v.TableRev > since && !r.large(v) {
+		return nil // each asks for a new configuration, unless it is read from the store
+	}
+	for more := since < v.Revision; more; {
+		t := r.tell(Question{Revision: since, Version: math.MaxInt64})
+		list = append(list, Hint{Revision: t.Revision, Digest: t.Digest, Since: since, News: &t})
+		since, more = t.Revision, t.More
+	}
+	return list
+}
+
+func (r *Relay) answer(from string, q Question) Told {
+	if !q.Seeding {
+		return r.tell(q)
+	}
+	if !r.maySeed(from) {
+		return Told{Others: r.seededLately(), Progress: r.progress.Load()}
+	}
+	t := r.tell(q)
+	r.Progressed(len(t.Endpoints))
+	if !t.More {
+		r.noteSeeded(from)
+	}
+	return t
 }
 
-func (r *Relay) answer(q Question) Told {
+// tell is what an asker lacks.
+func (r *Relay) tell(q Question) Told {
 	v := r.Directory.View()
-	t := Told{TableRev: v.TableRev, Revision: v.Revision}
-	if v.Table != nil && v.Table.Version > q.Version {
+	t := Told{TableRev: v.TableRev, Revision: v.Revision, Version: r.version(v)}
+	switch {
+	case t.Version <= q.Version:
+	case !q.Cut && r.large(v):
+		t.AskStore = true
+	case v.Version() > q.Version:
 		d := v.Table.Document()
-		t.AskStore = !q.Cut && len(d.Routes) > routesMost
-		if !t.AskStore {
-			t.Document = &d
-		}
+		t.Document = &d
 	}
-	since := q.Revision
+	since, most := q.Revision, tellMost
 	switch {
-	case v.Revision == q.Revision && v.Digest != q.Digest:
-		since = 0 // nothing new, but other beliefs: all of them are told
+	case q.Whole, v.Revision == q.Revision && v.Digest != q.Digest:
+		since, most = 0, 0 // there may be nothing new, but other beliefs: all of them are told
 	case v.Revision <= q.Revision:
 		return t
 	}
-	news := r.Directory.Since(since)
-	t.Whole, t.Endpoints, t.Gone = news.Whole, news.Endpoints, news.Gone
+	news := r.Directory.Since(since, most)
+	t.More = news.More
+	t.Whole, t.Endpoints, t.Gone, t.Evacuations = news.Whole, news.Endpoints, news.Gone, news.Evacuations
 	t.Revision, t.Digest = news.Revision, news.Digest
-	t.Instances, t.Left = r.Roster.Since(since)
+	if !q.Seeding || since == 0 {
+		t.Instances, t.Left = r.Roster.Since(since)
+	}
 	return t
 }
 
 // Run keeps this instance's knowledge fresh until ctx ends.
 func (r *Relay) Run(ctx context.Context) {
-	ticker.Every(ctx, tickEvery, func() { r.step(ctx) })
+	r.ticker.Run(ctx, func() bool { return r.step(ctx) })
 }
 
-func (r *Relay) step(ctx context.Context) {
+// step does what is due; it is busy while something is lacking.
+func (r *Relay) step(ctx context.Context) (busy bool) {
+	if r.seeding.Load() {
+		return false
+	}
 	now := r.Now()
-	if r.lost.Load() {
+	r.askAgain(now)
+	r.tellDue(now)
+	if r.IsLost() {
 		if now.Sub(r.pulled) >= pullEvery && r.cut.Load() < cutPulls {
 			r.pulled = now
 			r.cut.Add(1)
@@ -175,26 +324,44 @@
 				r.pull(ctx, "", cutWait)
 			}()
 		}
-		return
+		return true
 	}
 	v, rank := r.Directory.View(), r.rank()
 	r.mu.Lock()
 	action := r.Fresh.Next(now, freshness.Known{
-		Revision: v.Revision, Digest: v.Digest, Rank: rank, Watching: rank < watchers,
+		Revision: v.Revision, Digest: v.Digest, Rank: rank, Zone: r.ZoneSize(), Watching: rank < watchers,
 	})
-	source := r.Fresh.Source()
+	source, behind := r.Fresh.Source(), r.Fresh.Behind()
 	r.mu.Unlock()
 	switch action {
 	case freshness.AskStore:
 		r.check(ctx)
 	case freshness.ListStore:
-		r.List()
+		r.readStore(v.Revision)
 	case freshness.AskPeer:
 		r.pull(ctx, source, pullWait)
 	case freshness.Nothing:
 	}
+	return behind
 }
 
+// readStore has the feed read what changed after a revision or, if it was asked for that in
+// vain, everything.
+func (r *Relay) readStore(revision int64) {
+	if revision > 0 && r.caughtUp != revision {
+		r.caughtUp = revision
+		r.CatchUp()
+		return
+	}
+	r.List()
+}
+
+// members are the instances of the own zone, those who watch first.
+func (r *Relay) members() []roster.Instance { return r.Roster.Ranked(r.Zone, roleCheck) }
+
+// ZoneSize is how many instances the own zone has.
+func (r *Relay) ZoneSize() int { return len(r.members()) }
+
 // rank is this instance's place among those of its zone; the first while it is
 // not known itself.
 func (r *Relay) rank() int {
@@ -217,30 +384,77 @@
 		r.pull(ctx, "", pullWait) // others may know more while the store does not answer
 		return
 	}
-	r.hint(revision)
+	r.hint(revision, r.members()) // those who watch have been silent
 }
 
 // Watching says whether this instance is one of those of its zone that watch
 // the store.
 func (r *Relay) Watching() bool { return r.rank() < watchers }
 
-// Told passes on that there is news from the store.
-func (r *Relay) Told() { r.hint(r.Directory.View().Revision) }
+// Told passes on that there is news from the store. Those who watch it tell the zone: if
+// all did, as in a start of all, each would connect to each. The first watcher tells at
+// once. The second does so later, and leaves out what the first has told, so that each
+// change goes over the links of the zone once.
+func (r *Relay) Told() {
+	switch {
+	case !r.speaks():
+	case r.rank() == 0:
+		r.tellZone()
+	default:
+		r.tellAt.CompareAndSwap(0, int64(r.Now().Add(time.Duration(deputyPart*float64(r.Bound)))))
+	}
+}
+
+// tellDue tells the zone what the second watcher has put off.
+func (r *Relay) tellDue(now clock.Millis) {
+	if at := r.tellAt.Load(); at != 0 && now >= clock.Millis(at) {
+		r.tellAt.Store(0)
+		r.tellZone()
+	}
+}
+
+func (r *Relay) tellZone() { r.hint(r.Directory.View().Revision, r.members()) }
+
+// speaks says whether this instance is known to be one of those that tell the zone. A young
+// one does not know yet who else there is: where many start together, each of ten or
+// twenty would take itself for one of the first two, and connect to all others.
+func (r *Relay) speaks() bool {
+	place, known := r.Roster.Rank(r.Zone, roleCheck, r.Name)
+	return known && place < watchers && r.Now().Sub(r.began) >= silentFor
+}
+
+// passOn tells what another zone knew: to the own zone, if this instance speaks for it,
+// else to those who do.
+func (r *Relay) passOn(revision int64) {
+	zone := r.members()
+	if !r.speaks() {
+		zone = zone[:min(len(zone), watchers)]
+	}
+	r.hint(revision, zone)
+}
 
-func (r *Relay) hint(revision int64) {
+// hint tells instances a revision and what is believed here.
+func (r *Relay) hint(revision int64, to []roster.Instance) {
 	v := r.Directory.View()
 	if v.Doubtful {
 		return // whoever has no doubts tells the zone
 	}
-	h := Hint{Revision: revision, Digest: v.Digest}
-	for _, f := range r.Roster.Ranked(r.Zone, roleCheck) {
-		if f.Name == r.Name {
-			continue
-		}
-		if err := peer.Send(r.Transport, f.Address, topicHint, h); err != nil {
-			r.Scope.Counter("relay_hint_failed").Inc(1)
+	var addresses []netip.AddrPort
+	for _, f := range to {
+		if f.Name != r.Name {
+			addresses = append(addresses, f.Address)
 		}
 	}
+	list := []Hint{{Revision: revision, Digest: v.Digest}}
+	if len(to) > watchers {
+		list = append(r.news(v), list...)
+	}
+	version, large := r.version(v), r.large(v)
+	for _, h := range list {
+		h.Version, h.AskStore = version, large
+		unsent := peer.SendAll(r.Transport, addresses, topicHint, h)
+		r.Scope.Counter("relay_hint_failed").Inc(int64(unsent))
+	}
 }
 
 // pull asks the peer called name, or any, and waits for its answer.
@@ -250,11 +464,11 @@
 		return
 	}
 	v := r.Directory.View()
-	q := Question{Revision: v.Revision, Digest: v.Digest, Cut: r.lost.Load()}
-	if v.Table != nil {
-		q.Version = v.Table.Version
-	}
+	q := Question{Version: v.Version(), Revision: v.Revision, Digest: v.Digest, Cut: r.IsLost()}
 	told, ok := r.ask(ctx, other, q, wait)
+	if !ok && name == "" {
+		r.turn.Add(1)
+	}
 	if !ok || told.Whole || told.Revision == 0 || told.Digest == 0 {
 		return
 	}
@@ -265,7 +479,7 @@
 	r.mu.Unlock()
 	if whole {
 		r.Scope.Counter("relay_whole_views").Inc(1)
-		r.ask(ctx, other, Question{Version: q.Version, Cut: q.Cut}, wait)
+		r.ask(ctx, other, Question{Version: q.Version, Cut: q.Cut, Whole: true}, wait)
 	}
 }
 
@@ -282,7 +496,8 @@
 	return told, true
 }
 
-func (r *Relay) take(other roster.Instance, q Question, t Told) {
+// takeTable takes a configuration that is newer than the own one, if one was told.
+func (r *Relay) takeTable(other roster.Instance, t Told) {
 	if t.Document != nil {
 		table, err := route.NewTable(*t.Document)
 		if err != nil {
@@ -292,34 +507,55 @@
 		}
 	}
 	if t.AskStore {
-		r.Configure()
+		r.askStore(t.Version)
 	}
+}
+
+func (r *Relay) take(other roster.Instance, q Question, t Told) {
+	if t.Later {
+		r.mu.Lock()
+		r.Fresh.PutOff()
+		r.mu.Unlock()
+		return
+	}
+	r.takeTable(other, t)
 	if t.Revision < q.Revision || t.Revision == q.Revision && !t.Whole {
 		return
 	}
 	r.Instances(t.Instances, t.Left, t.Whole, t.Revision) // first, as in the feed
-	r.Tell(directory.Relayed{Whole: t.Whole, Endpoints: t.Endpoints, Gone: t.Gone, Revision: t.Revision})
+	r.Tell(directory.Relayed{Whole: t.Whole, Endpoints: t.Endpoints, Gone: t.Gone, Evacuations: t.Evacuations, Revision: t.Revision})
 	if t.Revision == q.Revision {
 		return // other beliefs at the same revision; what they changed has lines of its own
 	}
 	r.Log.Write(eventlog.Line{Event: eventlog.PeerTold, Address: other.Address.String(), Revision: t.Revision})
-	if other.Zone != r.Zone {
-		r.hint(t.Revision) // the own zone may have no other way to learn
+	if other.Zone != r.Zone || r.speaks() {
+		r.passOn(t.Revision) // the own zone may have no other way to learn
 	}
 }
 
-// pick returns the peer called name or, without a name, one at random.
+// acquaintances is how many peers an instance asks that is cut off from the store. Each is
+// asked by about as many; with all of a large fleet it would soon be connected to all.
+const acquaintances = 8
+
+// pick returns the peer called name or, without a name, one of the acquaintances.
 func (r *Relay) pick(name string) (roster.Instance, bool) {
-	all := r.Roster.All()
-	if len(all) == 0 {
-		return roster.Instance{}, false
+	if name != "" {
+		return r.Roster.Find(name)
 	}
-	from := rand.IntN(len(all))
-	for i := range all {
-		f := all[(from+i)%len(all)]
-		if f.Name == name || name == "" && f.Name != r.Name {
-			return f, true
-		}
+	return acquaintance(r.Roster.All(), r.Name, rand.IntN(acquaintances), int(r.turn.Load()))
+}
+
+// acquaintance returns one of the acquaintances of an instance. They are spread over the
+// list, which is in the order of names and so mostly of zones. Each turn has others.
+func acquaintance(all []roster.Instance, own string, number, turn int) (roster.Instance, bool) {
+	at, known := slices.BinarySearchFunc(all, own, func(i roster.Instance, name string) int { return cmp.Compare(i.Name, name) })
+	others := len(all)
+	if known {
+		others--
+		at++
+	}
+	if others == 0 {
+		return roster.Instance{}, false
 	}
-	return roster.Instance{}, false
+	return all[(at+(number*others/acquaintances+turn)%others)%len(all)], true
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -4,6 +4,7 @@
 package route
 
 import (
+	"math"
 	"strings"
 	"time"
 
@@ -43,6 +44,7 @@
 	Priority  int           // 0 is the most urgent
 	Resumable bool          // a stream may go on at another endpoint
 	Open      bool          // requests need no key
+	Regions   []string      // where requests may be served; none: anywhere
 	Shares    []Share
 }
 
@@ -98,6 +100,7 @@
 type Service struct {
 	Name          string
 	ConnectionCap int     // connections that one endpoint takes from all callers
+	ColdRate      float64 // requests a second that a cold endpoint takes from all instances; 0: no limit
 	Engine        *Engine // nil for plain services
 }
 
@@ -143,6 +146,9 @@
 	}
 	for i := range d.Services {
 		s := &d.Services[i]
+		if s.ColdRate < 0 || math.IsNaN(s.ColdRate) || math.IsInf(s.ColdRate, 0) {
+			return nil, Error.New("service %q: rate of a cold endpoint %v must not be below nothing", s.Name, s.ColdRate)
+		}
 		t.services[s.Name] = s
 	}
 	for i := range d.Routes {
@@ -197,6 +203,9 @@
 // Service returns the service called name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Services are all services; they must not be changed.
+func (t *Table) Services() []Service { return t.document.Services }
+
 // Document returns what the table was made of; it must not be changed.
 func (t *Table) Document() Document { return t.document }
 
--- a/internal/route/workspace.go
+++ b/internal/route/workspace.go
@@ -20,8 +20,9 @@
 type Workspace struct {
 	Name     string
 	Keys     []Key
-	Priority int  // goes before the route's, if Ranked
-	Ranked   bool // Priority is given
+	Priority int      // goes before the route's, if Ranked
+	Ranked   bool     // Priority is given
+	Regions  []string // where its requests may be served; none: anywhere
 	Limit    Limit
 }
 
--- a/internal/staging/policy.go
+++ b/internal/staging/policy.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -111,8 +112,8 @@
 		if service == nil || service.Engine == nil || s.Requests < leastSizes {
 			continue
 		}
-		zones, underWay := p.split(now, v.Endpoints[name])
-		most := max(int(underWayPart*float64(len(v.Endpoints[name]))), 1) - underWay
+		zones, all, underWay := p.split(now, v.Service(name))
+		most := max(int(underWayPart*float64(all)), 1) - underWay
 		for _, o := range choose(zones, wanted(s, service, paces), s.uncertainty(), most) {
 			p.ordered[o.Endpoint.ID] = ordered{stage: o.Stage, until: now.Add(service.Engine.Switch() + settleSlack)}
 			orders = append(orders, o)
@@ -183,10 +184,11 @@
 	return orders
 }
 
-// split sorts engines by zone and counts the orders under way.
-func (p *Policy) split(now clock.Millis, list []*directory.Endpoint) (zones []*zone, underWay int) {
+// split sorts engines by zone and counts them and the orders under way.
+func (p *Policy) split(now clock.Millis, engines iter.Seq[*directory.Endpoint]) (zones []*zone, all, underWay int) {
 	byName := map[string]*zone{}
-	for _, e := range list {
+	for e := range engines {
+		all++
 		if e.State != directory.Ready || e.Stage == directory.Whole {
 			continue
 		}
@@ -209,7 +211,7 @@
 		z.add(e, stage, changing)
 	}
 	slices.SortFunc(zones, func(a, b *zone) int { return cmp.Compare(a.name, b.name) })
-	return zones, underWay
+	return zones, all, underWay
 }
 
 func (z *zone) add(e *directory.Endpoint, stage directory.Stage, changing bool) {
--- a/internal/staging/policy_test.go
+++ b/internal/staging/policy_test.go
@@ -27,17 +27,17 @@
 	if err != nil {
 		panic(err) // the document is this test's own
 	}
-	v := &directory.View{Table: table, Endpoints: map[string][]*directory.Endpoint{}}
+	var list []*directory.Endpoint
 	for z, counts := range zones {
 		for stage, n := range map[directory.Stage]int{directory.Prefill: counts[0], directory.Decode: counts[1]} {
 			for i := range n {
-				v.Endpoints["llm"] = append(v.Endpoints["llm"], &directory.Endpoint{
+				list = append(list, &directory.Endpoint{
 					ID: fmt.Sprint("z", z, "-", stage, "-", i), Service: "llm", Zone: fmt.Sprint("z", z), Stage: stage,
 				})
 			}
 		}
 	}
-	return v
+	return directory.NewView(table, list...)
 }
 
 func sizes(requests, prompt, output int) map[string]staging.Sizes {
--- a/internal/staging/runner.go
+++ b/internal/staging/runner.go
@@ -30,7 +30,7 @@
 	// Send gives an order; fence is the holder's.
 	Send func(ctx context.Context, o Order, holder string, fence int64) error
 	// Spared says whether an engine is to be left alone now: it gets no order.
-	Spared func(ctx context.Context, engine string) bool
+	Spared func(ctx context.Context, e *directory.Endpoint) bool
 	// Closed is told of an engine that takes nothing until it has changed.
 	Closed func(o Order)
 	Log    *eventlog.Log
@@ -77,7 +77,7 @@
 func (r *Runner) give(ctx context.Context, policy *Policy, orders []Order, fence int64) {
 	var group sync.WaitGroup
 	for _, o := range orders {
-		if r.Spared(ctx, o.Endpoint.ID) {
+		if r.Spared(ctx, o.Endpoint) {
 			r.Scope.Counter("orders_put_off").Inc(1)
 			policy.PutOff(o)
 			continue
--- a/internal/staging/runner_test.go
+++ b/internal/staging/runner_test.go
@@ -22,7 +22,7 @@
 		log := eventlog.Open(io.Discard, "n1")
 		r := &Runner{
 			Leadership: &leadership.Leadership{Name: "n1"}, Log: log, Scope: tally.NoopScope,
-			Spared: func(context.Context, string) bool { return spared },
+			Spared: func(context.Context, *directory.Endpoint) bool { return spared },
 			Closed: func(Order) { closed++ },
 			Send:   func(context.Context, Order, string, int64) error { sent++; return nil },
 		}
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -312,11 +312,8 @@
 	if len(list) == 0 {
 		return
 	}
-	for _, address := range to {
-		if err := peer.Send(s.Transport, address, topicTold, told{Records: list, PassOn: passOn}); err != nil {
-			s.Scope.Counter("suspects_send_failed").Inc(1)
-		}
-	}
+	unsent := peer.SendAll(s.Transport, to, topicTold, told{Records: list, PassOn: passOn})
+	s.Scope.Counter("suspects_send_failed").Inc(int64(unsent))
 }
 
 // save writes to the store what it lacks, and removes what is not held any more.
--- a/internal/throttle/loans.go
+++ b/internal/throttle/loans.go
@@ -131,10 +131,8 @@
 	if !lent {
 		return true
 	}
-	for _, i := range t.Roster.All() {
-		if i.Name == holder && !t.isSilent(i) {
-			t.offer(ctx, i, permit.Loan{Zone: zone}, func() { t.issuer.Returned(holder, zone) })
-		}
+	if i, known := t.Roster.Find(holder); known && !t.isSilent(i) {
+		t.offer(ctx, i, permit.Loan{Zone: zone}, func() { t.issuer.Returned(holder, zone) })
 	}
 	return false // until it answers, or the loan ends
 }
--- a/internal/throttle/peers.go
+++ b/internal/throttle/peers.go
@@ -40,11 +40,8 @@
 }
 
 func (t *Throttle) send(to []netip.AddrPort, v told) {
-	for _, address := range to {
-		if err := peer.Send(t.Transport, address, topicTold, v); err != nil {
-			t.Scope.Counter("throttle_send_failed").Inc(1)
-		}
-	}
+	unsent := peer.SendAll(t.Transport, to, topicTold, v)
+	t.Scope.Counter("throttle_send_failed").Inc(int64(unsent))
 }
 
 // lineOf is the line that tells a limit.
--- a/internal/throttle/permits.go
+++ b/internal/throttle/permits.go
@@ -84,8 +84,8 @@
 	now := t.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, s := range t.table.All(now) {
-		if s.Over || s.Zone != t.Zone {
+	for _, s := range t.table.Bound() {
+		if s.Zone != t.Zone {
 			continue
 		}
 		after := t.issuer.Spent(now, permit.Ask{Endpoint: s.Endpoint, Zone: s.Zone, Rate: s.Rate})
@@ -163,21 +163,8 @@
 	return roster.Instance{}, false
 }
 
-// order is that of a zone's instances, a moment ago at the most.
-func (t *Throttle) order(zone string) []roster.Instance {
-	now := t.Now()
-	t.mu.Lock()
-	r, known := t.ranked[zone]
-	t.mu.Unlock()
-	if known && now.Sub(r.at) < orderFor {
-		return r.list
-	}
-	r = ranking{at: now, list: t.Roster.Ranked(zone, roleIssuer)}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.ranked[zone] = r
-	return r.list
-}
+// order is that of a zone's instances.
+func (t *Throttle) order(zone string) []roster.Instance { return t.Roster.Ranked(zone, roleIssuer) }
 
 func (t *Throttle) isSilent(i roster.Instance) bool {
 	t.mu.Lock()
--- a/internal/throttle/throttle.go
+++ b/internal/throttle/throttle.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -43,8 +44,6 @@
 	askWait = 60 * time.Millisecond
 	// lendWait bounds the answer to a loan, for which no request waits.
 	lendWait = 200 * time.Millisecond
-	// orderFor is how long the order of a zone's instances is used.
-	orderFor = 250 * time.Millisecond
 	// probeFirst and probeMost are after how long an instance that did not answer is
 	// asked whether it does again, at first and in the end.
 	probeFirst = tickEvery
@@ -94,7 +93,6 @@
 	wholeAt map[string]clock.Millis // when the next loan to an instance tells all that is known
 	toldAt  map[fact]clock.Millis   // when peers were last told of an endpoint
 	stored  time.Duration           // for how long this process has had the store
-	ranked  map[string]ranking      // by zone
 	lending map[string]bool         // to whom a loan is on its way, by name
 }
 
@@ -120,18 +118,12 @@
 	over     bool
 }
 
-// ranking is the order of a zone's instances a moment ago.
-type ranking struct {
-	at   clock.Millis
-	list []roster.Instance
-}
-
 // New returns a throttle that does not run yet.
 func New(o Options) *Throttle {
 	return &Throttle{
 		Options: o, table: ratelimit.NewTable(), issuer: permit.New(rand.Float64),
 		denials: map[string]denial{}, spares: map[string]spare{}, silent: map[string]silence{},
-		ranked: map[string]ranking{}, lending: map[string]bool{}, wholeAt: map[string]clock.Millis{}, toldAt: map[fact]clock.Millis{},
+		lending: map[string]bool{}, wholeAt: map[string]clock.Millis{}, toldAt: map[fact]clock.Millis{},
 	}
 }
 
@@ -193,6 +185,22 @@
 	}
 }
 
+// Warming takes that an endpoint is cold for some time and takes no more than a rate
+// meanwhile. All instances hear it with its entry, so nobody is told.
+func (t *Throttle) Warming(endpoint, zone string, rate float64, left time.Duration) {
+	t.mu.Lock()
+	news := t.table.Warming(t.Now(), endpoint, zone, rate, left)
+	t.active.Store(true)
+	t.mu.Unlock()
+	if news {
+		t.Scope.Counter("endpoints_cold").Inc(1)
+		t.Log.Write(eventlog.Line{
+			Event: eventlog.EndpointLimited, Outcome: "cold", Endpoint: endpoint, Zone: zone, Wait: left,
+			Detail: fmt.Sprintf("%g requests a second", rate),
+		})
+	}
+}
+
 // mayTell says whether peers may be told of an endpoint again, and notes that they are.
 // The caller holds the lock.
 func (t *Throttle) mayTell(now clock.Millis, f fact) bool {
