--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -27,6 +27,7 @@
 	Body    string // of each request; empty: each has its own
 	// Workspace is in whose name it is asked.
 	Workspace string
+	Home      string // the only zone whose endpoints may see it; empty: all may
 }
 
 // The workspaces of the soak. Limited sends more than it may.
@@ -70,6 +71,11 @@
 	return Kind{Path: "/v" + strconv.Itoa(version) + "/x", Method: http.MethodGet, Service: "web", Version: version, Workspace: first}
 }
 
+// Home is the kind that a zone's region alone may serve.
+func Home(zone string) Kind {
+	return Kind{Path: "/home/x", Method: http.MethodGet, Service: "web", Workspace: first, Home: zone}
+}
+
 // PoisonMark is in the bodies of requests that end the engines that run them.
 const PoisonMark = "poison"
 
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -1,10 +1,10 @@
 // Package checker judges what callers and endpoints saw against the promises:
 // nothing runs twice, "not run" is true, answers are whole and their own,
-// requests run in their own workspace's name and within its limit, streams have no
-// gap and no double, work for callers that left stops, leaving
-// endpoints get nothing new, configuration comes into force and never goes back,
-// planned stops cut nothing, and retries stay within their budget. Bounds on
-// time are demanded only of what no fault touched.
+// requests run in their own workspace's name and within its limit and stay in their
+// region, streams have no gap and no double, work for callers that left stops, leaving
+// endpoints and evacuated zones get nothing new, cold endpoints little, configuration
+// comes into force and never goes back, planned stops cut nothing, and retries stay
+// within their budget. Bounds on time are demanded only of what no fault touched.
 package checker
 
 import (
@@ -35,6 +35,8 @@
 	LimitRate, LimitBurst, LimitSlack float64
 	LimitWindow                       time.Duration
 
+	ColdRate float64 // requests a second that a cold endpoint takes
+
 	Timed bool // whether bounds on time are checked at all
 }
 
@@ -51,6 +53,7 @@
 	standin.Arrival
 	Endpoint string
 	Service  string
+	Zone     string
 }
 
 // Checker collects and judges. It is safe for concurrent use.
@@ -63,6 +66,8 @@
 	calls     map[string]caller.Call
 	leaving   map[string]time.Time // endpoint: when its announcement was acknowledged
 	versions  map[int]time.Time    // configuration: when it was acknowledged
+	evacuated []*change            // zones
+	cold      []*change            // endpoints
 	violation map[string]Violation
 }
 
@@ -156,6 +161,7 @@
 		c.checkPoison(runs)
 		c.checkWords(runs)
 		c.checkLimits(runs)
+		c.checkCold(runs)
 		c.checkBudget(runs, last)
 	}
 	var list []Violation
@@ -184,6 +190,7 @@
 	c.checkStop(call, runs)
 	for _, r := range runs {
 		c.checkLeaving(call, r)
+		c.checkEvacuated(call, r)
 		if call.Left {
 			c.checkGone(call, r)
 		}
@@ -207,6 +214,9 @@
 		if r.Service != call.Kind.Service && r.Ran {
 			c.broken("own service", call.ID, r.At, "ran at %s of %s", r.Endpoint, r.Service)
 		}
+		if home := call.Kind.Home; home != "" && r.Zone != home && r.Service == call.Kind.Service {
+			c.broken("home region", call.ID, r.At, "%s in %s saw it", r.Endpoint, r.Zone)
+		}
 		if r.Ran && !r.Prefill {
 			ran++
 		}
@@ -289,14 +299,7 @@
 // checkLeaving judges a request at an endpoint that leaves.
 func (c *Checker) checkLeaving(call caller.Call, r Run) {
 	acknowledged, leaves := c.leaving[r.Endpoint]
-	if !leaves {
-		return
-	}
-	bound := c.Bounds.Drain + c.Bounds.Slack
-	if !c.informed(call, acknowledged, r.At, &bound) || !r.At.After(acknowledged.Add(bound)) {
-		return
-	}
-	if c.Faults.Calm(acknowledged, r.At, r.Endpoint, timeline.Endpoint) {
+	if leaves && c.mustKnow(call, r, acknowledged) {
 		c.broken("leaving endpoint", call.ID, r.At, "%s sent it to %s %s after that said it leaves",
 			call.Gateway.Name, r.Endpoint, r.At.Sub(acknowledged).Round(time.Millisecond))
 	}
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -21,7 +21,7 @@
 var bounds = checker.Bounds{
 	Contact: time.Second, Drain: 2 * time.Second, Config: 2 * time.Second, Outer: 5 * time.Second,
 	Gone: 500 * time.Millisecond, Ratio: 0.2, Extra: 2, Window: 10 * time.Second, Timed: true,
-	LimitRate: 1, LimitBurst: 1, LimitWindow: 2 * time.Second,
+	LimitRate: 1, LimitBurst: 1, LimitWindow: 2 * time.Second, ColdRate: 1.5,
 }
 
 func kind(path string) caller.Kind {
@@ -134,6 +134,40 @@
 	return s
 }
 
+// evacuated is a request at an endpoint some time after its zone was evacuated.
+func evacuated(after time.Duration, over bool) scene {
+	s := one("/safe/x", func(_ *caller.Call, r *checker.Run) { r.At, r.Zone = time.Now().Add(after), "a" })
+	s.tell = func(c *checker.Checker) {
+		end := c.Evacuated("a")
+		if over {
+			end()
+		}
+	}
+	return s
+}
+
+// chilled is requests at an endpoint within a second, some time after it turned cold.
+func chilled(count int, after time.Duration) scene {
+	var s scene
+	for n := range count {
+		c := call(fmt.Sprint("r", n), "/safe/x")
+		r := run(c)
+		r.At = time.Now().Add(after + time.Duration(n)*100*time.Millisecond)
+		s.calls, s.runs = append(s.calls, c), append(s.runs, r)
+	}
+	s.tell = func(c *checker.Checker) { c.Cold("e1") }
+	return s
+}
+
+// home is a request of zone a's region at an endpoint of a zone.
+func home(zone string) scene {
+	c := call("r1", "/safe/x")
+	c.Kind = caller.Home("a")
+	r := run(c)
+	r.Zone = zone
+	return scene{calls: []caller.Call{c}, runs: []checker.Run{r}}
+}
+
 func TestPromises(t *testing.T) {
 	tests := []struct {
 		name string
@@ -217,6 +251,16 @@
 			s.begin = func(f *timeline.Timeline) { f.Begin(timeline.Door, "a-1", "busy") }
 			return s
 		}()},
+		{"an endpoint of an evacuated zone gets work", "evacuated zone", evacuated(3*time.Second, false)},
+		{"it gets work for a moment", "", evacuated(time.Second, false)},
+		{"it is used again", "", evacuated(3*time.Second, true)},
+		{"the store has been away since", "", during(evacuated(3*time.Second, false), timeline.Store, "")},
+		{"a cold endpoint gets more than it takes", "cold endpoint", chilled(8, 3*time.Second)},
+		{"it gets what is allowed", "", chilled(7, 3*time.Second)},
+		{"just after it turned cold", "", chilled(8, time.Second)},
+		{"from one that was paused since", "", during(chilled(8, 3*time.Second), timeline.Process, "a-1")},
+		{"a request stays at home", "", home("a")},
+		{"another region sees one", "home region", home("b")},
 		{"an endpoint whose answer says that it leaves gets work", "announced leave", words(leaves, 3*time.Second)},
 		{"the same while the store is away", "announced leave", during(words(leaves, 3*time.Second), timeline.Store, "")},
 		{"it gets work for a moment", "", words(leaves, time.Second)},
--- a/internal/soak/checker/limits.go
+++ b/internal/soak/checker/limits.go
@@ -81,17 +81,25 @@
 			told[l] = r.Ended
 		}
 	}
+	if r, got := firstBeyond(counted, limitWindow, allowed); got > 0 {
+		c.broken("limit", r.Request, r.At, "%s, which took %g a second, got %d in %s from instances that it had told; allowed %d",
+			endpoint, n.rate, got, limitWindow, allowed)
+	}
+}
+
+// firstBeyond is the first of requests, in order of time, with which more came within a
+// window than is allowed, and how many those are; 0: there is none.
+func firstBeyond(list []Run, window time.Duration, allowed int) (Run, int) {
 	first := 0
-	for i, r := range counted {
-		for r.At.Sub(counted[first].At) > limitWindow {
+	for i, r := range list {
+		for r.At.Sub(list[first].At) > window {
 			first++
 		}
 		if got := i - first + 1; got > allowed {
-			c.broken("limit", r.Request, r.At, "%s, which took %g a second, got %d in %s from instances that it had told; allowed %d",
-				endpoint, n.rate, got, limitWindow, allowed)
-			return // later windows say no more
+			return r, got
 		}
 	}
+	return Run{}, 0
 }
 
 // countsFor says whether a request counts: its instance had passed on such an answer,
--- a/internal/soak/fleet/endpoint.go
+++ b/internal/soak/fleet/endpoint.go
@@ -113,7 +113,7 @@
 	var runs []checker.Run
 	for _, e := range all {
 		for _, a := range e.Arrivals() {
-			runs = append(runs, checker.Run{Arrival: a, Endpoint: e.ID, Service: e.Service})
+			runs = append(runs, checker.Run{Arrival: a, Endpoint: e.ID, Service: e.Service, Zone: e.Zone})
 		}
 	}
 	return runs
@@ -218,6 +218,34 @@
 	e.Behave(well())
 }
 
+// chill has an endpoint be cold, until some time after all must know of it.
+func (f *Fleet) chill(ctx context.Context, e *endpoint, length time.Duration) {
+	if !f.claim(e.ID) {
+		return
+	}
+	defer f.release(e.ID)
+	length += changeTime
+	if !f.writeCold(e, length) {
+		return
+	}
+	end := f.checker.Cold(e.ID)
+	sleep(ctx, length)
+	end()
+	f.writeCold(e, 0)
+}
+
+// writeCold has an endpoint's entry tell for how long it is cold, unless it has left.
+func (f *Fleet) writeCold(e *endpoint, length time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !slices.Contains(f.endpoints, e) {
+		return false
+	}
+	e.Chill(length)
+	e.Register(f.store, "ready")
+	return true
+}
+
 // ways in which an endpoint may answer badly.
 func misbehaviours() []standin.Behaviour {
 	list := []standin.Behaviour{
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -50,6 +50,10 @@
 	probeFor   = 5 * time.Second
 	// addedShare of the requests go to routes that were added.
 	addedShare = 0.12
+	// homeShare of them may be served in the first zone only.
+	homeShare = 0.08
+	// coldRate is what a cold endpoint takes, in requests a second; some ten come to each.
+	coldRate = 1
 	// settle is left at the end for bounds on time to pass.
 	settle = 3 * time.Second
 )
@@ -69,7 +73,8 @@
 	ended     []*endpoint // they served before
 	routes    []standin.Route
 	version   int
-	made      int // endpoints so far, those that ended included
+	claimed   map[string]bool // zones and endpoints, see claim
+	made      int             // endpoints so far, those that ended included
 }
 
 // Result is what a run came to.
@@ -83,7 +88,11 @@
 
 // Run plays one run to its end.
 func Run(ctx context.Context, o Options) (Result, error) {
-	f := &Fleet{Options: o, store: standin.NewStore(), faults: &timeline.Timeline{}}
+	f := &Fleet{Options: o, store: standin.NewStore(), faults: &timeline.Timeline{}, claimed: map[string]bool{}}
+	home := caller.Home(o.Zones[0])
+	route := standin.NewRoute("home", home.Path[:len(home.Path)-1], "idempotent", home.Service, 2, false)
+	route.Regions = []string{region(home.Home)}
+	f.routes = []standin.Route{route}
 	f.checker = checker.New(bounds(o.Timed), f.faults, f.arrivals)
 	defer f.close()
 	if err := f.open(); err != nil {
@@ -114,6 +123,7 @@
 		Ratio: retryRatio, Extra: retrySlack, Window: retryWindow, Timed: timed,
 		// Instances that are alone, and those that have just begun, may add some.
 		LimitRate: caller.LimitRate, LimitBurst: caller.LimitBurst, LimitSlack: 30, LimitWindow: 8 * time.Second,
+		ColdRate: coldRate,
 	}
 }
 
@@ -187,6 +197,9 @@
 	if version > 1 && rand.Float64() < addedShare {
 		return caller.Added(2 + rand.IntN(version-1))
 	}
+	if rand.Float64() < homeShare {
+		return caller.Home(f.Zones[0])
+	}
 	kinds := caller.Kinds()
 	return kinds[rand.IntN(len(kinds))]
 }
@@ -194,7 +207,7 @@
 // allServe waits until each instance has served each kind of request, some
 // instances at a time.
 func (f *Fleet) allServe() error {
-	kinds := caller.Kinds()
+	kinds := append(caller.Kinds(), caller.Home(f.Zones[0]))
 	f.mu.Lock()
 	if f.version > 1 {
 		kinds = append(kinds, caller.Added(f.version))
@@ -254,7 +267,8 @@
 		k := caller.Added(version)
 		f.routes = append(f.routes, standin.NewRoute(k.Path, k.Path[:len(k.Path)-1], "idempotent", k.Service, 2, false))
 	}
-	f.store.Configure(standin.NewDocument(version, f.routes...).With(caller.Workspaces()...))
+	f.store.Configure(standin.NewDocument(version, f.routes...).
+		With(caller.Workspaces()...).Chill("web", coldRate).Chill("llm", coldRate))
 	f.mu.Unlock()
 	f.checker.Configured(version)
 }
--- a/internal/soak/fleet/instance.go
+++ b/internal/soak/fleet/instance.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -51,6 +52,7 @@
 // instance is one gateway process with the proxies around it.
 type instance struct {
 	name, zone string
+	regions    string // of all zones, as the settings have them
 	ip         netip.Addr
 	program    *program.Program
 	door       *standin.Door // its way to the store
@@ -63,6 +65,17 @@
 	mute float64 // part of those from it
 }
 
+// region is that of a zone; each has its own.
+func region(zone string) string { return "region-of-" + zone }
+
+func regions(zones []string) string {
+	var list []string
+	for _, zone := range zones {
+		list = append(list, zone+": "+region(zone))
+	}
+	return strings.Join(list, ", ")
+}
+
 func (i *instance) at(port uint16) netip.AddrPort { return netip.AddrPortFrom(i.ip, port) }
 
 func (i *instance) gateway() caller.Gateway {
@@ -72,7 +85,7 @@
 func (f *Fleet) addInstance(zone string, n int) error {
 	address := f.Network.As4()
 	address[3] = byte(10 + len(f.instances))
-	i := &instance{name: fmt.Sprintf("%s-%d", zone, n), zone: zone, ip: netip.AddrFrom4(address), door: f.store.Open()}
+	i := &instance{name: fmt.Sprintf("%s-%d", zone, n), zone: zone, regions: regions(f.Zones), ip: netip.AddrFrom4(address), door: f.store.Open()}
 	var err error
 	if i.doorLink, err = link.New(i.door.Address); err != nil {
 		return err
@@ -94,6 +107,7 @@
 
 func (i *instance) writeSettings(grace time.Duration) error {
 	text := fmt.Sprintf(`instance: {name: %s, zone: %s}
+zones: {%s}
 callers: {listen: "%s", ready: "%s"}
 peers: {listen: "%s", advertise: "%s"}
 admin: {listen: "%s"}
@@ -102,7 +116,7 @@
 stop: {grace: %s}
 orders: {gap: 3s}
 memory: {limit_mb: 128}
-`, i.name, i.zone, i.at(portCallers), i.at(portReady), i.at(portPeers), i.at(portShown), i.at(portAdmin),
+`, i.name, i.zone, i.regions, i.at(portCallers), i.at(portReady), i.at(portPeers), i.at(portShown), i.at(portAdmin),
 		i.doorLink.Address, retryRatio, retrySlack, retryWindow, grace)
 	return os.WriteFile(i.program.Settings, []byte(text), 0o600)
 }
--- a/internal/soak/fleet/steps.go
+++ b/internal/soak/fleet/steps.go
@@ -25,6 +25,10 @@
 	poisonAfter = 8 * time.Second
 )
 
+// changeTime is the least time that a zone is evacuated or an endpoint cold: the bound, the
+// slack for a busy machine, and a while with requests.
+const changeTime = 6 * time.Second
+
 // aftermath is how long a fault still excuses an instance that it struck.
 const aftermath = time.Second
 
@@ -39,7 +43,8 @@
 	all := f.all()
 	i := all[s.Target%len(all)]
 	switch s.Kind {
-	case schedule.Suspend, schedule.Poison, schedule.Announce, schedule.Rest, schedule.Limit:
+	case schedule.Suspend, schedule.Poison, schedule.Announce, schedule.Rest, schedule.Limit,
+		schedule.Evacuate, schedule.Chill:
 		return f.strikeBeside(ctx, s, i)
 	case schedule.Kill:
 		return f.kill(ctx, s.For, i)
@@ -93,6 +98,14 @@
 		f.poison(ctx, s)
 		return nil
 	}
+	if s.Kind == schedule.Chill {
+		f.chill(ctx, f.endpoint(s.Target), s.For)
+		return nil
+	}
+	if s.Kind == schedule.Evacuate {
+		f.evacuate(ctx, f.Zones[s.Target%len(f.Zones)], s.For)
+		return nil
+	}
 	if s.Kind == schedule.Limit {
 		f.limit(ctx, f.endpoint(s.Target), s.How)
 		return nil
@@ -198,6 +211,35 @@
 	return nil
 }
 
+// evacuate orders that a zone be evacuated, until some time after all must know of it.
+func (f *Fleet) evacuate(ctx context.Context, zone string, length time.Duration) {
+	if !f.claim(zone) {
+		return
+	}
+	defer f.release(zone)
+	f.store.Evacuate(zone)
+	end := f.checker.Evacuated(zone)
+	sleep(ctx, changeTime+length)
+	end()
+	f.store.EndEvacuation(zone)
+}
+
+// claim says whether a zone or endpoint may be changed for a while: no other step does so,
+// whose end would take this change back.
+func (f *Fleet) claim(target string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	free := !f.claimed[target]
+	f.claimed[target] = true
+	return free
+}
+
+func (f *Fleet) release(target string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.claimed, target)
+}
+
 // hangup changes an instance's settings, with or without a signal.
 func (f *Fleet) hangup(i *instance, signal bool) error {
 	if err := i.writeSettings(grace + time.Millisecond*time.Duration(len(f.routes))); err != nil {
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -64,6 +64,10 @@
 	Rest Kind = "rest"
 	// An endpoint names how many requests a second it takes from all instances.
 	Limit Kind = "limit"
+	// A zone is evacuated, and used again later.
+	Evacuate Kind = "evacuate"
+	// An endpoint is cold for a while.
+	Chill Kind = "chill"
 )
 
 // weights say how often each kind comes.
@@ -126,6 +130,7 @@
 	{0xd1b54a32d192ed03, []Kind{Suspend, Poison}},
 	{0xaef17502108ef2d9, []Kind{Announce, Rest}},
 	{0x94d049bb133111eb, []Kind{Limit}},
+	{0xbf58476d1ce4e5b9, []Kind{Evacuate, Chill}},
 }
 
 // More draws the steps of a run that come beside those of New.
--- a/internal/soak/schedule/schedule_test.go
+++ b/internal/soak/schedule/schedule_test.go
@@ -26,7 +26,7 @@
 	for _, s := range more {
 		kinds[s.Kind] = true
 	}
-	c.Assert(kinds, qt.HasLen, 28)
+	c.Assert(kinds, qt.HasLen, 30)
 	c.Assert(schedule.Join(schedule.New(7, time.Minute, ""), more), qt.HasLen, len(schedule.New(7, time.Minute, ""))+len(more))
 	for _, s := range schedule.New(7, time.Minute, schedule.Retire) {
 		c.Assert(s.Kind, qt.Equals, schedule.Retire)
