--- a/internal/relay/hint_test.go
+++ b/internal/relay/hint_test.go
@@ -159,3 +159,29 @@
 	steps(500 * time.Millisecond)
 	c.Check(w.lists > 0, qt.IsTrue)
 }
+
+// What those who watch hear while they are young is told to the zone once they know that
+// they are the ones to do so, though nothing else happens; others tell nobody.
+func TestNewsOfYoungInstancesIsTold(t *testing.T) {
+	for rank := range 3 {
+		c := qt.New(t)
+		w := member(t)
+		own, err := peer.NewIdentity("own")
+		c.Assert(err, qt.IsNil)
+		w.Transport, err = peer.Listen("own", netip.MustParseAddrPort("127.0.0.1:0"), peer.Pinned(own, func(string) (string, bool) { return "", false }), tally.NoopScope)
+		c.Assert(err, qt.IsNil)
+		t.Cleanup(func() { _ = w.Transport.Close() })
+		w.Name = w.Roster.Ranked("a", roleCheck)[rank].Name
+		w.Relay.told = 9
+		w.Relay.Told()
+		w.tellDue(w.now)
+		c.Check(w.Relay.told, qt.Equals, int64(9)) // it does not know yet who else there is
+		w.now = w.now.Add(silentFor)
+		w.tellDue(w.now)
+		want := int64(9)
+		if rank < watchers {
+			want = 10
+		}
+		c.Check(w.Relay.told, qt.Equals, want, qt.Commentf("rank %d", rank))
+	}
+}
