--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,12 +5,7 @@
 package relay
 
 import (
-	"cmp"
 	"context"
-	"math"
-	"math/rand/v2"
-	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,26 +44,9 @@
 	// one is read from the store, whose link carries more than a small
 	// instance's 10 Mbit/s, unless the store does not answer.
 	routesMost = 100
-	// pullEvery is how often a cut-off instance asks one peer. Changes must be
-	// in force within 2 s, and some peers may be cut off as well.
-	pullEvery = 250 * time.Millisecond
-	// pullWait bounds one question while the store answers as well.
-	pullWait = 200 * time.Millisecond
-	// cutWait bounds a question of an instance that has nobody but its peers.
-	// A configuration of 1,300 routes takes 0.2 s to come over 10 Mbit/s, more
-	// beside other traffic.
-	cutWait = 1500 * time.Millisecond
-	// silentFor is how long an instance that has begun tells nobody.
-	silentFor = roster.JoinTime / 2
 	// tellMost is how many endpoints one answer tells, some 100 bytes each: a link of
 	// 20 Mbit/s carries it in 50 ms. Who lacks more asks on.
 	tellMost = 1000
-	// deputyPart of the time within which a change must be in force is the delay of the
-	// second watcher: the first may gather changes for an eighth of it.
-	deputyPart = 0.2
-	// cutPulls is how many such questions may wait at a time, since some of the
-	// peers may be cut off as well.
-	cutPulls = 4
 )
 
 // Question tells what the asker has.
@@ -160,17 +138,6 @@
 	seeded []string                // who was, lately
 }
 
-// Hint tells peers a revision that the store has and what the sender believes. Hints before
-// it have what has changed since the zone was last told: most need not ask.
-type Hint struct {
-	Revision int64  `cbor:"1,keyasint"`
-	Digest   uint64 `cbor:"2,keyasint"`
-	Since    int64  `cbor:"3,keyasint,omitempty"`
-	News     *Told  `cbor:"4,keyasint,omitempty"` // after Since
-	Version  int64  `cbor:"5,keyasint,omitempty"` // as in Told
-	AskStore bool   `cbor:"6,keyasint,omitempty"` // for a configuration of that version
-}
-
 // New returns a relay that does not run yet.
 func New(o Options) *Relay {
 	return &Relay{Options: o, ticker: ticker.New(tickBusy, tickIdle), began: o.Now(), seeds: map[string]clock.Millis{}}
@@ -210,54 +177,6 @@
 	peer.Handle(router, r.Transport, topicHint, r.hear)
 }
 
-// hear takes a hint.
-func (r *Relay) hear(from peer.Sender, h Hint) {
-	if h.AskStore {
-		r.askStore(h.Version)
-	}
-	if h.News != nil {
-		r.takeNews(from, h)
-		return // the last hint of several has none
-	}
-	place, known := r.Roster.Rank(r.Zone, roleCheck, from.Name)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.Fresh.Heard(r.Now(), h.Revision, h.Digest, from.Name)
-	if known && place == 0 {
-		r.told = max(r.told, h.Revision)
-	}
-	r.ticker.Wake()
-}
-
-// takeNews takes what came with a hint, if it goes on from what is known here. News from
-// beyond a configuration that was not heard of is not taken: with its revision this
-// instance would have nothing left to ask for.
-func (r *Relay) takeNews(from peer.Sender, h Hint) {
-	v := r.Directory.View()
-	known := v.Revision
-	if known < h.Since || known >= h.News.Revision || known == 0 || h.News.Version > r.version(v) || r.seeding.Load() || r.Watching() {
-		return
-	}
-	r.take(roster.Instance{Name: from.Name, Address: from.Address, Zone: r.Zone}, Question{Revision: known}, *h.News)
-}
-
-// news is what has changed since the zone was last told, in parts.
-func (r *Relay) news(v *directory.View) (list []Hint) {
-	r.mu.Lock()
-	since := r.told
-	r.told = max(r.told, v.Revision)
-	r.mu.Unlock()
-	if since == 0 || v.TableRev > since && !r.large(v) {
-		return nil // each asks for a new configuration, unless it is read from the store
-	}
-	for more := since < v.Revision; more; {
-		t := r.tell(Question{Revision: since, Version: math.MaxInt64})
-		list = append(list, Hint{Revision: t.Revision, Digest: t.Digest, Since: since, News: &t})
-		since, more = t.Revision, t.More
-	}
-	return list
-}
-
 func (r *Relay) answer(from string, q Question) Told {
 	if !q.Seeding {
 		return r.tell(q)
@@ -390,180 +309,3 @@
 // Watching says whether this instance is one of those of its zone that watch
 // the store.
 func (r *Relay) Watching() bool { return r.rank() < watchers }
-
-// Told passes on that there is news from the store. Those who watch it tell the zone: if
-// all did, as in a start of all, each would connect to each. The first watcher tells at
-// once. The second does so later, and leaves out what the first has told, so that each
-// change goes over the links of the zone once. A young one waits until it knows whether it
-// is one of the two: nothing else may happen that would have it tell the zone.
-func (r *Relay) Told() {
-	now := r.Now()
-	switch {
-	case r.isYoung(now):
-		r.tellAt.CompareAndSwap(0, int64(r.began.Add(silentFor)))
-	case !r.speaks():
-	case r.rank() == 0:
-		r.tellZone()
-	default:
-		r.tellAt.CompareAndSwap(0, int64(now.Add(time.Duration(deputyPart*float64(r.Bound)))))
-	}
-}
-
-// tellDue tells the zone what was put off, if this instance still is one that tells it.
-func (r *Relay) tellDue(now clock.Millis) {
-	if at := r.tellAt.Load(); at != 0 && now >= clock.Millis(at) {
-		r.tellAt.Store(0)
-		if r.speaks() {
-			r.tellZone()
-		}
-	}
-}
-
-func (r *Relay) tellZone() { r.hint(r.Directory.View().Revision, r.members()) }
-
-// speaks says whether this instance is known to be one of those that tell the zone. A young
-// one does not know yet who else there is: where many start together, each of ten or
-// twenty would take itself for one of the first two, and connect to all others.
-func (r *Relay) speaks() bool {
-	place, known := r.Roster.Rank(r.Zone, roleCheck, r.Name)
-	return known && place < watchers && !r.isYoung(r.Now())
-}
-
-func (r *Relay) isYoung(now clock.Millis) bool { return now.Sub(r.began) < silentFor }
-
-// passOn tells what another zone knew: to the own zone, if this instance speaks for it,
-// else to those who do.
-func (r *Relay) passOn(revision int64) {
-	zone := r.members()
-	if !r.speaks() {
-		zone = zone[:min(len(zone), watchers)]
-	}
-	r.hint(revision, zone)
-}
-
-// hint tells instances a revision and what is believed here.
-func (r *Relay) hint(revision int64, to []roster.Instance) {
-	v := r.Directory.View()
-	if v.Doubtful {
-		return // whoever has no doubts tells the zone
-	}
-	var addresses []netip.AddrPort
-	for _, f := range to {
-		if f.Name != r.Name {
-			addresses = append(addresses, f.Address)
-		}
-	}
-	list := []Hint{{Revision: revision, Digest: v.Digest}}
-	if len(to) > watchers {
-		list = append(r.news(v), list...)
-	}
-	version, large := r.version(v), r.large(v)
-	for _, h := range list {
-		h.Version, h.AskStore = version, large
-		unsent := peer.SendAll(r.Transport, addresses, topicHint, h)
-		r.Scope.Counter("relay_hint_failed").Inc(int64(unsent))
-	}
-}
-
-// pull asks the peer called name, or any, and waits for its answer.
-func (r *Relay) pull(ctx context.Context, name string, wait time.Duration) {
-	other, ok := r.pick(name)
-	if !ok {
-		return
-	}
-	v := r.Directory.View()
-	q := Question{Version: v.Version(), Revision: v.Revision, Digest: v.Digest, Cut: r.IsLost()}
-	told, ok := r.ask(ctx, other, q, wait)
-	if !ok && name == "" {
-		r.turn.Add(1)
-	}
-	if !ok || told.Whole || told.Revision == 0 || told.Digest == 0 {
-		return
-	}
-	v = r.Directory.View()
-	r.mu.Lock()
-	known := freshness.Known{Revision: v.Revision, Digest: v.Digest, Endpoints: v.Size()}
-	whole := r.Fresh.Whole(r.Now(), known, told.Revision, told.Digest)
-	r.mu.Unlock()
-	if whole {
-		r.Scope.Counter("relay_whole_views").Inc(1)
-		r.ask(ctx, other, Question{Version: q.Version, Cut: q.Cut, Whole: true}, wait)
-	}
-}
-
-// ask asks a peer and takes what it tells.
-func (r *Relay) ask(ctx context.Context, other roster.Instance, q Question, wait time.Duration) (Told, bool) {
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	told, err := peer.Ask[Question, Told](ctx, r.Transport, other.Address, topic, q)
-	if err != nil {
-		r.Scope.Counter("relay_unanswered").Inc(1)
-		return told, false
-	}
-	r.take(other, q, told)
-	return told, true
-}
-
-// takeTable takes a configuration that is newer than the own one, if one was told.
-func (r *Relay) takeTable(other roster.Instance, t Told) {
-	if t.Document != nil {
-		table, err := route.NewTable(*t.Document)
-		if err != nil {
-			r.Log.Write(eventlog.Line{Event: eventlog.Unreadable, Address: other.Address.String(), Detail: err.Error()})
-		} else {
-			r.Tell(directory.Configured{Table: table, Revision: t.TableRev})
-		}
-	}
-	if t.AskStore {
-		r.askStore(t.Version)
-	}
-}
-
-func (r *Relay) take(other roster.Instance, q Question, t Told) {
-	if t.Later {
-		r.mu.Lock()
-		r.Fresh.PutOff()
-		r.mu.Unlock()
-		return
-	}
-	r.takeTable(other, t)
-	if t.Revision < q.Revision || t.Revision == q.Revision && !t.Whole {
-		return
-	}
-	r.Instances(t.Instances, t.Left, t.Whole, t.Revision) // first, as in the feed
-	r.Tell(directory.Relayed{Whole: t.Whole, Endpoints: t.Endpoints, Gone: t.Gone, Evacuations: t.Evacuations, Revision: t.Revision})
-	if t.Revision == q.Revision {
-		return // other beliefs at the same revision; what they changed has lines of its own
-	}
-	r.Log.Write(eventlog.Line{Event: eventlog.PeerTold, Address: other.Address.String(), Revision: t.Revision})
-	if other.Zone != r.Zone || r.speaks() {
-		r.passOn(t.Revision) // the own zone may have no other way to learn
-	}
-}
-
-// acquaintances is how many peers an instance asks that is cut off from the store. Each is
-// asked by about as many; with all of a large fleet it would soon be connected to all.
-const acquaintances = 8
-
-// pick returns the peer called name or, without a name, one of the acquaintances.
-func (r *Relay) pick(name string) (roster.Instance, bool) {
-	if name != "" {
-		return r.Roster.Find(name)
-	}
-	return acquaintance(r.Roster.All(), r.Name, rand.IntN(acquaintances), int(r.turn.Load()))
-}
-
-// acquaintance returns one of the acquaintances of an instance. They are spread over the
-// list, which is in the order of names and so mostly of zones. Each turn has others.
-func acquaintance(all []roster.Instance, own string, number, turn int) (roster.Instance, bool) {
-	at, known := slices.BinarySearchFunc(all, own, func(i roster.Instance, name string) int { return cmp.Compare(i.Name, name) })
-	others := len(all)
-	if known {
-		others--
-		at++
-	}
-	if others == 0 {
-		return roster.Instance{}, false
-	}
-	return all[(at+(number*others/acquaintances+turn)%others)%len(all)], true
-}
