--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -139,6 +139,8 @@
 	// are taken back when their reading begins: nobody repeats those asks.
 	wantBegin, wantAll, wantTable, wantChanges bool
 
+	current task // what Run does now
+
 	large bool // there was too much to read at the beginning; only Run uses it
 
 	problems map[string]int64 // entries that could not be read: the revision that a line told
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -485,3 +485,23 @@
 		<-done
 	})
 }
+
+// Whoever asked for changes can see that they are not here yet.
+func TestChangesThatAreStillToCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &source{}
+		f, _ := s.open(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		c.Check(f.CatchingUp(), qt.IsFalse)
+		f.CatchUp()
+		c.Check(f.CatchingUp(), qt.IsTrue)
+		time.Sleep(time.Second)
+		c.Check(f.CatchingUp(), qt.IsFalse)
+		cancel()
+		<-done
+	})
+}
--- a/internal/feed/task.go
+++ b/internal/feed/task.go
@@ -36,6 +36,12 @@
 func (f *Feed) claim() task {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.current = f.next()
+	return f.current
+}
+
+// next takes back what is wanted first. The caller holds the lock.
+func (f *Feed) next() task {
 	switch {
 	case f.wantBegin:
 		f.wantTable = false
@@ -121,6 +127,14 @@
 	f.ask(&f.wantChanges)
 }
 
+// CatchingUp says whether changes are being read, or are to be. Until they are here it is
+// not known that they do not bring what is lacking.
+func (f *Feed) CatchingUp() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.wantChanges || f.current == catchUp
+}
+
 func (f *Feed) ask(want *bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -193,7 +193,7 @@
 			g.feed.Take(feed.News{Instances: seen, GoneInstances: left, Complete: whole, Revision: revision})
 		},
 		Capacity: s.Processor.Capacity(), Roll: func(ctx context.Context) error { return g.feed.Roll(ctx, s.Instance.Zone) },
-		Head: g.platform.Source.Head, List: func() { g.feed.List() }, CatchUp: func() { g.feed.CatchUp() }, Configure: func() { g.feed.Configure() },
+		Head: g.platform.Source.Head, List: func() { g.feed.List() }, CatchUp: func() { g.feed.CatchUp() }, CatchingUp: func() bool { return g.feed.CatchingUp() }, Configure: func() { g.feed.Configure() },
 	})
 	return nil
 }
--- a/internal/relay/hint_test.go
+++ b/internal/relay/hint_test.go
@@ -27,6 +27,7 @@
 	reads int // of the configuration
 	lists int
 	after []int64 // revisions from which changes were asked for
+	slow  bool    // what changed is still to be read
 }
 
 // member returns one of a zone's instances, not one that watches.
@@ -43,12 +44,13 @@
 	d := directory.New()
 	w.Relay = New(Options{
 		Directory: d, Roster: all, Now: now, Zone: "a", Log: log, Scope: tally.NoopScope, Fresh: freshness.New(2 * time.Second),
-		Tell:      func(e directory.Event) { d.Apply(w.now, e) },
-		Instances: func([]roster.Instance, []roster.Departure, bool, int64) {},
-		Configure: func() { w.reads++ },
-		List:      func() { w.lists++ },
-		CatchUp:   func() { w.after = append(w.after, d.View().Revision) },
-		Head:      func(context.Context) (int64, error) { return 99, nil },
+		Tell:       func(e directory.Event) { d.Apply(w.now, e) },
+		Instances:  func([]roster.Instance, []roster.Departure, bool, int64) {},
+		Configure:  func() { w.reads++ },
+		List:       func() { w.lists++ },
+		CatchUp:    func() { w.after = append(w.after, d.View().Revision) },
+		CatchingUp: func() bool { return w.slow },
+		Head:       func(context.Context) (int64, error) { return 99, nil },
 	})
 	for _, i := range all.Ranked("a", roleCheck) {
 		w.Name = i.Name // the last in rank
@@ -160,6 +162,26 @@
 	c.Check(w.lists > 0, qt.IsTrue)
 }
 
+// A call that takes its time, as where all start together, does not show that changes lack
+// something: everything is read only once they have come.
+func TestChangesAreAwaitedBeforeEverything(t *testing.T) {
+	c := qt.New(t)
+	w := member(t)
+	w.slow = true
+	steps := func(length time.Duration) {
+		for end := w.now.Add(length); w.now < end; w.now += 50 {
+			w.Fresh.Heard(w.now, 99, 0, "")
+			w.step(t.Context())
+		}
+	}
+	steps(4 * time.Second)
+	c.Check(w.after, qt.DeepEquals, []int64{10})
+	c.Check(w.lists, qt.Equals, 0)
+	w.slow = false
+	steps(500 * time.Millisecond)
+	c.Check(w.lists > 0, qt.IsTrue)
+}
+
 // What those who watch hear while they are young is told to the zone once they know that
 // they are the ones to do so, though nothing else happens; others tell nobody.
 func TestNewsOfYoungInstancesIsTold(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -101,14 +101,16 @@
 	// Roll reads the instances of the own zone from the store.
 	Roll func(context.Context) error
 	// Head asks the store for its revision; List has the feed read everything,
-	// CatchUp what changed, Configure the configuration only.
-	Head      func(context.Context) (int64, error)
-	List      func()
-	CatchUp   func()
-	Configure func()
-	Log       *eventlog.Log
-	Scope     tally.Scope
-	Now       func() clock.Millis
+	// CatchUp what changed, Configure the configuration only. CatchingUp says whether
+	// what changed is still to be read.
+	Head       func(context.Context) (int64, error)
+	List       func()
+	CatchUp    func()
+	CatchingUp func() bool
+	Configure  func()
+	Log        *eventlog.Log
+	Scope      tally.Scope
+	Now        func() clock.Millis
 	// Fresh decides when to ask; the relay guards it.
 	Fresh *freshness.Freshness
 	// Bound is the time within which a change must be in force.
@@ -264,15 +266,22 @@
 	return behind
 }
 
-// readStore has the feed read what changed after a revision or, if it was asked for that in
-// vain, everything.
+// readStore has the feed read what changed after a revision or, once that has brought
+// nothing, everything. In a start of all a call may wait for seconds; to read a large store
+// meanwhile would only add to what it waits for.
 func (r *Relay) readStore(revision int64) {
-	if revision > 0 && r.caughtUp != revision {
+	if revision == 0 {
+		r.List()
+		return
+	}
+	if r.caughtUp != revision {
 		r.caughtUp = revision
 		r.CatchUp()
 		return
 	}
-	r.List()
+	if !r.CatchingUp() {
+		r.List()
+	}
 }
 
 // members are the instances of the own zone, those who watch first.
