--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -491,6 +491,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s := &source{}
+		s.version.Store(7)
 		f, _ := s.open(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
