--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -166,7 +166,7 @@
 	t.asks[id] = ask{to: to, reply: reply}
 	t.asksMu.Unlock()
 	defer t.forget(id)
-	m := newMessage(id, payload, to.String())
+	m := encoded(payload).message(id, to.String())
 	if err := t.Publish(topic, m); err != nil {
 		return nil, err
 	}
@@ -180,24 +180,13 @@
 	}
 }
 
-// Reply answers a message that came through Ask.
-func (t *Transport) Reply(asked *message.Message, payload []byte) error {
-	m := newMessage(watermill.NewUUID(), payload, asked.Metadata.Get(Address))
+// reply answers a message that came through Ask.
+func (t *Transport) reply(asked *message.Message, e Encoded) error {
+	m := e.message(watermill.NewUUID(), asked.Metadata.Get(Address))
 	m.Metadata.Set(replyTo, asked.UUID)
 	return t.Publish("reply", m)
 }
 
-// newMessage returns a message to an address.
-func newMessage(id string, payload []byte, to string) *message.Message {
-	payload, isPacked := pack(payload)
-	m := message.NewMessage(id, payload)
-	m.Metadata.Set(To, to)
-	if isPacked {
-		m.Metadata.Set(packed, "s2")
-	}
-	return m
-}
-
 // Busy says whether something that was sent to an address still waits for its link.
 func (t *Transport) Busy(to netip.AddrPort) bool {
 	t.lanesMu.Lock()
--- a/internal/relay/hint.go
+++ b/internal/relay/hint.go
@@ -114,7 +114,7 @@
 		return nil // each asks for a new configuration, unless it is read from the store
 	}
 	for more := since < v.Revision; more; {
-		t := r.tell(Question{Revision: since, Version: math.MaxInt64})
+		t := r.tell(v, Question{Revision: since, Version: math.MaxInt64})
 		list = append(list, Hint{Revision: t.Revision, Digest: t.Digest, Since: since, News: &t})
 		since, more = t.Revision, t.More
 	}
--- a/internal/relay/hint_test.go
+++ b/internal/relay/hint_test.go
@@ -123,7 +123,7 @@
 	c := qt.New(t)
 	w := member(t)
 	w.hear(peer.Sender{Name: "n1"}, news(2, true))
-	told := w.tell(Question{Version: 1, Revision: 10})
+	told := w.tell(w.Directory.View(), Question{Version: 1, Revision: 10})
 	c.Check(told.AskStore, qt.IsTrue)
 	c.Check(told.Version, qt.Equals, int64(2))
 
@@ -134,7 +134,7 @@
 	w.Tell(configured(t, 2, 11))
 	w.askAgain(w.now + 2000)
 	c.Check(w.reads, qt.Equals, 2)
-	told = w.tell(Question{Version: 1, Revision: 10})
+	told = w.tell(w.Directory.View(), Question{Version: 1, Revision: 10})
 	c.Check(told.AskStore, qt.IsFalse)
 	c.Assert(told.Document, qt.IsNotNil)
 	c.Check(told.Document.Version, qt.Equals, int64(2))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -132,6 +132,7 @@
 	progress atomic.Int64 // see Progressed
 	tellAt   atomic.Int64 // when the zone is to be told, in milliseconds; 0: nothing is put off
 	ticker   *ticker.Ticker
+	replies  replies
 
 	mu     sync.Mutex
 	wanted awaited
@@ -168,35 +169,38 @@
 
 // Register adds the handler of peers' questions.
 func (r *Relay) Register(router *message.Router) {
-	peer.Answer(router, r.Transport, topic, func(_ context.Context, s peer.Sender, q Question) Told {
+	peer.AnswerEncoded(router, r.Transport, topic, func(_ context.Context, s peer.Sender, q Question) (peer.Encoded, error) {
 		if r.Transport.Busy(s.Address) {
 			// It asks again before it has the last answer: more would only fill its link.
 			r.Scope.Counter("relay_put_off").Inc(1)
-			return Told{Later: true}
+			return peer.Encode(Told{Later: true})
 		}
 		return r.answer(s.Name, q)
 	})
 	peer.Handle(router, r.Transport, topicHint, r.hear)
 }
 
-func (r *Relay) answer(from string, q Question) Told {
-	if !q.Seeding {
-		return r.tell(q)
+// answer is what a peer gets that asks.
+func (r *Relay) answer(from string, q Question) (peer.Encoded, error) {
+	if q.Seeding && !r.maySeed(from) {
+		return peer.Encode(Told{Others: r.seededLately(), Progress: r.progress.Load()})
 	}
-	if !r.maySeed(from) {
-		return Told{Others: r.seededLately(), Progress: r.progress.Load()}
+	v := r.Directory.View()
+	found, err := r.replies.find(v, r.version(v), q, r.tell)
+	if err != nil {
+		return peer.Encoded{}, err
 	}
-	t := r.tell(q)
-	r.Progressed(len(t.Endpoints))
-	if !t.More {
-		r.noteSeeded(from)
+	if q.Seeding {
+		r.Progressed(len(found.told.Endpoints))
+		if !found.told.More {
+			r.noteSeeded(from)
+		}
 	}
-	return t
+	return found.encoded, nil
 }
 
-// tell is what an asker lacks.
-func (r *Relay) tell(q Question) Told {
-	v := r.Directory.View()
+// tell is what an asker lacks of what was known at a view, or is known since.
+func (r *Relay) tell(v *directory.View, q Question) Told {
 	t := Told{TableRev: v.TableRev, Revision: v.Revision, Version: r.version(v)}
 	switch {
 	case t.Version <= q.Version:
