--- a/internal/relay/hint_test.go
+++ b/internal/relay/hint_test.go
@@ -140,25 +140,27 @@
 	c.Check(told.Document.Version, qt.Equals, int64(2))
 }
 
+// lag lets time pass in which the store is known to have more.
+func (w *world) lag(ctx context.Context, length time.Duration) {
+	for end := w.now.Add(length); w.now < end; w.now += 50 {
+		w.Fresh.Heard(w.now, 99, 0, "")
+		w.step(ctx)
+	}
+}
+
 // Who hears from the store that he lacks something asks it for the changes, which in a large
 // fleet are few, and for everything only if that brought nothing.
 func TestChangesAreReadBeforeEverything(t *testing.T) {
 	c := qt.New(t)
 	w := member(t)
-	steps := func(length time.Duration) {
-		for end := w.now.Add(length); w.now < end; w.now += 50 {
-			w.Fresh.Heard(w.now, 99, 0, "")
-			w.step(t.Context())
-		}
-	}
-	steps(200 * time.Millisecond)
+	w.lag(t.Context(), 200*time.Millisecond)
 	c.Check(w.after, qt.DeepEquals, []int64{10})
 	c.Check(w.lists, qt.Equals, 0)
 	w.Tell(directory.StoreReached{Revision: 20})
-	steps(200 * time.Millisecond)
+	w.lag(t.Context(), 200*time.Millisecond)
 	c.Check(w.after, qt.DeepEquals, []int64{10, 20})
 	c.Check(w.lists, qt.Equals, 0)
-	steps(500 * time.Millisecond)
+	w.lag(t.Context(), 500*time.Millisecond)
 	c.Check(w.lists > 0, qt.IsTrue)
 }
 
@@ -168,17 +170,11 @@
 	c := qt.New(t)
 	w := member(t)
 	w.slow = true
-	steps := func(length time.Duration) {
-		for end := w.now.Add(length); w.now < end; w.now += 50 {
-			w.Fresh.Heard(w.now, 99, 0, "")
-			w.step(t.Context())
-		}
-	}
-	steps(4 * time.Second)
+	w.lag(t.Context(), 4*time.Second)
 	c.Check(w.after, qt.DeepEquals, []int64{10})
 	c.Check(w.lists, qt.Equals, 0)
 	w.slow = false
-	steps(500 * time.Millisecond)
+	w.lag(t.Context(), 500*time.Millisecond)
 	c.Check(w.lists > 0, qt.IsTrue)
 }
 
