--- a/internal/relay/hint_test.go
+++ b/internal/relay/hint_test.go
@@ -190,16 +190,16 @@
 		c.Assert(err, qt.IsNil)
 		t.Cleanup(func() { _ = w.Transport.Close() })
 		w.Name = w.Roster.Ranked("a", roleCheck)[rank].Name
-		w.Relay.told = 9
-		w.Relay.Told()
+		w.told = 9
+		w.Told()
 		w.tellDue(w.now)
-		c.Check(w.Relay.told, qt.Equals, int64(9)) // it does not know yet who else there is
+		c.Check(w.told, qt.Equals, int64(9)) // it does not know yet who else there is
 		w.now = w.now.Add(silentFor)
 		w.tellDue(w.now)
 		want := int64(9)
 		if rank < watchers {
 			want = 10
 		}
-		c.Check(w.Relay.told, qt.Equals, want, qt.Commentf("rank %d", rank))
+		c.Check(w.told, qt.Equals, want, qt.Commentf("rank %d", rank))
 	}
 }
