--- a/internal/relay/hint.go
+++ b/internal/relay/hint.go
@@ -33,13 +33,14 @@
 // Told passes on that there is news from the store. Those who watch it tell the zone: if
 // all did, as in a start of all, each would connect to each. The first watcher tells at
 // once. The second does so later, and leaves out what the first has told, so that each
-// change goes over the links of the zone once. A young one waits until it knows whether it
-// is one of the two: nothing else may happen that would have it tell the zone.
+// change goes over the links of the zone once. A young one waits until it has joined and
+// knows whether it is one of the two: nothing else may happen that would have it tell the
+// zone.
 func (r *Relay) Told() {
 	now := r.Now()
 	switch {
 	case r.isYoung(now):
-		r.tellAt.CompareAndSwap(0, int64(r.began.Add(silentFor)))
+		r.tellAt.CompareAndSwap(0, int64(r.began.Add(roster.JoinTime)))
 	case !r.speaks():
 	case r.rank() == 0:
 		r.tellZone()
--- a/internal/relay/hint_test.go
+++ b/internal/relay/hint_test.go
@@ -194,7 +194,9 @@
 		w.Told()
 		w.tellDue(w.now)
 		c.Check(w.told, qt.Equals, int64(9)) // it does not know yet who else there is
-		w.now = w.now.Add(silentFor)
+		w.tellDue(w.now.Add(silentFor))
+		c.Check(w.told, qt.Equals, int64(9)) // nor here, where many start together
+		w.now = w.now.Add(roster.JoinTime)
 		w.tellDue(w.now)
 		want := int64(9)
 		if rank < watchers {
