--- a/internal/relay/hint.go
+++ b/internal/relay/hint.go
@@ -33,29 +33,22 @@
 // Told passes on that there is news from the store. Those who watch it tell the zone: if
 // all did, as in a start of all, each would connect to each. The first watcher tells at
 // once. The second does so later, and leaves out what the first has told, so that each
-// change goes over the links of the zone once. A young one waits until it has joined and
-// knows whether it is one of the two: nothing else may happen that would have it tell the
-// zone.
+// change goes over the links of the zone once.
 func (r *Relay) Told() {
-	now := r.Now()
 	switch {
-	case r.isYoung(now):
-		r.tellAt.CompareAndSwap(0, int64(r.began.Add(roster.JoinTime)))
 	case !r.speaks():
 	case r.rank() == 0:
 		r.tellZone()
 	default:
-		r.tellAt.CompareAndSwap(0, int64(now.Add(time.Duration(deputyPart*float64(r.Bound)))))
+		r.tellAt.CompareAndSwap(0, int64(r.Now().Add(time.Duration(deputyPart*float64(r.Bound)))))
 	}
 }
 
-// tellDue tells the zone what was put off, if this instance still is one that tells it.
+// tellDue tells the zone what the second watcher has put off.
 func (r *Relay) tellDue(now clock.Millis) {
 	if at := r.tellAt.Load(); at != 0 && now >= clock.Millis(at) {
 		r.tellAt.Store(0)
-		if r.speaks() {
-			r.tellZone()
-		}
+		r.tellZone()
 	}
 }
 
@@ -66,11 +59,9 @@
 // twenty would take itself for one of the first two, and connect to all others.
 func (r *Relay) speaks() bool {
 	place, known := r.Roster.Rank(r.Zone, roleCheck, r.Name)
-	return known && place < watchers && !r.isYoung(r.Now())
+	return known && place < watchers && r.Now().Sub(r.began) >= silentFor
 }
 
-func (r *Relay) isYoung(now clock.Millis) bool { return now.Sub(r.began) < silentFor }
-
 // passOn tells what another zone knew: to the own zone, if this instance speaks for it,
 // else to those who do.
 func (r *Relay) passOn(revision int64) {
