uplink, balance: count failed connections by cause, and unreachable endpoints

An instance that has lost its links to all endpoints looked like many endpoints that failed. The counter and the gauge tell the two apart on one instance's metrics. Endpoints are dialled through a function of the gateway's Platform, so that tests can break the links of one instance. No decision is changed.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -192,6 +192,19 @@
 	return ids
 }
 
+// Unreachable returns the number of endpoints to which the last request of this instance
+// could not connect.
+func (b *Balancer) Unreachable() (count int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.states {
+		if s.unreachable {
+			count++
+		}
+	}
+	return count
+}
+
 func (b *Balancer) newReservation(now clock.Millis, e *directory.Endpoint) *Reservation {
 	s := b.state(e.ID)
 	s.running++
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,8 @@
 	Suspects  suspects.Store
 	ReadyPath string
 	Clocks    clock.Source // of the machine
+	// Dial opens a connection to an endpoint. If it is nil, the network's own is used.
+	Dial func(ctx context.Context, endpoint netip.AddrPort) (net.Conn, error)
 }
 
 const (
@@ -136,6 +138,9 @@
 	g.started = g.now()
 	g.roster = roster.New(g.now)
 	g.pool = uplink.NewPool(g.counters.Scope, g.now)
+	if p.Dial != nil {
+		g.pool.Dial = p.Dial
+	}
 	g.pool.OnResponse = func(incarnation string, head *http.Response) {
 		g.handleNotice(incarnation, g.platform.Codec.ReadNotice(head))
 	}
--- a/internal/uplink/pool.go
+++ b/internal/uplink/pool.go
@@ -103,12 +103,31 @@
 	p.scope.Counter("uplink_dials").Inc(1)
 	raw, err := p.Dial(ctx, key.address)
 	if err != nil {
-		p.scope.Counter("uplink_dial_failed").Inc(1)
+		p.countDialFailure(err)
 		return nil, err
 	}
 	return &conn{Conn: raw, key: key, reader: bufio.NewReaderSize(raw, readBufferSize), maxIdle: defaultMaxIdle}, nil
 }
 
+// countDialFailure counts a failed dial by its cause: an instance that has lost its links to all
+// endpoints shows as one cause for all of them.
+func (p *Pool) countDialFailure(err error) {
+	cause := "other"
+	var timeout net.Error
+	switch {
+	case errors.Is(err, context.Canceled):
+		cause = "canceled"
+	case errors.Is(err, syscall.ECONNREFUSED):
+		cause = "refused"
+	case errors.Is(err, syscall.ECONNRESET):
+		cause = "reset"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		cause = "timeout"
+	}
+	p.scope.Counter("uplink_dial_failed").Inc(1)
+	p.scope.Tagged(map[string]string{"cause": cause}).Counter("uplink_dial_failures").Inc(1)
+}
+
 func (p *Pool) pop(key connKey) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
