peer: streams of bytes between two instances

A stream runs on the QUIC connection that the two already share, or makes one. A connection with an open stream is not closed as idle. Until a handler is set, streams of peers are refused.

--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -19,6 +19,10 @@
 	Address    string `cbor:"4,keyasint"`
 	Payload    []byte `cbor:"5,keyasint"`
 	Compressed bool   `cbor:"6,keyasint,omitempty"` // Payload is compressed
+
+	// connected is set in a frame that is not sent: it only asks for a connection and receives
+	// the result. Its capacity is one.
+	connected chan<- error
 }
 
 // minCompressSize is the length in bytes from which a payload is compressed. Lists of
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -107,13 +107,13 @@
 	}
 }
 
-// retire removes an idle link. It returns false if frames are queued.
+// retire removes an idle link. It returns false if frames are queued or a stream is open.
 func (t *Transport) retire(l *link) bool {
 	t.linksMu.Lock()
 	defer t.linksMu.Unlock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.queue) > 0 {
+	if len(l.queue) > 0 || t.openStreams[l.conn.Load()] > 0 {
 		return false
 	}
 	l.closed = true
@@ -122,6 +122,14 @@
 }
 
 func (l *link) send(f frame) {
+	if f.connected != nil {
+		err := l.connect()
+		f.connected <- err
+		if err != nil {
+			l.handleFailure(err)
+		}
+		return
+	}
 	err := l.write(f)
 	if err != nil && l.replaced.Swap(false) {
 		l.close()
@@ -224,8 +232,11 @@
 func (l *link) handleFailure(cause error) {
 	l.close()
 	l.transport.scope.Counter("peer_send_failed").Inc(1)
-	for _, ok := l.pop(); ok; _, ok = l.pop() {
+	for f, ok := l.pop(); ok; f, ok = l.pop() {
 		l.transport.scope.Counter("peer_send_failed").Inc(1)
+		if f.connected != nil {
+			f.connected <- cause
+		}
 	}
 	l.transport.failCalls(l.to, cause)
 }
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -55,12 +55,14 @@
 	stop        context.CancelFunc
 	group       sync.WaitGroup
 	lost        atomic.Pointer[func(netip.AddrPort) bool] // set by Partition; may be nil
+	onStream    atomic.Pointer[func(string, *Stream)]     // set by HandleStreams; may be nil
 
 	// Lock order: linksMu, a link's mu, callsMu. None of them is held while sending.
 	linksMu      sync.Mutex
 	closed       bool // no link is opened any more
 	links        map[netip.AddrPort]*link
 	inboundConns map[netip.AddrPort]*quic.Conn // dialled by peers, keyed by their advertised address
+	openStreams  map[*quic.Conn]int            // streams in use, by connection
 	callsMu      sync.Mutex
 	calls        map[string]pendingCall
 	subsMu       sync.RWMutex
@@ -88,7 +90,8 @@
 		name: name, address: conn.LocalAddr().(*net.UDPAddr).AddrPort(), tls: certificates, scope: scope, queueLength: defaultQueueLength,
 		quic:  &quic.Transport{Conn: conn},
 		links: map[netip.AddrPort]*link{}, inboundConns: map[netip.AddrPort]*quic.Conn{}, calls: map[string]pendingCall{},
-		subs: map[string]*subscription{},
+		openStreams: map[*quic.Conn]int{},
+		subs:        map[string]*subscription{},
 	}
 	t.ctx, t.stop = context.WithCancel(context.Background())
 	t.listen, err = t.quic.Listen(certificates, quicConfig())
@@ -318,6 +321,7 @@
 	// is notified, so that it does not have to wait for its idle timeout.
 	defer func() { _ = conn.CloseWithError(0, "closing") }()
 	name := certifiedName(conn)
+	t.group.Go(func() { t.acceptStreamsOf(conn) })
 	for {
 		s, err := conn.AcceptUniStream(t.ctx)
 		if err != nil {
