dialer, tunnel: reach endpoints through a peer when the own links are lost

It has only one way to an endpoint, and takes the failure of its own network for that of the endpoints.

An own connection gets a head start of 25 ms; if it fails or is slow, a peer is asked to connect in its stead and passes the bytes on over QUIC. The instance that took the request keeps every decision: attempts, retry budget, permits, deadline, quarantine, what the endpoint says of itself. A peer never passes a connection on, so there is one hop at most. Before the peer confirms the connection nothing was sent, after that a broken way means that the request may have run, as with an own connection.

Only an endpoint that a peer reached while the own connection failed counts as cut off; two of a service without a connection of its own in between mean that the links to the service are lost. Then peers are used at once, and two endpoints of the service are probed every 250 ms. When neither this instance nor a peer has links, that is not held against the endpoint: no ejection, no report to its planner. Orders to engines go over own connections only, because engines take each instance for another holder; an instance without links takes no such duty.

Weighed: handing the whole request to a peer (two instances would each count attempts, budget, permits and deadlines; a second copy of the caller's side over QUIC); becoming unready or refusing at once (callers go on coming where the whole zone is cut).

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -25,11 +25,15 @@
 	Ordered        Event = "ordered"
 	Unreadable     Event = "unreadable"
 	Believed       Event = "believed"
+	LinksLost      Event = "links_lost"
+	LinksRegained  Event = "links_regained"
+	TunnelServed   Event = "tunnel_served"
 )
 
 // Events of requests and endpoints.
 const (
 	Sent            Event = "sent"
+	TunnelOpened    Event = "tunnel_opened"
 	Placed          Event = "placed"
 	PrefillFailed   Event = "prefill_failed"
 	EndpointFailed  Event = "endpoint_failed"
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -46,6 +46,7 @@
 	Endpoint    string // ID of the endpoint
 	Address     string // of the endpoint or peer
 	Prefill     string // ID of the prefill engine
+	Peer        string // name of another instance
 	Zone        string
 	Wait        time.Duration // predicted wait, or the wait that a refused caller is given
 	Outcome     string
@@ -79,6 +80,7 @@
 	addText(e, "endpoint", line.Endpoint)
 	addText(e, "address", line.Address)
 	addText(e, "prefill", line.Prefill)
+	addText(e, "peer", line.Peer)
 	addText(e, "zone", line.Zone)
 	addInt(e, "wait_ms", line.Wait.Milliseconds())
 	addText(e, "outcome", line.Outcome)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/trailshed/trailshed/internal/balance"
+	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/route"
 	"github.com/trailshed/trailshed/internal/uplink"
@@ -80,7 +81,7 @@
 
 func (p *proxyRequest) send(ctx context.Context, r *balance.Reservation) (*uplink.Exchange, ResponseHead, error) {
 	m := p.message
-	m.Address, m.EndpointID = r.Endpoint.Address, r.Endpoint.ID
+	m.Address, m.EndpointID, m.Request = r.Endpoint.Address, r.Endpoint.ID, p.call.ID
 	m.MaxIdle = onceMaxIdle
 	if p.route.Kind == route.Idempotent {
 		m.MaxIdle = repeatableMaxIdle
@@ -105,10 +106,21 @@
 		p.sends--
 		p.runs--
 	}
+	p.logTunnel(exchange, r.Endpoint)
 	p.updateHandle(head, err)
 	return exchange, head, err
 }
 
+// logTunnel logs that a send went through a peer.
+func (p *proxyRequest) logTunnel(x *uplink.Exchange, e *directory.Endpoint) {
+	if x == nil || x.Peer() == "" {
+		return
+	}
+	n := p.logLine(eventlog.TunnelOpened, "", nil)
+	n.Endpoint, n.Address, n.Peer = e.ID, e.Address.String(), x.Peer()
+	p.requestLog.Write(n)
+}
+
 // logResend logs why a request is sent again, or after which event a stream resumes.
 func (p *proxyRequest) logResend() {
 	switch {
@@ -134,6 +146,9 @@
 		if errors.Is(context.Cause(parent), context.DeadlineExceeded) {
 			result = balance.Failed
 		}
+	case errors.Is(err, uplink.ErrOwnLinks):
+		result = balance.Canceled
+		p.failure = reasonOwnLinks
 	case errors.Is(err, uplink.ErrNotSent):
 		result = balance.Unreachable
 		p.failure = "unreachable"
@@ -144,6 +159,10 @@
 	}
 }
 
+// reasonOwnLinks is the failure reason of a send for which neither this instance nor a peer had a
+// link to the endpoint.
+const reasonOwnLinks = "links_lost"
+
 func (p *proxyRequest) endpointFailed(r *balance.Reservation, result balance.Result, err error) {
 	p.tried = append(p.tried, r.Endpoint.ID)
 	ejected := r.Done(p.Now(), result)
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -189,6 +189,7 @@
 	switch {
 	case len(p.prefill.rejected) >= maxHandleRejections:
 		p.fullEngine, p.failedEngine = "", p.prefill.engine
+	case p.failure == reasonOwnLinks: // says nothing about the engine
 	case p.fullEngine == "":
 		p.failedEngine = decode
 	}
@@ -229,13 +230,13 @@
 	ctx, cancel := context.WithTimeout(parent, prefillTimeoutSlack+prefillTimeoutFactor*p.place.PrefillTime+2*p.place.PrefillWait)
 	defer cancel()
 	m := p.message
-	m.Address, m.EndpointID, m.MaxIdle = r.Endpoint.Address, r.Endpoint.ID, onceMaxIdle
+	m.Address, m.EndpointID, m.MaxIdle, m.Request = r.Endpoint.Address, r.Endpoint.ID, onceMaxIdle, p.call.ID
 	m.Header = p.Codec.EncodeHeader(p.call, Send{
 		Endpoint: r.Endpoint, Wait: max(p.left(), 0), Priority: p.priority(), Workspace: p.workspaceName(), Stage: directory.Prefill,
 	})
 	p.prefill.sends++
 	sent := p.Now()
-	id, head, err := p.requestPrefill(ctx, m)
+	id, head, err := p.requestPrefill(ctx, m, r.Endpoint)
 	if err == nil {
 		p.reportNoLimit(r.Endpoint, head, sent)
 	}
@@ -259,20 +260,7 @@
 		// counts as its first send. Later prefills were paid for when sent.
 		p.sends++
 	}
-	result := balance.Failed
-	p.failedEngine = r.Endpoint.ID
-	switch {
-	case head.AddressReused:
-		p.ReportGone(r.Endpoint.ID)
-		result = balance.Rejected
-	case head.NotRun:
-		p.fullEngine, p.failedEngine = r.Endpoint.ID, ""
-		result = balance.Rejected
-	case parent.Err() != nil:
-		result = balance.Canceled
-	case errors.Is(err, uplink.ErrNotSent):
-		result = balance.Unreachable
-	}
+	result := p.classifyPrefill(parent, r.Endpoint.ID, head, err)
 	r.Done(p.Now(), result)
 	n := p.logLine(eventlog.PrefillFailed, "", err)
 	n.Endpoint, n.Address = r.Endpoint.ID, r.Endpoint.Address.String()
@@ -282,7 +270,30 @@
 	}
 }
 
-func (p *proxyRequest) requestPrefill(ctx context.Context, m uplink.Message) (string, ResponseHead, error) {
+// classifyPrefill returns the result of a prefill that failed, and notes the engine for the
+// planner if it is at fault or full.
+func (p *proxyRequest) classifyPrefill(parent context.Context, engine string, head ResponseHead, err error) balance.Result {
+	p.failedEngine = engine
+	switch {
+	case head.AddressReused:
+		p.ReportGone(engine)
+		return balance.Rejected
+	case head.NotRun:
+		p.fullEngine, p.failedEngine = engine, ""
+		return balance.Rejected
+	case parent.Err() != nil:
+		return balance.Canceled
+	case errors.Is(err, uplink.ErrOwnLinks):
+		p.failedEngine = ""
+		return balance.Canceled
+	case errors.Is(err, uplink.ErrNotSent):
+		return balance.Unreachable
+	default:
+		return balance.Failed
+	}
+}
+
+func (p *proxyRequest) requestPrefill(ctx context.Context, m uplink.Message, e *directory.Endpoint) (string, ResponseHead, error) {
 	var head ResponseHead
 	x, err := p.Pool.Do(ctx, m, func(resp *http.Response) bool {
 		head = p.Codec.ReadHead(resp)
@@ -291,6 +302,7 @@
 	if err != nil {
 		return "", head, err
 	}
+	p.logTunnel(x, e)
 	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxHandleBytes))
 	if err != nil {
 		x.Close(false)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/trailshed/trailshed/internal/balance"
 	"github.com/trailshed/trailshed/internal/broker"
 	"github.com/trailshed/trailshed/internal/counter"
+	"github.com/trailshed/trailshed/internal/dialer"
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/feed"
@@ -32,6 +33,7 @@
 	"github.com/trailshed/trailshed/internal/staging"
 	"github.com/trailshed/trailshed/internal/suspects"
 	"github.com/trailshed/trailshed/internal/throttle"
+	"github.com/trailshed/trailshed/internal/tunnel"
 	"github.com/trailshed/trailshed/internal/uplink"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
@@ -47,9 +49,9 @@
 	// Duty selects the one instance that gives orders to engines. Order sends an order.
 	Duty  leadership.Registry
 	Order func(ctx context.Context, o staging.Order, holder string, fence int64, notify func(notice.Notice)) error
-	// Load requests an engine's load. Load and Order both pass the notices in the
-	// engine's response to notify.
-	Load      func(ctx context.Context, e directory.Endpoint, notify func(notice.Notice)) (placement.LoadReport, error)
+	// Load requests an engine's load with the given client. Load and Order both pass the
+	// notices in the engine's response to notify.
+	Load      func(ctx context.Context, client *http.Client, e directory.Endpoint, notify func(notice.Notice)) (placement.LoadReport, error)
 	Suspects  suspects.Store
 	ReadyPath string
 	Clocks    clock.Source // of the machine
@@ -103,6 +105,8 @@
 	directory        *directory.Directory
 	balancer         *balance.Balancer
 	pool             *uplink.Pool
+	dialer           *dialer.Dialer
+	tunnels          *tunnel.Tunnels
 	forwarder        *forward.Forwarder
 	feed             *feed.Feed
 	roster           *roster.Roster
@@ -149,6 +153,7 @@
 		return nil, err
 	}
 	g.member = roster.NewMember(g.platform.Registry, g.self, g.log, g.feed.ObserveCall, g.relay.Watching)
+	g.openDialer()
 	g.openStaging()
 	g.openSuspects()
 	g.openForwarder()
@@ -167,7 +172,7 @@
 	}
 	g.self = roster.Instance{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, Fingerprint: identity.Fingerprint,
-		Capacity: s.Processor.Capacity(),
+		Capacity: s.Processor.Capacity(), Tunnels: true,
 	}
 	g.transport, err = peer.Listen(s.Instance.Name, netip.MustParseAddrPort(s.Peers.Listen), peer.PinnedTLS(identity, g.trusted), scope)
 	if err != nil {
@@ -253,7 +258,7 @@
 		Name: g.settings.Load().Instance.Name, Registry: g.platform.Duty, MinGap: g.settings.Load().Orders.Gap,
 		Log: g.log, Now: g.now,
 		Candidate: func() bool {
-			return g.broker.IsPlanner() && !g.leaving.Load() && g.now().Sub(g.started) >= roster.JoinDelay
+			return g.broker.IsPlanner() && !g.dialer.LinksLost() && !g.leaving.Load() && g.now().Sub(g.started) >= roster.JoinDelay
 		},
 	}
 	g.staging = &staging.Runner{
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -49,7 +50,7 @@
 			calls := 0
 			g := &Gateway{
 				now: now, directory: directory.New(), balancer: balance.New("a", nil), log: log,
-				platform: Platform{Load: func(context.Context, directory.Endpoint, func(notice.Notice)) (placement.LoadReport, error) {
+				platform: Platform{Load: func(context.Context, *http.Client, directory.Endpoint, func(notice.Notice)) (placement.LoadReport, error) {
 					calls++
 					return placement.LoadReport{}, nil
 				}},
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -46,7 +46,7 @@
 		group.Go(func() { failed <- s.Serve(g.listeners[i]) })
 	}
 	group.Go(func() { failed <- router.Run(ctx) })
-	for _, run := range []func(context.Context){g.feed.Run, g.member.Run, g.broker.Run, g.relay.Run, g.meter.Run, g.suspects.Run, g.throttle.Run, g.watchClock, g.sweep, g.duty.Run, g.staging.Run} {
+	for _, run := range []func(context.Context){g.feed.Run, g.member.Run, g.broker.Run, g.relay.Run, g.meter.Run, g.suspects.Run, g.throttle.Run, g.watchClock, g.sweep, g.duty.Run, g.staging.Run, g.dialer.Run} {
 		group.Go(func() { run(ctx) })
 	}
 	set := g.settings.Load()
@@ -125,11 +125,13 @@
 	grace := g.settings.Load().Stop.Grace
 	time.Sleep(min(streamCutoff, grace*streamCutoffPercent/100))
 	g.forwarder.RefuseStreaming()
+	g.tunnels.Refuse()
 	time.Sleep(min(balancerDelay, grace/2) - g.now().Sub(started))
 	left := grace - g.now().Sub(started) - exitMargin
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	_ = g.servers[0].Shutdown(ctx) // it fails only by timeout, which the count in the Stopped event shows
+	g.tunnels.Drain(ctx)
 }
 
 func (g *Gateway) sweep(ctx context.Context) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -22,8 +22,10 @@
 	Fingerprint string         `cbor:"4,keyasint" json:"fingerprint"`                  // SHA-256 of its certificate, in hex
 	Capacity    float64        `cbor:"5,keyasint,omitempty" json:"capacity,omitempty"` // of its processor, in cores
 	Leaving     bool           `cbor:"6,keyasint,omitempty" json:"leaving,omitempty"`
-	Revision    int64          `cbor:"8,keyasint" json:"-"` // of the store
-	Joining     bool           `cbor:"-" json:"-"`          // first seen less than JoinDelay ago: it takes no role yet
+	// Tunnels is set if the instance carries connections to endpoints for its peers.
+	Tunnels  bool  `cbor:"9,keyasint,omitempty" json:"tunnels,omitempty"`
+	Revision int64 `cbor:"8,keyasint" json:"-"` // of the store
+	Joining  bool  `cbor:"-" json:"-"`          // first seen less than JoinDelay ago: it takes no role yet
 }
 
 // Removal says that an instance's entry was removed at a revision. The entry may exist
--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -15,6 +15,10 @@
 // did not run.
 var ErrNotSent = errors.New("not sent")
 
+// ErrOwnLinks means that this instance has lost its own links to an endpoint, and that no peer
+// could connect in its stead. It says nothing about the endpoint.
+var ErrOwnLinks = errors.New("this instance's own links are lost")
+
 // ErrNoResponse means that the connection ended, or carried something other than a response,
 // after part of the request had been sent: the request may have run.
 var ErrNoResponse = errors.New("connection ended without a response")
@@ -32,6 +36,9 @@
 	HasBody bool
 	// MaxIdle is the longest time that a reused connection may have been idle.
 	MaxIdle time.Duration
+	// Request is the ID of the caller's request, for the log lines of a peer that carries the
+	// connection.
+	Request string
 }
 
 // Exchange is a request whose response is being read.
@@ -48,7 +55,7 @@
 // to earlier requests and are skipped. When ctx ends, the connection is closed, which makes
 // the endpoint stop.
 func (p *Pool) Do(ctx context.Context, m Message, accept func(*http.Response) bool) (*Exchange, error) {
-	c, err := p.get(ctx, connKey{m.Address, m.EndpointID}, m.MaxIdle)
+	c, err := p.get(ctx, m)
 	if err != nil {
 		return nil, Error.Wrap(errors.Join(ErrNotSent, err))
 	}
@@ -143,6 +150,10 @@
 	}
 }
 
+// Peer returns the name of the instance that carries the connection, or "" if it is this
+// instance's own.
+func (e *Exchange) Peer() string { return e.conn.peer }
+
 // Close ends the exchange. The connection is reused only if whole is true, the request was
 // written completely, the response had a defined end, and the endpoint did not ask to close
 // the connection.
@@ -156,6 +167,10 @@
 		_ = e.conn.Close()
 		return
 	}
+	if e.conn.finish != nil {
+		e.conn.finish()
+		return
+	}
 	e.conn.maxIdle = maxIdleOf(e.Response.Header.Get("Keep-Alive"))
 	e.pool.put(e.conn)
 }
--- a/internal/uplink/pool.go
+++ b/internal/uplink/pool.go
@@ -44,8 +44,14 @@
 
 // Pool holds idle connections by endpoint.
 type Pool struct {
-	// Dial opens a connection. Tests may replace it.
+	// Dial opens a connection of this instance's own. Tests may replace it.
 	Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+	// Connect opens a connection for a message, by Dial or through a peer. By default it uses
+	// Dial.
+	Connect func(ctx context.Context, m Message) (Path, error)
+	// Bypassed reports whether an endpoint is to be reached through a peer, so that open
+	// connections are not used.
+	Bypassed func(endpointID string) bool
 	// OnResponse is called with the endpoint's ID and the header of each response, including
 	// responses that belong to no request in progress. It must not read the body.
 	OnResponse func(endpointID string, head *http.Response)
@@ -70,6 +76,18 @@
 	reader    *bufio.Reader
 	maxIdle   time.Duration
 	idleSince clock.Millis // end of the last exchange
+	peer      string       // instance that carries the connection; empty: it is this instance's own
+	finish    func()       // see Path
+}
+
+// Path is a new connection to an endpoint.
+type Path struct {
+	net.Conn
+	// Peer is the name of the instance that carries the connection, if it is not this
+	// instance's own. Such a connection is used for one exchange.
+	Peer string
+	// Finish ends a connection through a peer after a complete exchange.
+	Finish func()
 }
 
 // NewPool returns a pool that reports its metrics to scope. Endpoints close idle
@@ -77,36 +95,67 @@
 // suspension.
 func NewPool(scope tally.Scope, now func() clock.Millis) *Pool {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	return &Pool{
+	p := &Pool{
 		Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", to.String())
 		},
+		Bypassed:   func(string) bool { return false },
 		OnResponse: func(string, *http.Response) {},
 		scope:      scope, now: now, idle: map[connKey][]*conn{},
 	}
+	p.Connect = func(ctx context.Context, m Message) (Path, error) {
+		c, err := p.DialOwn(ctx, m.Address)
+		return Path{Conn: c}, err
+	}
+	return p
 }
 
-// get returns a connection to an endpoint: one that has been idle for less than maxIdle and
+// get returns a connection to an endpoint: one that has been idle for less than m.MaxIdle and
 // is still open, or a new one.
-func (p *Pool) get(ctx context.Context, key connKey, maxIdle time.Duration) (*conn, error) {
+func (p *Pool) get(ctx context.Context, m Message) (*conn, error) {
+	key := connKey{m.Address, m.EndpointID}
+	if !p.Bypassed(m.EndpointID) {
+		if c := p.popUsable(key, m.MaxIdle); c != nil {
+			return c, nil
+		}
+	}
+	path, err := p.Connect(ctx, m)
+	if err != nil {
+		return nil, err
+	}
+	c := newConn(path.Conn, key)
+	c.peer, c.finish = path.Peer, path.Finish
+	return c, nil
+}
+
+// DialOwn opens a connection of this instance's own by Dial and counts it.
+func (p *Pool) DialOwn(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	p.scope.Counter("uplink_dials").Inc(1)
+	raw, err := p.Dial(ctx, to)
+	if err != nil {
+		p.countDialFailure(err)
+	}
+	return raw, err
+}
+
+// popUsable removes and returns a connection that has been idle for less than maxIdle and is
+// still open, or nil. It closes the others that it finds.
+func (p *Pool) popUsable(key connKey, maxIdle time.Duration) *conn {
 	for {
 		c := p.pop(key)
 		if c == nil {
-			break
+			return nil
 		}
 		idle := p.now().Sub(c.idleSince)
 		if idle < min(maxIdle, c.maxIdle) && usable(c) {
-			return c, nil
+			return c
 		}
 		_ = c.Close()
 	}
-	p.scope.Counter("uplink_dials").Inc(1)
-	raw, err := p.Dial(ctx, key.address)
-	if err != nil {
-		p.countDialFailure(err)
-		return nil, err
-	}
-	return &conn{Conn: raw, key: key, reader: bufio.NewReaderSize(raw, readBufferSize), maxIdle: defaultMaxIdle}, nil
+}
+
+func newConn(raw net.Conn, key connKey) *conn {
+	return &conn{Conn: raw, key: key, reader: bufio.NewReaderSize(raw, readBufferSize), maxIdle: defaultMaxIdle}
 }
 
 // countDialFailure counts a failed dial by its cause: an instance that has lost its links to all
@@ -155,19 +204,24 @@
 	p.idle[c.key] = append(p.idle[c.key], c)
 }
 
-// ProcessEnded reports whether the process of an endpoint has ended, that is, whether its
-// host refuses connections to its port. A host that does not respond or is unreachable
-// proves nothing. If a connection is established, it is kept for the next request.
+// ProcessEnded reports whether the process of an endpoint has ended as far as this instance can
+// tell, that is, whether its host refuses connections to its port. A host that does not respond
+// or is unreachable proves nothing. If a connection is established, it is kept for the next
+// request.
 func (p *Pool) ProcessEnded(ctx context.Context, to netip.AddrPort, endpointID string) bool {
-	p.scope.Counter("uplink_dials").Inc(1)
-	raw, err := p.Dial(ctx, to)
+	raw, err := p.DialOwn(ctx, to)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	p.put(&conn{Conn: raw, key: connKey{to, endpointID}, reader: bufio.NewReaderSize(raw, readBufferSize), maxIdle: defaultMaxIdle})
+	p.Keep(raw, to, endpointID)
 	return false
 }
 
+// Keep keeps a connection of this instance's own for the next request to an endpoint.
+func (p *Pool) Keep(raw net.Conn, to netip.AddrPort, endpointID string) {
+	p.put(newConn(raw, connKey{to, endpointID}))
+}
+
 // CloseExpired closes connections that have been idle for too long.
 func (p *Pool) CloseExpired() {
 	p.mu.Lock()
