dialer, suspects: a refused connection alone does not prove that an endpoint ended

What callers saw: an instance whose links were reset wrote endpoint_ended for every endpoint that ran something, and sound requests were held at all instances for as long as an operator did not release them.

ECONNREFUSED was taken for proof that a process has ended. An instance whose own links are refused gets it from every endpoint. Now a peer whose links work has to be refused as well: it says so only if it has reached another endpoint of the same service since. If no peer can tell, this instance must reach another endpoint of the service itself; an earlier connection proves nothing. Where nobody can tell, as when a whole service crashes at once, the end counts when the endpoint's entry is gone from the store within 10 s, through the same rules for ends that come together.

Weighed: the entry alone (sure, but 4 s late: a request that crashes its endpoints would run on meanwhile); the own connections alone (wrong where the links to a part of the endpoints are lost).

TestCutInstanceHoldsNoSoundRequest failed before with four held requests.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -217,6 +218,35 @@
 // LinksLost reports whether the own links to any service are lost.
 func (d *Dialer) LinksLost() bool { return d.reach.Lost() }
 
+// Check finds out whether an endpoint's process has ended: its host refuses connections to its
+// port. A refusal that only this instance sees proves nothing, as its own network may be at
+// fault: a peer whose links work has to see it too or, if no peer can tell, this instance must
+// reach another endpoint of the service at the same moment.
+func (d *Dialer) Check(ctx context.Context, e *directory.Endpoint) Verdict {
+	to := tunnel.Destination{Address: e.Address, EndpointID: e.ID, Service: e.Service}
+	start, bypassed := d.Now(), d.Bypassed(e.ID)
+	if !bypassed && !d.Pool.ProcessEnded(ctx, e.Address, e.ID) {
+		return Running
+	}
+	c, err := d.Tunnels.Dial(ctx, to)
+	switch {
+	case err == nil:
+		c.Finish() // nothing was sent on it
+		if !bypassed {
+			d.recordBypass(to, syscall.ECONNREFUSED)
+		}
+		return Running
+	case errors.Is(err, tunnel.ErrRefused):
+		return Ended
+	case !errors.Is(err, tunnel.ErrNoPeer):
+		return Running // no answer proves nothing
+	case !bypassed && d.Sound(ctx, to, start):
+		return Ended
+	default:
+		return Uncertain
+	}
+}
+
 func (d *Dialer) recordBypass(to tunnel.Destination, failure error) {
 	size := 0
 	for range d.Directory.View().Service(to.Service) {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/trailshed/trailshed/internal/broker"
 	"github.com/trailshed/trailshed/internal/budget"
 	"github.com/trailshed/trailshed/internal/deadline"
+	"github.com/trailshed/trailshed/internal/dialer"
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/placement"
@@ -59,6 +60,8 @@
 	// ReportGone is called with the ID of an endpoint whose address now belongs to another
 	// one.
 	ReportGone func(id string)
+	// CheckProcess finds out whether an endpoint's process has ended.
+	CheckProcess func(ctx context.Context, e *directory.Endpoint) dialer.Verdict
 	// Suspects records which requests crash endpoints.
 	Suspects *suspects.Suspects
 }
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/trailshed/trailshed/internal/dialer"
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/quarantine"
@@ -31,10 +32,18 @@
 // checkProcessEnded is called when an endpoint broke off a run. If the endpoint's process
 // has ended, the request becomes a suspect.
 func (p *proxyRequest) checkProcessEnded(ctx context.Context, e *directory.Endpoint) {
-	if ctx.Err() != nil || !p.Pool.ProcessEnded(ctx, e.Address, e.ID) {
+	if ctx.Err() != nil {
 		return
 	}
 	w := p.work()
+	switch p.CheckProcess(ctx, e) {
+	case dialer.Running:
+		return
+	case dialer.Uncertain:
+		p.Suspects.RecordUncertainEnd(w, e.ID)
+		return
+	case dialer.Ended:
+	}
 	n := p.logLine(eventlog.EndpointEnded, p.failure, nil)
 	n.Endpoint, n.Address, n.Fingerprint = e.ID, e.Address.String(), w.Fingerprint().String()
 	p.requestLog.Write(n)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -17,6 +17,7 @@
 		Name: g.self.Name, Zone: g.self.Zone, Transport: g.transport, Store: g.platform.Suspects,
 		Scope: g.counters.Scope, Now: g.now, Peers: g.suspectPeers,
 		Watching:     func() bool { return g.relay.Watching() },
+		EndpointGone: func(id string) bool { return g.directory.View().Find(id) == nil },
 		OnHeldChange: g.logHeld,
 		OnUnreadable: func(err error, revision int64) {
 			g.log.Write(eventlog.Line{Event: eventlog.Unreadable, Detail: err.Error(), Revision: revision})
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -89,6 +89,9 @@
 	// Peers returns the known instances, including this one. The first ones of each
 	// zone are its relays.
 	Peers func() []Peer
+	// EndpointGone reports whether an incarnation of an endpoint no longer exists, according
+	// to its entry in the store.
+	EndpointGone func(id string) bool
 	// Watching reports whether this instance watches the store for its zone.
 	Watching func() bool
 	// OnHeldChange is called for each changed record of a request that is held or was
@@ -115,6 +118,8 @@
 	mu    sync.Mutex // never held while sending
 	table *quarantine.Table
 	ends  []quarantine.End // observed within endWindow, not yet attributed
+	// uncertain are ends that could not be proved yet, in the order of their time.
+	uncertain []uncertainEnd
 }
 
 // recordsMessage carries records to another instance.
@@ -262,6 +267,7 @@
 // Run compares records with other instances and updates the store until ctx ends.
 func (s *Suspects) Run(ctx context.Context) {
 	ticker.Every(ctx, tickInterval, func() {
+		s.resolveUncertain()
 		s.compare(ctx)
 		s.updateStore(ctx)
 	})
--- a/internal/tunnel/serve.go
+++ b/internal/tunnel/serve.go
@@ -116,8 +116,7 @@
 	if readErr != nil {
 		l.Close()
 		s.Abort()
-		_ = <-back // it fails because the connection is closed
-		return readErr
+		return errors.Join(readErr, <-back)
 	}
 	l.Interrupt()
 	if err := <-back; !errors.Is(err, context.DeadlineExceeded) && !isTimeout(err) {
