dialer: wait for a peer only when the own links are suspected

After one refused connection a request now goes on to another endpoint, and the peer is asked beside it; from the second endpoint of a service that fails in a row the request waits for the peer. Endpoints that were ejected as unreachable are used again as soon as the own links are found to be at fault. A silent peer is backed off from for up to 4 s, and one attempt takes 250 ms at most with all peers.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -205,6 +205,16 @@
 	return count
 }
 
+// Absolve ends the ejection of an endpoint that was unreachable only because this instance's own
+// links were lost.
+func (b *Balancer) Absolve(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.states[id]; s != nil && s.unreachable {
+		s.unreachable, s.ejectedUntil, s.ejections, s.failureRate = false, 0, 0, 0
+	}
+}
+
 func (b *Balancer) newReservation(now clock.Millis, e *directory.Endpoint) *Reservation {
 	s := b.state(e.ID)
 	s.running++
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -165,3 +165,27 @@
 	}
 	qt.Assert(t, order, qt.DeepEquals, []string{"e-a", "e-b", "e-a", "e-c"})
 }
+
+// An endpoint that was ejected as unreachable is used again at once when it turns out that this
+// instance's own links were at fault; one that failed requests stays ejected.
+func TestAbsolve(t *testing.T) {
+	c := qt.New(t)
+	view := directory.NewView(nil, &directory.Endpoint{ID: "a", Service: "web", State: directory.Ready}, &directory.Endpoint{ID: "b", Service: "web", State: directory.Ready})
+	b := balance.New("z", nil)
+	for e := range view.Service("web") {
+		result := balance.Unreachable
+		if e.ID == "b" {
+			result = balance.Failed
+		}
+		for range 6 {
+			b.ReserveAt(1000, e).Done(1000, result)
+		}
+	}
+	c.Assert(b.Ejected(1001), qt.HasLen, 2)
+	c.Assert(b.Unreachable(), qt.Equals, 1)
+	b.Absolve("a")
+	b.Absolve("b")
+	b.Absolve("unknown")
+	c.Assert(b.Ejected(1001), qt.DeepEquals, []string{"b"})
+	c.Assert(b.Unreachable(), qt.Equals, 0)
+}
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -35,24 +35,31 @@
 	Pool      *uplink.Pool
 	Tunnels   *tunnel.Tunnels
 	Directory *directory.Directory
-	Log       *eventlog.Log
-	Scope     tally.Scope
-	Now       func() clock.Millis
+	// Absolve is called for each endpoint that failed only because the own links to it were
+	// lost.
+	Absolve func(endpoint string)
+	Log     *eventlog.Log
+	Scope   tally.Scope
+	Now     func() clock.Millis
 }
 
 // Dialer opens connections to endpoints. It is safe for concurrent use.
 type Dialer struct {
 	Options
-	reach *reachability.Table
-	sound soundness
-	holds holds
+	reach    *reachability.Table
+	sound    soundness
+	failures failures
+	holds    holds
 }
 
 // New returns a Dialer. Tunnels must be set before its first use.
 func New(o Options) *Dialer {
-	d := &Dialer{Options: o, reach: reachability.New(o.Now), sound: soundness{last: map[string][2]connection{}}, holds: newHolds()}
+	d := &Dialer{Options: o, reach: reachability.New(o.Now), sound: soundness{last: map[string][2]connection{}}, failures: failures{last: map[string]map[string]clock.Millis{}}, holds: newHolds()}
 	d.reach.OnLost = func(l reachability.Loss) {
 		d.Log.Write(eventlog.Line{Event: eventlog.LinksLost, Service: l.Service, Detail: l.Evidence})
+		for e := range d.Directory.View().Service(l.Service) {
+			d.Absolve(e.ID)
+		}
 	}
 	d.reach.OnRegained = func(l reachability.Loss) {
 		d.Log.Write(eventlog.Line{Event: eventlog.LinksRegained, Service: l.Service, Detail: l.Evidence, Took: l.Length})
@@ -84,11 +91,7 @@
 
 // ownOrPeer connects to an endpoint, through a peer if the own connection fails or takes long.
 func (d *Dialer) ownOrPeer(ctx context.Context, to tunnel.Destination) (uplink.Path, error) {
-	own := make(chan attempt[net.Conn], 1)
-	go func() {
-		c, err := d.dialOwn(ctx, to)
-		own <- attempt[net.Conn]{c, err}
-	}()
+	own := d.startOwn(ctx, to)
 	timer := time.NewTimer(headStart)
 	defer timer.Stop()
 	select {
@@ -99,6 +102,9 @@
 		return d.afterOwn(ctx, to, a.err)
 	case <-timer.C:
 		return d.race(ctx, to, own)
+	case <-ctx.Done():
+		go d.awaitOwn(to, own, nil)
+		return uplink.Path{}, Error.Wrap(ctx.Err())
 	}
 }
 
@@ -108,12 +114,32 @@
 	err  error
 }
 
-// afterOwn asks a peer after the own connection has failed. A peer's failure confirms that the
-// endpoint is at fault.
+// startOwn begins an own connection. The attempt goes on if the request ends meanwhile, so that
+// its failure is known for the next one.
+func (d *Dialer) startOwn(ctx context.Context, to tunnel.Destination) <-chan attempt[net.Conn] {
+	own := make(chan attempt[net.Conn], 1)
+	go func() {
+		c, err := d.dialOwn(context.WithoutCancel(ctx), to)
+		own <- attempt[net.Conn]{c, err}
+	}()
+	return own
+}
+
+// afterOwn asks a peer after the own connection has failed. The request waits for the peer only if
+// the own links are suspected; otherwise it can try another endpoint meanwhile.
 func (d *Dialer) afterOwn(ctx context.Context, to tunnel.Destination, failure error) (uplink.Path, error) {
+	suspected := d.suspect(to)
 	if ctx.Err() != nil || d.holds.held(d.Now(), to.EndpointID) {
 		return uplink.Path{}, failure
 	}
+	if !suspected {
+		d.holds.hold(d.Now(), to.EndpointID) // asked once
+		go func() {
+			c, err := d.Tunnels.Dial(context.WithoutCancel(ctx), to)
+			d.takeSecondOpinion(to, failure, attempt[*tunnel.Conn]{c, err})
+		}()
+		return uplink.Path{}, failure
+	}
 	c, err := d.Tunnels.Dial(ctx, to)
 	if err != nil {
 		d.recordFailure(to, err)
@@ -123,60 +149,110 @@
 	return path(c), nil
 }
 
+// takeSecondOpinion takes in a peer's attempt that nobody waits for. If it succeeded although the
+// own one failed, the own link is lost.
+func (d *Dialer) takeSecondOpinion(to tunnel.Destination, failure error, b attempt[*tunnel.Conn]) {
+	if b.err != nil {
+		d.recordFailure(to, b.err)
+		return
+	}
+	b.conn.Finish()
+	d.holds.release(to.EndpointID)
+	d.recordBypass(to, failure)
+}
+
+// suspect records that an own connection failed, and reports whether the own links are suspected
+// to be lost.
+func (d *Dialer) suspect(to tunnel.Destination) bool {
+	return d.failures.record(d.Now(), to.Service, to.EndpointID, d.size(to.Service))
+}
+
+// size returns the number of a service's endpoints.
+func (d *Dialer) size(service string) (size int) {
+	for range d.Directory.View().Service(service) {
+		size++
+	}
+	return size
+}
+
 // race connects through a peer while the own attempt goes on, and takes what comes up first.
 func (d *Dialer) race(ctx context.Context, to tunnel.Destination, own <-chan attempt[net.Conn]) (uplink.Path, error) {
+	peers := make(chan attempt[*tunnel.Conn], 1)
 	if d.holds.held(d.Now(), to.EndpointID) {
-		a := <-own
-		return uplink.Path{Conn: a.conn}, a.err
+		peers <- attempt[*tunnel.Conn]{nil, tunnel.ErrNoPeer}
+	} else {
+		go func() {
+			c, err := d.Tunnels.Dial(context.WithoutCancel(ctx), to)
+			peers <- attempt[*tunnel.Conn]{c, err}
+		}()
 	}
-	peerContext, cancel := context.WithCancel(ctx)
-	defer cancel()
-	peers := make(chan attempt[*tunnel.Conn], 1)
-	go func() {
-		c, err := d.Tunnels.Dial(peerContext, to)
-		peers <- attempt[*tunnel.Conn]{c, err}
-	}()
 	select {
 	case a := <-own:
-		if a.err == nil {
-			go discard(peers)
-			return uplink.Path{Conn: a.conn}, nil
+		return d.afterRace(ctx, to, a, peers)
+	case b := <-peers:
+		if b.err == nil {
+			go d.awaitOwn(to, own, b.conn)
+			return path(b.conn), nil
 		}
-		b := <-peers
-		if b.err != nil {
-			d.recordFailure(to, b.err)
-			return uplink.Path{}, a.err
+		d.recordFailure(to, b.err)
+	case <-ctx.Done():
+		go discard(peers)
+	}
+	select {
+	case a := <-own:
+		if a.err != nil {
+			d.suspect(to)
 		}
-		d.recordBypass(to, a.err)
-		return path(b.conn), nil
+		return uplink.Path{Conn: a.conn}, a.err
+	case <-ctx.Done():
+		go d.awaitOwn(to, own, nil)
+		return uplink.Path{}, Error.Wrap(ctx.Err())
+	}
+}
+
+// afterRace takes the own connection or, if that failed and the own links are suspected, the
+// peer's.
+func (d *Dialer) afterRace(ctx context.Context, to tunnel.Destination, a attempt[net.Conn], peers <-chan attempt[*tunnel.Conn]) (uplink.Path, error) {
+	if a.err == nil {
+		go discard(peers)
+		return uplink.Path{Conn: a.conn}, nil
+	}
+	if !d.suspect(to) {
+		go func() { d.takeSecondOpinion(to, a.err, <-peers) }()
+		return uplink.Path{}, a.err
+	}
+	select {
 	case b := <-peers:
 		if b.err != nil {
 			d.recordFailure(to, b.err)
-			a := <-own
-			return uplink.Path{Conn: a.conn}, a.err
+			return uplink.Path{}, a.err
 		}
-		go d.awaitOwn(to, own)
+		d.recordBypass(to, a.err)
 		return path(b.conn), nil
+	case <-ctx.Done():
+		go discard(peers)
+		return uplink.Path{}, Error.Wrap(ctx.Err())
 	}
 }
 
-// awaitOwn records the result of an own attempt that a peer's has overtaken.
-func (d *Dialer) awaitOwn(to tunnel.Destination, own <-chan attempt[net.Conn]) {
+func discard(peers <-chan attempt[*tunnel.Conn]) {
+	if b := <-peers; b.err == nil {
+		b.conn.Finish()
+	}
+}
+
+// awaitOwn takes in an own attempt that nobody waits for any more. If it fails although a peer
+// has connected, the own link is lost.
+func (d *Dialer) awaitOwn(to tunnel.Destination, own <-chan attempt[net.Conn], through *tunnel.Conn) {
 	a := <-own
 	switch {
 	case a.err == nil:
 		d.Pool.Keep(a.conn, to.Address, to.EndpointID)
-	case !errors.Is(a.err, context.Canceled):
+	case through != nil:
 		d.recordBypass(to, a.err)
 	}
 }
 
-func discard(peers <-chan attempt[*tunnel.Conn]) {
-	if b := <-peers; b.err == nil {
-		b.conn.Finish()
-	}
-}
-
 // path returns the path over a peer's connection.
 func path(c *tunnel.Conn) uplink.Path { return uplink.Path{Conn: c, Peer: c.Peer(), Finish: c.Finish} }
 
@@ -187,6 +263,7 @@
 		return nil, err
 	}
 	d.sound.record(d.Now(), to.Service, to.EndpointID)
+	d.failures.reset(to.Service)
 	d.reach.RecordConnection(to.Service, to.EndpointID)
 	return c, nil
 }
@@ -248,18 +325,17 @@
 }
 
 func (d *Dialer) recordBypass(to tunnel.Destination, failure error) {
-	size := 0
-	for range d.Directory.View().Service(to.Service) {
-		size++
-	}
-	d.reach.RecordBypass(to.Service, to.EndpointID, size, failure)
+	d.Absolve(to.EndpointID)
+	d.reach.RecordBypass(to.Service, to.EndpointID, d.size(to.Service), failure)
 }
 
 // recordFailure records that a peer could not connect either.
 func (d *Dialer) recordFailure(to tunnel.Destination, err error) {
-	if !errors.Is(err, tunnel.ErrNoPeer) {
-		d.holds.hold(d.Now(), to.EndpointID)
+	if errors.Is(err, tunnel.ErrNoPeer) {
+		d.holds.release(to.EndpointID)
+		return
 	}
+	d.holds.hold(d.Now(), to.EndpointID)
 }
 
 // service returns the service of an endpoint, or "" if the endpoint is not known.
--- /dev/null
+++ b/internal/dialer/dialer_test.go
@@ -0,0 +1,322 @@
+package dialer_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/trailshed/trailshed/internal/dialer"
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/peer"
+	"github.com/trailshed/trailshed/internal/standin/cert"
+	"github.com/trailshed/trailshed/internal/tunnel"
+	"github.com/trailshed/trailshed/internal/uplink"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// fault is how connections to endpoints fail.
+type fault int32
+
+const (
+	none fault = iota
+	refuses
+	silent
+)
+
+// world is two instances, the second of which may carry connections for the first, and the
+// endpoints of a service.
+type world struct {
+	t        *testing.T
+	one, two *instance
+	clock    atomic.Int64
+	dir      *directory.Directory
+	crashed  sync.Map // addresses of endpoints that refuse connections from everyone
+}
+
+type instance struct {
+	*dialer.Dialer
+	pool     *uplink.Pool
+	links    atomic.Int32 // fault of all its own links
+	dials    atomic.Int64
+	absolved sync.Map
+	log      *buffer
+	eventlog *eventlog.Log
+}
+
+type buffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func newWorld(t *testing.T, endpoints ...string) *world {
+	t.Helper()
+	w := &world{t: t, dir: directory.New()}
+	w.clock.Store(1000)
+	for _, id := range endpoints {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = l.Close() })
+		go accept(l)
+		w.dir.Apply(w.now(), directory.Seen{Endpoint: directory.Endpoint{
+			ID: id, Entry: id, Service: "web", Zone: "a", Address: netip.MustParseAddrPort(l.Addr().String()), State: directory.Ready, Revision: 1,
+		}})
+	}
+	dir := t.TempDir()
+	authority, err := cert.NewAuthority(dir)
+	qt.Assert(t, err, qt.IsNil)
+	var transports []*peer.Transport
+	for _, name := range []string{"one", "two"} {
+		qt.Assert(t, authority.Issue(name), qt.IsNil)
+		file := filepath.Join(dir, name)
+		certificates, err := peer.LoadTLS(filepath.Join(dir, "ca.pem"), file+".pem", file+".key")
+		qt.Assert(t, err, qt.IsNil)
+		transport, err := peer.Listen(name, netip.MustParseAddrPort("127.0.0.1:0"), certificates, tally.NoopScope)
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = transport.Close() })
+		transports = append(transports, transport)
+	}
+	w.one = w.add("one", transports[0], tunnel.Peer{Name: "two", Address: transports[1].Address()})
+	w.two = w.add("two", transports[1], tunnel.Peer{Name: "one", Address: transports[0].Address()})
+	return w
+}
+
+func (w *world) now() clock.Millis { return clock.Millis(w.clock.Load()) }
+
+func accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() { _, _ = io.Copy(c, c) }()
+	}
+}
+
+func (w *world) add(name string, transport *peer.Transport, other tunnel.Peer) *instance {
+	i := &instance{pool: uplink.NewPool(tally.NoopScope, w.now), log: &buffer{}}
+	i.eventlog = eventlog.Open(i.log, name)
+	i.pool.Dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+		i.dials.Add(1)
+		ctx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer cancel()
+		if _, crashed := w.crashed.Load(to); crashed || fault(i.links.Load()) == refuses {
+			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+		}
+		if fault(i.links.Load()) == silent {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
+	}
+	i.Dialer = dialer.New(dialer.Options{
+		Pool: i.pool, Directory: w.dir, Absolve: func(id string) { i.absolved.Store(id, true) }, Log: i.eventlog, Scope: tally.NoopScope, Now: w.now,
+	})
+	i.Tunnels = tunnel.New(tunnel.Options{
+		Transport: transport, Candidates: func() []tunnel.Peer { return []tunnel.Peer{other} },
+		Find:  func(string) (tunnel.Peer, bool) { return tunnel.Peer{}, false },
+		Knows: func(tunnel.Destination) bool { return true }, Lend: i.Lend,
+		Cut: func(d tunnel.Destination) bool { return i.Bypassed(d.EndpointID) }, Sound: i.Sound,
+		Max: 10, Log: i.eventlog, Scope: tally.NoopScope, Now: w.now,
+	})
+	return i
+}
+
+func (w *world) endpoint(id string) *directory.Endpoint { return w.dir.View().Find(id) }
+
+// crash makes endpoints refuse connections from everyone.
+func (w *world) crash(ids ...string) {
+	for _, id := range ids {
+		w.crashed.Store(w.endpoint(id).Address, true)
+	}
+}
+
+// connect opens a connection of the first instance to an endpoint and closes it.
+func (w *world) connect(id string) (through string, err error) {
+	e := w.endpoint(id)
+	p, err := w.one.Connect(w.t.Context(), uplink.Message{Address: e.Address, EndpointID: id})
+	if err == nil {
+		_ = p.Close()
+	}
+	return p.Peer, err
+}
+
+func (i *instance) logged(t *testing.T, event eventlog.Event) bool {
+	qt.Assert(t, i.eventlog.Close(), qt.IsNil)
+	i.log.mu.Lock()
+	defer i.log.mu.Unlock()
+	return strings.Contains(i.log.text.String(), `"`+string(event)+`"`)
+}
+
+func TestConnect(t *testing.T) {
+	tests := []struct {
+		name     string
+		links    fault // of the first instance
+		crashed  bool  // the endpoint refuses everyone
+		through  string
+		err      bool // another endpoint is tried rather than wait for a peer
+		bypassed bool // from then on
+	}{
+		{"links work", none, false, "", false, false},
+		{"own links are refused", refuses, false, "", true, true},
+		{"own links are silent", silent, false, "two", false, true},
+		{"endpoint refuses everyone", none, true, "", true, false},
+		{"endpoint refuses everyone, own links are silent", silent, true, "", true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(t, "e1", "e2")
+			w.one.links.Store(int32(test.links))
+			if test.crashed {
+				w.crash("e1")
+			}
+			through, err := w.connect("e1")
+			c.Assert(through, qt.Equals, test.through)
+			c.Assert(err != nil, qt.Equals, test.err, qt.Commentf("%v", err))
+			c.Assert(errors.Is(err, uplink.ErrOwnLinks), qt.IsFalse)
+			eventually(t, func() bool { return w.one.Bypassed("e1") == test.bypassed })
+			c.Assert(w.one.Bypassed("e2"), qt.IsFalse)
+			if test.bypassed {
+				_, absolved := w.one.absolved.Load("e1")
+				c.Assert(absolved, qt.IsTrue)
+				through, err = w.connect("e1")
+				c.Assert(err, qt.IsNil)
+				c.Assert(through, qt.Equals, "two")
+			}
+		})
+	}
+}
+
+// loseLinks makes the first instance find out that its links are lost. Only its first request
+// fails, at the first endpoint.
+func (w *world) loseLinks() {
+	w.t.Helper()
+	_, err := w.connect("e1")
+	qt.Assert(w.t, err, qt.IsNotNil)
+	through, err := w.connect("e2")
+	qt.Assert(w.t, err, qt.IsNil)
+	qt.Assert(w.t, through, qt.Equals, "two")
+	eventually(w.t, w.one.LinksLost)
+}
+
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatal("timed out")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Two endpoints are enough to use peers for all of the service. A probe finds out that the
+// links are back.
+func TestLinksLostAndBack(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, "e1", "e2", "e3")
+	w.one.links.Store(int32(refuses))
+	w.loseLinks()
+	before := w.one.dials.Load()
+	through, err := w.connect("e3")
+	c.Assert(err, qt.IsNil)
+	c.Assert(through, qt.Equals, "two")
+	c.Assert(w.one.dials.Load(), qt.Equals, before) // no own attempt
+	w.one.links.Store(int32(none))
+	ctx, stop := context.WithCancel(t.Context())
+	go w.one.Run(ctx)
+	eventually(t, func() bool { return !w.one.LinksLost() })
+	stop()
+	through, err = w.connect("e3")
+	c.Assert(err, qt.IsNil)
+	c.Assert(through, qt.Equals, "")
+	c.Assert(w.one.logged(t, eventlog.LinksLost), qt.IsTrue)
+	c.Assert(w.one.logged(t, eventlog.LinksRegained), qt.IsTrue)
+}
+
+// When neither the instance nor a peer has links, the endpoint is not at fault, and the request
+// is not kept waiting for connections that cannot come up.
+func TestNobodyHasLinks(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, "e1", "e2")
+	w.one.links.Store(int32(refuses))
+	w.loseLinks()
+	w.two.links.Store(int32(refuses))
+	_, err := w.connect("e1")
+	c.Assert(errors.Is(err, uplink.ErrOwnLinks), qt.IsTrue, qt.Commentf("%v", err))
+	// The second instance asks the first in turn, which has none either: nothing goes round.
+	before := w.two.dials.Load()
+	_, err = w.connect("e2")
+	c.Assert(errors.Is(err, uplink.ErrOwnLinks), qt.IsTrue)
+	c.Assert(w.two.dials.Load()-before <= 4, qt.IsTrue)
+}
+
+func TestCheck(t *testing.T) {
+	all := []string{"e1", "e2", "e3"}
+	tests := []struct {
+		name     string
+		one, two fault
+		crashed  []string
+		lone     bool // the second instance does not answer
+		want     dialer.Verdict
+	}{
+		{"endpoint runs", none, none, nil, false, dialer.Running},
+		{"endpoint ended", none, none, []string{"e1"}, false, dialer.Ended},
+		{"two ended", none, none, []string{"e1", "e2"}, false, dialer.Ended},
+		{"all ended", none, none, all, false, dialer.Uncertain},
+		{"own links are refused", refuses, none, nil, false, dialer.Running},
+		{"own links are refused and endpoint ended", refuses, none, []string{"e1"}, false, dialer.Ended},
+		{"own links are silent", silent, none, nil, false, dialer.Running},
+		{"everyone's links are refused", refuses, refuses, nil, false, dialer.Uncertain},
+		{"peer's links are refused and endpoint ended", none, refuses, []string{"e1"}, false, dialer.Ended},
+		{"endpoint ended, no peer", none, none, []string{"e1"}, true, dialer.Ended},
+		{"own links are refused, no peer", refuses, none, nil, true, dialer.Uncertain},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t, all...)
+			w.one.links.Store(int32(test.one))
+			w.two.links.Store(int32(test.two))
+			w.crash(test.crashed...)
+			if test.lone {
+				w.two.Tunnels.Refuse()
+			}
+			qt.Assert(t, w.one.Check(t.Context(), w.endpoint("e1")), qt.Equals, test.want)
+		})
+	}
+}
+
+// An endpoint that is down is asked about once a second at most, whatever the traffic.
+func TestPeersAreAskedSeldom(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, "e1", "e2")
+	w.crash("e1")
+	for range 5 {
+		_, err := w.connect("e1")
+		c.Assert(err, qt.IsNotNil)
+	}
+	eventually(t, func() bool { return w.two.dials.Load() == 2 }) // the endpoint, and another one to compare
+	w.clock.Add(1500)
+	_, err := w.connect("e1")
+	c.Assert(err, qt.IsNotNil)
+	eventually(t, func() bool { return w.two.dials.Load() > 2 })
+}
--- a/internal/dialer/holds.go
+++ b/internal/dialer/holds.go
@@ -30,6 +30,12 @@
 	h.until[endpoint] = now.Add(holdTime)
 }
 
+func (h holds) release(endpoint string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.until, endpoint)
+}
+
 func (h holds) held(now clock.Millis, endpoint string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -24,7 +24,7 @@
 // openDialer creates the parts that connect to endpoints.
 func (g *Gateway) openDialer() {
 	scope := g.counters.Scope
-	g.dialer = dialer.New(dialer.Options{Pool: g.pool, Directory: g.directory, Log: g.log, Scope: scope, Now: g.now})
+	g.dialer = dialer.New(dialer.Options{Pool: g.pool, Directory: g.directory, Absolve: g.balancer.Absolve, Log: g.log, Scope: scope, Now: g.now})
 	g.tunnels = tunnel.New(tunnel.Options{
 		Transport: g.transport, Candidates: g.tunnelPeers, Find: g.tunnelPeer, Knows: g.knowsEndpoint,
 		Lend: g.dialer.Lend, Cut: func(d tunnel.Destination) bool { return g.dialer.Bypassed(d.EndpointID) }, Sound: g.dialer.Sound,
--- a/internal/reachability/table.go
+++ b/internal/reachability/table.go
@@ -39,6 +39,7 @@
 // service is the state of one service's endpoints.
 type service struct {
 	bypassed map[string]string // failures by endpoint, of those reached through peers
+	recent   map[string]bool   // those of them found since the last connection of the own
 	lostAt   clock.Millis      // since when all endpoints are reached through peers; 0: they are not
 }
 
@@ -73,11 +74,11 @@
 	t.mu.Lock()
 	s := t.services[name]
 	if s == nil {
-		s = &service{bypassed: map[string]string{}}
+		s = &service{bypassed: map[string]string{}, recent: map[string]bool{}}
 		t.services[name] = s
 	}
-	s.bypassed[endpoint] = failure.Error()
-	lost := s.lostAt == 0 && len(s.bypassed) >= min(minBypassed, max(size, 1))
+	s.bypassed[endpoint], s.recent[endpoint] = failure.Error(), true
+	lost := s.lostAt == 0 && len(s.recent) >= min(minBypassed, max(size, 1))
 	if lost {
 		s.lostAt = t.now()
 	}
@@ -104,6 +105,7 @@
 		loss.Length = t.now().Sub(s.lostAt)
 	}
 	delete(s.bypassed, endpoint)
+	clear(s.recent)
 	if regained || len(s.bypassed) == 0 {
 		delete(t.services, name)
 	}
--- a/internal/suspects/suspects_test.go
+++ b/internal/suspects/suspects_test.go
@@ -96,12 +96,13 @@
 	all         []suspects.Peer
 	partitioned map[netip.AddrPort]bool // the partitioned side: no messages pass between it and the others
 	nodes       map[string]*suspects.Suspects
+	gone        map[string]bool // IDs of endpoints whose entries are gone
 }
 
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{
 		t: t, store: &store{records: map[quarantine.Fingerprint]quarantine.Stored{}}, dir: t.TempDir(),
-		partitioned: map[netip.AddrPort]bool{}, nodes: map[string]*suspects.Suspects{},
+		partitioned: map[netip.AddrPort]bool{}, nodes: map[string]*suspects.Suspects{}, gone: map[string]bool{},
 	}
 	var err error
 	f.ca, err = cert.NewAuthority(f.dir)
@@ -137,6 +138,7 @@
 			return append([]suspects.Peer(nil), f.all...)
 		},
 		Watching:     func() bool { return name[1:] != "3" },
+		EndpointGone: func(id string) bool { return f.endpointGone(id) },
 		OnHeldChange: func(quarantine.Record) {},
 		OnUnreadable: func(error, int64) {},
 	})
@@ -156,6 +158,20 @@
 	f.nodes[name] = s
 }
 
+// endpointGone reports whether an endpoint's entry is gone.
+func (f *fleet) endpointGone(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gone[id]
+}
+
+// removeEndpoint removes an endpoint's entry.
+func (f *fleet) removeEndpoint(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gone[id] = true
+}
+
 // isolate partitions the instances of a zone from all others; "" heals the partition.
 func (f *fleet) isolate(zone string) {
 	f.mu.Lock()
@@ -254,3 +270,25 @@
 	f.nodes["c1"].ApplyStored(suspects.StoreUpdate{Removals: []quarantine.Removal{{Work: poison.Fingerprint(), Revision: 9}}})
 	qt.Assert(t, f.nodes["c1"].Holds(poison), qt.IsFalse)
 }
+
+// Ends that could not be proved when they were seen count once the endpoints' entries are gone,
+// and never if these stay.
+func TestUncertainEnds(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t)
+	crashing, sound := quarantine.Work{Target: "/crashing"}, quarantine.Work{Target: "/sound"}
+	for _, endpoint := range []string{"e1", "e2"} {
+		f.nodes["a1"].RecordUncertainEnd(crashing, endpoint)
+	}
+	for _, endpoint := range []string{"e3", "e4"} {
+		f.nodes["a1"].RecordUncertainEnd(sound, endpoint)
+	}
+	time.Sleep(time.Second) // some rounds
+	c.Assert(f.nodes["a1"].Holds(crashing), qt.IsFalse)
+	f.removeEndpoint("e1")
+	f.removeEndpoint("e2")
+	for name, s := range f.nodes {
+		f.eventually("held at "+name, func() bool { return s.Holds(crashing) })
+		c.Assert(s.Holds(sound), qt.IsFalse)
+	}
+}
--- a/internal/tunnel/open.go
+++ b/internal/tunnel/open.go
@@ -26,11 +26,15 @@
 	// answerTimeout bounds a peer's answer. It leaves time for a new connection to the peer
 	// and for the check of the peer's own links.
 	answerTimeout = 150 * time.Millisecond
+	// dialTimeout bounds the whole attempt, with all peers that are asked.
+	dialTimeout = 250 * time.Millisecond
 )
 
 // Dial connects to an endpoint through a peer. Its error is ErrRefused, ErrUnreachable or
 // ErrNoPeer; in each case nothing was sent to the endpoint.
 func (t *Tunnels) Dial(ctx context.Context, d Destination) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	started := t.Now()
 	failure, referred := ErrNoPeer, false
 	peers := t.available(d.Service)
@@ -46,8 +50,8 @@
 		if r.Sound {
 			return nil, Error.Wrap(errors.Join(soundFailure(r.Outcome), err))
 		}
-		if ctx.Err() == nil && r.Outcome != unknown {
-			t.backOff(subject{p.Name, r.Outcome.scope(d.Service)})
+		if !errors.Is(ctx.Err(), context.Canceled) && r.Outcome != unknown {
+			t.backOff(subject{p.Name, r.Outcome.scope(d.Service)}, r.Outcome == 0)
 		}
 		if other, ok := t.Find(r.Referral); ok && !referred {
 			peers, referred = append([]Peer{other}, peers...), true
--- a/internal/tunnel/tunnels.go
+++ b/internal/tunnel/tunnels.go
@@ -64,12 +64,13 @@
 	leaving  atomic.Bool
 	mu       sync.Mutex
 	backoffs map[subject]clock.Millis // until when peers are not asked
+	silences map[string]int           // consecutive times that a peer did not answer, by name
 	working  map[string]string        // peer through which the last connection was opened, by service
 }
 
 // New returns Tunnels that serve peers from now on.
 func New(o Options) *Tunnels {
-	t := &Tunnels{Options: o, backoffs: map[subject]clock.Millis{}, working: map[string]string{}}
+	t := &Tunnels{Options: o, backoffs: map[subject]clock.Millis{}, silences: map[string]int{}, working: map[string]string{}}
 	o.Transport.HandleStreams(t.serve)
 	return t
 }
@@ -95,22 +96,29 @@
 	backoffTime = time.Second
 	// backoffJitter spreads the end of backoffs, so that not all instances ask at once.
 	backoffJitter = 500 * time.Millisecond
+	// maxDoublings bounds the backoff of a silent peer, to 4 s.
+	maxDoublings = 2
 )
 
 // subject is what a peer could not help with: one service, or any if service is empty.
 type subject struct{ peer, service string }
 
-// backOff records that a peer could not help.
-func (t *Tunnels) backOff(about subject) {
+// backOff records that a peer could not help. The time doubles for one that is silent.
+func (t *Tunnels) backOff(about subject, silent bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Now()
+	length := backoffTime
+	if silent {
+		length <<= min(t.silences[about.peer], maxDoublings)
+		t.silences[about.peer]++
+	}
 	for other, until := range t.backoffs {
 		if until <= now {
 			delete(t.backoffs, other)
 		}
 	}
-	t.backoffs[about] = now.Add(backoffTime + rand.N(backoffJitter))
+	t.backoffs[about] = now.Add(length + rand.N(backoffJitter))
 	if t.working[about.service] == about.peer {
 		delete(t.working, about.service)
 	}
@@ -142,6 +150,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.working[service] = name
+	delete(t.silences, name)
 }
 
 // referral returns the name of the instance through which this one last reached a service, or
