--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -6,16 +6,16 @@
 import (
 	"context"
 	"errors"
+	"iter"
 	"net"
 	"net/http"
+	"net/netip"
 	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
 
-	"github.com/trailshed/trailshed/internal/directory"
-	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/reachability"
 	"github.com/trailshed/trailshed/internal/tunnel"
 	"github.com/trailshed/trailshed/internal/uplink"
@@ -32,15 +32,20 @@
 
 // Options configure a Dialer.
 type Options struct {
-	Pool      *uplink.Pool
-	Tunnels   *tunnel.Tunnels
-	Directory *directory.Directory
+	Pool    *uplink.Pool
+	Tunnels *tunnel.Tunnels
+	// ServiceOf returns the service of an endpoint, or "" if the endpoint is not known.
+	ServiceOf func(endpoint string) string
+	// Endpoints yields the endpoints of a service that take requests.
+	Endpoints func(service string) iter.Seq[tunnel.Destination]
 	// Absolve is called for each endpoint that failed only because the own links to it were
 	// lost.
 	Absolve func(endpoint string)
-	Log     *eventlog.Log
-	Scope   tally.Scope
-	Now     func() clock.Millis
+	// OnLost and OnRegained are called when the own links to a service are lost, and when they
+	// are back.
+	OnLost, OnRegained func(reachability.Loss)
+	Scope              tally.Scope
+	Now                func() clock.Millis
 }
 
 // Dialer opens connections to endpoints. It is safe for concurrent use.
@@ -56,21 +61,19 @@
 func New(o Options) *Dialer {
 	d := &Dialer{Options: o, reach: reachability.New(o.Now), sound: soundness{last: map[string][2]connection{}}, failures: failures{last: map[string]map[string]clock.Millis{}}, holds: newHolds()}
 	d.reach.OnLost = func(l reachability.Loss) {
-		d.Log.Write(eventlog.Line{Event: eventlog.LinksLost, Service: l.Service, Detail: l.Evidence})
-		for e := range d.Directory.View().Service(l.Service) {
-			d.Absolve(e.ID)
+		d.OnLost(l)
+		for e := range d.Endpoints(l.Service) {
+			d.Absolve(e.EndpointID)
 		}
 	}
-	d.reach.OnRegained = func(l reachability.Loss) {
-		d.Log.Write(eventlog.Line{Event: eventlog.LinksRegained, Service: l.Service, Detail: l.Evidence, Took: l.Length})
-	}
+	d.reach.OnRegained = o.OnRegained
 	return d
 }
 
 // Connect opens a connection for a message. An error with uplink.ErrOwnLinks says nothing about
 // the endpoint.
 func (d *Dialer) Connect(ctx context.Context, m uplink.Message) (uplink.Path, error) {
-	to := tunnel.Destination{Address: m.Address, EndpointID: m.EndpointID, Request: m.Request, MaxIdle: m.MaxIdle, Service: d.service(m.EndpointID)}
+	to := tunnel.Destination{Address: m.Address, EndpointID: m.EndpointID, Request: m.Request, MaxIdle: m.MaxIdle, Service: d.ServiceOf(m.EndpointID)}
 	if d.Bypassed(m.EndpointID) {
 		return d.throughPeer(ctx, to)
 	}
@@ -169,7 +172,7 @@
 
 // size returns the number of a service's endpoints.
 func (d *Dialer) size(service string) (size int) {
-	for range d.Directory.View().Service(service) {
+	for range d.Endpoints(service) {
 		size++
 	}
 	return size
@@ -279,9 +282,9 @@
 
 // Client returns an HTTP client for calls of this instance's own to an endpoint, such as for its
 // load. It keeps no connection open.
-func (d *Dialer) Client(e directory.Endpoint) *http.Client {
+func (d *Dialer) Client(endpoint string, address netip.AddrPort) *http.Client {
 	dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
-		p, err := d.Connect(ctx, uplink.Message{Address: e.Address, EndpointID: e.ID})
+		p, err := d.Connect(ctx, uplink.Message{Address: address, EndpointID: endpoint})
 		return p.Conn, err
 	}
 	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial}}
@@ -289,7 +292,7 @@
 
 // Bypassed reports whether an endpoint is to be reached through a peer.
 func (d *Dialer) Bypassed(endpoint string) bool {
-	return d.reach.Bypassed(d.service(endpoint), endpoint)
+	return d.reach.Bypassed(d.ServiceOf(endpoint), endpoint)
 }
 
 // LinksLost reports whether the own links to any service are lost.
@@ -299,10 +302,9 @@
 // port. A refusal that only this instance sees proves nothing, as its own network may be at
 // fault: a peer whose links work has to see it too or, if no peer can tell, this instance must
 // reach another endpoint of the service at the same moment.
-func (d *Dialer) Check(ctx context.Context, e *directory.Endpoint) Verdict {
-	to := tunnel.Destination{Address: e.Address, EndpointID: e.ID, Service: e.Service}
-	start, bypassed := d.Now(), d.Bypassed(e.ID)
-	if !bypassed && !d.Pool.ProcessEnded(ctx, e.Address, e.ID) {
+func (d *Dialer) Check(ctx context.Context, to tunnel.Destination) Verdict {
+	start, bypassed := d.Now(), d.Bypassed(to.EndpointID)
+	if !bypassed && !d.Pool.ProcessEnded(ctx, to.Address, to.EndpointID) {
 		return Running
 	}
 	c, err := d.Tunnels.Dial(ctx, to)
@@ -337,11 +339,3 @@
 	}
 	d.holds.hold(d.Now(), to.EndpointID)
 }
-
-// service returns the service of an endpoint, or "" if the endpoint is not known.
-func (d *Dialer) service(endpoint string) string {
-	if e := d.Directory.View().Find(endpoint); e != nil {
-		return e.Service
-	}
-	return ""
-}
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -4,10 +4,11 @@
 	"context"
 	"errors"
 	"io"
+	"iter"
 	"net"
 	"net/netip"
 	"path/filepath"
-	"strings"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -18,9 +19,9 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/trailshed/trailshed/internal/dialer"
-	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/peer"
+	"github.com/trailshed/trailshed/internal/reachability"
 	"github.com/trailshed/trailshed/internal/standin/cert"
 	"github.com/trailshed/trailshed/internal/tunnel"
 	"github.com/trailshed/trailshed/internal/uplink"
@@ -42,7 +43,7 @@
 	t        *testing.T
 	one, two *instance
 	clock    atomic.Int64
-	dir      *directory.Directory
+	list     []tunnel.Destination
 	crashed  sync.Map // addresses of endpoints that refuse connections from everyone
 }
 
@@ -52,33 +53,20 @@
 	links    atomic.Int32 // fault of all its own links
 	dials    atomic.Int64
 	absolved sync.Map
-	log      *buffer
-	eventlog *eventlog.Log
-}
-
-type buffer struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
 
-func (b *buffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(p)
+	lost, regained atomic.Int64 // calls of OnLost and OnRegained
 }
 
 func newWorld(t *testing.T, endpoints ...string) *world {
 	t.Helper()
-	w := &world{t: t, dir: directory.New()}
+	w := &world{t: t}
 	w.clock.Store(1000)
 	for _, id := range endpoints {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		qt.Assert(t, err, qt.IsNil)
 		t.Cleanup(func() { _ = l.Close() })
 		go accept(l)
-		w.dir.Apply(w.now(), directory.Seen{Endpoint: directory.Endpoint{
-			ID: id, Entry: id, Service: "web", Zone: "a", Address: netip.MustParseAddrPort(l.Addr().String()), State: directory.Ready, Revision: 1,
-		}})
+		w.list = append(w.list, tunnel.Destination{EndpointID: id, Service: "web", Address: netip.MustParseAddrPort(l.Addr().String())})
 	}
 	dir := t.TempDir()
 	authority, err := cert.NewAuthority(dir)
@@ -94,8 +82,8 @@
 		t.Cleanup(func() { _ = transport.Close() })
 		transports = append(transports, transport)
 	}
-	w.one = w.add("one", transports[0], tunnel.Peer{Name: "two", Address: transports[1].Address()})
-	w.two = w.add("two", transports[1], tunnel.Peer{Name: "one", Address: transports[0].Address()})
+	w.one = w.add(transports[0], tunnel.Peer{Name: "two", Address: transports[1].Address()})
+	w.two = w.add(transports[1], tunnel.Peer{Name: "one", Address: transports[0].Address()})
 	return w
 }
 
@@ -111,9 +99,8 @@
 	}
 }
 
-func (w *world) add(name string, transport *peer.Transport, other tunnel.Peer) *instance {
-	i := &instance{pool: uplink.NewPool(tally.NoopScope, w.now), log: &buffer{}}
-	i.eventlog = eventlog.Open(i.log, name)
+func (w *world) add(transport *peer.Transport, other tunnel.Peer) *instance {
+	i := &instance{pool: uplink.NewPool(tally.NoopScope, w.now)}
 	i.pool.Dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 		i.dials.Add(1)
 		ctx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
@@ -128,19 +115,26 @@
 		return (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
 	}
 	i.Dialer = dialer.New(dialer.Options{
-		Pool: i.pool, Directory: w.dir, Absolve: func(id string) { i.absolved.Store(id, true) }, Log: i.eventlog, Scope: tally.NoopScope, Now: w.now,
+		Pool: i.pool, Endpoints: w.endpoints, Absolve: func(id string) { i.absolved.Store(id, true) }, Scope: tally.NoopScope, Now: w.now,
+		ServiceOf:  func(string) string { return "web" },
+		OnLost:     func(reachability.Loss) { i.lost.Add(1) },
+		OnRegained: func(reachability.Loss) { i.regained.Add(1) },
 	})
 	i.Tunnels = tunnel.New(tunnel.Options{
 		Transport: transport, Candidates: func() []tunnel.Peer { return []tunnel.Peer{other} },
 		Find:  func(string) (tunnel.Peer, bool) { return tunnel.Peer{}, false },
 		Knows: func(tunnel.Destination) bool { return true }, Lend: i.Lend,
 		Cut: func(d tunnel.Destination) bool { return i.Bypassed(d.EndpointID) }, Sound: i.Sound,
-		Max: 10, Log: i.eventlog, Scope: tally.NoopScope, Now: w.now,
+		Max: 10, OnServed: func(eventlog.Line, bool) {}, Scope: tally.NoopScope, Now: w.now,
 	})
 	return i
 }
 
-func (w *world) endpoint(id string) *directory.Endpoint { return w.dir.View().Find(id) }
+func (w *world) endpoints(string) iter.Seq[tunnel.Destination] { return slices.Values(w.list) }
+
+func (w *world) endpoint(id string) tunnel.Destination {
+	return w.list[slices.IndexFunc(w.list, func(d tunnel.Destination) bool { return d.EndpointID == id })]
+}
 
 // crash makes endpoints refuse connections from everyone.
 func (w *world) crash(ids ...string) {
@@ -159,13 +153,6 @@
 	return p.Peer, err
 }
 
-func (i *instance) logged(t *testing.T, event eventlog.Event) bool {
-	qt.Assert(t, i.eventlog.Close(), qt.IsNil)
-	i.log.mu.Lock()
-	defer i.log.mu.Unlock()
-	return strings.Contains(i.log.text.String(), `"`+string(event)+`"`)
-}
-
 func TestConnect(t *testing.T) {
 	tests := []struct {
 		name     string
@@ -249,8 +236,8 @@
 	through, err = w.connect("e3")
 	c.Assert(err, qt.IsNil)
 	c.Assert(through, qt.Equals, "")
-	c.Assert(w.one.logged(t, eventlog.LinksLost), qt.IsTrue)
-	c.Assert(w.one.logged(t, eventlog.LinksRegained), qt.IsTrue)
+	c.Assert(w.one.lost.Load(), qt.Equals, int64(1))
+	c.Assert(w.one.regained.Load(), qt.Equals, int64(1))
 }
 
 // When neither the instance nor a peer has links, the endpoint is not at fault, and the request
--- a/internal/dialer/probe.go
+++ b/internal/dialer/probe.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/ticker"
 	"github.com/trailshed/trailshed/internal/tunnel"
 )
@@ -27,18 +26,21 @@
 	bypassed := 0
 	for name, list := range d.reach.Endpoints() {
 		bypassed += len(list)
+		known := map[string]tunnel.Destination{}
+		for e := range d.Endpoints(name) {
+			known[e.EndpointID] = e
+		}
 		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 		probes := 0
 		for _, id := range list {
-			e := d.Directory.View().Find(id)
-			if e == nil {
+			e, ok := known[id]
+			if !ok {
 				d.reach.Forget(name, id)
 				continue
 			}
-			if probes++; probes > probesPerService {
-				break
+			if probes++; probes <= probesPerService {
+				go d.probeEndpoint(ctx, e)
 			}
-			go d.probeEndpoint(ctx, *e)
 		}
 	}
 	through, carried := d.Tunnels.Open()
@@ -47,9 +49,9 @@
 	d.Scope.Gauge("tunnels_carried").Update(float64(carried))
 }
 
-func (d *Dialer) probeEndpoint(ctx context.Context, e directory.Endpoint) {
-	c, err := d.dialOwn(ctx, tunnel.Destination{Address: e.Address, EndpointID: e.ID, Service: e.Service})
+func (d *Dialer) probeEndpoint(ctx context.Context, e tunnel.Destination) {
+	c, err := d.dialOwn(ctx, e)
 	if err == nil {
-		d.Pool.Keep(c, e.Address, e.ID)
+		d.Pool.Keep(c, e.Address, e.EndpointID)
 	}
 }
--- a/internal/dialer/soundness.go
+++ b/internal/dialer/soundness.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"sync"
 
-	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/tunnel"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
@@ -62,9 +61,9 @@
 	results := make(chan bool, len(others))
 	for _, e := range others {
 		go func() {
-			c, err := d.dialOwn(ctx, tunnel.Destination{Address: e.Address, EndpointID: e.ID, Service: e.Service})
+			c, err := d.dialOwn(ctx, e)
 			if err == nil {
-				d.Pool.Keep(c, e.Address, e.ID)
+				d.Pool.Keep(c, e.Address, e.EndpointID)
 			}
 			results <- err == nil
 		}()
@@ -77,19 +76,19 @@
 	return len(others) == 0
 }
 
-// others returns some other ready endpoints of the service, drawn at random.
-func (d *Dialer) others(to tunnel.Destination) []directory.Endpoint {
-	list := make([]directory.Endpoint, 0, maxSoundDials)
+// others returns some other endpoints of the service, drawn at random.
+func (d *Dialer) others(to tunnel.Destination) []tunnel.Destination {
+	list := make([]tunnel.Destination, 0, maxSoundDials)
 	seen := 0
-	for e := range d.Directory.View().Service(to.Service) {
-		if e.ID == to.EndpointID || e.State != directory.Ready {
+	for e := range d.Endpoints(to.Service) {
+		if e.EndpointID == to.EndpointID {
 			continue
 		}
 		seen++
 		if len(list) < maxSoundDials {
-			list = append(list, *e)
+			list = append(list, e)
 		} else if at := rand.IntN(seen); at < maxSoundDials {
-			list[at] = *e
+			list[at] = e
 		}
 	}
 	return list
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -1,9 +1,14 @@
 package gateway
 
 import (
+	"context"
+	"iter"
 	"slices"
 
 	"github.com/trailshed/trailshed/internal/dialer"
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/reachability"
 	"github.com/trailshed/trailshed/internal/roster"
 	"github.com/trailshed/trailshed/internal/tunnel"
 )
@@ -24,16 +29,60 @@
 // openDialer creates the parts that connect to endpoints.
 func (g *Gateway) openDialer() {
 	scope := g.counters.Scope
-	g.dialer = dialer.New(dialer.Options{Pool: g.pool, Directory: g.directory, Absolve: g.balancer.Absolve, Log: g.log, Scope: scope, Now: g.now})
+	g.dialer = dialer.New(dialer.Options{
+		Pool: g.pool, ServiceOf: g.serviceOf, Endpoints: g.readyEndpoints, Absolve: g.balancer.Absolve, Scope: scope, Now: g.now,
+		OnLost: func(l reachability.Loss) {
+			g.log.Write(eventlog.Line{Event: eventlog.LinksLost, Service: l.Service, Detail: l.Evidence})
+		},
+		OnRegained: func(l reachability.Loss) {
+			g.log.Write(eventlog.Line{Event: eventlog.LinksRegained, Service: l.Service, Detail: l.Evidence, Took: l.Length})
+		},
+	})
 	g.tunnels = tunnel.New(tunnel.Options{
 		Transport: g.transport, Candidates: g.tunnelPeers, Find: g.tunnelPeer, Knows: g.knowsEndpoint,
 		Lend: g.dialer.Lend, Cut: func(d tunnel.Destination) bool { return g.dialer.Bypassed(d.EndpointID) }, Sound: g.dialer.Sound,
-		Max: int(float64(g.settings.Load().Memory.LimitMB) / megabytesPerTunnel), Log: g.log, Scope: scope, Now: g.now,
+		Max: int(float64(g.settings.Load().Memory.LimitMB) / megabytesPerTunnel), OnServed: g.logTunnelServed, Scope: scope, Now: g.now,
 	})
 	g.dialer.Tunnels = g.tunnels
 	g.pool.Connect, g.pool.Bypassed = g.dialer.Connect, g.dialer.Bypassed
 }
 
+// serviceOf returns the service of an endpoint, or "" if the endpoint is not known.
+func (g *Gateway) serviceOf(endpoint string) string {
+	if e := g.directory.View().Find(endpoint); e != nil {
+		return e.Service
+	}
+	return ""
+}
+
+// readyEndpoints yields the endpoints of a service that take requests.
+func (g *Gateway) readyEndpoints(service string) iter.Seq[tunnel.Destination] {
+	return func(yield func(tunnel.Destination) bool) {
+		for e := range g.directory.View().Service(service) {
+			if e.State == directory.Ready && !yield(destination(e)) {
+				return
+			}
+		}
+	}
+}
+
+// destination returns an endpoint as a destination of connections.
+func destination(e *directory.Endpoint) tunnel.Destination {
+	return tunnel.Destination{Address: e.Address, EndpointID: e.ID, Service: e.Service}
+}
+
+// checkProcess finds out whether an endpoint's process has ended.
+func (g *Gateway) checkProcess(ctx context.Context, e *directory.Endpoint) dialer.Verdict {
+	return g.dialer.Check(ctx, destination(e))
+}
+
+// logTunnelServed logs a request of a peer for a connection.
+func (g *Gateway) logTunnelServed(line eventlog.Line, whole bool) {
+	lines := g.log.NewRequestLog()
+	lines.Write(line)
+	lines.End(whole)
+}
+
 // tunnelPeers returns the instances that may carry connections for this one, those of its own
 // zone first. Each instance has an order of its own, so that load spreads.
 func (g *Gateway) tunnelPeers() []tunnel.Peer {
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -65,7 +65,7 @@
 	if g.avoids(ctx, &e) {
 		return placement.LoadReport{}, errAvoided
 	}
-	return g.platform.Load(ctx, g.dialer.Client(e), e, func(n notice.Notice) { g.handleNotice(e.ID, n) })
+	return g.platform.Load(ctx, g.dialer.Client(e.ID, e.Address), e, func(n notice.Notice) { g.handleNotice(e.ID, n) })
 }
 
 // sendOrder sends an order to an engine.
--- a/internal/tunnel/open.go
+++ b/internal/tunnel/open.go
@@ -115,7 +115,5 @@
 	if err != nil {
 		n.Detail = err.Error()
 	}
-	lines := t.Log.NewRequestLog()
-	lines.Write(n)
-	lines.End(o == connected && err == nil)
+	t.OnServed(n, o == connected && err == nil)
 }
--- a/internal/tunnel/tunnels.go
+++ b/internal/tunnel/tunnels.go
@@ -49,10 +49,11 @@
 	// since start, or can now.
 	Sound func(ctx context.Context, d Destination, start clock.Millis) bool
 	// Max is how many connections are carried for peers at a time.
-	Max   int
-	Log   *eventlog.Log
-	Scope tally.Scope
-	Now   func() clock.Millis
+	Max int
+	// OnServed is called with a line about each request of a peer, once it is over.
+	OnServed func(line eventlog.Line, whole bool)
+	Scope    tally.Scope
+	Now      func() clock.Millis
 }
 
 // Tunnels opens connections through peers, and carries connections for them. It is safe for
--- a/internal/tunnel/tunnels_test.go
+++ b/internal/tunnel/tunnels_test.go
@@ -88,7 +88,7 @@
 		},
 		Cut:   func(tunnel.Destination) bool { return i.cut.Load() },
 		Sound: func(context.Context, tunnel.Destination, clock.Millis) bool { return i.sound.Load() },
-		Max:   limit, Log: eventlog.Open(io.Discard, name), Scope: tally.NoopScope, Now: now,
+		Max:   limit, OnServed: func(eventlog.Line, bool) {}, Scope: tally.NoopScope, Now: now,
 	})
 	f.instances = append(f.instances, i)
 }
