node: serve reaches endpoints through a peer, too

It now uses the gateway's dialer, with endpoints known by their addresses and pools, and members of gossip as peers; an older process, whose member row does not say that it carries connections, gets no request.

TestNodeWithoutLinksServes fails without peers (a confirmation is refused) and passes with them.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -56,23 +56,38 @@
 	// whether the response was successful; sent is when the request was sent.
 	OnNotice func(at netip.AddrPort, n notice.Notice, good bool, sent time.Time)
 
+	// Dial opens a connection to an endpoint; its errors are net.OpErrors. Ended reports whether the endpoint's process has
+	// ended. Both may be replaced before the first call.
+	Dial  func(ctx context.Context, at netip.AddrPort) (net.Conn, error)
+	Ended func(ctx context.Context, at netip.AddrPort) bool
+
 	pooled *http.Client // reuses connections
 	// unpooled opens a connection for each call, so that a failure to connect proves that
 	// nothing was sent.
 	unpooled *http.Client
-	dialer   *net.Dialer
 }
 
 // NewClient returns a client with its own connection pool.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	c := &Client{dialer: dialer, OnNotice: func(netip.AddrPort, notice.Notice, bool, time.Time) {}}
+	c := &Client{OnNotice: func(netip.AddrPort, notice.Notice, bool, time.Time) {}}
+	c.Dial = func(ctx context.Context, at netip.AddrPort) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", at.String())
+	}
+	c.Ended = c.refuses
+	dialEndpoint := func(ctx context.Context, _, address string) (net.Conn, error) {
+		at, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		return c.Dial(ctx, at)
+	}
 	c.pooled = &http.Client{Transport: noticeTransport{c, &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerHost,
+		DialContext: dialEndpoint, MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}}}
 	c.unpooled = &http.Client{Transport: noticeTransport{c, &http.Transport{
-		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
+		DialContext: dialEndpoint, DisableKeepAlives: true, DisableCompression: true,
 	}}}
 	return c
 }
@@ -104,10 +119,10 @@
 	return n
 }
 
-// ProcessEnded reports whether the endpoint's process has ended, that is, whether its host
-// refuses connections to its port. A host that does not respond proves nothing.
-func (c *Client) ProcessEnded(ctx context.Context, at netip.AddrPort) bool {
-	conn, err := c.dialer.DialContext(ctx, "tcp", at.String())
+// refuses reports whether the endpoint's host refuses connections to its port. A host that does
+// not respond proves nothing.
+func (c *Client) refuses(ctx context.Context, at netip.AddrPort) bool {
+	conn, err := c.Dial(ctx, at)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -37,7 +37,7 @@
 // request that ends every endpoint that runs it must not end three more, one for each
 // attempt, each time its caller sends it.
 func (e *Entry) recordEndpointEnd(ctx context.Context, r *request, f *attemptError, at netip.AddrPort) {
-	if errors.Is(f.cause, endpoint.ErrNotRun) || ctx.Err() != nil || !e.client.ProcessEnded(ctx, at) {
+	if errors.Is(f.cause, endpoint.ErrNotRun) || ctx.Err() != nil || !e.client.Ended(ctx, at) {
 		return
 	}
 	e.scope.Counter("endpoints_ended").Inc(1)
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -41,6 +41,8 @@
 	Beat        int64          `cbor:"5,keyasint" json:"beat"`        // heartbeats sent
 	Leaving     bool           `cbor:"6,keyasint" json:"leaving"`
 	Revision    int64          `cbor:"7,keyasint" json:"revision"` // of its configuration
+	// Tunnels is set if the process carries connections to endpoints for its peers.
+	Tunnels bool `cbor:"8,keyasint,omitempty" json:"tunnels,omitempty"`
 }
 
 func (m Member) idHash() uint32 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/trailshed/trailshed/internal/cell"
 	"github.com/trailshed/trailshed/internal/changelog"
 	"github.com/trailshed/trailshed/internal/counter"
+	"github.com/trailshed/trailshed/internal/dialer"
 	"github.com/trailshed/trailshed/internal/dispatcher"
 	"github.com/trailshed/trailshed/internal/endpoint"
 	"github.com/trailshed/trailshed/internal/entry"
@@ -37,6 +38,7 @@
 	"github.com/trailshed/trailshed/internal/suspects"
 	"github.com/trailshed/trailshed/internal/suspension"
 	"github.com/trailshed/trailshed/internal/ticker"
+	"github.com/trailshed/trailshed/internal/uplink"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -75,6 +77,10 @@
 	table   *member.Table
 	leaving atomic.Bool
 	pulling atomic.Bool
+
+	pool     *uplink.Pool
+	dialer   *dialer.Dialer
+	unlinked atomic.Pointer[func(netip.AddrPort) bool] // set by Unlink; may be nil
 }
 
 // New creates a node and opens its listener for peers. Call Run to serve.
@@ -104,12 +110,13 @@
 	s, scope := n.settings, n.counters.Scope
 	n.started = n.now()
 	incarnation := int64(n.started)
-	self := member.Member{ID: s.Node.ID, Zone: s.Node.Zone, Address: n.transport.Address(), Incarnation: incarnation}
+	self := member.Member{ID: s.Node.ID, Zone: s.Node.Zone, Address: n.transport.Address(), Incarnation: incarnation, Tunnels: true}
 	n.table = member.NewTable(self, s.Peers.GoneAfter, uint64(incarnation))
 	n.store = platform.Connect(s.Platform.AddrPort(), s.Platform.Timeout, scope)
 	n.changes = changelog.New(n.store, scope, n.log)
 	n.changes.OnChange = n.configurationChanged
 	client := endpoint.NewClient()
+	n.openDialer(client)
 	notices := notice.NewTable[netip.AddrPort](leavingTimeout)
 	limits := ownpart.New(n.processes)
 	client.OnNotice = func(at netip.AddrPort, given notice.Notice, good bool, sent time.Time) {
@@ -180,6 +187,8 @@
 	group.Go(func() { n.entry.Run(serving) })
 	group.Go(func() { n.ledger.Run(serving) })
 	group.Go(func() { n.suspects.Run(serving) })
+	group.Go(func() { n.dialer.Run(serving) })
+	group.Go(func() { n.sweepPool(serving) })
 	group.Go(func() { suspension.Watch(serving, n.clock, n.resume) })
 	group.Go(func() { n.pollHeld(serving) })
 	group.Go(func() { n.heartbeatLoop(serving) })
@@ -218,6 +227,7 @@
 func (n *Node) leave(callers *http.Server) {
 	n.log.Info().Msg("leaving")
 	n.leaving.Store(true)
+	n.dialer.Tunnels.Refuse()
 	n.mu.Lock()
 	n.table.Leave()
 	n.mu.Unlock()
@@ -229,6 +239,7 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		n.log.Warn().Int("attempts", n.entry.AttemptCount()).Msg("drain timeout expired with requests running")
 	}
+	n.dialer.Tunnels.Drain(ctx)
 }
 
 func listen(address netip.AddrPort) (net.Listener, error) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -249,6 +249,33 @@
 	}
 }
 
+// Guards against a node that fails its callers because it has lost its own links to endpoints,
+// although the other node reaches these.
+func TestNodeWithoutLinksServes(t *testing.T) {
+	c := qt.New(t)
+	s := open(t)
+	s.Nodes[0].Unlink(true)
+	served := 0
+	until(t, "requests are served through the other node", func() bool {
+		a, err := completion("who takes the parcel? [out=30]", 30, true).send(context.Background(), s.Nodes[0])
+		c.Assert(err, qt.IsNil)
+		read, err := call{path: "/v1/services/bank/read", key: "key-w", kind: "read"}.send(context.Background(), s.Nodes[0])
+		c.Assert(err, qt.IsNil)
+		if a.status == http.StatusOK && read.status == http.StatusOK {
+			c.Assert(strings.Count(a.body, "data: "), qt.Equals, 32)
+			served++
+		}
+		return served == 5
+	})
+	// A call that may run only once runs once.
+	once := call{path: "/v1/services/bank/confirm", key: "key-w", kind: "confirm", once: "k-unlinked", body: "pay"}
+	first, err := once.send(context.Background(), s.Nodes[0])
+	c.Assert(err, qt.IsNil)
+	c.Assert(first.status, qt.Equals, http.StatusOK)
+	s.Nodes[0].Unlink(false)
+	until(t, "nothing is held", func() bool { return held(s) == 0 })
+}
+
 // Callers disconnect at any time. The engines hold nothing for them afterwards.
 func TestCallerGone(t *testing.T) {
 	s := open(t)
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -30,6 +30,7 @@
 		Name: n.settings.Node.ID, Zone: n.settings.Node.Zone, Transport: n.transport, Scope: n.counters.Scope, Now: n.now,
 		Store: suspects.Store{Save: n.saveHeld, Remove: n.removeHeld, Read: n.readHeld},
 		Peers: n.suspectPeers, Watching: n.isWatcher,
+		EndpointGone: func(string) bool { return false }, // no process writes entries of endpoints
 		OnHeldChange: func(r quarantine.Record) {
 			n.log.Info().Stringer("work", r.Work).Bool("held", r.Held()).Int("ended", len(r.Ended)).Msg("request held or released")
 		},
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -169,6 +169,9 @@
 // Peers returns the address at which other nodes connect to this one.
 func (n *Node) Peers() netip.AddrPort { return n.peers }
 
+// Unlink makes a node's own connections to all endpoints fail if lost is set.
+func (n *Node) Unlink(lost bool) { n.running.Unlink(func(netip.AddrPort) bool { return lost }) }
+
 // Partition drops the messages between the given nodes and all others. Without arguments it
 // ends the partition.
 func (s *Site) Partition(group ...*Node) {
