forward: a send that never left costs neither permit nor retry budget

Of the same class: an instance whose links fail used up permits and extra sends that all instances share, for sends that no endpoint got; and a prefill that never left counted as a first send. Both are given back.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -105,6 +105,7 @@
 	if errors.Is(err, uplink.ErrNotSent) {
 		p.sends--
 		p.runs--
+		p.returnUnsent(r.Endpoint.ID, p.sends)
 	}
 	p.logTunnel(exchange, r.Endpoint)
 	p.updateHandle(head, err)
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -105,6 +105,15 @@
 	}
 }
 
+// returnUnsent gives back what was taken for a send that never left: the permit and, if earlier
+// sends of its kind were made, the retry budget.
+func (p *proxyRequest) returnUnsent(endpoint string, earlierSends int) {
+	p.Permits.Return(endpoint)
+	if earlierSends > 0 {
+		p.budget(p.service).Return(p.Now(), 1)
+	}
+}
+
 // reasonLimited is the failure reason of a request for which no endpoint has a permit.
 const reasonLimited = placement.ReasonLimited
 
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -240,8 +240,10 @@
 	if err == nil {
 		p.reportNoLimit(r.Endpoint, head, sent)
 	}
-	if errors.Is(err, uplink.ErrNotSent) {
+	unsent := errors.Is(err, uplink.ErrNotSent)
+	if unsent {
 		p.prefill.sends--
+		p.returnUnsent(r.Endpoint.ID, p.prefill.sends)
 	}
 	if head.HasLoad {
 		r.ReportLoad(p.Now(), head.Load)
@@ -255,7 +257,7 @@
 		return
 	}
 	p.prefill.tried = append(p.prefill.tried, r.Endpoint.ID)
-	if p.prefill.sends == 1 {
+	if p.prefill.sends == 1 && !unsent {
 		// The request may have reached the engine without being run, so this
 		// counts as its first send. Later prefills were paid for when sent.
 		p.sends++
