soak: instances lose their links to endpoints

A step of its own, in a stream of its own so that other steps of a seed stay: one instance, all of a zone or all but one lose their connections to all endpoints for 7 s or more; they hang, are reset, or new ones are refused while old ones live on; in series and overlapping. Endpoints have one address for all, so the instances of such runs open their connections through links that a file breaks. Checked: from 3 s on a cut instance serves two thirds of what the others serve, and no request is held under which no endpoint ended.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -20,6 +20,7 @@
 	trailshed "github.com/trailshed/trailshed/internal/command"
 	"github.com/trailshed/trailshed/internal/soak/clocks"
 	"github.com/trailshed/trailshed/internal/soak/fleet"
+	"github.com/trailshed/trailshed/internal/soak/outage"
 	"github.com/trailshed/trailshed/internal/soak/schedule"
 )
 
@@ -62,12 +63,13 @@
 	}
 }
 
-// runGateway runs the gateway command with clocks that the soak test can suspend.
-// Everything but the clocks is the product's code.
+// runGateway runs the gateway command with clocks that the soak test can suspend, and links to
+// endpoints that it can break. Everything else is the product's code.
 func runGateway(settings string) int {
 	source, err := clocks.Open(clocks.Path(settings))
 	if err == nil {
-		err = trailshed.RunGateway(settings, source)
+		links := outage.Follow(context.Background(), outage.Path(settings))
+		err = trailshed.RunGateway(settings, source, links.Dial)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -134,7 +136,7 @@
 		Network: network(job), PerZone: c.PerZone, Callers: c.Callers, Timed: c.Timed, OnlyKind: schedule.Kind(c.Only),
 	}
 	o.ExtraSteps = !c.Plain && !c.FailedSeeds
-	if o.ExtraSteps || o.OnlyKind == schedule.Suspend {
+	if o.ExtraSteps || o.OnlyKind == schedule.Suspend || o.OnlyKind == schedule.Unlink {
 		if self, err := os.Executable(); err == nil {
 			o.Program = self
 		}
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -23,11 +25,12 @@
 	if file == "" {
 		file = platform.SettingsFile()
 	}
-	return RunGateway(file, clock.Machine())
+	return RunGateway(file, clock.Machine(), nil)
 }
 
-// RunGateway runs the gateway command with the given settings file and clocks.
-func RunGateway(file string, clocks clock.Source) error {
+// RunGateway runs the gateway command with the given settings file and clocks. Connections to
+// endpoints are opened by dial, or by the network if it is nil.
+func RunGateway(file string, clocks clock.Source, dial func(context.Context, netip.AddrPort) (net.Conn, error)) error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	signal.Ignore(syscall.SIGPIPE)
@@ -44,7 +47,7 @@
 	g, err := gateway.New(set, counters, gateway.Platform{
 		Codec: platform.Codec(), Source: platform.Source(store), Registry: platform.Registry(store),
 		Duty: platform.StagingRegistry(store), Order: platform.SendOrder, Load: platform.FetchLoad, Suspects: platform.Suspects(store), ReadyPath: platform.ReadyPath,
-		Clocks: clocks,
+		Clocks: clocks, Dial: dial,
 	}, log)
 	if err != nil {
 		return err
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -9,7 +9,8 @@
 //   - work for callers that disconnected stops;
 //   - leaving endpoints and evacuated zones get no new requests, cold endpoints few, and
 //     endpoints that back off or name a limit no more than they accept;
-//   - requests that crash endpoints stop being sent;
+//   - requests that crash endpoints stop being sent, and no others;
+//   - instances that have lost their links to endpoints serve their callers;
 //   - configurations come into force and are never reverted;
 //   - planned stops interrupt no answer;
 //   - retries stay within their budget.
@@ -170,7 +171,9 @@
 	}
 	c.checkVersions()
 	c.checkWorkspaceLimit(byCall)
+	c.checkHeld(runs)
 	if c.Bounds.Timed {
+		c.checkCutInstances()
 		c.checkPoison(runs)
 		c.checkNotices(runs)
 		c.checkEndpointLimits(runs)
@@ -353,7 +356,7 @@
 // runUndisturbed reports whether no fault affected the instance or the endpoint of a run.
 func (c *Checker) runUndisturbed(call caller.Call, r Run, to time.Time) bool {
 	from := call.Sent.Add(-c.Bounds.CalmTime)
-	return c.Faults.Undisturbed(from, to, call.Gateway.Name, timeline.Process, timeline.Planned) &&
+	return c.Faults.Undisturbed(from, to, call.Gateway.Name, timeline.Process, timeline.Planned, timeline.Links) &&
 		c.Faults.Undisturbed(from, to, r.Endpoint, timeline.Endpoint)
 }
 
--- a/internal/soak/fleet/instance.go
+++ b/internal/soak/fleet/instance.go
@@ -64,6 +64,7 @@
 	mu           sync.Mutex
 	inboundLoss  float64 // fraction of the datagrams to it that is dropped
 	outboundLoss float64 // fraction of the datagrams from it that is dropped
+	linkFaults   int     // faults of its links to endpoints that are in force
 }
 
 // region returns the region of a zone; each zone has its own.
--- a/internal/soak/fleet/steps.go
+++ b/internal/soak/fleet/steps.go
@@ -47,7 +47,7 @@
 	i := all[s.Target%len(all)]
 	switch s.Kind {
 	case schedule.Suspend, schedule.Poison, schedule.Announce, schedule.Backoff, schedule.Limit,
-		schedule.Evacuate, schedule.Cold:
+		schedule.Evacuate, schedule.Cold, schedule.Unlink:
 		return f.applyExtra(ctx, s, i)
 	case schedule.Kill:
 		return f.kill(ctx, s.Duration, i)
@@ -97,6 +97,9 @@
 	if s.Kind == schedule.Announce {
 		return f.announce(ctx, f.endpoint(s.Target), s.Variant%2 == 0)
 	}
+	if s.Kind == schedule.Unlink {
+		return f.unlink(ctx, s, i)
+	}
 	if s.Kind == schedule.Poison {
 		f.poison(ctx, s)
 		return nil
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -68,6 +68,8 @@
 	Evacuate Kind = "evacuate"
 	// An endpoint is cold for a time.
 	Cold Kind = "chill"
+	// Instances lose their own connections to all endpoints.
+	Unlink Kind = "unlink"
 )
 
 // weights are the relative frequencies of the kinds drawn by New.
@@ -133,6 +135,7 @@
 	{0xaef17502108ef2d9, []Kind{Announce, Backoff}},
 	{0x94d049bb133111eb, []Kind{Limit}},
 	{0xbf58476d1ce4e5b9, []Kind{Evacuate, Cold}},
+	{0x2545f4914f6cdd1d, []Kind{Unlink}},
 }
 
 // Extra draws additional steps of a run, independently of those of New.
--- a/internal/soak/timeline/timeline.go
+++ b/internal/soak/timeline/timeline.go
@@ -19,6 +19,7 @@
 	Peers         Scope = "peers"    // the connections between instances
 	Store         Scope = "store"    // the store, for all instances
 	InstanceStore Scope = "door"     // the store, for one instance
+	Links         Scope = "links"    // an instance's own connections to endpoints
 	Endpoint      Scope = "endpoint" // an endpoint or the link to it
 	Load          Scope = "load"     // an endpoint rejects requests and asks for a backoff
 )
@@ -53,6 +54,20 @@
 	}
 }
 
+// Windows returns the faults of a scope that have ended, with the moments of their beginning and
+// end.
+func (t *Timeline) Windows(scope Scope) []Fault {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Fault
+	for _, f := range t.faults {
+		if f.Scope == scope && !f.To.IsZero() {
+			list = append(list, *f)
+		}
+	}
+	return list
+}
+
 // Undisturbed reports whether no fault of the scopes affected a target between two moments.
 // Faults without a target affect all targets. With an empty target, Undisturbed considers
 // the faults of all targets.
