forward: a run that broke off with the own link says nothing of its engine

A cut instance reported each engine under which its runs broke off to the planners, which then gave that engine to nobody for a second, and ejected it. Now such a run counts for nothing, unless a peer carried the connection. TestOwnLinkLostDuringRun.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -94,6 +94,7 @@
 	p.startTiming()
 	p.sends++
 	p.runs++
+	p.ownLinkLost = false
 	n := p.logLine(eventlog.Sent, "", nil)
 	n.Endpoint, n.Address, n.Revision = r.Endpoint.ID, r.Endpoint.Address.String(), p.view.Revision
 	p.requestLog.Write(n)
@@ -107,6 +108,7 @@
 		p.runs--
 		p.returnUnsent(r.Endpoint.ID, p.sends)
 	}
+	p.throughPeer = exchange != nil && exchange.Peer() != "" || errors.Is(err, uplink.ErrThroughPeer)
 	p.logTunnel(exchange, r.Endpoint)
 	p.updateHandle(head, err)
 	return exchange, head, err
@@ -148,16 +150,20 @@
 			result = balance.Failed
 		}
 	case errors.Is(err, uplink.ErrOwnLinks):
-		result = balance.Canceled
-		p.failure = reasonOwnLinks
+		result, p.failure = balance.Canceled, reasonOwnLinks
 	case errors.Is(err, uplink.ErrNotSent):
 		result = balance.Unreachable
 		p.failure = "unreachable"
 	}
-	p.endpointFailed(r, result, err)
 	if result == balance.Failed {
 		p.checkProcessEnded(parent, r.Endpoint)
+		p.ownLinkLost = !p.throughPeer && p.LinkLost(r.Endpoint.ID)
 	}
+	if p.ownLinkLost || p.failure == reasonOwnLinks {
+		p.ownLinkLost, p.failure = true, reasonOwnLinks
+		result = balance.Canceled // says nothing about the endpoint
+	}
+	p.endpointFailed(r, result, err)
 }
 
 // reasonOwnLinks is the failure reason of a send for which neither this instance nor a peer had a
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -62,6 +62,8 @@
 	ReportGone func(id string)
 	// CheckProcess finds out whether an endpoint's process has ended.
 	CheckProcess func(ctx context.Context, e *directory.Endpoint) dialer.Verdict
+	// LinkLost reports whether this instance has lost its own link to an endpoint.
+	LinkLost func(endpoint string) bool
 	// Suspects records which requests crash endpoints.
 	Suspects *suspects.Suspects
 }
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -189,7 +189,7 @@
 	switch {
 	case len(p.prefill.rejected) >= maxHandleRejections:
 		p.fullEngine, p.failedEngine = "", p.prefill.engine
-	case p.failure == reasonOwnLinks: // says nothing about the engine
+	case p.ownLinkLost: // says nothing about the engine
 	case p.fullEngine == "":
 		p.failedEngine = decode
 	}
@@ -262,26 +262,23 @@
 		// counts as its first send. Later prefills were paid for when sent.
 		p.sends++
 	}
-	result := p.classifyPrefill(parent, r.Endpoint.ID, head, err)
+	result := p.classifyPrefill(parent, r.Endpoint, head, err)
 	r.Done(p.Now(), result)
 	n := p.logLine(eventlog.PrefillFailed, "", err)
 	n.Endpoint, n.Address = r.Endpoint.ID, r.Endpoint.Address.String()
 	p.requestLog.Write(n)
-	if result == balance.Failed {
-		p.checkProcessEnded(parent, r.Endpoint)
-	}
 }
 
 // classifyPrefill returns the result of a prefill that failed, and notes the engine for the
 // planner if it is at fault or full.
-func (p *proxyRequest) classifyPrefill(parent context.Context, engine string, head ResponseHead, err error) balance.Result {
-	p.failedEngine = engine
+func (p *proxyRequest) classifyPrefill(parent context.Context, e *directory.Endpoint, head ResponseHead, err error) balance.Result {
+	p.failedEngine = e.ID
 	switch {
 	case head.AddressReused:
-		p.ReportGone(engine)
+		p.ReportGone(e.ID)
 		return balance.Rejected
 	case head.NotRun:
-		p.fullEngine, p.failedEngine = engine, ""
+		p.fullEngine, p.failedEngine = e.ID, ""
 		return balance.Rejected
 	case parent.Err() != nil:
 		return balance.Canceled
@@ -290,9 +287,13 @@
 		return balance.Canceled
 	case errors.Is(err, uplink.ErrNotSent):
 		return balance.Unreachable
-	default:
-		return balance.Failed
 	}
+	p.checkProcessEnded(parent, e)
+	if !errors.Is(err, uplink.ErrThroughPeer) && p.LinkLost(e.ID) {
+		p.failedEngine = ""
+		return balance.Canceled
+	}
+	return balance.Failed
 }
 
 func (p *proxyRequest) requestPrefill(ctx context.Context, m uplink.Message, e *directory.Endpoint) (string, ResponseHead, error) {
@@ -308,6 +309,9 @@
 	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxHandleBytes))
 	if err != nil {
 		x.Close(false)
+		if x.Peer() != "" {
+			err = errors.Join(err, uplink.ErrThroughPeer)
+		}
 		return "", head, Error.Wrap(err)
 	}
 	x.Close(true)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -53,6 +53,8 @@
 	failedEngine  string         // ID of the engine that failed at this place
 	timing        responseTiming // of the response at this place
 	alternative   *alternative   // endpoint for the next attempt, found during a silence
+	throughPeer   bool           // a peer carried the connection of the last send
+	ownLinkLost   bool           // the last send failed because of this instance's own link
 }
 
 // admit checks the request and reads its body. If it returns false, the caller has been
--- a/internal/forward/unsent_test.go
+++ b/internal/forward/unsent_test.go
@@ -10,6 +10,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/trailshed/trailshed/internal/broker"
+	"github.com/trailshed/trailshed/internal/dialer"
+	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/placement"
 	"github.com/trailshed/trailshed/internal/uplink"
 )
@@ -61,3 +63,38 @@
 		})
 	}
 }
+
+// A run that broke off because this instance's own link was lost is not held against the engine:
+// it is neither ejected nor reported to its planner, as one that breaks off by itself is.
+func TestOwnLinkLostDuringRun(t *testing.T) {
+	tests := []struct {
+		name                  string
+		linkLost, throughPeer bool
+		failed                string
+	}{
+		{"engine fails", false, false, decodeEngine},
+		{"own link is lost", true, false, ""},
+		{"engine fails behind a peer", true, true, decodeEngine},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			g := newEngineRequest(t)
+			g.LinkLost = func(string) bool { return test.linkLost }
+			g.CheckProcess = func(context.Context, *directory.Endpoint) dialer.Verdict { return dialer.Running }
+			for range 8 { // enough for an ejection
+				r := g.Balancer.ReserveAt(g.Now(), g.view.Find(decodeEngine))
+				g.throughPeer = test.throughPeer
+				g.failedEngine = ""
+				g.sendFailed(t.Context(), r, uplink.ErrNoResponse)
+				g.recordFailedEngine(decodeEngine)
+				c.Check(g.failedEngine, qt.Equals, test.failed)
+			}
+			ejected := 1
+			if test.failed == "" {
+				ejected = 0
+			}
+			c.Check(g.Balancer.Ejected(g.Now()), qt.HasLen, ejected)
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -280,8 +280,8 @@
 		Permits:   forward.Permits{Take: g.throttle.Take, Return: g.throttle.Return, Withheld: g.throttle.Denied, ReportNoLimit: g.throttle.ObserveNoLimit},
 		FindPlace: g.broker.Find, ReleasePlace: g.broker.Release, ReportDecodeStart: g.broker.ReportDecodeStart,
 		ReportPrefillDone: g.broker.ReportPrefillDone,
-		CheckProcess:      g.checkProcess,
-		Suspects:          g.suspects, Regions: s.Zones, Isolated: g.isolated,
+		CheckProcess:      g.checkProcess, LinkLost: g.dialer.Bypassed,
+		Suspects: g.suspects, Regions: s.Zones, Isolated: g.isolated,
 		ReportGone: func(id string) { g.feed.Apply(directory.Denied{ID: id}) },
 	})
 	g.forwarder.SetInstances(minShares)
--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -23,6 +23,9 @@
 // after part of the request had been sent: the request may have run.
 var ErrNoResponse = errors.New("connection ended without a response")
 
+// ErrThroughPeer marks failures of a connection that a peer carried.
+var ErrThroughPeer = errors.New("through a peer")
+
 // Message is one request to an endpoint.
 type Message struct {
 	Address    netip.AddrPort
@@ -62,16 +65,23 @@
 	e := &Exchange{pool: p, conn: c, writeDone: make(chan error, 1)}
 	e.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := e.send(m); err != nil {
-		e.Close(false)
-		return nil, Error.Wrap(err)
+		return nil, e.failed(err)
 	}
 	if err := e.receive(m.Method, accept); err != nil {
-		e.Close(false)
-		return nil, Error.Wrap(errors.Join(ErrNoResponse, err))
+		return nil, e.failed(errors.Join(ErrNoResponse, err))
 	}
 	return e, nil
 }
 
+// failed closes the exchange and returns its error.
+func (e *Exchange) failed(err error) error {
+	e.Close(false)
+	if e.Peer() != "" {
+		err = errors.Join(err, ErrThroughPeer)
+	}
+	return Error.Wrap(err)
+}
+
 // send writes the head and up to maxFirstWrite bytes of the body in one call. The rest of a
 // longer body is written concurrently, because an endpoint may respond before it has read
 // the whole body.
