--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -120,7 +120,7 @@
 		return
 	}
 	n := p.logLine(eventlog.TunnelOpened, "", nil)
-	n.Endpoint, n.Address, n.Peer = e.ID, e.Address.String(), x.Peer()
+	n.Endpoint, n.Address, n.Peer, n.Wait = e.ID, e.Address.String(), x.Peer(), x.ConnectTime()
 	p.requestLog.Write(n)
 }
 
--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -164,6 +164,10 @@
 // instance's own.
 func (e *Exchange) Peer() string { return e.conn.peer }
 
+// ConnectTime returns how long it took to open the connection, if it was opened for this
+// exchange.
+func (e *Exchange) ConnectTime() time.Duration { return e.conn.connectTime }
+
 // Close ends the exchange. The connection is reused only if whole is true, the request was
 // written completely, the response had a defined end, and the endpoint did not ask to close
 // the connection.
--- a/internal/uplink/pool.go
+++ b/internal/uplink/pool.go
@@ -72,12 +72,13 @@
 // conn is a pooled connection.
 type conn struct {
 	net.Conn
-	key       connKey
-	reader    *bufio.Reader
-	maxIdle   time.Duration
-	idleSince clock.Millis // end of the last exchange
-	peer      string       // instance that carries the connection; empty: it is this instance's own
-	finish    func()       // see Path
+	key         connKey
+	reader      *bufio.Reader
+	maxIdle     time.Duration
+	idleSince   clock.Millis  // end of the last exchange
+	connectTime time.Duration // that opening it took
+	peer        string        // instance that carries the connection; empty: it is this instance's own
+	finish      func()        // see Path
 }
 
 // Path is a new connection to an endpoint.
@@ -119,12 +120,13 @@
 			return c, nil
 		}
 	}
+	start := p.now()
 	path, err := p.Connect(ctx, m)
 	if err != nil {
 		return nil, err
 	}
 	c := newConn(path.Conn, key)
-	c.peer, c.finish = path.Peer, path.Finish
+	c.peer, c.finish, c.connectTime = path.Peer, path.Finish, p.now().Sub(start)
 	return c, nil
 }
 
