--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -54,8 +54,19 @@
 	return Error.Wrap(err)
 }
 
-func writeFrame(w io.Writer, f frame) (int, error) {
-	body, err := cbor.Marshal(f)
+func writeFrame(w io.Writer, f frame) (int, error) { return writeValue(w, f) }
+
+func readFrame(r io.Reader) (frame, error) {
+	var f frame
+	if err := readValue(r, maxFrame, &f); err != nil {
+		return frame{}, err
+	}
+	return f, f.decompress()
+}
+
+// writeValue writes v as a length of four bytes and CBOR, in one call.
+func writeValue(w io.Writer, v any) (int, error) {
+	body, err := cbor.Marshal(v)
 	if err != nil {
 		return 0, Error.Wrap(err)
 	}
@@ -64,22 +75,19 @@
 	return n, Error.Wrap(err)
 }
 
-func readFrame(r io.Reader) (frame, error) {
+// readValue reads what writeValue wrote into v, and no byte beyond it.
+func readValue(r io.Reader, limit uint32, v any) error {
 	var head [4]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return frame{}, Error.Wrap(err)
+		return Error.Wrap(err)
 	}
 	size := binary.BigEndian.Uint32(head[:])
-	if size > maxFrame {
-		return frame{}, Error.New("frame of %d bytes is over the limit of %d", size, maxFrame)
+	if size > limit {
+		return Error.New("%d bytes are over the limit of %d", size, limit)
 	}
 	body := make([]byte, size)
 	if _, err := io.ReadFull(r, body); err != nil {
-		return frame{}, Error.Wrap(err)
-	}
-	var f frame
-	if err := cbor.Unmarshal(body, &f); err != nil {
-		return frame{}, Error.Wrap(err)
+		return Error.Wrap(err)
 	}
-	return f, f.decompress()
+	return Error.Wrap(cbor.Unmarshal(body, v))
 }
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"io"
 	"net/netip"
 	"sync"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
 )
 
@@ -128,28 +125,9 @@
 
 // WriteMessage writes v as CBOR, after its length in four bytes.
 func (s *Stream) WriteMessage(v any) error {
-	body, err := cbor.Marshal(v)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	packet := binary.BigEndian.AppendUint32(make([]byte, 0, len(body)+4), uint32(len(body)))
-	_, err = s.Write(append(packet, body...))
-	return Error.Wrap(err)
+	_, err := writeValue(s, v)
+	return err
 }
 
 // ReadMessage reads a message that was written by WriteMessage into v, and no byte beyond it.
-func (s *Stream) ReadMessage(v any) error {
-	var head [4]byte
-	if _, err := io.ReadFull(s, head[:]); err != nil {
-		return Error.Wrap(err)
-	}
-	size := binary.BigEndian.Uint32(head[:])
-	if size > maxStreamMessage {
-		return Error.New("message of %d bytes is over the limit of %d", size, maxStreamMessage)
-	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(s, body); err != nil {
-		return Error.Wrap(err)
-	}
-	return Error.Wrap(cbor.Unmarshal(body, v))
-}
+func (s *Stream) ReadMessage(v any) error { return readValue(s, maxStreamMessage, v) }
