--- a/internal/peer/restart_test.go
+++ b/internal/peer/restart_test.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/trailshed/trailshed/internal/peer"
+	"github.com/trailshed/trailshed/internal/standin/cert"
 )
 
 // processes starts transports with self-signed certificates, whose fingerprints all of
@@ -97,3 +98,32 @@
 		})
 	}
 }
+
+// Requests may still arrive while the transport closes, when no goroutine may start any more.
+// Under the race detector this fails if a handler starts one.
+func TestRequestsWhileClosing(t *testing.T) {
+	dir := t.TempDir()
+	authority, err := cert.NewAuthority(dir)
+	qt.Assert(t, err, qt.IsNil)
+	a := open(t, "n1", certificates(t, dir, "n1", authority), handleNothing)
+	defer a.close()
+	for range 20 {
+		b := open(t, "n2", certificates(t, dir, "n2", authority), func(n *node) {
+			peer.HandleCall(n.router, n.Transport, "double", func(_ context.Context, _ peer.Sender, q note) note { return q })
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		var callers sync.WaitGroup
+		for range 16 {
+			callers.Go(func() {
+				for ctx.Err() == nil {
+					_, _ = peer.Call[note, note](ctx, a.Transport, b.Address(), "double", note{})
+				}
+			})
+		}
+		time.Sleep(20 * time.Millisecond)
+		_ = b.Close() // while its router runs
+		stop()
+		callers.Wait()
+		b.close()
+	}
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -254,6 +254,18 @@
 	}
 }
 
+// spawn runs do in a goroutine that Close waits for, and reports whether it does: once the
+// transport closes, no further goroutine may start.
+func (t *Transport) spawn(do func()) bool {
+	t.linksMu.Lock()
+	defer t.linksMu.Unlock()
+	if t.closed {
+		return false
+	}
+	t.group.Go(do)
+	return true
+}
+
 // link returns the link to an address, and opens it if there is none. Calls may still be made
 // while the transport closes, when no further goroutine may start.
 func (t *Transport) link(to netip.AddrPort) (*link, error) {
--- a/internal/peer/typed.go
+++ b/internal/peer/typed.go
@@ -111,7 +111,7 @@
 		if !ok {
 			return nil
 		}
-		t.group.Go(func() {
+		started := t.spawn(func() {
 			e, err := do(t.ctx, sender(m), q)
 			if err != nil {
 				t.scope.Counter("peer_malformed").Inc(1)
@@ -119,6 +119,9 @@
 			}
 			_ = t.reply(m, e) // if it is lost, the caller times out
 		})
+		if !started {
+			t.scope.Counter("peer_closing").Inc(1)
+		}
 		return nil
 	})
 }
