dialer: an old connection does not show that the links work

A peer that still held an open connection to another endpoint said that it reached the service, also while new connections were refused to it: where old ones live on, its word could make a sound endpoint ended. TestOldConnectionsShowNothing failed before.

--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -307,3 +307,22 @@
 	c.Assert(err, qt.IsNotNil)
 	eventually(t, func() bool { return w.two.dials.Load() > 2 })
 }
+
+// A connection that was open before does not show that an instance reaches endpoints: where old
+// connections live on while new ones are refused, its word would make a sound endpoint ended.
+func TestOldConnectionsShowNothing(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, "e1", "e2")
+	to := w.endpoint("e2")
+	to.MaxIdle = time.Second
+	l, err := w.two.Lend(t.Context(), to)
+	c.Assert(err, qt.IsNil)
+	l.Return()
+	start := w.now()
+	w.clock.Add(10)
+	w.two.links.Store(int32(refuses))
+	l, err = w.two.Lend(t.Context(), to) // the old connection
+	c.Assert(err, qt.IsNil)
+	l.Return()
+	c.Assert(w.two.Sound(t.Context(), w.endpoint("e1"), start), qt.IsFalse)
+}
--- /dev/null
+++ b/internal/dialer/race.go
@@ -0,0 +1,174 @@
+package dialer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/trailshed/trailshed/internal/tunnel"
+	"github.com/trailshed/trailshed/internal/uplink"
+)
+
+// ownOrPeer connects to an endpoint, through a peer if the own connection fails or takes long.
+func (d *Dialer) ownOrPeer(ctx context.Context, to tunnel.Destination) (uplink.Path, error) {
+	own := d.startOwn(ctx, to)
+	timer := time.NewTimer(headStart)
+	defer timer.Stop()
+	select {
+	case a := <-own:
+		if a.err == nil {
+			return uplink.Path{Conn: a.conn}, nil
+		}
+		return d.afterOwn(ctx, to, a.err)
+	case <-timer.C:
+		return d.race(ctx, to, own)
+	case <-ctx.Done():
+		go d.awaitOwn(to, own, nil)
+		return uplink.Path{}, Error.Wrap(ctx.Err())
+	}
+}
+
+// attempt is the result of an attempt to connect.
+type attempt[C any] struct {
+	conn C
+	err  error
+}
+
+// startOwn begins an own connection. The attempt goes on if the request ends meanwhile, so that
+// its failure is known for the next one.
+func (d *Dialer) startOwn(ctx context.Context, to tunnel.Destination) <-chan attempt[net.Conn] {
+	own := make(chan attempt[net.Conn], 1)
+	go func() {
+		c, err := d.dialOwn(context.WithoutCancel(ctx), to)
+		own <- attempt[net.Conn]{c, err}
+	}()
+	return own
+}
+
+// afterOwn asks a peer after the own connection has failed. The request waits for the peer only if
+// the own links are suspected; otherwise it can try another endpoint meanwhile.
+func (d *Dialer) afterOwn(ctx context.Context, to tunnel.Destination, failure error) (uplink.Path, error) {
+	suspected := d.suspect(to)
+	if ctx.Err() != nil || d.holds.held(d.Now(), to.EndpointID) {
+		return uplink.Path{}, failure
+	}
+	if !suspected {
+		d.holds.hold(d.Now(), to.EndpointID) // asked once
+		go func() {
+			c, err := d.Tunnels.Dial(context.WithoutCancel(ctx), to)
+			d.takeSecondOpinion(to, failure, attempt[*tunnel.Conn]{c, err})
+		}()
+		return uplink.Path{}, failure
+	}
+	c, err := d.Tunnels.Dial(ctx, to)
+	if err != nil {
+		d.recordFailure(to, err)
+		return uplink.Path{}, failure
+	}
+	d.recordBypass(to, failure)
+	return path(c), nil
+}
+
+// takeSecondOpinion takes in a peer's attempt that nobody waits for. If it succeeded although the
+// own one failed, the own link is lost.
+func (d *Dialer) takeSecondOpinion(to tunnel.Destination, failure error, b attempt[*tunnel.Conn]) {
+	if b.err != nil {
+		d.recordFailure(to, b.err)
+		return
+	}
+	b.conn.Finish()
+	d.holds.release(to.EndpointID)
+	d.recordBypass(to, failure)
+}
+
+// suspect records that an own connection failed, and reports whether the own links are suspected
+// to be lost.
+func (d *Dialer) suspect(to tunnel.Destination) bool {
+	return d.failures.record(d.Now(), to.Service, to.EndpointID, d.size(to.Service))
+}
+
+// size returns the number of a service's endpoints.
+func (d *Dialer) size(service string) (size int) {
+	for range d.Endpoints(service) {
+		size++
+	}
+	return size
+}
+
+// race connects through a peer while the own attempt goes on, and takes what comes up first.
+func (d *Dialer) race(ctx context.Context, to tunnel.Destination, own <-chan attempt[net.Conn]) (uplink.Path, error) {
+	peers := make(chan attempt[*tunnel.Conn], 1)
+	if d.holds.held(d.Now(), to.EndpointID) {
+		peers <- attempt[*tunnel.Conn]{nil, tunnel.ErrNoPeer}
+	} else {
+		go func() {
+			c, err := d.Tunnels.Dial(context.WithoutCancel(ctx), to)
+			peers <- attempt[*tunnel.Conn]{c, err}
+		}()
+	}
+	select {
+	case a := <-own:
+		return d.afterRace(ctx, to, a, peers)
+	case b := <-peers:
+		if b.err == nil {
+			go d.awaitOwn(to, own, b.conn)
+			return path(b.conn), nil
+		}
+		d.recordFailure(to, b.err)
+	case <-ctx.Done():
+		go discard(peers)
+	}
+	select {
+	case a := <-own:
+		if a.err != nil {
+			d.suspect(to)
+		}
+		return uplink.Path{Conn: a.conn}, a.err
+	case <-ctx.Done():
+		go d.awaitOwn(to, own, nil)
+		return uplink.Path{}, Error.Wrap(ctx.Err())
+	}
+}
+
+// afterRace takes the own connection or, if that failed and the own links are suspected, the
+// peer's.
+func (d *Dialer) afterRace(ctx context.Context, to tunnel.Destination, a attempt[net.Conn], peers <-chan attempt[*tunnel.Conn]) (uplink.Path, error) {
+	if a.err == nil {
+		go discard(peers)
+		return uplink.Path{Conn: a.conn}, nil
+	}
+	if !d.suspect(to) {
+		go func() { d.takeSecondOpinion(to, a.err, <-peers) }()
+		return uplink.Path{}, a.err
+	}
+	select {
+	case b := <-peers:
+		if b.err != nil {
+			d.recordFailure(to, b.err)
+			return uplink.Path{}, a.err
+		}
+		d.recordBypass(to, a.err)
+		return path(b.conn), nil
+	case <-ctx.Done():
+		go discard(peers)
+		return uplink.Path{}, Error.Wrap(ctx.Err())
+	}
+}
+
+func discard(peers <-chan attempt[*tunnel.Conn]) {
+	if b := <-peers; b.err == nil {
+		b.conn.Finish()
+	}
+}
+
+// awaitOwn takes in an own attempt that nobody waits for any more. If it fails although a peer
+// has connected, the own link is lost.
+func (d *Dialer) awaitOwn(to tunnel.Destination, own <-chan attempt[net.Conn], through *tunnel.Conn) {
+	a := <-own
+	switch {
+	case a.err == nil:
+		d.Pool.Keep(a.conn, to.Address, to.EndpointID)
+	case through != nil:
+		d.recordBypass(to, a.err)
+	}
+}
--- a/internal/uplink/lent.go
+++ b/internal/uplink/lent.go
@@ -12,8 +12,9 @@
 
 // Lent is a connection of this instance's own that carries one exchange of a peer.
 type Lent struct {
-	conn *conn
-	pool *Pool
+	Fresh bool // it was opened for this exchange
+	conn  *conn
+	pool  *Pool
 }
 
 // Lend returns a connection to an endpoint: one that has been idle for less than maxIdle, or a
@@ -29,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Lent{conn: newConn(raw, key), pool: p}, nil
+	return &Lent{Fresh: true, conn: newConn(raw, key), pool: p}, nil
 }
 
 // Read implements io.Reader.
