tunnel: ask a peer that was full again after 100 ms

Where there is one peer only, a second without it refused everyone who came to the cut instance, while exchanges end, and make room, all the time. TestFullPeer now also waits for room.

--- a/internal/tunnel/open.go
+++ b/internal/tunnel/open.go
@@ -51,7 +51,7 @@
 			return nil, Error.Wrap(errors.Join(soundFailure(r.Outcome), err))
 		}
 		if !errors.Is(ctx.Err(), context.Canceled) && r.Outcome != unknown {
-			t.backOff(subject{p.Name, r.Outcome.scope(d.Service)}, r.Outcome == 0)
+			t.backOff(subject{p.Name, r.Outcome.scope(d.Service)}, r.Outcome)
 		}
 		if other, ok := t.Find(r.Referral); ok && !referred {
 			peers, referred = append([]Peer{other}, peers...), true
--- a/internal/tunnel/tunnels.go
+++ b/internal/tunnel/tunnels.go
@@ -97,29 +97,37 @@
 	backoffTime = time.Second
 	// backoffJitter spreads the end of backoffs, so that not all instances ask at once.
 	backoffJitter = 500 * time.Millisecond
-	// maxDoublings bounds the backoff of a silent peer, to 4 s.
+	// fullBackoffTime is how long one is not asked that carries as many connections as it
+	// can: exchanges end all the time.
+	fullBackoffTime = 100 * time.Millisecond
+	// maxDoublings bounds the backoff of a silent peer, to 6 s.
 	maxDoublings = 2
 )
 
 // subject is what a peer could not help with: one service, or any if service is empty.
 type subject struct{ peer, service string }
 
-// backOff records that a peer could not help. The time doubles for one that is silent.
-func (t *Tunnels) backOff(about subject, silent bool) {
+// backOff records that a peer could not help, with its answer or 0 if it was silent. The time
+// doubles for one that stays silent.
+func (t *Tunnels) backOff(about subject, answer outcome) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Now()
-	length := backoffTime
-	if silent {
+	length := backoffTime + rand.N(backoffJitter)
+	switch answer {
+	case 0:
 		length <<= min(t.silences[about.peer], maxDoublings)
 		t.silences[about.peer]++
+	case full:
+		length = fullBackoffTime
+	default:
 	}
 	for other, until := range t.backoffs {
 		if until <= now {
 			delete(t.backoffs, other)
 		}
 	}
-	t.backoffs[about] = now.Add(length + rand.N(backoffJitter))
+	t.backoffs[about] = now.Add(length)
 	if t.working[about.service] == about.peer {
 		delete(t.working, about.service)
 	}
--- a/internal/tunnel/tunnels_test.go
+++ b/internal/tunnel/tunnels_test.go
@@ -277,15 +277,28 @@
 	c := qt.New(t)
 	f, e := newFleet(t, "n1", "n2", "n3"), newEndpoint(t)
 	carriers := map[string]int{}
+	var last *tunnel.Conn
 	for range 4 { // two each
 		conn, err := f.instances[0].Dial(t.Context(), e.Destination)
 		c.Assert(err, qt.IsNil)
 		carriers[conn.Peer()]++
+		last = conn
 		defer conn.Finish()
 	}
 	c.Assert(carriers, qt.DeepEquals, map[string]int{"n2": 2, "n3": 2})
 	_, err := f.instances[0].Dial(t.Context(), e.Destination)
 	c.Assert(errors.Is(err, tunnel.ErrNoPeer), qt.IsTrue)
+	// One that ends makes room soon.
+	f.instances[0].now.Add(200)
+	last.Finish()
+	eventually(t, "a connection is carried again", func() bool {
+		conn, err := f.instances[0].Dial(t.Context(), e.Destination)
+		f.instances[0].now.Add(200)
+		if err == nil {
+			conn.Finish()
+		}
+		return err == nil
+	})
 }
 
 // A peer that could not help with one service is asked about another, and again after a while.
