dialer, balance: what no peer can tell is held against an endpoint briefly

A failure that no peer could judge, after two endpoints in a row, ejects for a second at most, however often it comes, and no planner hears of it. A peer that opened a connection to the service within the last second is asked again.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -63,6 +63,7 @@
 	Failed                    // a failure that another endpoint might not have had
 	Rejected                  // the endpoint reported that it did not run the request
 	Unreachable               // no connection
+	Unconfirmed               // no connection, perhaps because of this instance's own links
 	Canceled                  // canceled on this side; says nothing about the endpoint
 )
 
@@ -305,6 +306,9 @@
 	case Unreachable:
 		s.unreachable = true
 		return s.eject(now)
+	case Unconfirmed:
+		s.unreachable, s.ejections = true, 0 // as if for the first time
+		return s.eject(now)
 	case Rejected:
 		s.unreachable = false
 	case Canceled:
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -189,3 +189,17 @@
 	c.Assert(b.Ejected(1001), qt.DeepEquals, []string{"b"})
 	c.Assert(b.Unreachable(), qt.Equals, 0)
 }
+
+// Failures of which nobody knows whose fault they are eject for the shortest time only, however
+// often they come: the links may be back at any moment.
+func TestUnconfirmedFailures(t *testing.T) {
+	c := qt.New(t)
+	view := directory.NewView(nil, &directory.Endpoint{ID: "a", Service: "web", State: directory.Ready})
+	b := balance.New("z", nil)
+	now := clock.Millis(1000)
+	for range 5 {
+		length := b.ReserveAt(now, view.Find("a")).Done(now, balance.Unconfirmed)
+		c.Assert(length, qt.Equals, time.Second)
+		now = now.Add(length)
+	}
+}
--- a/internal/dialer/race.go
+++ b/internal/dialer/race.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -63,12 +64,20 @@
 	c, err := d.Tunnels.Dial(ctx, to)
 	if err != nil {
 		d.recordFailure(to, err)
-		return uplink.Path{}, failure
+		return uplink.Path{}, judged(failure, err)
 	}
 	d.recordBypass(to, failure)
 	return path(c), nil
 }
 
+// judged returns the failure of an own connection, marked if no peer could say whose fault it is.
+func judged(own, peers error) error {
+	if errors.Is(peers, tunnel.ErrNoPeer) {
+		return errors.Join(own, uplink.ErrUnconfirmed)
+	}
+	return own
+}
+
 // takeSecondOpinion takes in a peer's attempt that nobody waits for. If it succeeded although the
 // own one failed, the own link is lost.
 func (d *Dialer) takeSecondOpinion(to tunnel.Destination, failure error, b attempt[*tunnel.Conn]) {
@@ -145,7 +154,7 @@
 	case b := <-peers:
 		if b.err != nil {
 			d.recordFailure(to, b.err)
-			return uplink.Path{}, a.err
+			return uplink.Path{}, judged(a.err, b.err)
 		}
 		d.recordBypass(to, a.err)
 		return path(b.conn), nil
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -151,6 +151,9 @@
 		}
 	case errors.Is(err, uplink.ErrOwnLinks):
 		result, p.failure = balance.Canceled, reasonOwnLinks
+	case errors.Is(err, uplink.ErrUnconfirmed):
+		result, p.ownLinkLost = balance.Unconfirmed, true
+		p.failure = "unreachable"
 	case errors.Is(err, uplink.ErrNotSent):
 		result = balance.Unreachable
 		p.failure = "unreachable"
@@ -159,7 +162,7 @@
 		p.checkProcessEnded(parent, r.Endpoint)
 		p.ownLinkLost = !p.throughPeer && p.LinkLost(r.Endpoint.ID)
 	}
-	if p.ownLinkLost || p.failure == reasonOwnLinks {
+	if result != balance.Unconfirmed && (p.ownLinkLost || p.failure == reasonOwnLinks) {
 		p.ownLinkLost, p.failure = true, reasonOwnLinks
 		result = balance.Canceled // says nothing about the endpoint
 	}
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -285,6 +285,9 @@
 	case errors.Is(err, uplink.ErrOwnLinks):
 		p.failedEngine = ""
 		return balance.Canceled
+	case errors.Is(err, uplink.ErrUnconfirmed):
+		p.failedEngine = ""
+		return balance.Unconfirmed
 	case errors.Is(err, uplink.ErrNotSent):
 		return balance.Unreachable
 	}
--- a/internal/forward/unsent_test.go
+++ b/internal/forward/unsent_test.go
@@ -30,6 +30,8 @@
 	}{
 		{"prefill engine is unreachable", refused, false, prefillEngine, 1},
 		{"decode engine is unreachable", refused, true, decodeEngine, 1},
+		{"unconfirmed, prefill engine", uplink.ErrUnconfirmed, false, "", 1},
+		{"unconfirmed, decode engine", uplink.ErrUnconfirmed, true, "", 1},
 		{"own links, prefill engine", uplink.ErrOwnLinks, false, "", 0},
 		{"own links, decode engine", uplink.ErrOwnLinks, true, "", 0},
 	}
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -302,7 +302,7 @@
 
 // callUndisturbed reports whether no fault affected a call's instance or any endpoint.
 func (c *Checker) callUndisturbed(call caller.Call, from, to time.Time) bool {
-	return c.Faults.Undisturbed(from, to, call.Gateway.Name, timeline.Process) &&
+	return c.Faults.Undisturbed(from, to, call.Gateway.Name, timeline.Process, timeline.Links) &&
 		c.Faults.Undisturbed(from, to, "", timeline.Endpoint)
 }
 
--- a/internal/tunnel/open.go
+++ b/internal/tunnel/open.go
@@ -50,7 +50,7 @@
 		if r.Sound {
 			return nil, Error.Wrap(errors.Join(soundFailure(r.Outcome), err))
 		}
-		if !errors.Is(ctx.Err(), context.Canceled) && r.Outcome != unknown {
+		if !errors.Is(ctx.Err(), context.Canceled) && t.mustBackOff(p, r.Outcome, d.Service) {
 			t.backOff(subject{p.Name, r.Outcome.scope(d.Service)}, r.Outcome)
 		}
 		if other, ok := t.Find(r.Referral); ok && !referred {
@@ -62,6 +62,18 @@
 	return nil, Error.Wrap(failure)
 }
 
+// mustBackOff reports whether a peer that gave an answer is not to be asked for a while.
+func (t *Tunnels) mustBackOff(p Peer, o outcome, service string) bool {
+	switch o {
+	case unknown:
+		return false
+	case refused, unreachable:
+		return !t.workedLately(subject{p.Name, service})
+	default:
+		return true
+	}
+}
+
 func soundFailure(o outcome) error {
 	if o == refused {
 		return ErrRefused
--- a/internal/tunnel/tunnels.go
+++ b/internal/tunnel/tunnels.go
@@ -67,11 +67,12 @@
 	backoffs map[subject]clock.Millis // until when peers are not asked
 	silences map[string]int           // consecutive times that a peer did not answer, by name
 	working  map[string]string        // peer through which the last connection was opened, by service
+	workedAt map[subject]clock.Millis // when a peer last opened a connection to a service
 }
 
 // New returns Tunnels that serve peers from now on.
 func New(o Options) *Tunnels {
-	t := &Tunnels{Options: o, backoffs: map[subject]clock.Millis{}, silences: map[string]int{}, working: map[string]string{}}
+	t := &Tunnels{Options: o, backoffs: map[subject]clock.Millis{}, silences: map[string]int{}, working: map[string]string{}, workedAt: map[subject]clock.Millis{}}
 	o.Transport.HandleStreams(t.serve)
 	return t
 }
@@ -127,6 +128,11 @@
 			delete(t.backoffs, other)
 		}
 	}
+	for other, at := range t.workedAt {
+		if now.Sub(at) >= backoffTime {
+			delete(t.workedAt, other)
+		}
+	}
 	t.backoffs[about] = now.Add(length)
 	if t.working[about.service] == about.peer {
 		delete(t.working, about.service)
@@ -159,9 +165,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.working[service] = name
+	t.workedAt[subject{name, service}] = t.Now()
 	delete(t.silences, name)
 }
 
+// workedLately reports whether a peer opened a connection to a service within backoffTime. That
+// one endpoint refuses it then says nothing of its links to the others.
+func (t *Tunnels) workedLately(about subject) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.workedAt[about]
+	return ok && t.Now().Sub(at) < backoffTime
+}
+
 // referral returns the name of the instance through which this one last reached a service, or
 // "".
 func (t *Tunnels) referral(service string) string {
--- a/internal/tunnel/tunnels_test.go
+++ b/internal/tunnel/tunnels_test.go
@@ -371,3 +371,21 @@
 	_, err = f.instances[0].Dial(ctx, e.Destination)
 	c.Assert(err, qt.IsNotNil)
 }
+
+// A peer that has just reached a service is asked again about its other endpoints when one of
+// them refuses it.
+func TestPeerThatWorkedIsKept(t *testing.T) {
+	c := qt.New(t)
+	f, e := newFleet(t, "n1", "n2"), newEndpoint(t)
+	conn, err := f.instances[0].Dial(t.Context(), e.Destination)
+	c.Assert(err, qt.IsNil)
+	conn.Finish()
+	f.instances[1].sound.Store(false)
+	crashed := e.Destination
+	crashed.Address, crashed.EndpointID = closedPort(t), "e2"
+	_, err = f.instances[0].Dial(t.Context(), crashed)
+	c.Assert(errors.Is(err, tunnel.ErrNoPeer), qt.IsTrue)
+	conn, err = f.instances[0].Dial(t.Context(), e.Destination)
+	c.Assert(err, qt.IsNil)
+	conn.Finish()
+}
--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -23,6 +23,10 @@
 // after part of the request had been sent: the request may have run.
 var ErrNoResponse = errors.New("connection ended without a response")
 
+// ErrUnconfirmed means that a connection failed and that no peer could tell whether the endpoint
+// or this instance's own link is at fault.
+var ErrUnconfirmed = errors.New("unconfirmed by any peer")
+
 // ErrThroughPeer marks failures of a connection that a peer carried.
 var ErrThroughPeer = errors.New("through a peer")
 
