--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -128,6 +128,10 @@
 	return list
 }
 
+// firstExtraSeed is the first of the failed seeds that failed in a run with extra steps, and is
+// run with them again.
+const firstExtraSeed = 100_000
+
 // runSeed executes the run of one seed and prints the result. It reports whether the fleet
 // recovered and all promises were kept.
 func (c *command) runSeed(ctx context.Context, job int, seed uint64) bool {
@@ -135,7 +139,7 @@
 		Program: c.Program, Dir: c.Dir, Seed: seed, FaultDuration: time.Duration(c.Seconds) * time.Second,
 		Network: network(job), PerZone: c.PerZone, Callers: c.Callers, Timed: c.Timed, OnlyKind: schedule.Kind(c.Only),
 	}
-	o.ExtraSteps = !c.Plain && !c.FailedSeeds
+	o.ExtraSteps = !c.Plain && (!c.FailedSeeds || seed >= firstExtraSeed)
 	if o.ExtraSteps || o.OnlyKind == schedule.Suspend || o.OnlyKind == schedule.Unlink {
 		if self, err := os.Executable(); err == nil {
 			o.Program = self
