dialer: do not forget that a peer could not reach an endpoint either

While an endpoint is silent to everyone, peers are asked about it once a second. An attempt that was not made for that reason was taken for one in which no peer could tell, which ended the second: every other connection asked again. TestPeersAreAskedSeldomAboutSilence failed before (4 dials of the peer, 2 expected).

--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -45,6 +45,7 @@
 	clock    atomic.Int64
 	list     []tunnel.Destination
 	crashed  sync.Map // addresses of endpoints that refuse connections from everyone
+	silent   sync.Map // addresses of endpoints that answer nobody
 }
 
 type instance struct {
@@ -108,7 +109,7 @@
 		if _, crashed := w.crashed.Load(to); crashed || fault(i.links.Load()) == refuses {
 			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 		}
-		if fault(i.links.Load()) == silent {
+		if _, dark := w.silent.Load(to); dark || fault(i.links.Load()) == silent {
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
@@ -345,3 +346,22 @@
 	c.Assert(errors.Is(err, uplink.ErrUnconfirmed), qt.IsTrue)
 	c.Assert(w.one.Bypassed("e2"), qt.IsFalse)
 }
+
+// The same holds for an endpoint that answers nobody, which is known only when the own attempt
+// gives up.
+func TestPeersAreAskedSeldomAboutSilence(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, "e1", "e2")
+	w.silent.Store(w.endpoint("e1").Address, true)
+	connect := func() (asked bool) {
+		before := w.two.dials.Load()
+		_, err := w.connect("e1")
+		c.Assert(err, qt.IsNotNil)
+		return w.two.dials.Load() > before
+	}
+	c.Assert(connect(), qt.IsTrue)
+	eventually(t, func() bool { return !connect() }) // the peer's answer is in
+	for range 4 {
+		c.Assert(connect(), qt.IsFalse)
+	}
+}
--- a/internal/dialer/race.go
+++ b/internal/dialer/race.go
@@ -106,15 +106,14 @@
 
 // race connects through a peer while the own attempt goes on, and takes what comes up first.
 func (d *Dialer) race(ctx context.Context, to tunnel.Destination, own <-chan attempt[net.Conn]) (uplink.Path, error) {
-	peers := make(chan attempt[*tunnel.Conn], 1)
 	if d.holds.held(d.Now(), to.EndpointID) {
-		peers <- attempt[*tunnel.Conn]{nil, tunnel.ErrNoPeer}
-	} else {
-		go func() {
-			c, err := d.Tunnels.Dial(context.WithoutCancel(ctx), to)
-			peers <- attempt[*tunnel.Conn]{c, err}
-		}()
+		return d.waitOwn(ctx, to, own)
 	}
+	peers := make(chan attempt[*tunnel.Conn], 1)
+	go func() {
+		c, err := d.Tunnels.Dial(context.WithoutCancel(ctx), to)
+		peers <- attempt[*tunnel.Conn]{c, err}
+	}()
 	select {
 	case a := <-own:
 		return d.afterRace(ctx, to, a, peers)
@@ -127,6 +126,11 @@
 	case <-ctx.Done():
 		go discard(peers)
 	}
+	return d.waitOwn(ctx, to, own)
+}
+
+// waitOwn waits for the own attempt alone.
+func (d *Dialer) waitOwn(ctx context.Context, to tunnel.Destination, own <-chan attempt[net.Conn]) (uplink.Path, error) {
 	select {
 	case a := <-own:
 		if a.err != nil {
