dialer: one piece of code probes an endpoint

The check of the own links dialled and kept connections by a copy of what the probes of lost links do. No decision is changed; the tests of dialer, tunnel and endpoint pass under the race detector, and the linter.

--- a/internal/dialer/probe.go
+++ b/internal/dialer/probe.go
@@ -49,9 +49,11 @@
 	d.Scope.Gauge("tunnels_carried").Update(float64(carried))
 }
 
-func (d *Dialer) probeEndpoint(ctx context.Context, e tunnel.Destination) {
+// probeEndpoint reports whether an own connection to an endpoint comes up, and keeps it.
+func (d *Dialer) probeEndpoint(ctx context.Context, e tunnel.Destination) bool {
 	c, err := d.dialOwn(ctx, e)
 	if err == nil {
 		d.Pool.Keep(c, e.Address, e.EndpointID)
 	}
+	return err == nil
 }
--- a/internal/dialer/soundness.go
+++ b/internal/dialer/soundness.go
@@ -60,13 +60,7 @@
 	others := d.others(to)
 	results := make(chan bool, len(others))
 	for _, e := range others {
-		go func() {
-			c, err := d.dialOwn(ctx, e)
-			if err == nil {
-				d.Pool.Keep(c, e.Address, e.EndpointID)
-			}
-			results <- err == nil
-		}()
+		go func() { results <- d.probeEndpoint(ctx, e) }()
 	}
 	for range others {
 		if <-results {
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -56,8 +56,8 @@
 	// whether the response was successful; sent is when the request was sent.
 	OnNotice func(at netip.AddrPort, n notice.Notice, good bool, sent time.Time)
 
-	// Dial opens a connection to an endpoint; its errors are net.OpErrors. Ended reports whether the endpoint's process has
-	// ended. Both may be replaced before the first call.
+	// Dial opens a connection to an endpoint; its errors are net.OpErrors. Ended reports
+	// whether the endpoint's process has ended. Both may be replaced before the first call.
 	Dial  func(ctx context.Context, at netip.AddrPort) (net.Conn, error)
 	Ended func(ctx context.Context, at netip.AddrPort) bool
 
