eventlog: name the software version of an endpoint, and streams that callers take up

The lines could not tell whether a stream crosses versions within an answer or when its caller takes it up, as none named a version or said that a caller came back.

The version of an entry is decoded and kept with the endpoint; nothing decides by it yet. Lines believed, sent and endpoint_failed name it, and a new line taken_up names the try that began the stream.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -60,6 +60,7 @@
 	Stage     Stage          `cbor:"9,keyasint,omitempty"`
 	Revision  int64          `cbor:"10,keyasint"`           // of the store, when this entry was written
 	ColdFor   time.Duration  `cbor:"11,keyasint,omitempty"` // how long it would stay cold, when this entry was written
+	Software  string         `cbor:"12,keyasint,omitempty"` // version of its software; empty if unknown
 }
 
 // WithStart returns the endpoint as the incarnation that started at startedAt.
@@ -100,9 +101,10 @@
 }
 
 // interned returns the endpoint with shared strings: thousands of endpoints have only a few
-// services and zones.
+// services, zones and versions.
 func (e Endpoint) interned() Endpoint {
 	e.Service, e.Zone = unique.Make(e.Service).Value(), unique.Make(e.Zone).Value()
+	e.Software = unique.Make(e.Software).Value()
 	if strings.HasPrefix(e.ID, e.Entry) {
 		e.ID = strings.Clone(e.ID)
 		e.Entry = e.ID[:len(e.Entry)]
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -44,6 +44,7 @@
 	BudgetSpent     Event = "budget_spent"
 	Repeated        Event = "repeated"
 	Resumed         Event = "resumed"
+	TakenUp         Event = "taken_up"
 	Answered        Event = "answered"
 	Refused         Event = "refused"
 	GaveUp          Event = "gave_up"
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -44,6 +44,7 @@
 	Service     string
 	Workspace   string // name of the workspace that sent the request
 	Endpoint    string // ID of the endpoint
+	Software    string // version of the endpoint's software
 	Address     string // of the endpoint or peer
 	Prefill     string // ID of the prefill engine
 	Peer        string // name of another instance
@@ -78,6 +79,7 @@
 	addText(e, "service", line.Service)
 	addText(e, "workspace", line.Workspace)
 	addText(e, "endpoint", line.Endpoint)
+	addText(e, "software", line.Software)
 	addText(e, "address", line.Address)
 	addText(e, "prefill", line.Prefill)
 	addText(e, "peer", line.Peer)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -390,7 +390,7 @@
 		}
 		n := eventlog.Line{
 			Event: eventlog.Believed, Outcome: string(c.Kind), Version: c.Version, Revision: c.Revision,
-			Endpoint: c.Endpoint.ID, Service: c.Endpoint.Service, Zone: c.Zone,
+			Endpoint: c.Endpoint.ID, Software: c.Endpoint.Software, Service: c.Endpoint.Service, Zone: c.Zone,
 		}
 		if c.Endpoint.ID != "" {
 			n.Address = c.Endpoint.Address.String()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -96,7 +96,7 @@
 	p.runs++
 	p.ownLinkLost = false
 	n := p.logLine(eventlog.Sent, "", nil)
-	n.Endpoint, n.Address, n.Revision = r.Endpoint.ID, r.Endpoint.Address.String(), p.view.Revision
+	n.Endpoint, n.Software, n.Address, n.Revision = r.Endpoint.ID, r.Endpoint.Software, r.Endpoint.Address.String(), p.view.Revision
 	p.requestLog.Write(n)
 	var head ResponseHead
 	exchange, err := p.Pool.Do(ctx, m, func(resp *http.Response) bool {
@@ -177,7 +177,7 @@
 	p.tried = append(p.tried, r.Endpoint.ID)
 	ejected := r.Done(p.Now(), result)
 	n := p.logLine(eventlog.EndpointFailed, p.failure, err)
-	n.Endpoint, n.Address = r.Endpoint.ID, r.Endpoint.Address.String()
+	n.Endpoint, n.Software, n.Address = r.Endpoint.ID, r.Endpoint.Software, r.Endpoint.Address.String()
 	p.requestLog.Write(n)
 	if ejected > 0 {
 		p.Scope.Counter("endpoints_ejected").Inc(1)
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -25,6 +25,7 @@
 	Key                  route.Key     // digest of the caller's API key, if HasKey
 	HasKey               bool
 	LastEventID          string      // ID of the event after which the stream resumes
+	BeganAs              string      // ID of the caller's attempt that brought the stream's first event; empty if not given
 	Header               http.Header // forwarded to endpoints, in addition to the headers of a Send
 }
 
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -103,9 +103,21 @@
 		return false
 	}
 	p.budget(p.service).CountRequest(p.arrived)
+	p.logTakenUp()
 	return true
 }
 
+// logTakenUp logs that the caller goes on with a stream of an earlier attempt.
+func (p *proxyRequest) logTakenUp() {
+	if p.call.LastEventID == "" {
+		return
+	}
+	n := p.logLine(eventlog.TakenUp, "", nil)
+	n.Detail = "stream of " + p.call.BeganAs + " after event " + p.call.LastEventID
+	p.requestLog.Write(n)
+	p.Scope.Counter("streams_taken_up").Inc(1)
+}
+
 // run sends the request until it is answered or given up.
 func (p *proxyRequest) run(ctx context.Context) {
 	ctx, cancel := p.deadlines.Context(ctx, p.deadline.Add(timeoutGrace))
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -32,6 +32,7 @@
 	Route    string         `json:"route"`
 	Service  string         `json:"service"`
 	Endpoint string         `json:"endpoint"`
+	Software string         `json:"software"`
 	Prefill  string         `json:"prefill"`
 	Zone     string         `json:"zone"`
 	Outcome  string         `json:"outcome"`
@@ -147,11 +148,12 @@
 func describe(e Entry) string {
 	text := map[eventlog.Event]string{
 		eventlog.Placed:          fmt.Sprintf("was assigned decode engine %s%s in zone %s; that engine was estimated to hold %d tokens", e.Endpoint, prefillText(e), e.Zone, e.Count),
-		eventlog.Sent:            fmt.Sprintf("send %d to endpoint %s of %s, with %d ms left, under configuration %d", e.Attempt, e.Endpoint, e.Service, e.Left, e.Version),
+		eventlog.Sent:            fmt.Sprintf("send %d to endpoint %s%s of %s, with %d ms left, under configuration %d", e.Attempt, e.Endpoint, softwareText(e), e.Service, e.Left, e.Version),
 		eventlog.PrefillFailed:   fmt.Sprintf("prefill engine %s failed", e.Endpoint),
 		eventlog.EndpointFailed:  fmt.Sprintf("endpoint %s failed this request (%s)", e.Endpoint, e.Reason),
 		eventlog.EndpointEjected: fmt.Sprintf("endpoint %s is ejected for %d ms (%s)", e.Endpoint, e.Took, e.Reason),
 		eventlog.Repeated:        fmt.Sprintf("is retried because of %s", e.Reason),
+		eventlog.TakenUp:         "the caller goes on with a stream",
 		eventlog.Resumed:         fmt.Sprintf("the stream is resumed on another endpoint because of %s", e.Reason),
 		eventlog.BudgetSpent:     "is not retried: the retry budget is exhausted",
 		eventlog.Answered:        fmt.Sprintf("answered with status %d after %d ms, %s", e.Status, e.Took, strings.ReplaceAll(e.Outcome, "_", " ")),
@@ -177,6 +179,13 @@
 	return fmt.Sprintf(" and prefill engine %s (predicted wait %d ms)", e.Prefill, e.Wait)
 }
 
+func softwareText(e Entry) string {
+	if e.Software == "" {
+		return ""
+	}
+	return " (software " + e.Software + ")"
+}
+
 func versionText(e Entry) string {
 	if e.Version == 0 {
 		return ""
