soak: releases of several software versions, and callers that take streams up

Endpoints write their version into each event; half of the engines are replaced by another version, forward and back, beside all other steps; callers whose resumable stream broke go on at any instance. The check: events of one stream come from one version, over all calls of its caller.

--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +24,7 @@
 	Service    string
 	AtMostOnce bool // must run at most once
 	Stream     bool
+	Resumable  bool   // its caller takes the stream up if it breaks
 	Version    int    // of the configuration that added its route; 0 for the first one
 	Body       string // of all requests; if empty, each has its own
 	Workspace  string // whose key is sent
@@ -57,7 +59,7 @@
 // Kinds returns the kinds of requests that the first configuration serves.
 func Kinds() []Kind {
 	return []Kind{
-		{Path: "/stream/x", Method: http.MethodPost, Service: "llm", Stream: true, Workspace: firstWorkspace},
+		{Path: "/stream/x", Method: http.MethodPost, Service: "llm", Stream: true, Resumable: true, Workspace: firstWorkspace},
 		{Path: "/once" + standin.LongPath, Method: http.MethodPost, Service: "llm", Stream: true, AtMostOnce: true, Workspace: firstWorkspace},
 		{Path: "/once/x", Method: http.MethodPost, Service: "llm", Stream: true, AtMostOnce: true, Workspace: secondWorkspace},
 		{Path: "/safe/x", Method: http.MethodGet, Service: "web", Workspace: secondWorkspace},
@@ -109,6 +111,29 @@
 	Ended        time.Time
 	Disconnected bool // the caller disconnected before the answer was complete
 	Reply        standin.Response
+	// BeganAs is the ID of the call that brought the stream's first event, if this one takes
+	// a stream up, and After the number of events received before.
+	BeganAs  string
+	After    int
+	Versions []string // software versions that wrote the stream's events
+}
+
+// origin returns the ID of the call that brought the stream's first event.
+func (c Call) origin() string {
+	if c.BeganAs != "" {
+		return c.BeganAs
+	}
+	return c.ID
+}
+
+// received returns how many of the stream's events have arrived whole, with those of earlier
+// calls.
+func (c Call) received() int { return c.After + strings.Count(c.Reply.Body, "\n\n") }
+
+// mayTakeUp reports whether the caller goes on with the stream of this call.
+func (c Call) mayTakeUp() bool {
+	return c.Kind.Resumable && c.Kind.Body == "" && c.Reply.Err != nil && c.Reply.Status == http.StatusOK &&
+		c.received() > 0 && c.received() < standin.Events
 }
 
 const (
@@ -120,6 +145,8 @@
 	// of up to maxDisconnectDelay.
 	disconnectRatio    = 0.08
 	maxDisconnectDelay = 300 * time.Millisecond
+	// maxTakeUps is how often a caller goes on with one stream.
+	maxTakeUps = 3
 	// keepAliveRatio is the fraction of callers that reuse connections.
 	keepAliveRatio = 0.5
 )
@@ -143,7 +170,9 @@
 	defer c.client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		if g, ok := c.PickGateway(); ok {
-			c.Done(c.Call(ctx, g, c.NextKind()))
+			call := c.Call(ctx, g, c.NextKind())
+			c.Done(call)
+			c.takeUp(ctx, call)
 		}
 		select {
 		case <-ctx.Done():
@@ -152,9 +181,30 @@
 	}
 }
 
+// takeUp goes on with the stream of a call that broke, at whatever instance.
+func (c *Caller) takeUp(ctx context.Context, call Call) {
+	for n := 0; n < maxTakeUps && call.mayTakeUp() && ctx.Err() == nil; n++ {
+		g, ok := c.PickGateway()
+		if !ok {
+			return
+		}
+		k := call.Kind
+		k.Body = call.Body
+		next := c.send(ctx, Call{ID: c.NextID(), Kind: k, Gateway: g, Sent: time.Now(), BeganAs: call.origin(), After: call.received()})
+		next.Kind.Body = ""
+		c.Done(next)
+		call = next
+	}
+}
+
 // Call sends one request and waits for its end.
 func (c *Caller) Call(ctx context.Context, g Gateway, k Kind) Call {
-	call := Call{ID: c.NextID(), Kind: k, Gateway: g, Sent: time.Now()}
+	return c.send(ctx, Call{ID: c.NextID(), Kind: k, Gateway: g, Sent: time.Now()})
+}
+
+// send sends the request of a call and completes the call.
+func (c *Caller) send(ctx context.Context, call Call) Call {
+	k, g := call.Kind, call.Gateway
 	switch {
 	case k.Body != "":
 		call.Body = k.Body
@@ -169,9 +219,10 @@
 		timer := time.AfterFunc(delay, func() { once.Do(func() { call.Disconnected = true }); cancel() })
 		defer timer.Stop()
 	}
-	request := standin.Request{ID: call.ID, Address: g.Address, Method: k.Method, Path: k.Path, Body: call.Body, Deadline: requestTimeout, Key: key(k.Workspace)}
+	request := standin.Request{ID: call.ID, Address: g.Address, Method: k.Method, Path: k.Path, Body: call.Body, Deadline: requestTimeout, Key: key(k.Workspace), BeganAs: call.BeganAs, LastEvent: call.After}
 	reply := request.Send(ctx, c.client)
 	once.Do(func() {}) // a disconnect after the answer does not count
+	reply.Body, call.Versions = standin.SplitVersions(reply.Body)
 	call.Reply, call.Ended = reply, time.Now()
 	if reply.Err == nil {
 		call.Disconnected = false
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -3,7 +3,8 @@
 //   - a request that must not be repeated runs at most once, and one that was answered as
 //     not run did not run;
 //   - answers are complete and belong to their request, streams have no missing and no
-//     repeated event;
+//     repeated event, also where the caller takes one up, and come from one software
+//     version;
 //   - requests arrive unchanged, run under their own workspace, within its limit, and stay
 //     in its region;
 //   - work for callers that disconnected stops;
@@ -170,6 +171,7 @@
 		}
 	}
 	c.checkVersions()
+	c.checkSoftware()
 	c.checkWorkspaceLimit(byCall)
 	c.checkHeld(runs)
 	if c.Bounds.Timed {
@@ -285,7 +287,7 @@
 	case r.Status == 200:
 		want := standin.AnswerBody(call.ID)
 		if call.Kind.Stream {
-			want = standin.StreamBody(call.ID, standin.Events)
+			want = standin.StreamBody(call.ID, standin.Events)[len(standin.StreamBody(call.ID, call.After)):]
 		}
 		switch {
 		case !r.Signed:
--- a/internal/soak/fleet/endpoint.go
+++ b/internal/soak/fleet/endpoint.go
@@ -59,6 +59,9 @@
 		service = "web"
 	}
 	e := &endpoint{Endpoint: standin.NewEndpoint(fmt.Sprintf("%s-%s-%d", service, zone, f.created), service, zone, stage)}
+	if stage != "" {
+		e.Version = versions[f.softwareIndex%len(versions)]
+	}
 	e.SetBehaviour(normalBehaviour())
 	var err error
 	if e.link, err = link.New(e.Address); err != nil {
@@ -252,6 +255,36 @@
 	return true
 }
 
+// versions are the software versions that engines run in turn, so that releases go forward and
+// back.
+var versions = []string{"v1", "v2", "v1", "v3"}
+
+// releaseGap is the time between two engines that a release replaces.
+const releaseGap = 300 * time.Millisecond
+
+// releaseEngines replaces every second engine by one that runs the next software version. Each
+// leaves once the next one has started.
+func (f *Fleet) releaseEngines(ctx context.Context) error {
+	f.mu.Lock()
+	f.softwareIndex++
+	var engines []*endpoint
+	for _, e := range f.endpoints {
+		if e.Stage != "" {
+			engines = append(engines, e)
+		}
+	}
+	f.mu.Unlock()
+	for n := 0; n < len(engines); n += 2 {
+		f.steps.Go(func() {
+			if err := f.retire(context.WithoutCancel(ctx), engines[n], false); err != nil {
+				_, _ = fmt.Fprintf(os.Stderr, "seed %d: replace engine %s: %v\n", f.Seed, engines[n].ID, err)
+			}
+		})
+		sleep(ctx, releaseGap)
+	}
+	return nil
+}
+
 // misbehaviours returns the ways in which an endpoint may answer incorrectly or slowly.
 func misbehaviours() []standin.Behaviour {
 	list := []standin.Behaviour{
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -70,14 +70,15 @@
 	lastRequest atomic.Int64 // number of the last request
 	steps       sync.WaitGroup
 
-	mu        sync.Mutex
-	instances []*instance
-	endpoints []*endpoint // those not replaced
-	replaced  []*endpoint // those that crashed or left, or are leaving
-	routes    []standin.Route
-	version   int
-	claimed   map[string]bool // zones and endpoints, see claim
-	created   int             // number of endpoints created, including replaced ones
+	mu            sync.Mutex
+	instances     []*instance
+	endpoints     []*endpoint // those not replaced
+	replaced      []*endpoint // those that crashed or left, or are leaving
+	routes        []standin.Route
+	version       int
+	claimed       map[string]bool // zones and endpoints, see claim
+	created       int             // number of endpoints created, including replaced ones
+	softwareIndex int             // index of the software version that new engines run
 }
 
 // Result is the result of a run.
--- a/internal/soak/fleet/steps.go
+++ b/internal/soak/fleet/steps.go
@@ -47,7 +47,7 @@
 	i := all[s.Target%len(all)]
 	switch s.Kind {
 	case schedule.Suspend, schedule.Poison, schedule.Announce, schedule.Backoff, schedule.Limit,
-		schedule.Evacuate, schedule.Cold, schedule.Unlink:
+		schedule.Evacuate, schedule.Cold, schedule.Unlink, schedule.Release:
 		return f.applyExtra(ctx, s, i)
 	case schedule.Kill:
 		return f.kill(ctx, s.Duration, i)
@@ -100,6 +100,9 @@
 	if s.Kind == schedule.Unlink {
 		return f.unlink(ctx, s, i)
 	}
+	if s.Kind == schedule.Release {
+		return f.releaseEngines(ctx)
+	}
 	if s.Kind == schedule.Poison {
 		f.poison(ctx, s)
 		return nil
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -70,6 +70,8 @@
 	Cold Kind = "chill"
 	// Instances lose their own connections to all endpoints.
 	Unlink Kind = "unlink"
+	// Half of the engines are replaced, one after the other, by another software version.
+	Release Kind = "release"
 )
 
 // weights are the relative frequencies of the kinds drawn by New.
@@ -136,6 +138,7 @@
 	{0x94d049bb133111eb, []Kind{Limit}},
 	{0xbf58476d1ce4e5b9, []Kind{Evacuate, Cold}},
 	{0x2545f4914f6cdd1d, []Kind{Unlink}},
+	{0x9fb21c651e98df25, []Kind{Release}},
 }
 
 // Extra draws additional steps of a run, independently of those of New.
