directory, platform: order revisions over restores of the store

Callers reached an engine 2.5 s after it had said that it leaves. The store had come back from a copy some seconds old and gave revisions out again; the engine's entry got number 29, which all instances knew already. Their watches after 29 got 410 until the store had reached 29 again, and then brought only what follows; the listings between changed nothing, as each fact with a lower revision than the known one was dropped.

Cause: what is learned from the store was ordered by its bare revision, which is an order only as long as the store does not go back. Class: an identifier that is given out again is taken for the same thing; the numbers of leases are another.

Now the client of the store reads the era of each answer and joins it with the revision to one position, which orders facts, digests' parts, hints, pulls, fences and conditions over restores (package epoch). Answers of an earlier era change nothing; a watch after a position of an earlier one is lost history; a lease of an earlier one has lapsed. What is known is kept against what may be of the copy until the store has settled (2.2 s): entries that it lacks are missing, not gone; those known to be removed do not return; a zone's evacuation and its end hold; an endpoint that leaves stays leaving for good. Those that watch the store read it once more then. Instances write their entries again, held requests are saved again, and older entries of instances do not replace newer ones.

Ruled out: forgetting everything and reading it anew (the copy would undo what callers rely on, and every instance would list the store at once); guessing the revision of the copy from entries that match (ambiguous for what was written again under a lower number).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -16,15 +16,11 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/tidwall/btree"
 
+	"github.com/trailshed/trailshed/internal/epoch"
 	"github.com/trailshed/trailshed/internal/route"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
-// settlePeriod is how long after the store's return an endpoint that it does not list still
-// counts as present. The platform has the entries of live endpoints back within about two
-// seconds of the store's return.
-const settlePeriod = 2200 * time.Millisecond
-
 // State says whether an endpoint takes new work.
 type State int
 
@@ -95,9 +91,14 @@
 	return e.Revision < o.Revision || e.Revision == o.Revision && e.entry() < o.entry()
 }
 
-// hash returns what the endpoint contributes to a view's digest.
+// hash returns what the endpoint contributes to a view's digest. The epoch is left out: an
+// entry that a restored store has kept counts to the former one where it was known before.
 func (e *Endpoint) hash() uint64 {
-	return xxhash.Sum64String(e.ID + strconv.FormatInt(e.Revision, 16))
+	text := e.ID + strconv.FormatInt(epoch.Revision(e.Revision), 16)
+	if e.State == Draining {
+		text += "\x00leaving"
+	}
+	return xxhash.Sum64String(text)
 }
 
 // interned returns the endpoint with shared strings: thousands of endpoints have only a few
@@ -143,6 +144,7 @@
 	revision        int64
 	storeLost       bool
 	storeReturnedAt clock.Millis // when the store was last reached again; 0 if it was never lost
+	restore         restore
 }
 
 // record is an endpoint with what is doubtful about it.
@@ -188,23 +190,23 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.index.now = now
-	var changes []Change
+	changes := d.enterEpoch(now, e)
 	softwareForgotten := false
 	switch e := e.(type) {
 	case Configured:
-		changes = d.applyConfiguration(e)
+		changes = append(changes, d.applyConfiguration(e)...)
 	case Listed:
-		changes = d.applyListing(now, e)
+		changes = append(changes, d.applyListing(now, e)...)
 	case PeerUpdate:
-		changes = d.applyPeerUpdate(e)
+		changes = append(changes, d.applyPeerUpdate(now, e)...)
 	case Seen:
-		changes = d.applyEntry(e.Endpoint)
+		changes = append(changes, d.applyEntry(now, e.Endpoint)...)
 		d.revision = max(d.revision, e.Endpoint.Revision)
 	case Removed:
-		changes = d.applyRemoval(now, e)
+		changes = append(changes, d.applyRemoval(now, e)...)
 		d.revision = max(d.revision, e.Revision)
 	case Evacuation:
-		changes = d.applyEvacuation(e)
+		changes = append(changes, d.applyEvacuation(now, e)...)
 		d.revision = max(d.revision, e.Revision)
 	case Denied:
 		changes = d.markDenied(e)
@@ -245,7 +247,7 @@
 	present := make(map[string]bool, len(e.Endpoints)+len(e.PresentEntries))
 	for _, p := range e.Endpoints {
 		present[p.entry()] = true
-		changes = append(changes, d.applyEntry(p)...)
+		changes = append(changes, d.applyEntry(now, p)...)
 	}
 	for _, entry := range e.PresentEntries {
 		present[entry] = true
@@ -256,19 +258,19 @@
 		}
 		changes = append(changes, d.applyRemoval(now, Removed{Entry: entry, Revision: e.Revision})...)
 	}
-	changes = append(changes, d.applyAllEvacuations(e.Evacuations, e.Revision)...)
+	changes = append(changes, d.applyAllEvacuations(now, e.Evacuations, e.Revision)...)
 	d.revision = max(d.revision, e.Revision)
 	return changes
 }
 
 // applyPeerUpdate applies what a peer has sent. A peer with a complete view has already
 // decided about doubtful endpoints, so what it lacks is gone.
-func (d *Directory) applyPeerUpdate(e PeerUpdate) []Change {
+func (d *Directory) applyPeerUpdate(now clock.Millis, e PeerUpdate) []Change {
 	var changes []Change
 	present := make(map[string]bool, len(e.Endpoints))
 	for _, p := range e.Endpoints {
 		present[p.entry()] = true
-		changes = append(changes, d.applyEntry(p)...)
+		changes = append(changes, d.applyEntry(now, p)...)
 	}
 	for _, g := range e.Removed {
 		if rec := d.endpoints[g.Entry]; rec != nil && rec.endpoint.Revision <= g.Revision {
@@ -276,15 +278,20 @@
 		}
 	}
 	for entry, rec := range d.endpoints {
-		if e.Complete && !present[entry] && rec.endpoint.Revision <= e.Revision {
-			changes = append(changes, d.removeEndpoint(rec, e.Revision)...)
+		if !e.Complete || present[entry] || rec.endpoint.Revision > e.Revision {
+			continue
+		}
+		if d.restore.settling(now) { // the peer may know only the copy
+			changes = append(changes, d.applyRemoval(now, Removed{Entry: entry, Revision: e.Revision})...)
+			continue
 		}
+		changes = append(changes, d.removeEndpoint(rec, e.Revision)...)
 	}
 	if e.Complete {
-		changes = append(changes, d.applyAllEvacuations(e.Evacuations, e.Revision)...)
+		changes = append(changes, d.applyAllEvacuations(now, e.Evacuations, e.Revision)...)
 	} else {
 		for _, z := range e.Evacuations {
-			changes = append(changes, d.applyEvacuation(z)...)
+			changes = append(changes, d.applyEvacuation(now, z)...)
 		}
 	}
 	d.revision = max(d.revision, e.Revision)
@@ -326,8 +333,9 @@
 }
 
 // applyEntry applies one endpoint's entry, unless a newer fact is known.
-func (d *Directory) applyEntry(p Endpoint) []Change {
-	if d.removedAt[p.entry()] >= p.Revision {
+func (d *Directory) applyEntry(now clock.Millis, p Endpoint) []Change {
+	p, use := d.keepKnown(now, p)
+	if !use || d.removedAt[p.entry()] >= p.Revision {
 		return nil
 	}
 	p = p.interned()
@@ -503,7 +511,7 @@
 
 // settling reports whether entries may be missing only because the store was out of reach.
 func (d *Directory) settling(now clock.Millis) bool {
-	return d.storeLost || d.storeReturnedAt != 0 && now.Sub(d.storeReturnedAt) < settlePeriod
+	return d.storeLost || d.storeReturnedAt != 0 && now.Sub(d.storeReturnedAt) < SettlePeriod || d.restore.settling(now)
 }
 
 // removeMissing removes endpoints that are still missing after the store has settled.
--- a/internal/directory/event.go
+++ b/internal/directory/event.go
@@ -18,6 +18,7 @@
 	PresentEntries []string
 	Evacuations    []Evacuation
 	Revision       int64
+	Stale          bool // it may be some seconds old
 }
 
 // PeerUpdate holds what a peer sent in response to a request: everything if Complete, else
@@ -92,6 +93,7 @@
 	EndpointDenied       ChangeKind = "endpoint_denied"
 	ZoneEvacuated        ChangeKind = "zone_evacuated"
 	ZoneRestored         ChangeKind = "zone_restored"
+	StoreRestored        ChangeKind = "store_restored" // from a copy
 )
 
 // Change is one change of the view.
@@ -101,4 +103,6 @@
 	Zone     string   // of evacuations
 	Version  int64    // of configuration changes
 	Revision int64    // of the store, at which it changed
+	Before   int64    // of StoreRestored: the last revision known before
+	Count    int      // of StoreRestored: endpoints known
 }
--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -11,6 +11,8 @@
 
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
+
+	"github.com/trailshed/trailshed/internal/epoch"
 )
 
 // maxQueuedLines is how many lines may wait for the output; at about 300 bytes
@@ -60,7 +62,7 @@
 	TimeLeft    time.Duration // time until the request's deadline
 	Age         time.Duration // of the data that the decision was based on
 	Version     int64         // of the configuration
-	Revision    int64         // of the store
+	Revision    int64         // of the store: a position, as package epoch has them
 	Count       int64
 }
 
@@ -95,7 +97,8 @@
 	addInt(e, "left_ms", line.TimeLeft.Milliseconds())
 	addInt(e, "age_ms", line.Age.Milliseconds())
 	addInt(e, "version", line.Version)
-	addInt(e, "revision", line.Revision)
+	addInt(e, "epoch", epoch.Of(line.Revision))
+	addInt(e, "revision", epoch.Revision(line.Revision))
 	addInt(e, "count", line.Count)
 	e.Send()
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -14,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/epoch"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/roster"
 	"github.com/trailshed/trailshed/internal/suspects"
@@ -96,7 +99,9 @@
 	// initialRetryDelay and maxRetryDelay bound the pause after a failed call. The store
 	// serves 2,000 reads a second to all instances together.
 	initialRetryDelay = 100 * time.Millisecond
-	maxRetryDelay     = 800 * time.Millisecond
+	// maxRelistJitter spreads the reads of a store that has settled after a restore.
+	maxRelistJitter = 300 * time.Millisecond
+	maxRetryDelay   = 800 * time.Millisecond
 )
 
 // Options configure a Feed.
@@ -390,7 +395,11 @@
 		}
 		n := eventlog.Line{
 			Event: eventlog.Believed, Outcome: string(c.Kind), Version: c.Version, Revision: c.Revision,
-			Endpoint: c.Endpoint.ID, Software: c.Endpoint.Software, Service: c.Endpoint.Service, Zone: c.Zone,
+			Endpoint: c.Endpoint.ID, Software: c.Endpoint.Software, Service: c.Endpoint.Service, Zone: c.Zone, Count: int64(c.Count),
+		}
+		if c.Kind == directory.StoreRestored {
+			n.Detail = fmt.Sprintf("revision %d was known", epoch.Revision(c.Before))
+			f.storeRestored()
 		}
 		if c.Endpoint.ID != "" {
 			n.Address = c.Endpoint.Address.String()
@@ -399,6 +408,25 @@
 	}
 }
 
+// storeRestored has an instance that watches the store read it again once its writers have
+// written again what was lost: what is missing then is gone.
+func (f *Feed) storeRestored() {
+	f.Scope.Counter("store_restored").Inc(1)
+	if !f.Watching() {
+		return
+	}
+	time.AfterFunc(directory.SettlePeriod+rand.N(maxRelistJitter), func() { f.request(&f.needList) })
+}
+
+// DropUnconfirmed drops the instances of the roster that have not written their entries again
+// since the store was restored.
+func (f *Feed) DropUnconfirmed() {
+	if names := f.Roster.DropUnconfirmed(); len(names) > 0 {
+		f.logGone(names, f.Directory.View().Revision)
+		f.RosterChanged()
+	}
+}
+
 // storeFailed records that a call to the store failed.
 func (f *Feed) storeFailed(err error) {
 	f.Apply(directory.StoreLost{})
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,6 +14,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/epoch"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/ticker"
 )
@@ -140,6 +141,7 @@
 		g.pool.CloseExpired()
 		g.feed.Apply(directory.Tick{})
 		g.balancer.Forget(g.directory.View())
+		g.feed.DropUnconfirmed()
 		g.updateGauges()
 	})
 }
@@ -151,7 +153,8 @@
 	scope.Gauge("log_lines_dropped").Update(float64(g.log.Dropped()))
 	scope.Gauge("log_lines_sampled").Update(float64(g.log.Sampled()))
 	scope.Gauge("instances_known").Update(float64(g.roster.Size()))
-	scope.Gauge("store_revision").Update(float64(v.Revision))
+	scope.Gauge("store_revision").Update(float64(epoch.Revision(v.Revision)))
+	scope.Gauge("store_epoch").Update(float64(epoch.Of(v.Revision)))
 	if v.Table != nil {
 		scope.Gauge("configuration_version").Update(float64(v.Table.Version))
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/trailshed/trailshed/internal/epoch"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -187,7 +188,8 @@
 }
 
 // Missing returns the records that the store had, but that a full listing of it as of
-// revision does not contain.
+// revision does not contain. A record that the store had in an earlier epoch was lost when the
+// store was restored: no operator has released it, and it is to be saved again.
 func (t *Table) Missing(all []Stored, revision int64) []Removal {
 	listed := map[Fingerprint]bool{}
 	for _, s := range all {
@@ -195,7 +197,12 @@
 	}
 	var gone []Removal
 	for work, e := range t.records {
-		if e.revision != 0 && e.revision <= revision && !listed[work] {
+		if e.revision == 0 || e.revision > revision || listed[work] {
+			continue
+		}
+		if epoch.Of(e.revision) < epoch.Of(revision) {
+			e.revision = 0
+		} else {
 			gone = append(gone, Removal{Work: work, Revision: revision})
 		}
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/trailshed/trailshed/internal/epoch"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -61,6 +62,8 @@
 	identities map[string]identity // by fingerprint, of all instances ever seen
 	removedAt  map[string]int64    // by name: revision of its removal
 	maxSize    int
+	epoch      int64        // of the store, as entries show it
+	epochSince clock.Millis // when this process learned of it; 0: the first one
 }
 
 // identity is one incarnation of an instance.
@@ -74,6 +77,10 @@
 	return &Roster{now: now, instances: map[string]Instance{}, identities: map[string]identity{}, removedAt: map[string]int64{}}
 }
 
+// confirmPeriod is how long after the store was restored from a copy an instance may take to
+// write its entry again. An entry outlives its instance as long otherwise.
+const confirmPeriod = leaseTTL
+
 // Update applies an instance's entry and reports whether it changed anything.
 func (r *Roster) Update(i Instance) bool {
 	r.mu.Lock()
@@ -85,6 +92,13 @@
 	if at, gone := r.removedAt[i.Name]; gone && i.Revision <= at {
 		return false
 	}
+	if known && epoch.Of(i.Revision) > epoch.Of(before.Revision) {
+		if r.isFormer(i, before) {
+			return false
+		}
+		i.Leaving = i.Leaving || before.Leaving && i.Fingerprint == before.Fingerprint
+	}
+	r.enterEpoch(i.Revision)
 	delete(r.removedAt, i.Name)
 	r.instances[i.Name] = i
 	r.cached = nil
@@ -96,6 +110,50 @@
 	return !known || before != i
 }
 
+// isFormer reports whether an entry of a restored store is of an earlier process of the instance
+// than the one that is known.
+func (r *Roster) isFormer(i, known Instance) bool {
+	_, met := r.identities[i.Fingerprint]
+	return met && i.Fingerprint != known.Fingerprint
+}
+
+// enterEpoch notes a restore of the store that a position shows. The caller holds the lock.
+func (r *Roster) enterEpoch(position int64) {
+	if epoch.Of(position) <= r.epoch {
+		return
+	}
+	r.epoch = epoch.Of(position)
+	if len(r.instances) > 0 {
+		r.epochSince = r.now()
+	}
+}
+
+// confirming reports whether instances may still be writing again entries that a restored store
+// has lost. The caller holds the lock.
+func (r *Roster) confirming() bool {
+	return r.epochSince != 0 && r.now().Sub(r.epochSince) < confirmPeriod
+}
+
+// DropUnconfirmed removes the instances that have not written their entries again in time since
+// the store was restored, and returns their names.
+func (r *Roster) DropUnconfirmed() (names []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.epochSince == 0 || r.confirming() {
+		return nil
+	}
+	r.epochSince = 0
+	for name, i := range r.instances {
+		if epoch.Of(i.Revision) < r.epoch {
+			delete(r.instances, name)
+			r.removedAt[name] = epoch.Join(r.epoch, 0)
+			names = append(names, name)
+		}
+	}
+	r.cached = nil
+	return names
+}
+
 // Remove applies the removal of an instance's entry and reports whether it changed
 // anything. The certificate stays trusted: the instance may only have lost its lease.
 func (r *Roster) Remove(removal Removal) bool {
@@ -135,8 +193,15 @@
 	for _, i := range all {
 		present[i.Name] = true
 	}
+	known := r.All()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.enterEpoch(revision)
 	var missing []Removal
-	for _, i := range r.All() {
+	for _, i := range known {
+		if r.confirming() && epoch.Of(i.Revision) < r.epoch {
+			continue // the store may have lost its entry
+		}
 		if !present[i.Name] {
 			missing = append(missing, Removal{Name: i.Name, Revision: revision})
 		}
