--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -78,6 +78,7 @@
 	version       int
 	claimed       map[string]bool // zones and endpoints, see claim
 	created       int             // number of endpoints created, including replaced ones
+	copies        []*standin.Copy // the last ones of the store, the oldest first
 	softwareIndex int             // index of the software version that new engines run
 }
 
@@ -99,6 +100,9 @@
 	f.routes = []standin.Route{route}
 	f.checker = checker.New(bounds(o.Timed), f.faults, f.arrivals)
 	defer f.close()
+	if o.ExtraSteps {
+		f.store.StateEra(1)
+	}
 	if err := f.start(); err != nil {
 		return Result{}, err
 	}
@@ -167,6 +171,7 @@
 		group.Go(func() { c.Run(callCtx, callerPause) })
 	}
 	group.Go(func() { f.balance(callCtx) })
+	group.Go(func() { f.keepCopies(callCtx) })
 	group.Go(func() { f.checkPeriodically(callCtx) })
 	faultCtx, endFaults := context.WithTimeout(ctx, f.FaultDuration)
 	started := time.Now()
--- a/internal/soak/fleet/steps.go
+++ b/internal/soak/fleet/steps.go
@@ -47,7 +47,7 @@
 	i := all[s.Target%len(all)]
 	switch s.Kind {
 	case schedule.Suspend, schedule.Poison, schedule.Announce, schedule.Backoff, schedule.Limit,
-		schedule.Evacuate, schedule.Cold, schedule.Unlink, schedule.Release:
+		schedule.Evacuate, schedule.Cold, schedule.Unlink, schedule.Release, schedule.Restore:
 		return f.applyExtra(ctx, s, i)
 	case schedule.Kill:
 		return f.kill(ctx, s.Duration, i)
@@ -100,6 +100,10 @@
 	if s.Kind == schedule.Unlink {
 		return f.unlink(ctx, s, i)
 	}
+	if s.Kind == schedule.Restore {
+		f.restoreStore(ctx, s)
+		return nil
+	}
 	if s.Kind == schedule.Release {
 		return f.releaseEngines(ctx)
 	}
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -72,6 +72,8 @@
 	Unlink Kind = "unlink"
 	// Half of the engines are replaced, one after the other, by another software version.
 	Release Kind = "release"
+	// The store comes back from a copy some seconds old.
+	Restore Kind = "restore"
 )
 
 // weights are the relative frequencies of the kinds drawn by New.
@@ -139,6 +141,7 @@
 	{0xbf58476d1ce4e5b9, []Kind{Evacuate, Cold}},
 	{0x2545f4914f6cdd1d, []Kind{Unlink}},
 	{0x9fb21c651e98df25, []Kind{Release}},
+	{0x3c79ac492ba7b653, []Kind{Restore}},
 }
 
 // Extra draws additional steps of a run, independently of those of New.
