--- a/internal/streams/keepers.go
+++ b/internal/streams/keepers.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"net/netip"
 	"slices"
-	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -17,44 +16,50 @@
 	// keepersPerZone is how many instances of a zone take the role. It bounds the connections
 	// that each instance opens for it.
 	keepersPerZone = 16
+	// keepersPerStream is how many instances are given the record of a stream.
+	keepersPerStream = 2
 	// askedPerZone is how many of a zone's keepers are asked for a record: the one that was
 	// given it and, as instances come and go, the one that would be the next.
 	askedPerZone = 2
 )
 
-// ranked returns the keepers of a zone in the order in which they are chosen for a stream,
+// best returns the first n keepers of a zone in the order in which they are chosen for a stream,
 // without this instance. Those that are leaving come last.
-func (r *Registry) ranked(zone string, key uint64) []roster.Instance {
+func (r *Registry) best(zone string, key uint64, n int) []roster.Instance {
 	all := r.Roster.Ranked(zone, roleKeeper)
-	type weighted struct {
-		roster.Instance
-		weight uint64
-	}
-	var list []weighted
-	for _, i := range all[:min(len(all), keepersPerZone)] {
-		if i.Name != r.Name {
-			list = append(list, weighted{i, weight(key, i.Name)})
+	all = all[:min(len(all), keepersPerZone)]
+	var chosen []int // indices
+	before := func(a, b int) bool {
+		if all[a].Leaving != all[b].Leaving {
+			return all[b].Leaving
 		}
+		return weight(key, all[a].Name) > weight(key, all[b].Name)
 	}
-	slices.SortFunc(list, func(a, b weighted) int {
-		if a.Leaving != b.Leaving {
-			if a.Leaving {
-				return 1
-			}
-			return -1
+	for i := range all {
+		if all[i].Name == r.Name {
+			continue
 		}
-		return cmp.Compare(b.weight, a.weight)
-	})
-	out := make([]roster.Instance, len(list))
-	for n, w := range list {
-		out[n] = w.Instance
+		at := len(chosen)
+		for at > 0 && before(i, chosen[at-1]) {
+			at--
+		}
+		if at < n {
+			chosen = slices.Insert(chosen, at, i)
+			chosen = chosen[:min(len(chosen), n)]
+		}
+	}
+	out := make([]roster.Instance, len(chosen))
+	for n, i := range chosen {
+		out[n] = all[i]
 	}
 	return out
 }
 
 // weight is the rendezvous weight of a name for a stream.
 func weight(key uint64, name string) uint64 {
-	return xxhash.Sum64String(strconv.FormatUint(key, 16) + "\x00" + name)
+	const odd = 0x9e3779b97f4a7c15 // spreads the bits of the product
+	w := (xxhash.Sum64String(name) ^ key) * odd
+	return (w ^ w>>32) * odd
 }
 
 // zones returns the own zone, then the others in the order in which they are chosen for a
@@ -78,8 +83,8 @@
 // the own zone, where its caller returns, and one of another, in case the zone is lost.
 func (r *Registry) keepers(key uint64) (list []roster.Instance) {
 	for _, zone := range r.zones(key) {
-		if ranked := r.ranked(zone, key); len(ranked) > 0 && len(list) < 2 {
-			list = append(list, ranked[0])
+		if len(list) < keepersPerStream {
+			list = append(list, r.best(zone, key, 1)...)
 		}
 	}
 	return list
@@ -88,8 +93,7 @@
 // asked returns the instances that may have the record of a stream.
 func (r *Registry) asked(key uint64) (list []roster.Instance) {
 	for _, zone := range r.zones(key) {
-		ranked := r.ranked(zone, key)
-		list = append(list, ranked[:min(len(ranked), askedPerZone)]...)
+		list = append(list, r.best(zone, key, askedPerZone)...)
 	}
 	return list
 }
--- a/internal/streams/streams_test.go
+++ b/internal/streams/streams_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/uber-go/tally/v4"
 	"pgregory.net/rapid"
 
@@ -155,3 +156,44 @@
 		})
 	}
 }
+
+// BenchmarkKeepers finds the keepers of streams, once for each stream that begins while a
+// service runs several versions, in fleets of some sizes.
+func BenchmarkKeepers(b *testing.B) {
+	for _, size := range []int{24, 300, 985} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			r := registryAt("n0", "zone-0", instances(size, 5))
+			key := uint64(0)
+			for b.Loop() {
+				key += 2654435761
+				r.keepers(key)
+			}
+		})
+	}
+}
+
+// BenchmarkRecord encodes the message that gives a keeper a record.
+func BenchmarkRecord(b *testing.B) {
+	m := recordMessage{Key: 1 << 60, Origin: Origin{Service: "despacho-llm", Software: "v1.2"}, Lifetime: 14 * time.Second, Send: 1}
+	size := 0
+	for b.Loop() {
+		data, err := cbor.Marshal(m)
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(data)
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
+
+// BenchmarkTable keeps and expires as many records as an instance may have.
+func BenchmarkTable(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		tb := table{records: map[uint64]record{}}
+		for key := range uint64(maxRecords) {
+			tb.put(key, record{origin: Origin{"llm", "v1"}, until: 1})
+		}
+		tb.expire(1)
+	}
+}
