--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -73,6 +73,7 @@
 	Bounds   Bounds
 	Faults   *timeline.Timeline
 	Arrivals func() []Run
+	Engines  func() []Engine
 
 	mu         sync.Mutex
 	calls      map[string]caller.Call
@@ -86,7 +87,7 @@
 // New returns a checker without observations.
 func New(b Bounds, faults *timeline.Timeline, arrivals func() []Run) *Checker {
 	return &Checker{
-		Bounds: b, Faults: faults, Arrivals: arrivals,
+		Bounds: b, Faults: faults, Arrivals: arrivals, Engines: func() []Engine { return nil },
 		calls: map[string]caller.Call{}, leaving: map[string]time.Time{}, versions: map[int]time.Time{},
 		violations: map[string]Violation{},
 	}
@@ -176,6 +177,7 @@
 	c.checkHeld(runs)
 	if c.Bounds.Timed {
 		c.checkCutInstances(byCall)
+		c.checkTakenUp(byCall)
 		c.checkPoison(runs)
 		c.checkNotices(runs)
 		c.checkEndpointLimits(runs)
@@ -322,7 +324,7 @@
 // is leaving.
 func (c *Checker) checkLeaving(call caller.Call, r Run) {
 	acknowledged, leaving := c.leaving[r.Endpoint]
-	if leaving && c.mustKnow(call, r, acknowledged) {
+	if leaving && (c.mustKnow(call, r, acknowledged) || c.knewBefore(call, r, acknowledged)) {
 		c.violated("leaving endpoint", call.ID, r.At, "%s sent it to %s %s after that announced that it is leaving",
 			call.Gateway.Name, r.Endpoint, r.At.Sub(acknowledged).Round(time.Millisecond))
 	}
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -350,3 +351,45 @@
 		})
 	}
 }
+
+// Streams of one version in all calls of their caller are right; a taken-up stream that gets
+// events of another version, or most of which are refused although engines serve, is not.
+func TestStreamsOfVersions(t *testing.T) {
+	c := qt.New(t)
+	start := time.Now().Add(-time.Minute)
+	ch := checker.New(checker.Bounds{CalmTime: time.Second, Timed: true}, &timeline.Timeline{}, func() []checker.Run { return nil })
+	ch.Engines = func() []checker.Engine {
+		return []checker.Engine{{ID: "d1", Version: "v1", From: start.Add(-time.Hour)}, {ID: "d2", Version: "v1", From: start.Add(-time.Hour)}}
+	}
+	stream := caller.Kind{Path: "/stream/x", Stream: true, Resumable: true}
+	call := func(id, beganAs, version string, status int) caller.Call {
+		k := caller.Call{ID: id, Kind: stream, Sent: start, Ended: start.Add(time.Second), BeganAs: beganAs, Versions: []string{version}}
+		k.Reply.Status = status
+		if status == 200 {
+			k.Reply.Body = standin.StreamBody(id, 2)
+		}
+		return k
+	}
+	record := func(calls ...caller.Call) {
+		for _, k := range calls {
+			ch.RecordCall(k)
+		}
+	}
+	broken := func() (promises []string) {
+		for _, v := range ch.Check(false) {
+			if v.Promise == "one version" || v.Promise == "streams go on" {
+				promises = append(promises, v.Promise)
+			}
+		}
+		slices.Sort(promises)
+		return promises
+	}
+	record(call("a", "", "v1", 200), call("a2", "a", "v1", 200))
+	c.Assert(broken(), qt.HasLen, 0)
+	record(call("b", "", "v1", 200), call("b2", "b", "v2", 200))
+	c.Assert(broken(), qt.DeepEquals, []string{"one version"})
+	for n := range 12 {
+		record(call(fmt.Sprint("c", n), "", "v1", 200), call(fmt.Sprint("c2-", n), fmt.Sprint("c", n), "v1", 503))
+	}
+	c.Assert(broken(), qt.DeepEquals, []string{"one version", "streams go on"})
+}
--- a/internal/soak/checker/software.go
+++ b/internal/soak/checker/software.go
@@ -3,10 +3,29 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/trailshed/trailshed/internal/soak/caller"
+	"github.com/trailshed/trailshed/internal/soak/timeline"
 )
 
+const (
+	// minTakenUp is how many streams must have been taken up for the share that goes on to
+	// be compared with the share of new streams that begin; it is at least
+	// minTakenUpShare of that.
+	minTakenUp      = 12
+	minTakenUpShare = 0.5
+	// minVersionEngines is how many engines of a stream's version must serve.
+	minVersionEngines = 2
+)
+
+// Engine is a decode engine with the software version that it ran, from when its entry was
+// written to when it began to leave or ended; To is zero while it serves.
+type Engine struct {
+	ID, Version string
+	From, To    time.Time
+}
+
 // checkSoftware checks that the events of a stream come from one software version, within an
 // answer and over all calls of its caller.
 func (c *Checker) checkSoftware() {
@@ -33,3 +52,41 @@
 		}
 	}
 }
+
+// checkTakenUp compares the share of streams that go on when their callers take them up with
+// that of new streams that begin, at instances that no fault affects and while engines of
+// their version serve.
+func (c *Checker) checkTakenUp(byCall map[string][]Run) {
+	var taken, begun share
+	engines := c.Engines()
+	for _, call := range c.calls {
+		if !call.Kind.Resumable || !c.comparable(call, byCall[call.ID]) {
+			continue
+		}
+		received := call.Reply.Status == 200 && call.Reply.Body != ""
+		switch {
+		case call.BeganAs == "":
+			begun.add(received)
+		case c.versionServes(engines, c.calls[call.BeganAs].Versions, call):
+			taken.add(received)
+		}
+	}
+	if taken.all >= minTakenUp && float64(taken.served*begun.all) < minTakenUpShare*float64(begun.served*taken.all) {
+		c.violated("streams go on", "all", time.Now(), "%d of %d streams taken up go on, %d of %d new ones begin", taken.served, taken.all, begun.served, begun.all)
+	}
+}
+
+// versionServes reports whether enough engines of a stream's version serve throughout a call.
+func (c *Checker) versionServes(engines []Engine, versions []string, call caller.Call) bool {
+	if len(versions) != 1 {
+		return false
+	}
+	from, serving := call.Sent.Add(-c.Bounds.CalmTime), 0
+	for _, e := range engines {
+		if e.Version == versions[0] && e.From.Before(from) && (e.To.IsZero() || e.To.After(call.Ended)) &&
+			c.Faults.Undisturbed(from, call.Ended, e.ID, timeline.Endpoint, timeline.Load) {
+			serving++
+		}
+	}
+	return serving >= minVersionEngines
+}
--- a/internal/soak/checker/store_changes.go
+++ b/internal/soak/checker/store_changes.go
@@ -36,5 +36,15 @@
 		c.Faults.Undisturbed(since, r.At, r.Endpoint, timeline.Endpoint)
 }
 
+// knewBefore reports whether an instance must have known of a change before a request arrived,
+// whatever has happened to the store and between instances since: a process does not forget.
+func (c *Checker) knewBefore(call caller.Call, r Run, since time.Time) bool {
+	known := since.Add(c.Bounds.ChangeDelay + c.Bounds.PeerDelay + c.Bounds.Slack)
+	bound := time.Duration(0)
+	return r.At.After(known) && c.canKnow(call, since, known, &bound) &&
+		c.Faults.Undisturbed(since, r.At, call.Gateway.Name, timeline.Process, timeline.Planned) &&
+		c.Faults.Undisturbed(since, r.At, r.Endpoint, timeline.Endpoint)
+}
+
 // inForce reports whether a change was in force when a request arrived.
 func (c *storeChange) inForce(r Run) bool { return c.to.IsZero() || !r.At.After(c.to) }
--- a/internal/soak/fleet/endpoint.go
+++ b/internal/soak/fleet/endpoint.go
@@ -39,7 +39,8 @@
 // endpoint is a stand-in behind a link; its entry in the store has the link's address.
 type endpoint struct {
 	*standin.Endpoint
-	link *link.Link
+	link     *link.Link
+	from, to time.Time // when it was added and replaced; to is zero before
 }
 
 // normalBehaviour returns the behaviour of an endpoint that answers correctly and crashes
@@ -69,6 +70,7 @@
 	}
 	e.RegisteredAddress = e.link.Address
 	e.OnCrash = func() { f.handlePoison(e) }
+	e.from = time.Now()
 	f.endpoints = append(f.endpoints, e)
 	e.Register(f.store, "ready")
 	return nil
@@ -84,6 +86,7 @@
 		return nil
 	}
 	f.endpoints = slices.Delete(slices.Clone(f.endpoints), n, n+1)
+	e.to = time.Now()
 	f.replaced = append(f.replaced, e)
 	f.mu.Unlock()
 	return f.addEndpoint(e.Zone, e.Stage)
@@ -126,6 +129,18 @@
 	return runs
 }
 
+// decodeEngines returns all decode engines so far.
+func (f *Fleet) decodeEngines() (list []checker.Engine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range append(slices.Clone(f.endpoints), f.replaced...) {
+		if e.Stage == "decode" {
+			list = append(list, checker.Engine{ID: e.ID, Version: e.Version, From: e.from, To: e.to})
+		}
+	}
+	return list
+}
+
 // crash ends an endpoint without announcement. Its entry is removed later, another endpoint
 // replaces it, and with reuse its address is assigned to an endpoint of another service.
 func (f *Fleet) crash(ctx context.Context, e *endpoint, length time.Duration, reuse bool) error {
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -99,6 +99,7 @@
 	route.Regions = []string{region(home.HomeZone)}
 	f.routes = []standin.Route{route}
 	f.checker = checker.New(bounds(o.Timed), f.faults, f.arrivals)
+	f.checker.Engines = f.decodeEngines
 	defer f.close()
 	if o.ExtraSteps {
 		f.store.StateEra(1)
