directory: peers agree on what was written again while a restored store settles

An instance that is told by a peer of entries written again held those back that said the same as the known ones, as their positions were not after the one at which it entered the epoch. Its digest then differed from the peer's until the store had settled, and all instances of a zone requested whole views meanwhile. Now only an entry that says something else is held back; how long an endpoint stays cold does not count. That an endpoint leaves is carried over an epoch by the mark that answers set, so that entries, and digests, stay what the store has.

TestPeersAgreeWhileStoreSettles failed before.

--- a/internal/directory/restored.go
+++ b/internal/directory/restored.go
@@ -45,9 +45,6 @@
 	return r.settling(now) && epoch.Of(known) < r.epoch && position <= r.listedUpTo
 }
 
-// sameFact reports whether the entry at two positions is one that a copy has kept.
-func sameFact(a, b int64) bool { return epoch.Revision(a) == epoch.Revision(b) }
-
 // positionOf returns the position up to which an event is complete, or that of its fact; 0 if it
 // has none. current is false if the event may be some seconds old.
 func positionOf(e Event) (position int64, current bool) {
@@ -95,18 +92,25 @@
 		return p, true
 	}
 	if known.State == Draining {
-		p.State = Draining
+		d.leaving[known.ID] = leavingMark{entry: known.entry(), confirmedAt: now}
+		d.leavingIDs = nil
 	}
-	sameContent := *known
-	sameContent.Revision = p.Revision
+	same := sameContent(p.interned(), *known)
 	switch {
-	case sameFact(p.Revision, known.Revision) && sameContent == p.interned():
+	case same && epoch.Revision(p.Revision) == epoch.Revision(known.Revision):
 		d.setMissing(rec, false)
-		return p, false // it keeps its position, so that peers need not be sent it
-	case d.restore.mayBeOfCopy(now, p.Revision, known.Revision) && p.State == known.State:
+		return p, false // the copy has kept it; at its former position peers need not be sent it
+	case !same && p.State != Draining && d.restore.mayBeOfCopy(now, p.Revision, known.Revision):
 		d.setMissing(rec, false)
 		return p, false
 	default:
 		return p, true
 	}
 }
+
+// sameContent reports whether two entries of an endpoint say the same, but for how long it
+// stays cold, which each writing changes.
+func sameContent(a, b Endpoint) bool {
+	a.Revision, a.ColdFor = b.Revision, b.ColdFor
+	return a == b
+}
--- a/internal/directory/restored_test.go
+++ b/internal/directory/restored_test.go
@@ -278,3 +278,28 @@
 		}
 	})
 }
+
+// While a restored store settles, an instance that is told of what was written again must reach
+// the view of the peer that tells it, or all instances of a zone request whole views again and
+// again.
+func TestPeersAgreeWhileStoreSettles(t *testing.T) {
+	c := qt.New(t)
+	watcher, member := directory.New(), directory.New()
+	for _, d := range []*directory.Directory{watcher, member} {
+		for n := range 5 {
+			d.Apply(0, directory.Seen{Endpoint: entry(fmt.Sprint("e", n), int64(10+n), directory.Ready)})
+		}
+	}
+	known := member.View().Revision
+	watcher.Apply(1, directory.Listed{Endpoints: []directory.Endpoint{
+		entry("e0", in(10), directory.Ready), entry("e1", in(8), directory.Ready), entry("e2", in(9), directory.Ready),
+	}, Revision: in(11)})
+	again := entry("e2", in(15), directory.Ready)
+	again.ColdFor = time.Second
+	watcher.Apply(2, directory.Seen{Endpoint: again})
+	watcher.Apply(2, directory.Seen{Endpoint: entry("e3", in(16), directory.Draining)})
+	member.Apply(3, watcher.Since(known, 0))
+	c.Check(member.View().Revision, qt.Equals, watcher.View().Revision)
+	c.Check(member.View().Digest, qt.Equals, watcher.View().Digest)
+	c.Check(member.View().Ready, qt.Equals, 4) // the entry of e4 is missing, that of e3 says that it leaves
+}
