--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -99,9 +99,9 @@
 	// initialRetryDelay and maxRetryDelay bound the pause after a failed call. The store
 	// serves 2,000 reads a second to all instances together.
 	initialRetryDelay = 100 * time.Millisecond
+	maxRetryDelay     = 800 * time.Millisecond
 	// maxRelistJitter spreads the reads of a store that has settled after a restore.
 	maxRelistJitter = 300 * time.Millisecond
-	maxRetryDelay   = 800 * time.Millisecond
 )
 
 // Options configure a Feed.
