--- a/internal/soak/fleet/restore.go
+++ b/internal/soak/fleet/restore.go
@@ -54,10 +54,10 @@
 		for _, i := range f.allInstances() {
 			i.storeProxy.SetFault(standin.Healthy)
 		}
-		for _, w := range lost {
+		for _, key := range lost {
 			f.steps.Go(func() {
 				time.Sleep(rand.N(writeAgainTime))
-				f.store.WriteAgain(w)
+				f.store.WriteAgain(key)
 			})
 		}
 		time.Sleep(writeAgainTime)
