--- a/internal/soak/checker/store_changes.go
+++ b/internal/soak/checker/store_changes.go
@@ -39,9 +39,8 @@
 // knewBefore reports whether an instance must have known of a change before a request arrived,
 // whatever has happened to the store and between instances since: a process does not forget.
 func (c *Checker) knewBefore(call caller.Call, r Run, since time.Time) bool {
-	known := since.Add(c.Bounds.ChangeDelay + c.Bounds.PeerDelay + c.Bounds.Slack)
-	bound := time.Duration(0)
-	return r.At.After(known) && c.canKnow(call, since, known, &bound) &&
+	bound := c.Bounds.ChangeDelay + c.Bounds.Slack
+	return c.canKnow(call, since, since.Add(bound), &bound) && r.At.After(since.Add(bound)) &&
 		c.Faults.Undisturbed(since, r.At, call.Gateway.Name, timeline.Process, timeline.Planned) &&
 		c.Faults.Undisturbed(since, r.At, r.Endpoint, timeline.Endpoint)
 }
