--- a/internal/directory/restored_test.go
+++ b/internal/directory/restored_test.go
@@ -279,9 +279,8 @@
 	})
 }
 
-// While a restored store settles, an instance that is told of what was written again must reach
-// the view of the peer that tells it, or all instances of a zone request whole views again and
-// again.
+// While a restored store settles, an instance that receives from a peer what was written again
+// must reach that peer's view, or all instances of a zone request whole views repeatedly.
 func TestPeersAgreeWhileStoreSettles(t *testing.T) {
 	c := qt.New(t)
 	watcher, member := directory.New(), directory.New()
