soak: one function names the call that began a stream

The checker had a copy of the caller's own. No check changes. The tests of the soak with the race detector, the linter and the short soak are green.

--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -118,8 +118,8 @@
 	Versions []string // software versions that wrote the stream's events
 }
 
-// origin returns the ID of the call that brought the stream's first event.
-func (c Call) origin() string {
+// Origin returns the ID of the call that brought the stream's first event.
+func (c Call) Origin() string {
 	if c.BeganAs != "" {
 		return c.BeganAs
 	}
@@ -190,7 +190,7 @@
 		}
 		k := call.Kind
 		k.Body = call.Body
-		next := c.send(ctx, Call{ID: c.NextID(), Kind: k, Gateway: g, Sent: time.Now(), BeganAs: call.origin(), After: call.received()})
+		next := c.send(ctx, Call{ID: c.NextID(), Kind: k, Gateway: g, Sent: time.Now(), BeganAs: call.Origin(), After: call.received()})
 		next.Kind.Body = ""
 		c.Done(next)
 		call = next
--- a/internal/soak/checker/software.go
+++ b/internal/soak/checker/software.go
@@ -31,11 +31,7 @@
 func (c *Checker) checkSoftware() {
 	calls := map[string][]caller.Call{} // by the call that brought the first event
 	for _, call := range c.calls {
-		origin := call.ID
-		if call.BeganAs != "" {
-			origin = call.BeganAs
-		}
-		calls[origin] = append(calls[origin], call)
+		calls[call.Origin()] = append(calls[call.Origin()], call)
 	}
 	for origin, list := range calls {
 		slices.SortFunc(list, func(a, b caller.Call) int { return a.Sent.Compare(b.Sent) })
