--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -41,6 +41,7 @@
 	At          int64  // ms since 1970; 0 stands for the time of the call of Write
 	Request     string // ID of the request concerned
 	Fingerprint string // fingerprint of the request's content: the same for all its attempts
+	Parts       string // leading parts of the prompt, separated by commas
 	Attempt     int    // number of the attempt within the request, from 1
 	Route       string
 	Service     string
@@ -76,6 +77,7 @@
 	e := begin(l.logger.Log(), line.At, line.Event)
 	addText(e, "request", line.Request)
 	addText(e, "work", line.Fingerprint)
+	addText(e, "parts", line.Parts)
 	addInt(e, "attempt", int64(line.Attempt))
 	addText(e, "route", line.Route)
 	addText(e, "service", line.Service)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -96,6 +96,7 @@
 	p.sends++
 	p.runs++
 	p.ownLinkLost = false
+	p.events = 0
 	n := p.logLine(eventlog.Sent, "", nil)
 	n.Endpoint, n.Software, n.Address, n.Revision = r.Endpoint.ID, r.Endpoint.Software, r.Endpoint.Address.String(), p.view.Revision
 	p.requestLog.Write(n)
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -11,6 +11,7 @@
 	"github.com/trailshed/trailshed/internal/balance"
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/notice"
+	"github.com/trailshed/trailshed/internal/prompt"
 	"github.com/trailshed/trailshed/internal/route"
 )
 
@@ -26,7 +27,10 @@
 	HasKey               bool
 	LastEventID          string      // ID of the event after which the stream resumes
 	BeganAs              string      // ID of the caller's attempt that brought the stream's first event; empty if not given
-	Header               http.Header // forwarded to endpoints, in addition to the headers of a Send
+	// Parts are the leading parts of the prompt, in order and each once. The last part of a
+	// prompt belongs to the request or its session and is left out.
+	Parts  []prompt.Part
+	Header http.Header // forwarded to endpoints, in addition to the headers of a Send
 }
 
 // Send holds what is specific to one send of a request to an endpoint.
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"strings"
 
 	"github.com/trailshed/trailshed/internal/dialer"
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/prompt"
 	"github.com/trailshed/trailshed/internal/quarantine"
 )
 
@@ -46,7 +48,17 @@
 	}
 	n := p.logLine(eventlog.EndpointEnded, p.failure, nil)
 	n.Endpoint, n.Address, n.Fingerprint = e.ID, e.Address.String(), w.Fingerprint().String()
+	n.Parts, n.Count = joinParts(p.call.Parts), int64(p.events)
 	p.requestLog.Write(n)
 	p.Scope.Counter("endpoints_ended").Inc(1)
 	p.Suspects.RecordEnd(w, e.ID)
 }
+
+// joinParts returns parts of a prompt as a log line names them.
+func joinParts(parts []prompt.Part) string {
+	names := make([]string, len(parts))
+	for i, part := range parts {
+		names[i] = string(part)
+	}
+	return strings.Join(names, ",")
+}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -44,6 +44,7 @@
 	headSent      atomic.Bool       // read by the silence watch too
 	firstEvent    time.Duration     // from arrival to the first event; 0 before
 	predicted     time.Duration     // prediction of firstEvent, made when the request got its place
+	events        int               // passed on in this send
 	lastEventID   string            // of the last event passed on
 	version       streamVersion     // of the stream
 	longestWrite  time.Duration     // longest write of an event to the caller, of this send
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -43,6 +43,7 @@
 			p.requestLog.Write(p.logLine(eventlog.Cancelled, "caller_left", nil))
 			return true
 		}
+		p.events++
 		p.timing.event(p.Now())
 		if id != "" {
 			p.lastEventID = id
