--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -25,8 +25,8 @@
 	HasTokenCounts       bool          // the caller gave both token counts
 	Key                  route.Key     // digest of the caller's API key, if HasKey
 	HasKey               bool
-	LastEventID          string      // ID of the event after which the stream resumes
-	BeganAs              string      // ID of the caller's attempt that brought the stream's first event; empty if not given
+	LastEventID          string // ID of the event after which the stream resumes
+	BeganAs              string // ID of the caller's attempt that brought the stream's first event; empty if not given
 	// Parts are the leading parts of the prompt, in order and each once. The last part of a
 	// prompt belongs to the request or its session and is left out.
 	Parts  []prompt.Part
