quarantine, suspects, forward: a part of a prompt that crashes endpoints is held

Callers saw engine after engine end under requests that had one part of their prompts in common and nothing else, and with each engine what ran there. Cause: what was remembered of an end was the fingerprint of a whole request. No two of these requests are alike, so each had one end, and none was held; the requests with two ends were those that ran beside them. Class: evidence is kept under a key that is finer than its cause, so that it never adds up.

An end now counts for each part of the prompts that had been sent to the endpoint and on which it had not been seen to write, whichever instance sent them; an answer that goes on after its first event speaks for the parts of its prompt and clears them of earlier ends, everywhere. A part without an answer is held after three ends at two moments, one with answers after five at three; ends that one part explains count for no other, nor for the requests that ran beside. Parts that can't be told apart are held together only. Records travel, are compared and saved as those of requests; earlier builds don't see them.

--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -42,5 +42,5 @@
 	}
 	e.scope.Counter("endpoints_ended").Inc(1)
 	interval := int64(e.options.Now()) / sameEndInterval.Milliseconds()
-	e.options.Suspects.RecordEnd(r.work(), f.at+"@"+strconv.FormatInt(interval, 10))
+	e.options.Suspects.RecordEnd(r.work(), quarantine.Prompt{}, f.at+"@"+strconv.FormatInt(interval, 10))
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -96,7 +96,7 @@
 	p.sends++
 	p.runs++
 	p.ownLinkLost = false
-	p.events = 0
+	p.events, p.wroteOn, p.sentAt = 0, false, p.Now()
 	n := p.logLine(eventlog.Sent, "", nil)
 	n.Endpoint, n.Software, n.Address, n.Revision = r.Endpoint.ID, r.Endpoint.Software, r.Endpoint.Address.String(), p.view.Revision
 	p.requestLog.Write(n)
@@ -161,7 +161,7 @@
 		p.failure = "unreachable"
 	}
 	if result == balance.Failed {
-		p.checkProcessEnded(parent, r.Endpoint)
+		p.checkProcessEnded(parent, r.Endpoint, p.suspectPrompt())
 		p.ownLinkLost = !p.throughPeer && p.LinkLost(r.Endpoint.ID)
 	}
 	if result != balance.Unconfirmed && (p.ownLinkLost || p.failure == reasonOwnLinks) {
@@ -232,6 +232,9 @@
 		p.endpointFailed(r, balance.Failed, nil)
 		return false
 	}
+	if good {
+		p.recordBegun(p.sentAt)
+	}
 	r.Done(p.Now(), balance.Succeeded)
 	p.writeBuffered(response)
 	return true
@@ -266,10 +269,13 @@
 	if err != nil {
 		r.Done(p.Now(), balance.Failed)
 		p.failure = "answer_cut"
-		p.checkProcessEnded(parent, r.Endpoint)
+		p.checkProcessEnded(parent, r.Endpoint, p.suspectPrompt())
 		p.giveUp()
 	}
 	p.Suspects.RecordCompletion(p.work())
+	if x.Response.StatusCode < http.StatusMultipleChoices {
+		p.recordBegun(p.sentAt)
+	}
 	r.Done(p.Now(), balance.Succeeded)
 	p.recordAnswer(x.Response.StatusCode, nil)
 	return true
--- a/internal/forward/ending.go
+++ b/internal/forward/ending.go
@@ -98,7 +98,7 @@
 func (p *proxyRequest) logLine(e eventlog.Event, reason string, err error) eventlog.Line {
 	n := eventlog.Line{
 		Event: e, Request: p.call.ID, Attempt: p.sends, Reason: reason,
-		Service: p.service, Workspace: p.workspaceName(), Took: p.Now().Sub(p.arrived),
+		Parts: string(p.heldPart), Service: p.service, Workspace: p.workspaceName(), Took: p.Now().Sub(p.arrived),
 	}
 	if p.view.Table != nil {
 		n.Version = p.view.Table.Version
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -13,6 +13,7 @@
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/permit"
 	"github.com/trailshed/trailshed/internal/placement"
+	"github.com/trailshed/trailshed/internal/quarantine"
 	"github.com/trailshed/trailshed/internal/uplink"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
@@ -295,7 +296,7 @@
 	case errors.Is(err, uplink.ErrNotSent):
 		return balance.Unreachable
 	}
-	p.checkProcessEnded(parent, e)
+	p.checkProcessEnded(parent, e, quarantine.Prompt{}) // a prompt that is only read has no answer
 	if !errors.Is(err, uplink.ErrThroughPeer) && p.LinkLost(e.ID) {
 		p.failedEngine = ""
 		return balance.Canceled
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -9,6 +9,7 @@
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/prompt"
 	"github.com/trailshed/trailshed/internal/quarantine"
+	"github.com/trailshed/trailshed/pkg/clock"
 )
 
 // work identifies what the request asks for, independent of the attempt.
@@ -24,16 +25,56 @@
 // instances, one such request would crash engine after engine, together with everything
 // that runs beside it.
 func (p *proxyRequest) quarantined() bool {
-	if !p.Suspects.Holds(p.work()) {
+	part, held := p.Suspects.HoldsPrompt(p.prompt())
+	switch {
+	case held:
+		p.failure, p.heldPart = "crashing_part", part
+	case p.Suspects.Holds(p.work()):
+		p.failure = "ends_endpoints"
+	default:
 		return false
 	}
-	p.failure, p.retryAfter = "ends_endpoints", retryAfterQuarantined
+	p.retryAfter = retryAfterQuarantined
 	return true
 }
 
+// prompt names the parts of the request's prompt.
+func (p *proxyRequest) prompt() quarantine.Prompt {
+	return quarantine.Prompt{Service: p.service, Workspace: p.workspaceName(), Parts: p.call.Parts}
+}
+
+// suspectPrompt is prompt, without parts if the endpoint was seen to go on writing the answer to
+// this send: then they do not crash it.
+func (p *proxyRequest) suspectPrompt() quarantine.Prompt {
+	if p.wroteOn {
+		return quarantine.Prompt{}
+	}
+	return p.prompt()
+}
+
+// recordEvent counts an event of this send. The second one shows that the endpoint survived the
+// beginning of its answer, which a crashing part of the prompt does not allow.
+func (p *proxyRequest) recordEvent() {
+	p.events++
+	switch p.events {
+	case 1:
+		p.begunAt = p.Now()
+	case 2:
+		p.recordBegun(p.begunAt)
+	}
+}
+
+// recordBegun records, once per send, that the endpoint went on writing an answer begun at begun.
+func (p *proxyRequest) recordBegun(begun clock.Millis) {
+	if !p.wroteOn {
+		p.wroteOn = true
+		p.Suspects.RecordBegun(p.prompt(), begun)
+	}
+}
+
 // checkProcessEnded is called when an endpoint broke off a run. If the endpoint's process
-// has ended, the request becomes a suspect.
-func (p *proxyRequest) checkProcessEnded(ctx context.Context, e *directory.Endpoint) {
+// has ended, the request becomes a suspect, and so do the parts of the given prompt.
+func (p *proxyRequest) checkProcessEnded(ctx context.Context, e *directory.Endpoint, suspected quarantine.Prompt) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -42,7 +83,7 @@
 	case dialer.Running:
 		return
 	case dialer.Uncertain:
-		p.Suspects.RecordUncertainEnd(w, e.ID)
+		p.Suspects.RecordUncertainEnd(w, suspected, e.ID)
 		return
 	case dialer.Ended:
 	}
@@ -51,7 +92,7 @@
 	n.Parts, n.Count = joinParts(p.call.Parts), int64(p.events)
 	p.requestLog.Write(n)
 	p.Scope.Counter("endpoints_ended").Inc(1)
-	p.Suspects.RecordEnd(w, e.ID)
+	p.Suspects.RecordEnd(w, suspected, e.ID)
 }
 
 // joinParts returns parts of a prompt as a log line names them.
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -10,6 +10,7 @@
 	"github.com/trailshed/trailshed/internal/broker"
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/prompt"
 	"github.com/trailshed/trailshed/internal/route"
 	"github.com/trailshed/trailshed/internal/uplink"
 	"github.com/trailshed/trailshed/pkg/clock"
@@ -45,6 +46,10 @@
 	firstEvent    time.Duration     // from arrival to the first event; 0 before
 	predicted     time.Duration     // prediction of firstEvent, made when the request got its place
 	events        int               // passed on in this send
+	sentAt        clock.Millis      // time of this send
+	begunAt       clock.Millis      // time of the first event of this send
+	wroteOn       bool              // the endpoint went on writing after it began the answer to this send
+	heldPart      prompt.Part       // part of the prompt for which the request is refused
 	lastEventID   string            // of the last event passed on
 	version       streamVersion     // of the stream
 	longestWrite  time.Duration     // longest write of an event to the caller, of this send
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -43,7 +43,7 @@
 			p.requestLog.Write(p.logLine(eventlog.Cancelled, "caller_left", nil))
 			return true
 		}
-		p.events++
+		p.recordEvent()
 		p.timing.event(p.Now())
 		if id != "" {
 			p.lastEventID = id
@@ -99,6 +99,9 @@
 	}
 	x.Close(true)
 	p.Suspects.RecordCompletion(p.work())
+	if p.events > 0 {
+		p.recordBegun(p.begunAt)
+	}
 	p.timing.ended = true
 	r.Done(p.Now(), balance.Succeeded)
 	p.recordAnswer(x.Response.StatusCode, nil)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"strings"
+
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/quarantine"
 	"github.com/trailshed/trailshed/internal/suspects"
@@ -25,15 +27,36 @@
 	})
 }
 
-// logHeld logs that a request is held or was cleared.
+// logHeld logs that a request or a part of prompts is held or was cleared.
 func (g *Gateway) logHeld(r quarantine.Record) {
-	n := eventlog.Line{Event: eventlog.Believed, Fingerprint: r.Work.String(), Count: int64(len(r.Ended)), Outcome: "request_cleared"}
+	n := eventlog.Line{Event: eventlog.Believed, Fingerprint: r.Work.String(), Count: int64(r.EndCount()), Outcome: "request_cleared"}
 	if r.Held() {
 		n.Outcome = "request_held"
 	}
+	if r.Part != nil {
+		n.Outcome = strings.Replace(n.Outcome, "request", "part", 1)
+		n.Service, n.Workspace, n.Parts = r.Part.Service, r.Part.Workspace, string(r.Part.Part)
+		n.Detail = partEvidence(r)
+		if r.Cleared != 0 {
+			n.Age = g.now().Sub(r.Cleared)
+		}
+	}
 	g.log.Write(n)
 }
 
+// partEvidence describes what speaks for and against a part: the endpoints that ended, and whether
+// answers were written on it before.
+func partEvidence(r quarantine.Record) string {
+	text := "no answer seen"
+	if r.RecentlyCompleted {
+		text = "answers seen"
+	}
+	for _, e := range r.Ends {
+		text += " " + e.Endpoint
+	}
+	return text
+}
+
 // suspectPeers returns all instances, by zone and in the order of their rank as relays.
 func (g *Gateway) suspectPeers() []suspects.Peer {
 	var list []suspects.Peer
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -96,8 +96,8 @@
 	return version, err
 }
 
-func (n *Node) removeHeld(ctx context.Context, work quarantine.Fingerprint) error {
-	key := heldPrefix + work.String()
+func (n *Node) removeHeld(ctx context.Context, r quarantine.Removal) error {
+	key := heldPrefix + r.Work.String()
 	e, err := n.store.Get(ctx, key)
 	if errors.Is(err, platform.ErrMissing) {
 		return nil
@@ -108,8 +108,8 @@
 	return n.store.Delete(ctx, key, e.Version)
 }
 
-func (n *Node) readHeld(ctx context.Context, work quarantine.Fingerprint) (quarantine.Stored, error) {
-	e, err := n.store.Get(ctx, heldPrefix+work.String())
+func (n *Node) readHeld(ctx context.Context, r quarantine.Record) (quarantine.Stored, error) {
+	e, err := n.store.Get(ctx, heldPrefix+r.Work.String())
 	if err != nil {
 		return quarantine.Stored{}, err
 	}
--- a/internal/quarantine/completions.go
+++ b/internal/quarantine/completions.go
@@ -17,7 +17,8 @@
 	maxGeneration = 2048
 )
 
-// completions remembers the requests that ran to completion recently, by a hash that is
+// completions remembers the requests that ran to completion recently, or the parts of prompts on
+// which answers were written, by a hash that is
 // seeded per process, so that no caller can construct a request that collides with one.
 type completions struct {
 	seed     maphash.Seed
@@ -30,14 +31,23 @@
 	return &completions{seed: maphash.MakeSeed(), current: map[uint64]struct{}{}}
 }
 
-func (c *completions) add(now clock.Millis, w Work) {
+func (c *completions) add(now clock.Millis, w Work) { c.addSum(now, c.sum(w)) }
+
+func (c *completions) addPart(now clock.Millis, p PromptPart) { c.addSum(now, c.sumPart(p)) }
+
+func (c *completions) addSum(now clock.Millis, sum uint64) {
 	c.rotate(now)
-	c.current[c.sum(w)] = struct{}{}
+	c.current[sum] = struct{}{}
 }
 
-func (c *completions) has(now clock.Millis, w Work) bool {
+func (c *completions) has(now clock.Millis, w Work) bool { return c.hasSum(now, c.sum(w)) }
+
+func (c *completions) hasPart(now clock.Millis, p PromptPart) bool {
+	return c.hasSum(now, c.sumPart(p))
+}
+
+func (c *completions) hasSum(now clock.Millis, sum uint64) bool {
 	c.rotate(now)
-	sum := c.sum(w)
 	_, inCurrent := c.current[sum]
 	_, inPrevious := c.previous[sum]
 	return inCurrent || inPrevious
@@ -56,12 +66,22 @@
 }
 
 func (c *completions) sum(w Work) uint64 {
+	h := c.hash(w.Workspace, w.Method, w.Host, w.Target)
+	_, _ = h.Write(w.Body)
+	return h.Sum64()
+}
+
+func (c *completions) sumPart(p PromptPart) uint64 {
+	h := c.hash(p.Service, p.Workspace, string(p.Part))
+	return h.Sum64()
+}
+
+func (c *completions) hash(texts ...string) maphash.Hash {
 	var h maphash.Hash
 	h.SetSeed(c.seed)
-	for _, part := range []string{w.Workspace, w.Method, w.Host, w.Target} {
-		_, _ = h.WriteString(part) // never fails
-		_ = h.WriteByte(0)         // separator; no part contains a zero byte
+	for _, text := range texts {
+		_, _ = h.WriteString(text) // never fails
+		_ = h.WriteByte(0)         // separator; no text contains a zero byte
 	}
-	_, _ = h.Write(w.Body)
-	return h.Sum64()
+	return h
 }
--- /dev/null
+++ b/internal/quarantine/part.go
@@ -0,0 +1,195 @@
+package quarantine
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/trailshed/trailshed/internal/prompt"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// Prompt names the parts of a request's prompt that other requests may share. The zero Prompt
+// has none.
+type Prompt struct {
+	Service   string
+	Workspace string // empty if it is not known
+	Parts     []prompt.Part
+}
+
+// PromptPart identifies a part of prompts. The names of parts are their callers' word, so a part
+// is one of a workspace: no caller can have the requests of another workspace refused.
+type PromptPart struct {
+	Service   string      `cbor:"1,keyasint"`
+	Workspace string      `cbor:"2,keyasint,omitempty"`
+	Part      prompt.Part `cbor:"3,keyasint"`
+}
+
+// Fingerprint returns the key of the part's record. It differs from that of any Work.
+func (p PromptPart) Fingerprint() Fingerprint {
+	h := sha256.New()
+	var size [8]byte
+	for _, text := range []string{"prompt part", p.Service, p.Workspace, string(p.Part)} {
+		binary.BigEndian.PutUint64(size[:], uint64(len(text)))
+		h.Write(size[:])
+		h.Write([]byte(text))
+	}
+	return Fingerprint(h.Sum(nil)[:len(Fingerprint{})])
+}
+
+// PartEnd is the end of an endpoint that had been sent a prompt with the part, and had not been
+// seen to write on an answer to it.
+type PartEnd struct {
+	Endpoint string       `cbor:"1,keyasint"` // ID of the incarnation
+	At       clock.Millis `cbor:"2,keyasint"`
+}
+
+// evidence is what it takes to hold a part.
+type evidence struct {
+	ends    int // endpoints
+	moments int // at which they ended
+}
+
+// momentGap is the time between two ends from which on they may have different causes. All
+// instances notice the ends of one fault within it.
+const momentGap = 200 * time.Millisecond
+
+var (
+	// newPartEvidence holds a part on which no answer is known to have been written. It is a
+	// part of hardly more requests than those that crashed.
+	newPartEvidence = evidence{ends: 3, moments: 2}
+	// provenPartEvidence holds a part on which answers were written within the last minutes,
+	// before the first of the ends. It may be in all prompts of a workspace, so that each fault of
+	// the service seems to be its doing.
+	provenPartEvidence = evidence{ends: 5, moments: 3}
+	// sharedPartWorkspaces is the number of workspaces in which a part crashed endpoints from
+	// which on it is held in all those in which it has not been proven.
+	sharedPartWorkspaces = 3
+)
+
+// suffices reports whether ends, in the order of their times, are enough evidence.
+func (e evidence) suffices(ends []PartEnd) bool {
+	if len(ends) < e.ends {
+		return false
+	}
+	moments, last := 0, clock.Millis(0)
+	for i, end := range ends {
+		if i == 0 || end.At.Sub(last) >= momentGap {
+			moments++
+			last = end.At
+		}
+	}
+	return moments >= e.moments
+}
+
+// pattern is a set of parts that crashes endpoints. It has several parts only if all of them
+// were in each crash, and no request is known that had just some of them.
+type pattern []PromptPart
+
+// in reports whether a prompt has all parts of the pattern.
+func (p pattern) in(parts []prompt.Part) bool {
+	return !slices.ContainsFunc(p, func(part PromptPart) bool { return !slices.Contains(parts, part.Part) })
+}
+
+// findPatterns returns the patterns that explain the ends in the records of one workspace's parts.
+// No end counts for two of them.
+//
+// Among parts that were not proven, one that explains more ends goes before one that explains
+// fewer: a rare part crashes with the many prompts it is in, and each of their other parts has just
+// some of these ends. Among proven ones it is the reverse: a part that is in all prompts has the
+// ends of every other one.
+func findPatterns(records []Record) []pattern {
+	var patterns []pattern
+	explained := map[string]bool{}
+	fresh, proven := splitProven(records)
+	for {
+		best := slices.MaxFunc(append(fresh, Record{}), func(a, b Record) int { return compareEnds(a, b, explained) })
+		ends := unexplained(best.Ends, explained)
+		if !newPartEvidence.suffices(ends) {
+			break
+		}
+		patterns = append(patterns, companions(fresh, ends, explained))
+		markExplained(ends, explained)
+	}
+	slices.SortFunc(proven, func(a, b Record) int { return compareEnds(a, b, nil) })
+	for _, r := range proven {
+		ends := unexplained(r.Ends, explained)
+		if provenPartEvidence.suffices(ends) {
+			patterns = append(patterns, companions(proven, ends, explained))
+			markExplained(ends, explained)
+		}
+	}
+	return patterns
+}
+
+func splitProven(records []Record) (fresh, proven []Record) {
+	for _, r := range records {
+		if r.RecentlyCompleted {
+			proven = append(proven, r)
+		} else {
+			fresh = append(fresh, r)
+		}
+	}
+	return fresh, proven
+}
+
+// compareEnds compares two records by the number of ends that are not explained, and so that all
+// instances agree on the order of equals.
+func compareEnds(a, b Record, explained map[string]bool) int {
+	return cmp.Or(cmp.Compare(len(unexplained(a.Ends, explained)), len(unexplained(b.Ends, explained))), slices.Compare(a.Work[:], b.Work[:]))
+}
+
+func unexplained(ends []PartEnd, explained map[string]bool) []PartEnd {
+	if len(explained) == 0 {
+		return ends
+	}
+	return slices.DeleteFunc(slices.Clone(ends), func(e PartEnd) bool { return explained[e.Endpoint] })
+}
+
+func markExplained(ends []PartEnd, explained map[string]bool) {
+	for _, e := range ends {
+		explained[e.Endpoint] = true
+	}
+}
+
+// companions returns all parts among records that have all of the given ends.
+func companions(records []Record, ends []PartEnd, explained map[string]bool) pattern {
+	var p pattern
+	for _, r := range records {
+		own := unexplained(r.Ends, explained)
+		if !slices.ContainsFunc(ends, func(e PartEnd) bool { return !hasEnd(own, e.Endpoint) }) {
+			p = append(p, *r.Part)
+		}
+	}
+	return p
+}
+
+func hasEnd(ends []PartEnd, endpoint string) bool {
+	return slices.ContainsFunc(ends, func(e PartEnd) bool { return e.Endpoint == endpoint })
+}
+
+// mergeEnds returns the ends of both lists that came after cleared, each endpoint once, the first
+// maxEnds of them in the order of their times.
+func mergeEnds(a, b []PartEnd, cleared clock.Millis) []PartEnd {
+	all := slices.Concat(a, b)
+	slices.SortFunc(all, func(x, y PartEnd) int { return cmp.Or(cmp.Compare(x.At, y.At), cmp.Compare(x.Endpoint, y.Endpoint)) })
+	var ends []PartEnd
+	for _, e := range all {
+		if e.At > cleared && len(ends) < maxEnds && !hasEnd(ends, e.Endpoint) {
+			ends = append(ends, e)
+		}
+	}
+	return ends
+}
+
+// mergeParts combines two records of the same part. An answer that was begun on the part clears
+// it of the ends before, not of those after.
+func mergeParts(a, b Record) Record {
+	cleared := max(a.Cleared, b.Cleared)
+	return Record{
+		Work: a.Work, Part: a.Part, Cleared: cleared, Seen: max(a.Seen, b.Seen),
+		RecentlyCompleted: a.RecentlyCompleted || b.RecentlyCompleted, Ends: mergeEnds(a.Ends, b.Ends, cleared),
+	}
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -27,9 +27,10 @@
 	Revision int64 // of the store
 }
 
-// Removal is the removal of a request's record from the store.
+// Removal is the removal of a record from the store.
 type Removal struct {
 	Work     Fingerprint
+	OfPart   bool  // it is the record of a part of prompts
 	Revision int64 // of the store
 }
 
@@ -37,6 +38,8 @@
 type Table struct {
 	records     map[Fingerprint]*entry
 	completions *completions
+	parts       partIndex
+	heldChanges []Record
 }
 
 // entry is a record with its local state.
@@ -49,7 +52,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: map[Fingerprint]*entry{}, completions: newCompletions()}
+	return &Table{records: map[Fingerprint]*entry{}, completions: newCompletions(), parts: newPartIndex()}
 }
 
 // Empty reports whether the table has no records.
@@ -61,7 +64,33 @@
 		return false
 	}
 	e := t.records[w.Fingerprint()]
-	return e != nil && e.Held()
+	return e != nil && e.held
+}
+
+// setHeld sets whether a record is held, and remembers the change for TakeHeldChanges.
+func (t *Table) setHeld(e *entry, held bool) {
+	if held == e.held {
+		return
+	}
+	e.held = held
+	t.heldChanges = append(t.heldChanges, e.Record)
+}
+
+// TakeHeldChanges returns the records that became held, or are held no more, since the last
+// call.
+func (t *Table) TakeHeldChanges() []Record {
+	changes := t.heldChanges
+	t.heldChanges = nil
+	return changes
+}
+
+// drop removes a record from the table.
+func (t *Table) drop(e *entry) {
+	delete(t.records, e.Work)
+	if e.Part != nil {
+		t.parts.remove(e)
+		t.decideParts(e.Part)
+	}
 }
 
 // RecordEnd records that an endpoint ended while it ran the request. It returns the merged
@@ -102,26 +131,59 @@
 func (t *Table) Merge(now clock.Millis, r Record) (Record, bool) { return t.mergeRecord(now, r) }
 
 func (t *Table) mergeRecord(now clock.Millis, r Record) (Record, bool) {
-	if len(r.Ended) == 0 && r.Cleared == 0 || now.Sub(r.Seen) > retention(r) {
+	if r.Part != nil {
+		r = r.notAfter(now)
+		r.RecentlyCompleted = r.RecentlyCompleted || t.parts.proven.hasPart(now, *r.Part)
+	}
+	if r.EndCount() == 0 && r.Cleared == 0 || now.Sub(r.Seen) > retention(r.mayBeHeld()) {
 		return Record{}, false
 	}
 	e := t.records[r.Work]
 	if e == nil {
+		if r.Part != nil && r.EndCount() == 0 {
+			return Record{}, false // the part is not suspected here
+		}
 		t.makeRoom(now)
-		e = &entry{Record: Record{Work: r.Work}}
+		e = &entry{Record: Record{Work: r.Work, Part: r.Part}}
 		t.records[r.Work] = e
+		if r.Part != nil {
+			t.parts.add(e)
+		}
+	}
+	merged, wasHeld := merge(e.Record, r), e.held
+	merged.held = wasHeld
+	changed := !merged.Equal(e.Record)
+	e.Record = merged
+	switch {
+	case e.Part == nil:
+		t.setHeld(e, merged.crashes(t.parts.explained))
+	case changed:
+		t.decideParts(e.Part)
 	}
-	merged := merge(e.Record, r)
-	changed := !merged.equal(e.Record)
-	if merged.Held() && !e.Held() {
+	if e.held && !wasHeld {
 		e.heldSince, e.local = now, false
 	}
-	e.Record = merged
-	return merged, changed
+	return e.Record, changed
+}
+
+// mayBeHeld reports whether some table may hold the record.
+func (r Record) mayBeHeld() bool {
+	return r.Part != nil && len(r.Ends) >= newPartEvidence.ends || r.crashes(nil)
+}
+
+// notAfter returns the record of a part with no time later than now. An instance whose clock is
+// ahead would otherwise clear a part of ends to come.
+func (r Record) notAfter(now clock.Millis) Record {
+	r.Cleared = min(r.Cleared, now)
+	r.Ends = slices.Clone(r.Ends)
+	for i := range r.Ends {
+		r.Ends[i].At = min(r.Ends[i].At, now)
+	}
+	return r
 }
 
-func retention(r Record) time.Duration {
-	if r.Held() {
+func retention(held bool) time.Duration {
+	if held {
 		return heldRetention
 	}
 	return suspectRetention
@@ -139,11 +201,11 @@
 	}
 	var oldest *entry
 	for _, e := range t.records {
-		if oldest == nil || !e.Held() && oldest.Held() || e.Held() == oldest.Held() && e.Seen < oldest.Seen {
+		if oldest == nil || !e.held && oldest.held || e.held == oldest.held && e.Seen < oldest.Seen {
 			oldest = e
 		}
 	}
-	delete(t.records, oldest.Work)
+	t.drop(oldest)
 }
 
 // Expire drops the records that are past their retention, and returns those of them that
@@ -151,12 +213,12 @@
 func (t *Table) Expire(now clock.Millis) []Removal {
 	var expired []Removal
 	for work, e := range t.records {
-		if now.Sub(e.Seen) <= retention(e.Record) {
+		if now.Sub(e.Seen) <= retention(e.held) {
 			continue
 		}
-		delete(t.records, work)
+		t.drop(e)
 		if e.revision != 0 {
-			expired = append(expired, Removal{Work: work, Revision: e.revision})
+			expired = append(expired, Removal{Work: work, OfPart: e.Part != nil, Revision: e.revision})
 		}
 	}
 	return expired
@@ -181,10 +243,10 @@
 		return Record{}, false
 	}
 	e.revision = 0
-	if !e.Held() {
+	if !e.held {
 		return Record{}, false
 	}
-	return t.mergeRecord(now, Record{Work: e.Work, Cleared: max(now, e.Cleared+1), Seen: now})
+	return t.mergeRecord(now, Record{Work: e.Work, Part: e.Part, Cleared: max(now, e.Cleared+1), Seen: now})
 }
 
 // Missing returns the records that the store had, but that a full listing of it as of
@@ -203,7 +265,7 @@
 		if epoch.Of(e.revision) < epoch.Of(revision) {
 			e.revision = 0
 		} else {
-			gone = append(gone, Removal{Work: work, Revision: revision})
+			gone = append(gone, Removal{Work: work, OfPart: e.Part != nil, Revision: revision})
 		}
 	}
 	return gone
@@ -215,7 +277,7 @@
 func (t *Table) Unsaved(now clock.Millis, watches bool, grace time.Duration) []Record {
 	var list []Record
 	for _, e := range t.records {
-		if e.Held() && e.revision == 0 && (e.local || watches && now.Sub(e.heldSince) >= grace) {
+		if e.held && e.revision == 0 && (e.local || watches && now.Sub(e.heldSince) >= grace) {
 			list = append(list, e.Record)
 		}
 	}
@@ -226,18 +288,23 @@
 func (t *Table) Obsolete() []Removal {
 	var list []Removal
 	for work, e := range t.records {
-		if !e.Held() && e.revision != 0 {
-			list = append(list, Removal{Work: work, Revision: e.revision})
+		if !e.held && e.revision != 0 {
+			list = append(list, Removal{Work: work, OfPart: e.Part != nil, Revision: e.revision})
 		}
 	}
 	return list
 }
 
 // Digest returns a hash of the set of held requests.
-func (t *Table) Digest() uint64 {
+func (t *Table) Digest() uint64 { return t.digest(false) }
+
+// PartsDigest returns a hash of the set of held parts of prompts.
+func (t *Table) PartsDigest() uint64 { return t.digest(true) }
+
+func (t *Table) digest(ofParts bool) uint64 {
 	digest := uint64(0)
 	for work, e := range t.records {
-		if e.Held() {
+		if e.held && (e.Part != nil) == ofParts {
 			digest ^= binary.BigEndian.Uint64(work[:])
 		}
 	}
@@ -246,10 +313,15 @@
 
 // Settled returns up to limit records of requests that are held or were cleared, the most
 // recently seen first.
-func (t *Table) Settled(limit int) []Record {
+func (t *Table) Settled(limit int) []Record { return t.settled(limit, false) }
+
+// SettledParts is Settled for parts of prompts.
+func (t *Table) SettledParts(limit int) []Record { return t.settled(limit, true) }
+
+func (t *Table) settled(limit int, ofParts bool) []Record {
 	var list []Record
 	for _, e := range t.records {
-		if e.Held() || e.Cleared != 0 {
+		if (e.held || e.Cleared != 0) && (e.Part != nil) == ofParts {
 			list = append(list, e.Record)
 		}
 	}
@@ -258,12 +330,18 @@
 }
 
 // Count returns the numbers of held and of suspected requests.
-func (t *Table) Count() (held, suspected int) {
+func (t *Table) Count() (held, suspected int) { return t.count(false) }
+
+// CountParts returns the numbers of held and of suspected parts of prompts.
+func (t *Table) CountParts() (held, suspected int) { return t.count(true) }
+
+func (t *Table) count(ofParts bool) (held, suspected int) {
 	for _, e := range t.records {
 		switch {
-		case e.Held():
+		case (e.Part != nil) != ofParts:
+		case e.held:
 			held++
-		case len(e.Ended) > 0:
+		case e.EndCount() > 0:
 			suspected++
 		}
 	}
--- a/internal/suspects/peers.go
+++ b/internal/suspects/peers.go
@@ -20,6 +20,17 @@
 	return list
 }
 
+// zoneRelays returns the addresses of the relays in the same zone, but for this instance.
+func (s *Suspects) zoneRelays() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, p := range s.relays() {
+		if p.Zone == s.Zone && p.Name != s.Name {
+			list = append(list, p.Address)
+		}
+	}
+	return list
+}
+
 // remoteRelays returns the addresses of the relays in other zones.
 func (s *Suspects) remoteRelays() []netip.AddrPort {
 	var list []netip.AddrPort
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/trailshed/trailshed/internal/peer"
+	"github.com/trailshed/trailshed/internal/prompt"
 	"github.com/trailshed/trailshed/internal/quarantine"
 	"github.com/trailshed/trailshed/internal/ticker"
 	"github.com/trailshed/trailshed/pkg/clock"
@@ -64,10 +66,10 @@
 type Store struct {
 	// Save writes a record. It returns ErrExists if the request already has one.
 	Save func(ctx context.Context, r quarantine.Record) (revision int64, err error)
-	// Remove deletes a request's record.
-	Remove func(ctx context.Context, work quarantine.Fingerprint) error
-	// Read returns a request's record.
-	Read func(ctx context.Context, work quarantine.Fingerprint) (quarantine.Stored, error)
+	// Remove deletes a record.
+	Remove func(ctx context.Context, r quarantine.Removal) error
+	// Read returns the stored record that has the same key as r.
+	Read func(ctx context.Context, r quarantine.Record) (quarantine.Stored, error)
 }
 
 // StoreUpdate is a listing of the store's records or a batch of changes to them.
@@ -95,7 +97,7 @@
 	// Watching reports whether this instance watches the store for its zone.
 	Watching func() bool
 	// OnHeldChange is called for each changed record of a request that is held or was
-	// cleared.
+	// cleared, and for each part that became held or is held no more.
 	OnHeldChange func(r quarantine.Record)
 	// OnUnreadable is called for each record of the store that cannot be decoded.
 	OnUnreadable func(err error, revision int64)
@@ -112,6 +114,7 @@
 type Suspects struct {
 	Options
 	anyHeld       atomic.Bool  // whether any request is held; if not, Holds skips the table
+	anyPartHeld   atomic.Bool  // the same of parts
 	lastCompared  clock.Millis // time of the last comparison
 	lastStoreCall clock.Millis // time of the last call to the store
 
@@ -127,12 +130,32 @@
 	Records []quarantine.Record `cbor:"1,keyasint"`
 	Relay   bool                `cbor:"2,keyasint,omitempty"` // the receiver relays the records to its zone
 	Differs bool                `cbor:"3,keyasint,omitempty"` // in a reply: the caller's digest differs
+	// Parts are records of parts of prompts. Earlier builds take each of Records for one of a
+	// request.
+	Parts []quarantine.Record `cbor:"4,keyasint,omitempty"`
 }
 
+// newRecordsMessage returns a message with records of both kinds.
+func newRecordsMessage(list []quarantine.Record) (m recordsMessage) {
+	for _, r := range list {
+		if r.Part != nil {
+			m.Parts = append(m.Parts, r)
+		} else {
+			m.Records = append(m.Records, r)
+		}
+	}
+	return m
+}
+
+// all returns the records of both kinds.
+func (m recordsMessage) all() []quarantine.Record { return slices.Concat(m.Records, m.Parts) }
+
 // compareRequest is a comparison request with the caller's digest; the reply is a
 // recordsMessage.
 type compareRequest struct {
 	Digest uint64 `cbor:"1,keyasint"`
+	// PartsDigest is that of parts; nil in a request of an earlier build, which has none.
+	PartsDigest *uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // New returns a Suspects with no records. Call Register and Run to start it.
@@ -143,7 +166,7 @@
 // Register adds the handlers for messages from other instances.
 func (s *Suspects) Register(r *message.Router) {
 	peer.Handle(r, s.Transport, topicRecords, func(_ peer.Sender, m recordsMessage) {
-		updated := s.merge(m.Records)
+		updated := s.merge(m.all())
 		if m.Relay {
 			s.send(s.zonePeers(), updated, false)
 		}
@@ -151,10 +174,14 @@
 	peer.HandleCall(r, s.Transport, topicCompare, func(_ context.Context, _ peer.Sender, req compareRequest) recordsMessage {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if s.table.Digest() == req.Digest {
-			return recordsMessage{}
+		var reply recordsMessage
+		if s.table.Digest() != req.Digest {
+			reply.Records, reply.Differs = s.table.Settled(maxMessageRecords), true
 		}
-		return recordsMessage{Records: s.table.Settled(maxMessageRecords), Differs: true}
+		if req.PartsDigest != nil && s.table.PartsDigest() != *req.PartsDigest {
+			reply.Parts, reply.Differs = s.table.SettledParts(maxMessageRecords), true
+		}
+		return reply
 	})
 }
 
@@ -168,18 +195,32 @@
 	return s.table.Holds(w)
 }
 
+// HoldsPrompt reports whether a prompt has parts that crash endpoints and must not be run, and
+// returns one of them.
+func (s *Suspects) HoldsPrompt(p quarantine.Prompt) (prompt.Part, bool) {
+	if !s.anyPartHeld.Load() || len(p.Parts) == 0 {
+		return "", false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.HoldsPrompt(s.Now(), p)
+}
+
 // RecordEnd records that an endpoint ended while it ran a request. Other instances are
 // notified after endWindow, unless many endpoints ended together. They are notified at
-// once if the request ran at two of the endpoints that ended.
-func (s *Suspects) RecordEnd(w quarantine.Work, endpoint string) {
+// once if the request ran at two of the endpoints that ended, and of the parts of the prompt p.
+// p has parts only if the endpoint was not seen to go on writing an answer.
+func (s *Suspects) RecordEnd(w quarantine.Work, p quarantine.Prompt, endpoint string) {
 	end := quarantine.NewEnd(w, endpoint)
 	s.mu.Lock()
+	parts := s.table.RecordPartEnd(s.Now(), p, endpoint)
 	if len(s.ends) == 0 {
 		time.AfterFunc(endWindow, s.attributeEnds)
 	}
 	s.ends = append(s.ends, end)
 	twice := quarantine.EndedElsewhere(s.ends, end)
 	s.mu.Unlock()
+	s.announce(parts)
 	if twice {
 		s.attributeEnds()
 	}
@@ -212,6 +253,30 @@
 	}
 }
 
+// RecordBegun records that an endpoint went on writing an answer that it began at begun, which
+// speaks for the parts of the prompt. If one was suspected, other instances are notified.
+func (s *Suspects) RecordBegun(p quarantine.Prompt, begun clock.Millis) {
+	if len(p.Parts) == 0 {
+		return
+	}
+	s.mu.Lock()
+	updated := s.table.RecordPartsBegun(s.Now(), p, begun)
+	s.mu.Unlock()
+	s.announceProof(updated)
+}
+
+// announceProof announces what speaks for parts, through the relays of all zones: a part that is in
+// many prompts is cleared by many instances at the same time, and a relay passes on only what is
+// new to it.
+func (s *Suspects) announceProof(updated []quarantine.Record) {
+	if len(updated) == 0 {
+		return
+	}
+	s.report(updated)
+	s.send(s.zoneRelays(), updated, true)
+	s.send(s.remoteRelays(), updated, true)
+}
+
 // announce sends records to this zone, and to the relays of the other zones.
 func (s *Suspects) announce(updated []quarantine.Record) {
 	if len(updated) == 0 {
@@ -224,15 +289,21 @@
 
 // merge adds records from other instances to the table and returns those that changed it.
 func (s *Suspects) merge(list []quarantine.Record) []quarantine.Record {
-	var updated []quarantine.Record
+	var updated, proved []quarantine.Record
 	s.mu.Lock()
 	for _, r := range list {
-		if merged, changed := s.table.Merge(s.Now(), r); changed {
-			updated = append(updated, merged)
+		merged, changed := s.table.Merge(s.Now(), r)
+		if !changed {
+			continue
+		}
+		updated = append(updated, merged)
+		if merged.Part != nil && merged.RecentlyCompleted && !r.RecentlyCompleted {
+			proved = append(proved, merged)
 		}
 	}
 	s.mu.Unlock()
 	s.report(updated)
+	s.announceProof(proved)
 	return updated
 }
 
@@ -285,7 +356,8 @@
 		return
 	}
 	s.mu.Lock()
-	req := compareRequest{Digest: s.table.Digest()}
+	partsDigest := s.table.PartsDigest()
+	req := compareRequest{Digest: s.table.Digest(), PartsDigest: &partsDigest}
 	s.mu.Unlock()
 	go func() { // an unresponsive peer must not block Run
 		ctx, cancel := context.WithTimeout(ctx, compareTimeout)
@@ -306,18 +378,18 @@
 	if !reply.Differs {
 		return
 	}
-	updated := s.merge(reply.Records)
+	updated := s.merge(reply.all())
 	if s.Watching() {
 		s.send(s.zonePeers(), updated, false)
 	}
-	theirs := map[quarantine.Fingerprint]bool{}
-	for _, r := range reply.Records {
-		theirs[r.Work] = r.Held()
+	theirs := map[quarantine.Fingerprint]quarantine.Record{}
+	for _, r := range reply.all() {
+		theirs[r.Work] = r
 	}
 	s.mu.Lock()
 	var lacking []quarantine.Record
-	for _, r := range s.table.Settled(maxMessageRecords) {
-		if r.Held() && !theirs[r.Work] {
+	for _, r := range slices.Concat(s.table.Settled(maxMessageRecords), s.table.SettledParts(maxMessageRecords)) {
+		if r.Held() && !r.Equal(theirs[r.Work]) {
 			lacking = append(lacking, r)
 		}
 	}
@@ -330,7 +402,9 @@
 	if len(list) == 0 {
 		return
 	}
-	unsent := peer.SendAll(s.Transport, to, topicRecords, recordsMessage{Records: list, Relay: relay})
+	m := newRecordsMessage(list)
+	m.Relay = relay
+	unsent := peer.SendAll(s.Transport, to, topicRecords, m)
 	s.Scope.Counter("suspects_send_failed").Inc(int64(unsent))
 }
 
@@ -358,7 +432,7 @@
 	}
 	for _, removal := range append(obsolete, expired...) {
 		s.lastStoreCall = now
-		if err := s.Store.Remove(ctx, removal.Work); err != nil {
+		if err := s.Store.Remove(ctx, removal); err != nil {
 			s.Scope.Counter("suspects_remove_failed").Inc(1)
 			return
 		}
@@ -373,7 +447,7 @@
 	revision, err := s.Store.Save(ctx, r)
 	stored := quarantine.Stored{Record: r, Revision: revision}
 	if errors.Is(err, ErrExists) {
-		stored, err = s.Store.Read(ctx, r.Work)
+		stored, err = s.Store.Read(ctx, r)
 	}
 	if err != nil {
 		s.Scope.Counter("suspects_save_failed").Inc(1)
@@ -385,22 +459,33 @@
 	return true
 }
 
-// report passes changed records of held and cleared requests to OnHeldChange, and updates
-// the gauges. Requests that are only suspected are not reported one by one: if a zone
-// is partitioned, every request that runs in the other zones becomes suspected.
+// report passes changed records of held and cleared requests, and those of parts that became held
+// or are held no more, to OnHeldChange, and updates the gauges. Requests and parts that are only
+// suspected are not reported one by one: if a zone is partitioned, every request that runs in the
+// other zones becomes suspected.
 func (s *Suspects) report(updated []quarantine.Record) {
 	if len(updated) == 0 {
 		return
 	}
 	s.mu.Lock()
 	held, suspected := s.table.Count()
+	partsHeld, partsSuspected := s.table.CountParts()
+	changes := s.table.TakeHeldChanges()
 	s.anyHeld.Store(held > 0)
+	s.anyPartHeld.Store(partsHeld > 0)
 	s.mu.Unlock()
 	for _, r := range updated {
-		if r.Held() || len(r.Ended) == 0 {
+		if r.Part == nil && (r.Held() || r.EndCount() == 0) {
+			s.OnHeldChange(r)
+		}
+	}
+	for _, r := range changes {
+		if r.Part != nil || !r.Held() && r.EndCount() > 0 {
 			s.OnHeldChange(r)
 		}
 	}
 	s.Scope.Gauge("requests_held").Update(float64(held))
 	s.Scope.Gauge("requests_suspected").Update(float64(suspected))
+	s.Scope.Gauge("parts_held").Update(float64(partsHeld))
+	s.Scope.Gauge("parts_suspected").Update(float64(partsSuspected))
 }
--- a/internal/suspects/suspects_test.go
+++ b/internal/suspects/suspects_test.go
@@ -49,16 +49,16 @@
 			s.records[r.Work] = quarantine.Stored{Record: r, Revision: s.rev}
 			return s.rev, nil
 		},
-		Remove: func(_ context.Context, work quarantine.Fingerprint) error {
+		Remove: func(_ context.Context, r quarantine.Removal) error {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			delete(s.records, work)
+			delete(s.records, r.Work)
 			return nil
 		},
-		Read: func(_ context.Context, work quarantine.Fingerprint) (quarantine.Stored, error) {
+		Read: func(_ context.Context, r quarantine.Record) (quarantine.Stored, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			return s.records[work], nil
+			return s.records[r.Work], nil
 		},
 	}
 }
@@ -209,8 +209,8 @@
 // and its record is saved.
 func TestEndsInTwoZones(t *testing.T) {
 	f := newFleet(t)
-	f.nodes["a3"].RecordEnd(poison, "e1")
-	f.nodes["b3"].RecordEnd(poison, "e2")
+	f.nodes["a3"].RecordEnd(poison, quarantine.Prompt{}, "e1")
+	f.nodes["b3"].RecordEnd(poison, quarantine.Prompt{}, "e2")
 	f.eventually("all hold it", f.heldBy(poison, all()...))
 	f.eventually("it is stored", func() bool { return f.store.count() == 1 })
 }
@@ -221,8 +221,8 @@
 	f := newFleet(t)
 	f.store.setUnavailable(true)
 	f.isolate("a")
-	f.nodes["a3"].RecordEnd(poison, "e1")
-	f.nodes["a1"].RecordEnd(poison, "e2")
+	f.nodes["a3"].RecordEnd(poison, quarantine.Prompt{}, "e1")
+	f.nodes["a1"].RecordEnd(poison, quarantine.Prompt{}, "e2")
 	f.eventually("its own zone holds it", f.heldBy(poison, "a1", "a2", "a3"))
 	qt.Assert(t, f.nodes["b1"].Holds(poison), qt.IsFalse)
 	f.isolate("")
@@ -234,8 +234,8 @@
 // A request that completes is cleared at all instances and removed from the store.
 func TestClearedEverywhere(t *testing.T) {
 	f := newFleet(t)
-	f.nodes["a1"].RecordEnd(poison, "e1")
-	f.nodes["a1"].RecordEnd(poison, "e2")
+	f.nodes["a1"].RecordEnd(poison, quarantine.Prompt{}, "e1")
+	f.nodes["a1"].RecordEnd(poison, quarantine.Prompt{}, "e2")
 	f.eventually("all hold it", f.heldBy(poison, all()...))
 	f.eventually("it is stored", func() bool { return f.store.count() == 1 })
 	for _, n := range f.nodes {
@@ -257,8 +257,8 @@
 // store is unavailable.
 func TestStartingInstances(t *testing.T) {
 	f := newFleet(t)
-	f.nodes["a1"].RecordEnd(poison, "e1")
-	f.nodes["a1"].RecordEnd(poison, "e2")
+	f.nodes["a1"].RecordEnd(poison, quarantine.Prompt{}, "e1")
+	f.nodes["a1"].RecordEnd(poison, quarantine.Prompt{}, "e2")
 	f.eventually("it is stored", func() bool { return f.store.count() == 1 })
 	f.start("a4") // receives nothing from the store
 	f.eventually("its zone informs it", f.heldBy(poison, "a4"))
@@ -278,10 +278,10 @@
 	f := newFleet(t)
 	crashing, sound := quarantine.Work{Target: "/crashing"}, quarantine.Work{Target: "/sound"}
 	for _, endpoint := range []string{"e1", "e2"} {
-		f.nodes["a1"].RecordUncertainEnd(crashing, endpoint)
+		f.nodes["a1"].RecordUncertainEnd(crashing, quarantine.Prompt{}, endpoint)
 	}
 	for _, endpoint := range []string{"e3", "e4"} {
-		f.nodes["a1"].RecordUncertainEnd(sound, endpoint)
+		f.nodes["a1"].RecordUncertainEnd(sound, quarantine.Prompt{}, endpoint)
 	}
 	time.Sleep(time.Second) // some rounds
 	c.Assert(f.nodes["a1"].Holds(crashing), qt.IsFalse)
--- a/internal/suspects/uncertain.go
+++ b/internal/suspects/uncertain.go
@@ -21,19 +21,21 @@
 // reached any other endpoint of the service.
 type uncertainEnd struct {
 	work     quarantine.Work
+	prompt   quarantine.Prompt
 	endpoint string
 	at       clock.Millis
 }
 
 // RecordUncertainEnd records that an endpoint broke off a request and refuses connections, while
 // the network may be at fault. It counts as an end once the endpoint's entry is gone.
-func (s *Suspects) RecordUncertainEnd(w quarantine.Work, endpoint string) {
+// The arguments are those of RecordEnd.
+func (s *Suspects) RecordUncertainEnd(w quarantine.Work, p quarantine.Prompt, endpoint string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.uncertain) == maxUncertain {
 		s.uncertain = slices.Delete(s.uncertain, 0, 1)
 	}
-	s.uncertain = append(s.uncertain, uncertainEnd{w, endpoint, s.Now()})
+	s.uncertain = append(s.uncertain, uncertainEnd{w, p, endpoint, s.Now()})
 	s.Scope.Counter("ends_uncertain").Inc(1)
 }
 
@@ -51,6 +53,6 @@
 	})
 	s.mu.Unlock()
 	for _, e := range ended {
-		s.RecordEnd(e.work, e.endpoint)
+		s.RecordEnd(e.work, e.prompt, e.endpoint)
 	}
 }
