forward: an endpoint's 5xx answer clears no suspected request

A request that crashes engines was taken for completed by any whole answer, also one of 5xx, before its status was looked at: an engine that fails requests by itself between two crashes cleared the request, and it was sent on. Now only an answer below 500 counts.

TestFailedAnswerClearsNoSuspect failed before (the fourth engine got the request) and passes.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -224,7 +224,6 @@
 		return false
 	}
 	x.Close(true)
-	p.Suspects.RecordCompletion(p.work())
 	response := &bufferedResponse{status: resp.StatusCode, header: header, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		p.failure = "endpoint_status"
@@ -232,6 +231,7 @@
 		p.endpointFailed(r, balance.Failed, nil)
 		return false
 	}
+	p.Suspects.RecordCompletion(p.work())
 	if good {
 		p.recordBegun(p.sentAt)
 	}
@@ -272,7 +272,9 @@
 		p.checkProcessEnded(parent, r.Endpoint, p.suspectPrompt())
 		p.giveUp()
 	}
-	p.Suspects.RecordCompletion(p.work())
+	if x.Response.StatusCode < http.StatusInternalServerError {
+		p.Suspects.RecordCompletion(p.work())
+	}
 	if x.Response.StatusCode < http.StatusMultipleChoices {
 		p.recordBegun(p.sentAt)
 	}
