forward: requests that were sent before their part was held go no further

A request with a crashing part that waits in an engine's queue, or whose prompt is being read apart, crashed one more engine after the part was held. Such a send is now cancelled, and the hold is looked up once more between the prompt and the answer. The cancelled send says nothing about the engine.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -44,6 +44,7 @@
 func (p *proxyRequest) attempt(parent context.Context, r *balance.Reservation) (done bool) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
+	defer p.watchHeld(cancel)()
 	silence := p.watchSilence(parent, cancel, r.Endpoint)
 	defer func() {
 		p.alternative = silence.stop()
@@ -146,6 +147,8 @@
 	result := balance.Failed
 	p.failure = "no_answer"
 	switch {
+	case p.cancelledHeld.Load():
+		result, p.failure = balance.Canceled, reasonCrashingPart
 	case parent.Err() != nil:
 		result = balance.Canceled
 		if errors.Is(context.Cause(parent), context.DeadlineExceeded) {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -77,6 +77,7 @@
 	bodyBytes       atomic.Int64
 	running         atomic.Int64
 	deadlines       *deadline.Set
+	waiting         waitingRuns
 
 	mu        sync.Mutex
 	budgets   map[string]*budget.Budget // by service
@@ -86,7 +87,7 @@
 
 // New returns a Forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{Options: o, deadlines: deadline.New(o.Now), budgets: map[string]*budget.Budget{}, instances: 1, startedAt: o.Now()}
+	return &Forwarder{Options: o, deadlines: deadline.New(o.Now), waiting: waitingRuns{cancels: map[*proxyRequest]context.CancelFunc{}}, budgets: map[string]*budget.Budget{}, instances: 1, startedAt: o.Now()}
 }
 
 // Drain makes all further responses ask callers to close their connections.
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -98,7 +98,7 @@
 	if !p.takeBudget(max(p.extraSends(withPrefill)-paid, 0)) {
 		return p.prefillUnaffordable(place, withPrefill)
 	}
-	if withPrefill && !p.runPrefill(ctx, place.Prefill) {
+	if withPrefill && (!p.runPrefill(ctx, place.Prefill) || p.quarantined()) {
 		p.returnPermits(place, false)
 		p.budget(p.service).Return(p.Now(), send)
 		return stepRetry
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 
 	"github.com/trailshed/trailshed/internal/dialer"
 	"github.com/trailshed/trailshed/internal/directory"
@@ -19,6 +20,10 @@
 	}
 }
 
+// reasonCrashingPart is the reason for which a request is refused, or a send cancelled, whose prompt has
+// a part that crashes endpoints.
+const reasonCrashingPart = "crashing_part"
+
 // quarantined reports whether the request is known to crash the endpoints that run it. It
 // is checked on arrival, before each send, and after a wait for a place. Each retry by the
 // caller is a new request that needs no retry budget: without a memory across retries and
@@ -28,7 +33,7 @@
 	part, held := p.Suspects.HoldsPrompt(p.prompt())
 	switch {
 	case held:
-		p.failure, p.heldPart = "crashing_part", part
+		p.failure, p.heldPart = reasonCrashingPart, part
 	case p.Suspects.Holds(p.work()):
 		p.failure = "ends_endpoints"
 	default:
@@ -64,10 +69,52 @@
 	}
 }
 
+// waitingRuns are the sends to endpoints that have not been seen to go on writing, so that a part of
+// their prompts may crash the endpoint yet.
+type waitingRuns struct {
+	mu      sync.Mutex
+	cancels map[*proxyRequest]context.CancelFunc
+}
+
+func (w *waitingRuns) add(p *proxyRequest, cancel context.CancelFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cancels[p] = cancel
+}
+
+func (w *waitingRuns) remove(p *proxyRequest) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.cancels, p)
+}
+
+// CancelHeld cancels the sends of prompts that are held, which endpoints have in their queues or have
+// just begun to answer. It is called when a part has become held.
+func (f *Forwarder) CancelHeld() {
+	f.waiting.mu.Lock()
+	defer f.waiting.mu.Unlock()
+	for p, cancel := range f.waiting.cancels {
+		if _, held := f.Suspects.HoldsPrompt(p.prompt()); held {
+			p.cancelledHeld.Store(true)
+			cancel()
+		}
+	}
+}
+
+// watchHeld has CancelHeld cancel this send. The returned function ends that.
+func (p *proxyRequest) watchHeld(cancel context.CancelFunc) (stop func()) {
+	if len(p.call.Parts) == 0 {
+		return func() {}
+	}
+	p.waiting.add(p, cancel)
+	return func() { p.waiting.remove(p) }
+}
+
 // recordBegun records, once per send, that the endpoint went on writing an answer begun at begun.
 func (p *proxyRequest) recordBegun(begun clock.Millis) {
 	if !p.wroteOn {
 		p.wroteOn = true
+		p.waiting.remove(p)
 		p.Suspects.RecordBegun(p.prompt(), begun)
 	}
 }
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -20,7 +20,12 @@
 		Scope: g.counters.Scope, Now: g.now, Peers: g.suspectPeers,
 		Watching:     func() bool { return g.relay.Watching() },
 		EndpointGone: func(id string) bool { return g.directory.View().Find(id) == nil },
-		OnHeldChange: g.logHeld,
+		OnHeldChange: func(r quarantine.Record) {
+			g.logHeld(r)
+			if r.Part != nil && r.Held() {
+				g.forwarder.CancelHeld()
+			}
+		},
 		OnUnreadable: func(err error, revision int64) {
 			g.log.Write(eventlog.Line{Event: eventlog.Unreadable, Detail: err.Error(), Revision: revision})
 		},
