--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -81,9 +81,16 @@
 	p.endpointFailed(r, balance.Canceled, err)
 }
 
+// errNoEvent is the error of a stream that its connection ended before the first event.
+var errNoEvent = Error.New("the connection ended before the first event")
+
 // streamEnded handles the end of an endpoint's stream. The stream is complete only if it
-// ended where HTTP says so, and between two events.
+// ended where HTTP says so, and between two events. One that ends with its connection must
+// have had an event: an engine that ends closes its connections too.
 func (p *proxyRequest) streamEnded(parent context.Context, r *balance.Reservation, x *uplink.Exchange, rest []byte, err error) bool {
+	if errors.Is(err, io.EOF) && p.events == 0 && x.EndsWithConnection() {
+		err = errNoEvent
+	}
 	if !errors.Is(err, io.EOF) || len(rest) > 0 {
 		x.Close(false)
 		if p.longestWrite >= callerStallTime {
--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -172,6 +172,12 @@
 // exchange.
 func (e *Exchange) ConnectTime() time.Duration { return e.conn.connectTime }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks, so that an orderly
+// close of the connection ends it.
+func (e *Exchange) EndsWithConnection() bool {
+	return e.Response.ContentLength < 0 && len(e.Response.TransferEncoding) == 0
+}
+
 // Close ends the exchange. The connection is reused only if whole is true, the request was
 // written completely, the response had a defined end, and the endpoint did not ask to close
 // the connection.
@@ -195,7 +201,7 @@
 
 func (e *Exchange) reusable() bool {
 	r := e.Response
-	if r == nil || r.Close || r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
+	if r == nil || r.Close || e.EndsWithConnection() {
 		return false
 	}
 	select {
