overload, gateway: an instance reads no connection that has waited too long for its processor

Callers whose connection is closed unread turn to another instance.

Connections of callers are bounded to 40% of the descriptors. Lines overloaded and overload_ended, counter connections_unread.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -28,6 +28,8 @@
 	LinksLost      Event = "links_lost"
 	LinksRegained  Event = "links_regained"
 	TunnelServed   Event = "tunnel_served"
+	Overloaded     Event = "overloaded"
+	OverloadEnded  Event = "overload_ended"
 )
 
 // Events of requests and endpoints.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -12,10 +13,12 @@
 	"github.com/ThreeDotsLabs/watermill"
 	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/go-chi/chi/v5"
+	"golang.org/x/sys/unix"
 
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/epoch"
 	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/overload"
 	"github.com/trailshed/trailshed/internal/ticker"
 )
 
@@ -92,9 +95,41 @@
 		}
 		g.listeners = append(g.listeners, l)
 	}
+	g.listeners[0] = g.guard(g.listeners[0])
 	return nil
 }
 
+// guard returns the listener for callers that reads no more connections than this instance can serve.
+func (g *Gateway) guard(l net.Listener) net.Listener {
+	return &overload.Listener{
+		Listener: l, MaxConnections: maxCallerConnections(), Now: g.now,
+		OnChange: func(overloaded bool, unread int64) {
+			if overloaded {
+				g.log.Write(eventlog.Line{Event: eventlog.Overloaded})
+			} else {
+				g.log.Write(eventlog.Line{Event: eventlog.OverloadEnded, Count: unread})
+			}
+		},
+		OnUnread: func(reason string) {
+			g.counters.Scope.Tagged(map[string]string{"reason": reason}).Counter("connections_unread").Inc(1)
+		},
+	}
+}
+
+// maxCallerConnections returns the share of this process's descriptors that callers' connections may
+// take. The rest serves connections to endpoints, peers and the store.
+func maxCallerConnections() int64 {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return math.MaxInt64 // accept fails by itself when descriptors run out
+	}
+	return int64(min(limit.Cur, math.MaxInt32)) * callerDescriptorPercent / 100
+}
+
+// callerDescriptorPercent is the percentage of the descriptors for callers' connections. Each running
+// request needs another descriptor or two.
+const callerDescriptorPercent = 40
+
 // Addresses returns the listening addresses for callers and for readiness checks.
 func (g *Gateway) Addresses() (callers, ready netip.AddrPort) {
 	at := func(i int) netip.AddrPort { return netip.MustParseAddrPort(g.listeners[i].Addr().String()) }
@@ -175,6 +210,9 @@
 
 // limitSendBuffer sets the size of a new connection's send buffer.
 func (g *Gateway) limitSendBuffer(c net.Conn, state http.ConnState) {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapped.NetConn()
+	}
 	tcp, ok := c.(*net.TCPConn)
 	if !ok || state != http.StateNew {
 		return
