soak: requests with a crashing part in their prompts come at any instance

The engines crash on parts of prompts once the head of the answer is out; prompts have a common part, a crashing one and one of their own.

--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,11 +25,12 @@
 	Service    string
 	AtMostOnce bool // must run at most once
 	Stream     bool
-	Resumable  bool   // its caller takes the stream up if it breaks
-	Version    int    // of the configuration that added its route; 0 for the first one
-	Body       string // of all requests; if empty, each has its own
-	Workspace  string // whose key is sent
-	HomeZone   string // the only zone whose endpoints may receive it; empty for all
+	Resumable  bool     // its caller takes the stream up if it breaks
+	Version    int      // of the configuration that added its route; 0 for the first one
+	Body       string   // of all requests; if empty, each has its own
+	Parts      []string // leading parts of the prompts; behind them, each has one of its own
+	Workspace  string   // whose key is sent
+	HomeZone   string   // the only zone whose endpoints may receive it; empty for all
 }
 
 // Workspaces of the soak. Limited sends more requests than its limit allows.
@@ -59,8 +61,8 @@
 // Kinds returns the kinds of requests that the first configuration serves.
 func Kinds() []Kind {
 	return []Kind{
-		{Path: "/stream/x", Method: http.MethodPost, Service: "llm", Stream: true, Resumable: true, Workspace: firstWorkspace},
-		{Path: "/once" + standin.LongPath, Method: http.MethodPost, Service: "llm", Stream: true, AtMostOnce: true, Workspace: firstWorkspace},
+		{Path: "/stream/x", Method: http.MethodPost, Service: "llm", Stream: true, Resumable: true, Workspace: firstWorkspace, Parts: []string{commonPart}},
+		{Path: "/once" + standin.LongPath, Method: http.MethodPost, Service: "llm", Stream: true, AtMostOnce: true, Workspace: firstWorkspace, Parts: []string{commonPart}},
 		{Path: "/once/x", Method: http.MethodPost, Service: "llm", Stream: true, AtMostOnce: true, Workspace: secondWorkspace},
 		{Path: "/safe/x", Method: http.MethodGet, Service: "web", Workspace: secondWorkspace},
 		{Path: "/unsafe/x", Method: http.MethodPost, Service: "web", AtMostOnce: true, Workspace: firstWorkspace},
@@ -78,18 +80,45 @@
 	return Kind{Path: "/home/x", Method: http.MethodGet, Service: "web", Workspace: firstWorkspace, HomeZone: zone}
 }
 
+// streamKind returns the kind of streams that can be resumed.
+func streamKind() Kind { return Kinds()[0] }
+
+// commonPart is the first part of prompts.
+const commonPart = "c0ffee"
+
+// CrashingParts returns the parts of prompts that crash the engines that begin to answer on them.
+func CrashingParts() []string { return []string{"dead0", "dead1", "dead2", "dead3"} }
+
+// PartKind returns the kind of requests whose prompts have the n-th crashing part. No two of its calls
+// are alike otherwise.
+func PartKind(n int) Kind {
+	k := streamKind()
+	k.Parts = []string{commonPart, CrashingParts()[n%len(CrashingParts())]}
+	return k
+}
+
+// CrashingPart returns the crashing part of the prompts of a kind, or "".
+func (k Kind) CrashingPart() string {
+	for _, part := range k.Parts {
+		if slices.Contains(CrashingParts(), part) {
+			return part
+		}
+	}
+	return ""
+}
+
+// Crashes reports whether the request crashes engines, by its body or a part of its prompt.
+func (c Call) Crashes() bool {
+	return strings.HasPrefix(c.Body, PoisonMarker) || c.Kind.CrashingPart() != ""
+}
+
 // PoisonMarker is in the bodies of requests that crash the engines that run them.
 const PoisonMarker = "poison"
 
 // PoisonKind returns the kind for the n-th poisoned request of a run. All calls of it have
 // the same body.
 func PoisonKind(n int) Kind {
-	k := Kinds()[0]
-	for _, kind := range Kinds() {
-		if kind.Path == "/stream/x" {
-			k = kind
-		}
-	}
+	k := streamKind()
 	k.Body = PoisonMarker + " " + strconv.Itoa(n)
 	return k
 }
@@ -132,7 +161,7 @@
 
 // mayTakeUp reports whether the caller goes on with the stream of this call.
 func (c Call) mayTakeUp() bool {
-	return c.Kind.Resumable && c.Kind.Body == "" && c.Reply.Err != nil && c.Reply.Status == http.StatusOK &&
+	return c.Kind.Resumable && c.Kind.Body == "" && !c.Crashes() && c.Reply.Err != nil && c.Reply.Status == http.StatusOK &&
 		c.received() > 0 && c.received() < standin.Events
 }
 
@@ -220,6 +249,9 @@
 		defer timer.Stop()
 	}
 	request := standin.Request{ID: call.ID, Address: g.Address, Method: k.Method, Path: k.Path, Body: call.Body, Deadline: requestTimeout, Key: key(k.Workspace), BeganAs: call.BeganAs, LastEvent: call.After}
+	if len(k.Parts) > 0 {
+		request.Parts = append(slices.Clone(k.Parts), call.Origin())
+	}
 	reply := request.Send(ctx, c.client)
 	once.Do(func() {}) // a disconnect after the answer does not count
 	reply.Body, call.Versions = standin.SplitVersions(reply.Body)
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -10,7 +10,8 @@
 //   - work for callers that disconnected stops;
 //   - leaving endpoints and evacuated zones get no new requests, cold endpoints few, and
 //     endpoints that back off or name a limit no more than they accept;
-//   - requests that crash endpoints stop being sent, and no others;
+//   - requests that crash endpoints stop being sent, whether all of one content or with one part in
+//     their prompts, and no others;
 //   - instances that have lost their links to endpoints serve their callers;
 //   - configurations come into force and are never reverted;
 //   - planned stops interrupt no answer;
@@ -179,6 +180,7 @@
 		c.checkCutInstances(byCall)
 		c.checkTakenUp(byCall)
 		c.checkPoison(runs)
+		c.checkParts(byCall)
 		c.checkNotices(runs)
 		c.checkEndpointLimits(runs)
 		c.checkCold(runs)
--- a/internal/soak/checker/links.go
+++ b/internal/soak/checker/links.go
@@ -62,7 +62,7 @@
 // Instances prefer the endpoints of their zone, so that faulty ones do not affect all alike.
 func (c *Checker) comparable(call caller.Call, runs []Run) bool {
 	if call.Disconnected || call.Kind.Workspace == caller.Limited || call.Kind.HomeZone != "" || call.Kind.Version != 0 ||
-		strings.HasPrefix(call.Body, caller.PoisonMarker) {
+		call.Crashes() {
 		return false
 	}
 	for _, r := range runs {
@@ -110,7 +110,7 @@
 	}
 	for _, call := range c.calls {
 		held := call.Reply.Status == 503 && strings.Contains(call.Reply.Body, "ends_endpoints")
-		if held && !strings.HasPrefix(call.Body, caller.PoisonMarker) && !ended[call.Body] {
+		if held && !call.Crashes() && !ended[call.Body] {
 			c.violated("sound requests run", call.ID, call.Ended, "%s holds it, but no endpoint ended under it", call.Gateway.Name)
 		}
 	}
--- a/internal/soak/fleet/endpoint.go
+++ b/internal/soak/fleet/endpoint.go
@@ -44,9 +44,9 @@
 }
 
 // normalBehaviour returns the behaviour of an endpoint that answers correctly and crashes
-// only on poisoned requests.
+// only on poisoned requests and on prompts with a crashing part.
 func normalBehaviour() standin.Behaviour {
-	return standin.Behaviour{Delay: answerDelay, EventInterval: eventInterval, CrashOn: caller.PoisonMarker}
+	return standin.Behaviour{Delay: answerDelay, EventInterval: eventInterval, CrashOn: caller.PoisonMarker, CrashOnParts: caller.CrashingParts()}
 }
 
 // addEndpoint starts an endpoint and registers it. An empty stage selects the plain
--- a/internal/soak/fleet/steps.go
+++ b/internal/soak/fleet/steps.go
@@ -47,7 +47,7 @@
 	i := all[s.Target%len(all)]
 	switch s.Kind {
 	case schedule.Suspend, schedule.Poison, schedule.Announce, schedule.Backoff, schedule.Limit,
-		schedule.Evacuate, schedule.Cold, schedule.Unlink, schedule.Release, schedule.Restore:
+		schedule.Evacuate, schedule.Cold, schedule.Unlink, schedule.Release, schedule.Restore, schedule.Parts:
 		return f.applyExtra(ctx, s, i)
 	case schedule.Kill:
 		return f.kill(ctx, s.Duration, i)
@@ -107,7 +107,7 @@
 	if s.Kind == schedule.Release {
 		return f.releaseEngines(ctx)
 	}
-	if s.Kind == schedule.Poison {
+	if s.Kind == schedule.Poison || s.Kind == schedule.Parts {
 		f.poison(ctx, s)
 		return nil
 	}
@@ -186,10 +186,14 @@
 	return err
 }
 
-// poison repeats a request that crashes every engine that runs it, at any instance, during
-// the step and until long after all instances must know of it.
+// poison repeats a request that crashes every engine that runs it, or sends requests that do so by a
+// part of their prompts, at any instance, during the step and until long after all instances must know
+// of it.
 func (f *Fleet) poison(ctx context.Context, s schedule.Step) {
 	kind := caller.PoisonKind(s.Variant)
+	if s.Kind == schedule.Parts {
+		kind = caller.PartKind(s.Variant)
+	}
 	for until := time.Now().Add(s.Duration + poisonOverrun); time.Now().Before(until) && sleep(ctx, poisonInterval); {
 		if g, ok := f.pickInstance(); ok {
 			f.checker.RecordCall(caller.SendOne(ctx, g, kind, f.nextID()))
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -74,6 +74,8 @@
 	Release Kind = "release"
 	// The store comes back from a copy some seconds old.
 	Restore Kind = "restore"
+	// Requests with a part in their prompts that crashes engines come at any instance.
+	Parts Kind = "parts"
 )
 
 // weights are the relative frequencies of the kinds drawn by New.
@@ -142,6 +144,7 @@
 	{0x2545f4914f6cdd1d, []Kind{Unlink}},
 	{0x9fb21c651e98df25, []Kind{Release}},
 	{0x3c79ac492ba7b653, []Kind{Restore}},
+	{0x1d8e4e27c47d124f, []Kind{Parts}},
 }
 
 // Extra draws additional steps of a run, independently of those of New.
