--- a/internal/directory/restored_test.go
+++ b/internal/directory/restored_test.go
@@ -94,6 +94,12 @@
 			[]directory.Event{listed(15, entry("e1", in(10), ready)), directory.Seen{Endpoint: entry("e1", in(20), leaving)}},
 			"leaving", nil, "leaving",
 		},
+		{
+			"leaves at the number that its entry had",
+			[]directory.Event{directory.Seen{Endpoint: entry("e1", 20, ready)}},
+			[]directory.Event{listed(15), directory.Seen{Endpoint: entry("e1", in(20), leaving)}},
+			"leaving", nil, "leaving",
+		},
 		{
 			"left before the first listing",
 			[]directory.Event{directory.Seen{Endpoint: entry("e1", 10, ready)}},
