--- a/internal/quarantine/load_test.go
+++ b/internal/quarantine/load_test.go
@@ -128,7 +128,7 @@
 	loadEngines     = 18   // unless a load has fewer
 	loadDuration    = 20 * time.Second
 	loadFirstEvent  = 100 * time.Millisecond // from a send to the first event, or to the crash
-	loadSecondEvent = 40 * time.Millisecond
+	loadSecondEvent = 240 * time.Millisecond
 	loadRestart     = 3 * time.Second
 	loadNews        = 10 * time.Millisecond // until all instances know what one observed
 	contactTime     = 3 * time.Second       // the users' bound for contact
@@ -259,6 +259,8 @@
 		{name: "10 a second, after a restart of all", crashing: 10, parts: 1, fresh: true},
 		{name: "60 a second, after a restart of all", crashing: 60, parts: 1, fresh: true},
 		{name: "10 a second, two parts", crashing: 10, parts: 2},
+		{name: "10 a second, two parts, after a restart of all", crashing: 10, parts: 2, fresh: true},
+		{name: "10 a second, three parts", crashing: 10, parts: 3},
 		{name: "60 a second, two parts, after a restart of all", crashing: 60, parts: 2, fresh: true},
 		{name: "waves of 6 engines of 18", wave: 6, waveInterval: 2 * time.Second},
 		{name: "all 3 engines end at once", engines: 3, wave: 3, waveInterval: 5 * time.Second, fresh: true},
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -98,14 +98,16 @@
 //
 // Among parts that were not proven, one that explains more ends goes before one that explains
 // fewer: a rare part crashes with the many prompts it is in, and each of their other parts has just
-// some of these ends. Among proven ones it is the reverse: a part that is in all prompts has the
-// ends of every other one.
+// some of these ends. One whose ends others explain altogether is no cause, though, and held only
+// together with these: it may be in all prompts. Among proven parts those with few ends go first, since
+// one that is in all prompts has the ends of every other.
 func findPatterns(records []Record) []pattern {
 	var patterns []pattern
 	explained := map[string]bool{}
 	fresh, proven := splitProven(records)
+	causes := slices.DeleteFunc(slices.Clone(fresh), func(r Record) bool { return coveredByOthers(r, fresh) })
 	for {
-		best := slices.MaxFunc(append(fresh, Record{}), func(a, b Record) int { return compareEnds(a, b, explained) })
+		best := slices.MaxFunc(append(causes, Record{}), func(a, b Record) int { return compareEnds(a, b, explained) })
 		ends := unexplained(best.Ends, explained)
 		if !newPartEvidence.suffices(ends) {
 			break
@@ -135,6 +137,19 @@
 	return fresh, proven
 }
 
+// coveredByOthers reports whether each end of r is one of a part that has only some of them, but as many
+// as it takes to hold it.
+func coveredByOthers(r Record, records []Record) bool {
+	covered := map[string]bool{}
+	for _, o := range records {
+		within := !slices.ContainsFunc(o.Ends, func(e PartEnd) bool { return !hasEnd(r.Ends, e.Endpoint) })
+		if len(o.Ends) < len(r.Ends) && within && len(o.Ends) >= newPartEvidence.ends {
+			markExplained(o.Ends, covered)
+		}
+	}
+	return len(covered) == len(r.Ends)
+}
+
 // compareEnds compares two records by the number of ends that are not explained, and so that all
 // instances agree on the order of equals.
 func compareEnds(a, b Record, explained map[string]bool) int {
--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -123,6 +123,23 @@
 			[][]prompt.Part{{"q", "x"}, {"q", "y"}},
 			[][]prompt.Part{{"q"}, {"q", "z"}},
 		},
+		{
+			"two parts at once, no part is proven",
+			[]partStep{
+				end("a", "q", "x"), end("b", "q", "y"), end("c", "q", "x"), end("d", "q", "y"), end("e", "q", "x"), end("f", "q", "y"),
+			},
+			[][]prompt.Part{{"q", "x"}, {"q", "y"}},
+			[][]prompt.Part{{"q"}, {"q", "z"}},
+		},
+		{
+			"the common part, two others cover its ends, until it crashes with a third",
+			[]partStep{
+				end("a", "q", "x"), end("b", "q", "y"), end("c", "q", "x"), end("d", "q", "y"), end("e", "q", "x"), end("f", "q", "y"),
+				end("g", "q", "z"),
+			},
+			[][]prompt.Part{{"q", "x"}, {"q", "y"}, {"q", "z"}, {"q"}},
+			nil,
+		},
 		{
 			"the same names in two workspaces",
 			[]partStep{at(end("a", "x"), "w", time.Second), at(end("b", "x"), "w", time.Second), at(end("c", "x"), "w", time.Second)},
