forward: an answer proves a part once its endpoint has gone on writing for 200 ms

The second event did so before: where engines send an event for each token, one that crashes on a part may have sent several before its process ends, and each crash cleared the part of the crashes before. A run counts for its parts until then, and clears them only after.

--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/trailshed/trailshed/internal/dialer"
 	"github.com/trailshed/trailshed/internal/directory"
@@ -57,14 +58,18 @@
 	return p.prompt()
 }
 
-// recordEvent counts an event of this send. The second one shows that the endpoint survived the
-// beginning of its answer, which a crashing part of the prompt does not allow.
+// survivalTime is how long an endpoint must go on writing after the first event to have survived the
+// beginning of its answer. An endpoint that crashes may have sent some events at once.
+const survivalTime = 200 * time.Millisecond
+
+// recordEvent counts an event of this send. One that comes survivalTime after the first shows that no
+// part of the prompt crashes the endpoint.
 func (p *proxyRequest) recordEvent() {
-	p.events++
-	switch p.events {
-	case 1:
-		p.begunAt = p.Now()
-	case 2:
+	now := p.Now()
+	if p.events++; p.events == 1 {
+		p.begunAt = now
+	}
+	if now.Sub(p.begunAt) >= survivalTime {
 		p.recordBegun(p.begunAt)
 	}
 }
