quarantine: a proven part is held for ends over two seconds only

An answer that begins between two ends proves the part some 0.3 s later, too late, and once the part is held none begins: all its workspace's streams were refused until the run ended. The moments, 200 ms apart, are replaced by a span: 0.2 s for a part without answers, which is what two moments were, two seconds for a proven one.

TestHeldParts, five ends within a second, failed before and passes.

--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -48,40 +48,29 @@
 
 // evidence is what it takes to hold a part.
 type evidence struct {
-	ends    int // endpoints
-	moments int // at which they ended
+	ends int // endpoints
+	// span is the least time from the first end to the last. Ends closer together may have one
+	// cause that is no request.
+	span time.Duration
 }
 
-// momentGap is the time between two ends from which on they may have different causes. All
-// instances notice the ends of one fault within it.
-const momentGap = 200 * time.Millisecond
-
 var (
 	// newPartEvidence holds a part on which no answer is known to have been written. It is a
 	// part of hardly more requests than those that crashed.
-	newPartEvidence = evidence{ends: 3, moments: 2}
+	newPartEvidence = evidence{ends: 3, span: 200 * time.Millisecond}
 	// provenPartEvidence holds a part on which answers were written within the last minutes,
 	// before the first of the ends. It may be in all prompts of a workspace, so that each fault of
-	// the service seems to be its doing.
-	provenPartEvidence = evidence{ends: 5, moments: 3}
-	// sharedPartWorkspaces is the number of workspaces in which a part crashed endpoints from
-	// which on it is held in all those in which it has not been proven.
-	sharedPartWorkspaces = 3
+	// the service seems to be its doing; the span leaves time for answers that clear it.
+	provenPartEvidence = evidence{ends: 5, span: 2 * time.Second}
 )
 
+// sharedPartWorkspaces is the number of workspaces in which a part crashed endpoints from which on it
+// is held in all those in which it has not been proven.
+const sharedPartWorkspaces = 3
+
 // suffices reports whether ends, in the order of their times, are enough evidence.
 func (e evidence) suffices(ends []PartEnd) bool {
-	if len(ends) < e.ends {
-		return false
-	}
-	moments, last := 0, clock.Millis(0)
-	for i, end := range ends {
-		if i == 0 || end.At.Sub(last) >= momentGap {
-			moments++
-			last = end.At
-		}
-	}
-	return moments >= e.moments
+	return len(ends) >= e.ends && ends[len(ends)-1].At.Sub(ends[0].At) >= e.span
 }
 
 // pattern is a set of parts that crashes endpoints. It has several parts only if all of them
