lateness: gauges of how long work waits for the processor and for the link

Probes measure how long a runnable goroutine waits behind all others; the shortest connect time of a window tells a full link from a slow endpoint. No logic is changed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/trailshed/trailshed/internal/feed"
 	"github.com/trailshed/trailshed/internal/forward"
 	"github.com/trailshed/trailshed/internal/freshness"
+	"github.com/trailshed/trailshed/internal/lateness"
 	"github.com/trailshed/trailshed/internal/leadership"
 	"github.com/trailshed/trailshed/internal/metering"
 	"github.com/trailshed/trailshed/internal/notice"
@@ -122,6 +123,8 @@
 	streams          *streams.Registry
 	suspects         *suspects.Suspects
 	throttle         *throttle.Throttle
+	processorWait    *lateness.Meter
+	connectTime      *lateness.Meter // of connections to endpoints
 	duty             *leadership.Leadership
 	staging          *staging.Runner
 	servers          []*http.Server
@@ -144,8 +147,10 @@
 	g.settings.Store(s)
 	g.now = g.clock.Now
 	g.started = g.now()
+	g.processorWait, g.connectTime = &lateness.Meter{Now: g.now}, &lateness.Meter{Now: g.now}
 	g.roster = roster.New(g.now)
 	g.pool = uplink.NewPool(g.counters.Scope, g.now)
+	g.pool.OnConnect = func(took time.Duration) { g.connectTime.Record(g.now(), took) }
 	if p.Dial != nil {
 		g.pool.Dial = p.Dial
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -20,6 +20,7 @@
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/overload"
 	"github.com/trailshed/trailshed/internal/ticker"
+	"github.com/trailshed/trailshed/pkg/clock"
 )
 
 const (
@@ -50,7 +51,7 @@
 		group.Go(func() { failed <- s.Serve(g.listeners[i]) })
 	}
 	group.Go(func() { failed <- router.Run(ctx) })
-	for _, run := range []func(context.Context){g.feed.Run, g.member.Run, g.broker.Run, g.relay.Run, g.meter.Run, g.shares.Run, g.suspects.Run, g.throttle.Run, g.streams.Run, g.watchClock, g.sweep, g.duty.Run, g.staging.Run, g.dialer.Run} {
+	for _, run := range []func(context.Context){g.feed.Run, g.member.Run, g.broker.Run, g.relay.Run, g.meter.Run, g.shares.Run, g.suspects.Run, g.throttle.Run, g.streams.Run, g.watchClock, g.sweep, g.duty.Run, g.staging.Run, g.dialer.Run, g.processorWait.Run} {
 		group.Go(func() { run(ctx) })
 	}
 	set := g.settings.Load()
@@ -186,6 +187,8 @@
 func (g *Gateway) updateGauges() {
 	scope, v := g.counters.Scope, g.directory.View()
 	scope.Gauge("requests_running").Update(float64(g.forwarder.Running()))
+	scope.Gauge("processor_wait_ms").Update(clock.InMillis(g.processorWait.Standing(g.now())))
+	scope.Gauge("connect_time_ms").Update(clock.InMillis(g.connectTime.Standing(g.now())))
 	scope.Gauge("log_lines_dropped").Update(float64(g.log.Dropped()))
 	scope.Gauge("log_lines_sampled").Update(float64(g.log.Sampled()))
 	scope.Gauge("instances_known").Update(float64(g.roster.Size()))
--- a/internal/uplink/pool.go
+++ b/internal/uplink/pool.go
@@ -55,6 +55,8 @@
 	// OnResponse is called with the endpoint's ID and the header of each response, including
 	// responses that belong to no request in progress. It must not read the body.
 	OnResponse func(endpointID string, head *http.Response)
+	// OnConnect is called with the time that opening a connection of this instance's own took.
+	OnConnect func(took time.Duration)
 
 	scope tally.Scope
 	now   func() clock.Millis
@@ -102,6 +104,7 @@
 		},
 		Bypassed:   func(string) bool { return false },
 		OnResponse: func(string, *http.Response) {},
+		OnConnect:  func(time.Duration) {},
 		scope:      scope, now: now, idle: map[connKey][]*conn{},
 	}
 	p.Connect = func(ctx context.Context, m Message) (Path, error) {
@@ -133,11 +136,14 @@
 // DialOwn opens a connection of this instance's own by Dial and counts it.
 func (p *Pool) DialOwn(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 	p.scope.Counter("uplink_dials").Inc(1)
+	start := p.now()
 	raw, err := p.Dial(ctx, to)
 	if err != nil {
 		p.countDialFailure(err)
+		return nil, err
 	}
-	return raw, err
+	p.OnConnect(p.now().Sub(start))
+	return raw, nil
 }
 
 // popUsable removes and returns a connection that has been idle for less than maxIdle and is
