overload: limit requests in progress while the processor or the link is short

Callers saw: most requests of a region failed or came late while most new connections came to one to three instances, and plain requests were held more than half a second past their route's time-out (rule CONFIG).

Cause: an instance read all that came. The gate that should have closed connections unread measured the time from a connection's accept to the start of its goroutine. A goroutine that is just created runs before all that wait, so the gate began 4 to 13 s late or never; it could not see a full link at all, nor requests on open connections. Class: overload judged by a measure that the overload does not touch.

Change: what binds is measured by itself. lateness: the standing wait for the processor, by probes and new connections that go to the end of the run queue, and the standing time to connect to an endpoint. intake: while one of them is long, a limit on the requests that are not answered yet follows them. overload: at the limit the port is closed, so that hosts refuse connections; a connection closed unread has cost the link a request that its caller sent at once. Open connections are ended. rotation: an instance that refuses connections most of the time tells the balancer that it is not ready, for 4 to 16 s, so that callers reach instances farther away.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -30,6 +30,8 @@
 	TunnelServed   Event = "tunnel_served"
 	Overloaded     Event = "overloaded"
 	OverloadEnded  Event = "overload_ended"
+	ListenFailed   Event = "listen_failed"
+	RotationLeft   Event = "rotation_left"
 )
 
 // Events of requests and endpoints.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -267,7 +267,7 @@
 		p.w.Header().Set("Content-Length", strconv.FormatInt(x.Response.ContentLength, 10))
 	}
 	p.w.WriteHeader(x.Response.StatusCode)
-	p.headSent.Store(true)
+	p.beginAnswer()
 	_, err := io.Copy(p.w, io.MultiReader(bytes.NewReader(start), x.Response.Body))
 	x.Close(err == nil)
 	if err != nil {
@@ -287,6 +287,13 @@
 	return true
 }
 
+// beginAnswer notes that the head of the answer has been sent to the caller.
+func (p *proxyRequest) beginAnswer() {
+	if !p.headSent.Swap(true) {
+		p.begun.Add(1)
+	}
+}
+
 // recordAnswer logs and counts a response that was passed on completely. A non-nil err
 // means that the caller did not take it.
 func (p *proxyRequest) recordAnswer(status int, err error) {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -78,6 +78,7 @@
 	refuseStreaming atomic.Bool
 	bodyBytes       atomic.Int64
 	running         atomic.Int64
+	begun           atomic.Int64 // answers in progress of which the caller has the head
 	deadlines       *deadline.Set
 	waiting         waitingRuns
 
@@ -106,6 +107,9 @@
 // Running returns the number of requests in progress.
 func (f *Forwarder) Running() int64 { return f.running.Load() }
 
+// Unanswered returns the number of requests in progress whose answers have not begun.
+func (f *Forwarder) Unanswered() int { return int(f.running.Load() - f.begun.Load()) }
+
 // SetInstances sets the number of instances that divide the retry budget.
 func (f *Forwarder) SetInstances(instances int) {
 	f.mu.Lock()
@@ -159,7 +163,12 @@
 		Forwarder: f, w: newTimeoutWriter(w, f.WriteTimeout), arrived: f.Now(), view: f.Directory.View(), requestLog: f.Log.NewRequestLog(),
 		sample: rand.Float64(),
 	}
-	defer func() { p.requestLog.End(p.inTime) }()
+	defer func() {
+		if p.headSent.Load() {
+			f.begun.Add(-1)
+		}
+		p.requestLog.End(p.inTime)
+	}()
 	defer p.releaseMemory()
 	if p.admit(r) {
 		p.run(r.Context())
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -55,7 +55,7 @@
 	if !p.headSent.Load() {
 		copyHeader(p.w.Header(), p.Codec.CallerHeader(x.Response.Header))
 		p.w.WriteHeader(x.Response.StatusCode)
-		p.headSent.Store(true)
+		p.beginAnswer()
 		p.firstEvent = max(p.Now().Sub(p.arrived), time.Millisecond)
 		p.Scope.Histogram("first_event_seconds", latencyBuckets).RecordDuration(p.firstEvent)
 		if p.predicted > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/trailshed/trailshed/internal/feed"
 	"github.com/trailshed/trailshed/internal/forward"
 	"github.com/trailshed/trailshed/internal/freshness"
+	"github.com/trailshed/trailshed/internal/intake"
 	"github.com/trailshed/trailshed/internal/lateness"
 	"github.com/trailshed/trailshed/internal/leadership"
 	"github.com/trailshed/trailshed/internal/metering"
@@ -32,6 +33,7 @@
 	"github.com/trailshed/trailshed/internal/placement"
 	"github.com/trailshed/trailshed/internal/relay"
 	"github.com/trailshed/trailshed/internal/roster"
+	"github.com/trailshed/trailshed/internal/rotation"
 	"github.com/trailshed/trailshed/internal/staging"
 	"github.com/trailshed/trailshed/internal/streams"
 	"github.com/trailshed/trailshed/internal/suspects"
@@ -125,6 +127,9 @@
 	throttle         *throttle.Throttle
 	processorWait    *lateness.Meter
 	connectTime      *lateness.Meter // of connections to endpoints
+	limit            intake.Limit
+	rotation         rotation.Rotation
+	unread           atomic.Int64 // connections closed unread since the limit is in force
 	duty             *leadership.Leadership
 	staging          *staging.Runner
 	servers          []*http.Server
--- /dev/null
+++ b/internal/gateway/limit.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/intake"
+	"github.com/trailshed/trailshed/internal/overload"
+)
+
+// listenForCallers opens the listener for callers, which takes no more than this instance can serve.
+func (g *Gateway) listenForCallers(address string) (net.Listener, error) {
+	l := &overload.Listener{
+		Listen: func() (net.Listener, error) {
+			return (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+		},
+		MaxConnections: maxCallerConnections(), Now: g.now, Room: g.room, Admit: g.admitConnection,
+		OnUnread: func(reason string) {
+			g.unread.Add(1)
+			g.counters.Scope.Tagged(map[string]string{"reason": reason}).Counter("connections_unread").Inc(1)
+		},
+		OnRefused: func(length time.Duration, err error) {
+			g.counters.Scope.Counter("connections_refused_ms").Inc(length.Milliseconds())
+			if left, absence := g.rotation.RecordRefusals(g.now(), length); left {
+				g.log.Write(eventlog.Line{Event: eventlog.RotationLeft, Took: absence})
+			}
+			if err != nil {
+				g.log.Write(eventlog.Line{Event: eventlog.ListenFailed, Address: address, Detail: err.Error()})
+			}
+		},
+	}
+	if err := l.Open(); err != nil {
+		return nil, err
+	}
+	address = l.Addr().String() // the port is opened again with the number that it got
+	return l, nil
+}
+
+// room returns how many requests can be taken beside those in progress and a number of connections that are yet to
+// be read, and the number below which none is taken.
+func (g *Gateway) room(unread int) (room, few int) {
+	g.updateLimit()
+	return g.limit.Room(g.now(), g.forwarder.Unanswered()+unread)
+}
+
+// admitConnection decides whether a new connection is read, after it has waited for the processor.
+func (g *Gateway) admitConnection(waited time.Duration) bool {
+	g.processorWait.Record(g.now(), waited)
+	g.updateLimit()
+	return !g.limit.Late(g.now(), waited)
+}
+
+// updateLimit lets the limit on requests in progress follow the waits of this instance.
+func (g *Gateway) updateLimit() {
+	now, unanswered := g.now(), g.forwarder.Unanswered()
+	waits := intake.Measure(now, g.processorWait, g.connectTime)
+	change := g.limit.Update(now, waits, unanswered)
+	if change == intake.None {
+		return
+	}
+	line := eventlog.Line{Detail: fmt.Sprintf("%d requests not answered yet, wait for the processor %v, time to connect %v", unanswered, waits.Processor, waits.Connect)}
+	if change == intake.Began {
+		g.unread.Store(0)
+		line.Event, line.Reason = eventlog.Overloaded, waits.Binding()
+	} else {
+		line.Event, line.Count = eventlog.OverloadEnded, g.unread.Load()
+	}
+	g.log.Write(line)
+	// What comes on open connections can't be refused: their callers are to open new ones.
+	g.servers[0].SetKeepAlivesEnabled(change == intake.Ended)
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -18,7 +18,6 @@
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/epoch"
 	"github.com/trailshed/trailshed/internal/eventlog"
-	"github.com/trailshed/trailshed/internal/overload"
 	"github.com/trailshed/trailshed/internal/ticker"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
@@ -90,33 +89,21 @@
 	admin := &http.Server{Addr: set.Admin.Listen, Handler: g.admin(), ReadHeaderTimeout: headerTimeout}
 	g.servers = []*http.Server{callers, ready, admin}
 	for _, s := range g.servers {
-		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.Addr)
+		open := func(address string) (net.Listener, error) {
+			return (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+		}
+		if s == callers {
+			open = g.listenForCallers
+		}
+		l, err := open(s.Addr)
 		if err != nil {
 			return Error.Wrap(err)
 		}
 		g.listeners = append(g.listeners, l)
 	}
-	g.listeners[0] = g.guard(g.listeners[0])
 	return nil
 }
 
-// guard returns the listener for callers that reads no more connections than this instance can serve.
-func (g *Gateway) guard(l net.Listener) net.Listener {
-	return &overload.Listener{
-		Listener: l, MaxConnections: maxCallerConnections(), Now: g.now,
-		OnChange: func(overloaded bool, unread int64) {
-			if overloaded {
-				g.log.Write(eventlog.Line{Event: eventlog.Overloaded})
-			} else {
-				g.log.Write(eventlog.Line{Event: eventlog.OverloadEnded, Count: unread})
-			}
-		},
-		OnUnread: func(reason string) {
-			g.counters.Scope.Tagged(map[string]string{"reason": reason}).Counter("connections_unread").Inc(1)
-		},
-	}
-}
-
 // maxCallerConnections returns the share of this process's descriptors that callers' connections may
 // take. The rest serves connections to endpoints, peers and the store.
 func maxCallerConnections() int64 {
@@ -179,6 +166,7 @@
 		g.feed.Apply(directory.Tick{})
 		g.balancer.Forget(g.directory.View())
 		g.feed.DropUnconfirmed()
+		g.updateLimit()
 		g.updateGauges()
 	})
 }
@@ -187,6 +175,7 @@
 func (g *Gateway) updateGauges() {
 	scope, v := g.counters.Scope, g.directory.View()
 	scope.Gauge("requests_running").Update(float64(g.forwarder.Running()))
+	scope.Gauge("requests_limit").Update(float64(g.limit.Value()))
 	scope.Gauge("processor_wait_ms").Update(clock.InMillis(g.processorWait.Standing(g.now())))
 	scope.Gauge("connect_time_ms").Update(clock.InMillis(g.connectTime.Standing(g.now())))
 	scope.Gauge("log_lines_dropped").Update(float64(g.log.Dropped()))
@@ -229,7 +218,7 @@
 
 // ready reports whether new connections should be routed to this instance.
 func (g *Gateway) ready() bool {
-	return !g.leaving.Load() && g.directory.View().Table != nil && !g.isolated()
+	return !g.leaving.Load() && g.directory.View().Table != nil && !g.isolated() && g.rotation.In(g.now())
 }
 
 // isolated reports whether no changes can reach this instance: the store does not respond,
--- a/internal/lateness/meter.go
+++ b/internal/lateness/meter.go
@@ -36,11 +36,18 @@
 	probeDue clock.Millis // 0: no probe is pending
 }
 
-// window holds the shortest wait that was recorded in one window.
+// window holds the shortest and the longest wait that were recorded in one window.
 type window struct {
-	number   int64 // since the epoch
-	shortest time.Duration
-	empty    bool
+	number            int64 // since the epoch
+	shortest, longest time.Duration
+	empty             bool
+}
+
+func (w *window) record(wait time.Duration) {
+	if w.empty || wait < w.shortest {
+		w.shortest = wait
+	}
+	w.longest, w.empty = max(w.longest, wait), false
 }
 
 // Record adds a wait that has just ended.
@@ -48,12 +55,15 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advance(now)
-	w := &m.windows[0]
-	if w.empty || wait < w.shortest {
-		w.shortest, w.empty = wait, false
+	m.windows[0].record(wait)
+	if before := &m.windows[1]; before.empty && now.Sub(before.start()) <= wait {
+		before.record(wait) // it lasted for all of that window
 	}
 }
 
+// start returns the time at which the window begins.
+func (w *window) start() clock.Millis { return clock.Millis(w.number * Window.Milliseconds()) }
+
 // advance makes the window of a time the current one.
 func (m *Meter) advance(now clock.Millis) {
 	number := int64(now) / Window.Milliseconds()
@@ -92,6 +102,14 @@
 	return shortest
 }
 
+// Longest returns the longest wait of one to two windows before a time.
+func (m *Meter) Longest(now clock.Millis) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.advance(now)
+	return max(m.windows[0].longest, m.windows[1].longest)
+}
+
 // Run probes until ctx ends.
 func (m *Meter) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
--- a/internal/overload/listener.go
+++ b/internal/overload/listener.go
@@ -1,9 +1,13 @@
+// Package overload refuses new connections of callers while the instance has more work than it can do, so that
+// their callers turn to other instances at once.
 package overload
 
 import (
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/zeebo/errs"
 
@@ -16,22 +20,41 @@
 // errUnread is the error of reading a connection that is closed unread.
 var errUnread = Error.New("the connection is closed unread")
 
-// Listener is a listener for callers that closes connections unread while the instance is
-// overloaded, and those above a limit.
+const (
+	// pollInterval is the time between two looks at whether connections may be accepted again.
+	pollInterval = 10 * time.Millisecond
+	// maxRefusing is how long all connections may be refused. A balancer that routes connections to the
+	// instance must not see it dead.
+	maxRefusing = time.Second
+)
+
+// Listener is a listener for callers. While the instance can't take another request, the port is closed, so
+// that the host refuses connections: a connection that was accepted and closed would have cost the link a
+// request, which callers send at once.
 type Listener struct {
-	net.Listener
+	// Listen opens the port.
+	Listen func() (net.Listener, error)
 	// MaxConnections bounds the open connections.
 	MaxConnections int64
 	Now            func() clock.Millis
-	// OnChange is called when the instance becomes overloaded, and when it is no longer, with the
-	// number of connections that were closed unread since it became so.
-	OnChange func(overloaded bool, unread int64)
+	// Room returns how many requests the instance can take, beside those in progress and a number of
+	// connections that are yet to be read. few is the least number for which the port is opened.
+	Room func(unread int) (room, few int)
+	// Admit decides whether a new connection is read, after it has waited for the processor.
+	Admit func(waited time.Duration) bool
 	// OnUnread is called for each connection that is closed unread.
 	OnUnread func(reason string)
+	// OnRefused is called when connections are accepted again, with how long they were refused. err is not nil
+	// while the port can't be opened again.
+	OnRefused func(length time.Duration, err error)
 
-	gate   Gate
 	open   atomic.Int64
-	unread atomic.Int64 // since the instance became overloaded
+	unread atomic.Int64 // open connections that are yet to be read
+
+	mu      sync.Mutex
+	port    net.Listener // nil while connections are refused
+	address net.Addr
+	closed  chan struct{}
 }
 
 // Reasons to close a connection unread.
@@ -40,37 +63,147 @@
 	ReasonTooMany    = "too_many_connections"
 )
 
-// Accept returns the next connection that the limit allows.
+// Open opens the port for the first time.
+func (l *Listener) Open() error {
+	port, err := l.Listen()
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	l.port, l.address, l.closed = port, port.Addr(), make(chan struct{})
+	return nil
+}
+
+// Addr returns the address of the port.
+func (l *Listener) Addr() net.Addr { return l.address }
+
+// Close closes the port for good.
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.closed:
+		return nil
+	default:
+	}
+	close(l.closed)
+	if l.port == nil {
+		return nil
+	}
+	return l.port.Close() //nolint:wrapcheck // net/http only returns it
+}
+
+// Accept returns the next connection that may be read.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		c, err := l.Listener.Accept()
+		forced := l.room() == 0 && l.refuse()
+		port, err := l.current()
+		if err != nil {
+			return nil, err
+		}
+		c, err := port.Accept()
 		if err != nil {
 			return nil, err //nolint:wrapcheck // net/http tells temporary errors by their type
 		}
-		if l.open.Add(1) <= l.MaxConnections {
+		if l.room() > 0 || forced && l.open.Load() < l.MaxConnections {
+			l.open.Add(1)
+			l.unread.Add(1)
 			return &conn{Conn: c, listener: l, accepted: l.Now()}, nil
 		}
-		l.open.Add(-1)
 		_ = c.Close()
-		l.OnUnread(ReasonTooMany)
+		l.OnUnread(l.fullReason())
 	}
 }
 
-// mayRead decides whether a connection is read that was accepted a time ago.
-func (l *Listener) mayRead(accepted clock.Millis) bool {
-	now := l.Now()
-	read, change := l.gate.Observe(now, now.Sub(accepted))
-	if change == Began {
-		l.unread.Store(0)
+// room returns how many connections can be taken.
+func (l *Listener) room() int {
+	room, _ := l.Room(int(l.unread.Load()))
+	return max(min(room, int(l.MaxConnections-l.open.Load())), 0)
+}
+
+// mayOpen reports whether the port is worth opening. Callers that connect at the moment at which it is closed
+// again have sent their requests in vain.
+func (l *Listener) mayOpen() bool {
+	_, few := l.Room(int(l.unread.Load()))
+	return l.room() >= max(few, 1)
+}
+
+func (l *Listener) fullReason() string {
+	if l.open.Load() >= l.MaxConnections {
+		return ReasonTooMany
+	}
+	return ReasonOverloaded
+}
+
+// refuse closes the port until connections can be taken, or for maxRefusing. Then it returns true: a connection is
+// to be taken nevertheless.
+func (l *Listener) refuse() (forced bool) {
+	if !l.closePort() {
+		return false
 	}
-	if !read {
-		l.unread.Add(1)
-		l.OnUnread(ReasonOverloaded)
+	started := l.Now()
+	for {
+		select {
+		case <-l.closed:
+			return false
+		case <-time.After(pollInterval):
+		}
+		length, mayOpen := l.Now().Sub(started), l.mayOpen()
+		if !mayOpen && length < maxRefusing {
+			continue
+		}
+		err := l.openPort()
+		l.OnRefused(length, err)
+		if err == nil {
+			return !mayOpen
+		}
+	}
+}
+
+func (l *Listener) closePort() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.port == nil {
+		return false
+	}
+	_ = l.port.Close()
+	l.port = nil
+	return true
+}
+
+func (l *Listener) openPort() error {
+	port, err := l.Listen()
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.closed:
+		_ = port.Close()
+	default:
+		l.port = port
+	}
+	return nil
+}
+
+// current returns the open port.
+func (l *Listener) current() (net.Listener, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.port == nil {
+		return nil, net.ErrClosed
 	}
-	if change != None {
-		l.OnChange(change == Began, l.unread.Load())
+	return l.port, nil
+}
+
+// mayRead decides whether a connection is read that was accepted a time ago.
+func (l *Listener) mayRead(accepted clock.Millis) bool {
+	runtime.Gosched() // a new goroutine runs before those that wait for the processor
+	if l.Admit(l.Now().Sub(accepted)) {
+		return true
 	}
-	return read
+	l.OnUnread(ReasonOverloaded)
+	return false
 }
 
 // conn is a caller's connection. Its first Read is the first thing that its goroutine does.
@@ -82,15 +215,29 @@
 	closed   sync.Once
 }
 
+// start notes that the connection is unread no more. It returns false if that is known.
+func (c *conn) start() bool {
+	if c.started.Swap(true) {
+		return false
+	}
+	c.listener.unread.Add(-1)
+	return true
+}
+
 func (c *conn) Read(b []byte) (int, error) {
-	if !c.started.Swap(true) && !c.listener.mayRead(c.accepted) {
-		_ = c.Close()
-		return 0, errUnread
+	if !c.started.Load() {
+		admitted := c.listener.mayRead(c.accepted)
+		c.start()
+		if !admitted {
+			_ = c.Close()
+			return 0, errUnread
+		}
 	}
 	return c.Conn.Read(b) //nolint:wrapcheck // net/http tells errors by their type
 }
 
 func (c *conn) Close() error {
+	c.start()
 	c.closed.Do(func() { c.listener.open.Add(-1) })
 	return c.Conn.Close() //nolint:wrapcheck // as of the connection
 }
