dialer: nothing is concluded from time while the instance is overloaded

Callers saw: requests refused as unreachable, links_lost or no_endpoint at instances that got too many connections, though the endpoints were sound and other instances served from them.

Cause: an instance takes an endpoint for unreachable if a connection is not up after 100 ms, and its links for lost if a peer connects meanwhile. Class: an instance judges others by its own failed connections, here by time.

Change: while overloaded, a request waits 400 ms for a connection, no peer is asked, and a connection that is too late says nothing (uplink.ErrLate, reason instance_late): no ejection, no report to planners, no retry after silence. Connecting itself goes on for 0.9 s: what comes up late is kept and shows that the link is there. Before the overload is known, the goroutines that are runnable run once before a timeout counts. An overloaded peer says that it is full.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -29,6 +29,15 @@
 // before the own attempt gives up, so that an endpoint that is down is left no later.
 const headStart = 25 * time.Millisecond
 
+const (
+	// overloadedTimeout is how long a request waits for a connection while this instance is overloaded: packets
+	// wait for its link and goroutines for its processor.
+	overloadedTimeout = 400 * time.Millisecond
+	// maxTurn is how long the goroutines that are runnable may take until each has run once, unless this
+	// instance is late.
+	maxTurn = 20 * time.Millisecond
+)
+
 // Options configure a Dialer.
 type Options struct {
 	Pool    *uplink.Pool
@@ -43,8 +52,11 @@
 	// OnLost and OnRegained are called when the own links to a service are lost, and when they
 	// are back.
 	OnLost, OnRegained func(reachability.Loss)
-	Scope              tally.Scope
-	Now                func() clock.Millis
+	// Overloaded reports whether this instance gets more work than it can do. It is then late itself, so that
+	// nothing is concluded from connections that take long. If it is nil, the instance never is.
+	Overloaded func() bool
+	Scope      tally.Scope
+	Now        func() clock.Millis
 }
 
 // Dialer opens connections to endpoints. It is safe for concurrent use.
@@ -58,6 +70,9 @@
 
 // New returns a Dialer. Tunnels must be set before its first use.
 func New(o Options) *Dialer {
+	if o.Overloaded == nil {
+		o.Overloaded = func() bool { return false }
+	}
 	d := &Dialer{Options: o, reach: reachability.New(o.Now), sound: soundness{last: map[string][2]connection{}}, failures: failures{last: map[string]map[string]clock.Millis{}}, holds: newHolds()}
 	d.reach.OnLost = func(l reachability.Loss) {
 		d.OnLost(l)
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -56,6 +56,8 @@
 	absolved sync.Map
 
 	lost, regained atomic.Int64 // calls of OnLost and OnRegained
+	overloaded     atomic.Bool
+	delay          atomic.Int64 // ms until a connection of its own comes up
 }
 
 func newWorld(t *testing.T, endpoints ...string) *world {
@@ -113,11 +115,13 @@
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
-		return (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
+		time.Sleep(time.Duration(i.delay.Load()) * time.Millisecond)
+		return (&net.Dialer{}).DialContext(context.WithoutCancel(ctx), "tcp", to.String())
 	}
 	i.Dialer = dialer.New(dialer.Options{
 		Pool: i.pool, Endpoints: w.endpoints, Absolve: func(id string) { i.absolved.Store(id, true) }, Scope: tally.NoopScope, Now: w.now,
 		ServiceOf:  func(string) string { return "web" },
+		Overloaded: i.overloaded.Load,
 		OnLost:     func(reachability.Loss) { i.lost.Add(1) },
 		OnRegained: func(reachability.Loss) { i.regained.Add(1) },
 	})
@@ -126,7 +130,8 @@
 		Find:  func(string) (tunnel.Peer, bool) { return tunnel.Peer{}, false },
 		Knows: func(tunnel.Destination) bool { return true }, Lend: i.Lend,
 		Cut: func(d tunnel.Destination) bool { return i.Bypassed(d.EndpointID) }, Sound: i.Sound,
-		Max: 10, OnServed: func(eventlog.Line, bool) {}, Scope: tally.NoopScope, Now: w.now,
+		Overloaded: i.overloaded.Load,
+		Max:        10, OnServed: func(eventlog.Line, bool) {}, Scope: tally.NoopScope, Now: w.now,
 	})
 	return i
 }
@@ -365,3 +370,58 @@
 		c.Assert(connect(), qt.IsFalse)
 	}
 }
+
+// Guards against an instance with a full link, or without processor time, that takes sound endpoints for unreachable
+// or its links for lost, and asks peers for each connection.
+func TestOverloadedInstanceConcludesNothing(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, "e1", "e2", "e3")
+	w.one.overloaded.Store(true)
+	w.one.delay.Store(700)
+	for _, id := range []string{"e1", "e2", "e3"} {
+		_, err := w.connect(id)
+		c.Check(errors.Is(err, uplink.ErrLate), qt.IsTrue, qt.Commentf("%v", err))
+		c.Check(w.one.Bypassed(id), qt.IsFalse)
+	}
+	c.Check(w.two.dials.Load(), qt.Equals, int64(0))
+	c.Check(w.one.LinksLost(), qt.IsFalse)
+
+	// A connection that took long is not too late.
+	w.one.delay.Store(200)
+	through, err := w.connect("e1")
+	c.Check(err, qt.IsNil)
+	c.Check(through, qt.Equals, "")
+}
+
+// An instance that is overloaded carries no connections for others.
+func TestOverloadedPeerIsNotUsed(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, "e1", "e2")
+	w.one.links.Store(int32(refuses))
+	w.two.overloaded.Store(true)
+	_, err := w.connect("e1")
+	c.Assert(err, qt.IsNotNil)
+	_, err = w.connect("e2")
+	c.Check(errors.Is(err, uplink.ErrUnconfirmed), qt.IsTrue, qt.Commentf("%v", err))
+	c.Check(w.two.dials.Load(), qt.Equals, int64(0))
+}
+
+// A connection that comes up after its request has turned elsewhere is kept, and shows that the own links are there.
+func TestLateConnectionIsKept(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, "e1")
+	w.two.Tunnels.Refuse()
+	w.one.delay.Store(200)
+	_, err := w.connect("e1")
+	c.Assert(err, qt.IsNotNil)
+	w.one.delay.Store(5000)
+	e := w.endpoint("e1")
+	eventually(t, func() bool {
+		lent, err := w.one.pool.Lend(t.Context(), e.Address, "e1", time.Minute)
+		if err != nil {
+			return false
+		}
+		defer lent.Close()
+		return !lent.Fresh
+	})
+}
--- a/internal/dialer/race.go
+++ b/internal/dialer/race.go
@@ -4,15 +4,20 @@
 	"context"
 	"errors"
 	"net"
+	"runtime"
 	"time"
 
 	"github.com/trailshed/trailshed/internal/tunnel"
 	"github.com/trailshed/trailshed/internal/uplink"
 )
 
-// ownOrPeer connects to an endpoint, through a peer if the own connection fails or takes long.
+// ownOrPeer connects to an endpoint, through a peer if the own connection fails or takes long. An instance
+// that is overloaded does not ask peers: they would be asked for each connection, over the same link.
 func (d *Dialer) ownOrPeer(ctx context.Context, to tunnel.Destination) (uplink.Path, error) {
-	own := d.startOwn(ctx, to)
+	if d.Overloaded() {
+		return d.waitOwn(ctx, to, d.startOwn(ctx, to, overloadedTimeout))
+	}
+	own := d.startOwn(ctx, to, uplink.DialTimeout)
 	timer := time.NewTimer(headStart)
 	defer timer.Stop()
 	select {
@@ -20,6 +25,9 @@
 		if a.err == nil {
 			return uplink.Path{Conn: a.conn}, nil
 		}
+		if errors.Is(a.err, uplink.ErrLate) {
+			return uplink.Path{}, a.err
+		}
 		return d.afterOwn(ctx, to, a.err)
 	case <-timer.C:
 		return d.race(ctx, to, own)
@@ -35,17 +43,37 @@
 	err  error
 }
 
-// startOwn begins an own connection. The attempt goes on if the request ends meanwhile, so that
-// its failure is known for the next one.
-func (d *Dialer) startOwn(ctx context.Context, to tunnel.Destination) <-chan attempt[net.Conn] {
+// errTimeout is the result of an own attempt that has taken too long.
+var errTimeout = errors.New("no connection in time")
+
+// startOwn begins an own connection. The attempt goes on if the request ends or has waited for longer than
+// patience, so that its result is known for the next one.
+func (d *Dialer) startOwn(ctx context.Context, to tunnel.Destination, patience time.Duration) <-chan attempt[net.Conn] {
 	own := make(chan attempt[net.Conn], 1)
+	timer := time.AfterFunc(patience, func() { own <- attempt[net.Conn]{err: d.timeoutError()} })
 	go func() {
 		c, err := d.dialOwn(context.WithoutCancel(ctx), to)
-		own <- attempt[net.Conn]{c, err}
+		switch {
+		case timer.Stop():
+			own <- attempt[net.Conn]{c, err}
+		case err == nil:
+			d.Pool.Keep(c, to.Address, to.EndpointID)
+		}
 	}()
 	return own
 }
 
+// timeoutError returns the error of an own attempt that has taken too long, marked if this instance may be the
+// reason. A connection that has come up is noticed when its goroutine runs, after all that were runnable before.
+func (d *Dialer) timeoutError() error {
+	before := d.Now()
+	runtime.Gosched()
+	if d.Overloaded() || d.Now().Sub(before) > maxTurn {
+		return errors.Join(errTimeout, uplink.ErrLate)
+	}
+	return errTimeout
+}
+
 // afterOwn asks a peer after the own connection has failed. The request waits for the peer only if
 // the own links are suspected; otherwise it can try another endpoint meanwhile.
 func (d *Dialer) afterOwn(ctx context.Context, to tunnel.Destination, failure error) (uplink.Path, error) {
@@ -133,7 +161,7 @@
 func (d *Dialer) waitOwn(ctx context.Context, to tunnel.Destination, own <-chan attempt[net.Conn]) (uplink.Path, error) {
 	select {
 	case a := <-own:
-		if a.err != nil {
+		if a.err != nil && !errors.Is(a.err, uplink.ErrLate) {
 			d.suspect(to)
 		}
 		return uplink.Path{Conn: a.conn}, a.err
@@ -150,6 +178,10 @@
 		go discard(peers)
 		return uplink.Path{Conn: a.conn}, nil
 	}
+	if errors.Is(a.err, uplink.ErrLate) {
+		go discard(peers)
+		return uplink.Path{}, a.err
+	}
 	if !d.suspect(to) {
 		go func() { d.takeSecondOpinion(to, a.err, <-peers) }()
 		return uplink.Path{}, a.err
@@ -181,6 +213,7 @@
 	switch {
 	case a.err == nil:
 		d.Pool.Keep(a.conn, to.Address, to.EndpointID)
+	case errors.Is(a.err, uplink.ErrLate):
 	case through != nil:
 		d.recordBypass(to, a.err)
 	}
--- a/internal/dialer/soundness.go
+++ b/internal/dialer/soundness.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/trailshed/trailshed/internal/tunnel"
+	"github.com/trailshed/trailshed/internal/uplink"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -55,7 +56,7 @@
 	if d.sound.since(start, to.Service, to.EndpointID) {
 		return true
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, uplink.DialTimeout)
 	defer cancel()
 	others := d.others(to)
 	results := make(chan bool, len(others))
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -157,6 +157,8 @@
 		}
 	case errors.Is(err, uplink.ErrOwnLinks):
 		result, p.failure = balance.Canceled, reasonOwnLinks
+	case errors.Is(err, uplink.ErrLate):
+		result, p.failure = balance.Canceled, reasonLate
 	case errors.Is(err, uplink.ErrUnconfirmed):
 		result, p.ownLinkLost = balance.Unconfirmed, true
 		p.failure = "unreachable"
@@ -179,6 +181,10 @@
 // link to the endpoint.
 const reasonOwnLinks = "links_lost"
 
+// reasonLate is the failure reason of a send for which no connection came up while this instance was late
+// itself.
+const reasonLate = "instance_late"
+
 func (p *proxyRequest) endpointFailed(r *balance.Reservation, result balance.Result, err error) {
 	p.tried = append(p.tried, r.Endpoint.ID)
 	ejected := r.Done(p.Now(), result)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -67,6 +67,9 @@
 	// LinkLost reports whether this instance has lost its own link to an endpoint.
 	LinkLost func(endpoint string) bool
 	Streams  Streams
+	// Overloaded reports whether this instance gets more work than it can do. What endpoints sent then waits
+	// here, so that their silence means nothing. If it is nil, the instance never is.
+	Overloaded func() bool
 	// Suspects records which requests crash endpoints.
 	Suspects *suspects.Suspects
 }
@@ -90,6 +93,9 @@
 
 // New returns a Forwarder.
 func New(o Options) *Forwarder {
+	if o.Overloaded == nil {
+		o.Overloaded = func() bool { return false }
+	}
 	return &Forwarder{Options: o, deadlines: deadline.New(o.Now), waiting: waitingRuns{cancels: map[*proxyRequest]context.CancelFunc{}}, budgets: map[string]*budget.Budget{}, instances: 1, startedAt: o.Now()}
 }
 
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -196,7 +196,7 @@
 	switch {
 	case len(p.prefill.rejected) >= maxHandleRejections:
 		p.fullEngine, p.failedEngine = "", p.prefill.engine
-	case p.ownLinkLost: // says nothing about the engine
+	case p.ownLinkLost, p.failure == reasonLate: // says nothing about the engine
 	case p.fullEngine == "":
 		p.failedEngine = decode
 	}
@@ -289,7 +289,7 @@
 		return balance.Rejected
 	case parent.Err() != nil:
 		return balance.Canceled
-	case errors.Is(err, uplink.ErrOwnLinks):
+	case errors.Is(err, uplink.ErrOwnLinks), errors.Is(err, uplink.ErrLate):
 		p.failedEngine = ""
 		return balance.Canceled
 	case errors.Is(err, uplink.ErrUnconfirmed):
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -35,6 +35,7 @@
 	first, gap time.Duration
 	cancel     context.CancelFunc
 	find       func() *alternative // returns nil if no alternative is available now
+	overloaded func() bool
 	timer      *time.Timer
 
 	suspended atomic.Bool // while an event is being written to the caller
@@ -57,7 +58,7 @@
 	if !p.route.Repeatable() || p.runs+1 >= p.route.Attempts {
 		return nil
 	}
-	s := &silenceWatch{first: time.Duration(silenceTargetRatio * float64(p.route.Target)), cancel: cancel}
+	s := &silenceWatch{first: time.Duration(silenceTargetRatio * float64(p.route.Target)), cancel: cancel, overloaded: p.Overloaded}
 	exclude := append(slices.Clone(p.tried), endpoint.ID)
 	if p.usesEngines() {
 		s.find = p.engineFinder(ctx, exclude, endpoint.Software)
@@ -76,7 +77,7 @@
 
 func (s *silenceWatch) fire() {
 	var alt *alternative
-	if !s.suspended.Load() {
+	if !s.suspended.Load() && !s.overloaded() {
 		alt = s.find()
 	}
 	s.mu.Lock()
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -31,6 +31,7 @@
 	scope := g.counters.Scope
 	g.dialer = dialer.New(dialer.Options{
 		Pool: g.pool, ServiceOf: g.serviceOf, Endpoints: g.readyEndpoints, Absolve: g.balancer.Absolve, Scope: scope, Now: g.now,
+		Overloaded: g.overloaded,
 		OnLost: func(l reachability.Loss) {
 			g.log.Write(eventlog.Line{Event: eventlog.LinksLost, Service: l.Service, Detail: l.Evidence})
 		},
@@ -40,7 +41,7 @@
 	})
 	g.tunnels = tunnel.New(tunnel.Options{
 		Transport: g.transport, Candidates: g.tunnelPeers, Find: g.tunnelPeer, Knows: g.knowsEndpoint,
-		Lend: g.dialer.Lend, Cut: func(d tunnel.Destination) bool { return g.dialer.Bypassed(d.EndpointID) }, Sound: g.dialer.Sound,
+		Lend: g.dialer.Lend, Cut: func(d tunnel.Destination) bool { return g.dialer.Bypassed(d.EndpointID) }, Sound: g.dialer.Sound, Overloaded: g.overloaded,
 		Max: int(float64(g.settings.Load().Memory.LimitMB) / megabytesPerTunnel), OnServed: g.logTunnelServed, Scope: scope, Now: g.now,
 	})
 	g.dialer.Tunnels = g.tunnels
@@ -125,3 +126,6 @@
 	e := g.directory.View().Find(d.EndpointID)
 	return e != nil && e.Address == d.Address
 }
+
+// overloaded reports whether this instance gets more work than it can do.
+func (g *Gateway) overloaded() bool { return g.limit.Value() > 0 }
--- a/internal/tunnel/serve.go
+++ b/internal/tunnel/serve.go
@@ -92,6 +92,8 @@
 		return unknown
 	case t.Cut(d):
 		return cut
+	case t.Overloaded():
+		return full
 	default:
 		return 0
 	}
--- a/internal/tunnel/tunnels.go
+++ b/internal/tunnel/tunnels.go
@@ -48,6 +48,9 @@
 	// Sound reports whether this instance has connected to another endpoint of the same service
 	// since start, or can now.
 	Sound func(ctx context.Context, d Destination, start clock.Millis) bool
+	// Overloaded reports whether this instance gets more work than it can do. It then carries nothing, and
+	// its own attempts to connect would say nothing. If it is nil, the instance never is.
+	Overloaded func() bool
 	// Max is how many connections are carried for peers at a time.
 	Max int
 	// OnServed is called with a line about each request of a peer, once it is over.
@@ -72,6 +75,9 @@
 
 // New returns Tunnels that serve peers from now on.
 func New(o Options) *Tunnels {
+	if o.Overloaded == nil {
+		o.Overloaded = func() bool { return false }
+	}
 	t := &Tunnels{Options: o, backoffs: map[subject]clock.Millis{}, silences: map[string]int{}, working: map[string]string{}, workedAt: map[subject]clock.Millis{}}
 	o.Transport.HandleStreams(t.serve)
 	return t
--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -27,6 +27,10 @@
 // or this instance's own link is at fault.
 var ErrUnconfirmed = errors.New("unconfirmed by any peer")
 
+// ErrLate means that a connection did not come up in time while this instance was late itself. It says
+// nothing about the endpoint.
+var ErrLate = errors.New("this instance is late itself")
+
 // ErrThroughPeer marks failures of a connection that a peer carried.
 var ErrThroughPeer = errors.New("through a peer")
 
--- a/internal/uplink/pool.go
+++ b/internal/uplink/pool.go
@@ -25,11 +25,14 @@
 var Error = errs.Class("uplink")
 
 const (
-	// dialTimeout bounds connecting. Round trips between zones take 3 ms and an endpoint's
-	// accept 1 ms, so an unreachable address is detected quickly. A busy host that dropped
-	// the SYN gets it again after a second, and is better avoided. The shortest target of a
+	// DialTimeout is how long a request waits for a connection. Round trips between zones take 3 ms and an
+	// endpoint's accept 1 ms, so an unreachable address is detected quickly. The shortest target of a
 	// request is 120 ms.
-	dialTimeout = 100 * time.Millisecond
+	DialTimeout = 100 * time.Millisecond
+	// connectTimeout bounds connecting itself, which goes on after the request has turned to another endpoint:
+	// how late a connection comes up tells a full link from a lost one. A busy host that dropped
+	// the SYN gets it again after a second, and is better avoided.
+	connectTimeout = 900 * time.Millisecond
 	// defaultMaxIdle is how long an idle connection is kept if the endpoint names no
 	// timeout.
 	defaultMaxIdle = 4 * time.Second
@@ -97,7 +100,7 @@
 // connections also while this machine is suspended, so now must include the time of
 // suspension.
 func NewPool(scope tally.Scope, now func() clock.Millis) *Pool {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
 	p := &Pool{
 		Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", to.String())
@@ -108,6 +111,8 @@
 		scope:      scope, now: now, idle: map[connKey][]*conn{},
 	}
 	p.Connect = func(ctx context.Context, m Message) (Path, error) {
+		ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+		defer cancel()
 		c, err := p.DialOwn(ctx, m.Address)
 		return Path{Conn: c}, err
 	}
@@ -133,7 +138,7 @@
 	return c, nil
 }
 
-// DialOwn opens a connection of this instance's own by Dial and counts it.
+// DialOwn opens a connection of this instance's own by Dial and counts it. It takes up to connectTimeout.
 func (p *Pool) DialOwn(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 	p.scope.Counter("uplink_dials").Inc(1)
 	start := p.now()
@@ -217,6 +222,8 @@
 // or is unreachable proves nothing. If a connection is established, it is kept for the next
 // request.
 func (p *Pool) ProcessEnded(ctx context.Context, to netip.AddrPort, endpointID string) bool {
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
 	raw, err := p.DialOwn(ctx, to)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
