intake: what an instance does usually it goes on to do

Cause: the limit began at half of the requests in progress, at least 4, whatever had been usual. Change: it does not fall below the mean of the requests in progress while no limit is in force. TestUsualRequestsAreTaken fails without it (room for 1 becomes 0 from the first step on). Documentation of the new parts.

--- a/internal/intake/limit.go
+++ b/internal/intake/limit.go
@@ -26,6 +26,8 @@
 	step = 200 * time.Millisecond
 	// smallest is the lowest limit: some requests have to run for the waits to be measured.
 	smallest = 4
+	// usualTime is the time over which the usual number of requests in progress is averaged.
+	usualTime = 10 * time.Second
 	// maxDecrease is the least that the limit is multiplied by in a step.
 	maxDecrease = 0.5
 	// maxIncrease is the largest part of the limit that is added in a step. The longer the waits, the less of it is.
@@ -70,6 +72,7 @@
 type Limit struct {
 	mu      sync.Mutex
 	value   float64 // 0: not in force
+	usual   float64 // mean of the requests in progress while the limit is not in force
 	changed clock.Millis
 	needed  clock.Millis // when a wait was long or the limit bound, the last time
 }
@@ -95,24 +98,32 @@
 	if l.value > 0 && now.Sub(l.changed) < step {
 		return None
 	}
+	passed := now.Sub(l.changed)
 	l.changed = now
 	switch {
 	case l.value == 0 && pressure <= 1:
+		l.usual += (float64(running) - l.usual) * min(1, passed.Seconds()/usualTime.Seconds())
 		return None
 	case l.value == 0:
-		l.value = max(float64(running)*max(1/pressure, maxDecrease), smallest)
+		l.value = l.decreased(float64(running), pressure)
 		return Began
 	case pressure > 1:
-		l.value = max(min(l.value, float64(running))*max(1/pressure, maxDecrease), smallest)
+		l.value = l.decreased(min(l.value, float64(running)), pressure)
 	case now.Sub(l.needed) >= relief:
 		l.value = 0
 		return Ended
 	default:
-		l.value = min(l.value*(1+maxIncrease*(1-pressure))+1, max(float64(running)*headroom, smallest))
+		l.value = max(min(l.value*(1+maxIncrease*(1-pressure))+1, float64(running)*headroom), l.usual, smallest)
 	}
 	return None
 }
 
+// decreased returns the next limit under pressure. What the instance does usually it goes on to do: a short lack of
+// processor time, such as from a change of the fleet, is no reason to refuse callers.
+func (l *Limit) decreased(value, pressure float64) float64 {
+	return max(value*max(1/pressure, maxDecrease), l.usual, smallest)
+}
+
 // Room returns how many requests may begin beside those in progress. few is the number below which callers are better
 // sent away: requests are taken several at a time.
 func (l *Limit) Room(now clock.Millis, running int) (room, few int) {
