--- a/internal/intake/emulator_test.go
+++ b/internal/intake/emulator_test.go
@@ -45,8 +45,11 @@
 
 func stream() []stage {
 	list := []stage{
-		{work: 0.45, bytes: 600, elsewhere: 4, received: 200}, {dials: true}, {work: 0.35, bytes: 5500, elsewhere: 100, received: 300},
-		{dials: true}, {work: 0.35, bytes: 5500, elsewhere: 90, received: 900},
+		{work: 0.45, bytes: 600, elsewhere: 4, received: 200},
+		{dials: true},
+		{work: 0.35, bytes: 5500, elsewhere: 100, received: 300},
+		{dials: true},
+		{work: 0.35, bytes: 5500, elsewhere: 90, received: 900},
 	}
 	for range events {
 		list = append(list, stage{work: 0.12, bytes: 900, elsewhere: 40, received: 900})
--- a/internal/intake/ways_test.go
+++ b/internal/intake/ways_test.go
@@ -27,7 +27,10 @@
 		return refusing
 	}
 	e.admit = func(e *emulation, waited time.Duration) bool {
-		return !(ownWait && l.Late(e.clock(), waited)) && (refuse || !full(e))
+		if ownWait && l.Late(e.clock(), waited) {
+			return false
+		}
+		return refuse || !full(e)
 	}
 	if refuse {
 		e.refuses = full
--- a/internal/overload/listener.go
+++ b/internal/overload/listener.go
@@ -215,13 +215,11 @@
 	closed   sync.Once
 }
 
-// start notes that the connection is unread no more. It returns false if that is known.
-func (c *conn) start() bool {
-	if c.started.Swap(true) {
-		return false
+// start notes that the connection is unread no more.
+func (c *conn) start() {
+	if !c.started.Swap(true) {
+		c.listener.unread.Add(-1)
 	}
-	c.listener.unread.Add(-1)
-	return true
 }
 
 func (c *conn) Read(b []byte) (int, error) {
