--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -33,8 +33,8 @@
 	// overloadedTimeout is how long a request waits for a connection while this instance is overloaded: packets
 	// wait for its link and goroutines for its processor.
 	overloadedTimeout = 400 * time.Millisecond
-	// maxTurn is how long the goroutines that are runnable may take until each has run once, unless this
-	// instance is late.
+	// maxTurn is the longest time in which all goroutines that are runnable have run once. An instance that
+	// takes longer is late.
 	maxTurn = 20 * time.Millisecond
 )
 
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"time"
@@ -14,9 +13,7 @@
 // listenForCallers opens the listener for callers, which takes no more than this instance can serve.
 func (g *Gateway) listenForCallers(address string) (net.Listener, error) {
 	l := &overload.Listener{
-		Listen: func() (net.Listener, error) {
-			return (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
-		},
+		Listen:         func() (net.Listener, error) { return listenTCP(address) },
 		MaxConnections: maxCallerConnections(), Now: g.now, Room: g.room, Admit: g.admitConnection,
 		OnUnread: func(reason string) {
 			g.unread.Add(1)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -89,9 +89,7 @@
 	admin := &http.Server{Addr: set.Admin.Listen, Handler: g.admin(), ReadHeaderTimeout: headerTimeout}
 	g.servers = []*http.Server{callers, ready, admin}
 	for _, s := range g.servers {
-		open := func(address string) (net.Listener, error) {
-			return (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
-		}
+		open := listenTCP
 		if s == callers {
 			open = g.listenForCallers
 		}
@@ -104,6 +102,10 @@
 	return nil
 }
 
+func listenTCP(address string) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(context.Background(), "tcp", address) //nolint:wrapcheck // callers wrap it
+}
+
 // maxCallerConnections returns the share of this process's descriptors that callers' connections may
 // take. The rest serves connections to endpoints, peers and the store.
 func maxCallerConnections() int64 {
