forward: a broken stream's line tells how its sends ended

Callers saw streams cut in the middle, and the line said only the last reason (decode_memory_full, budget_spent); a send that this instance had cancelled for the endpoint's silence read as no_answer, like one that the endpoint closed.

broken has the ends of all sends, prompts read apart and requests for places in detail, breaks are counted by reason, and a cancelled send is logged as silent. Only lines and counters change.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -46,6 +46,7 @@
 	defer cancel()
 	defer p.watchHeld(cancel)()
 	silence := p.watchSilence(parent, cancel, r.Endpoint)
+	p.silence = silence
 	defer func() {
 		p.alternative = silence.stop()
 		if done && p.alternative != nil {
@@ -165,6 +166,8 @@
 	case errors.Is(err, uplink.ErrNotSent):
 		result = balance.Unreachable
 		p.failure = "unreachable"
+	case p.silence.canceled():
+		p.failure = reasonSilent
 	}
 	if result == balance.Failed {
 		p.checkProcessEnded(parent, r.Endpoint, p.suspectPrompt())
@@ -181,12 +184,16 @@
 // link to the endpoint.
 const reasonOwnLinks = "links_lost"
 
+// reasonSilent is the failure reason of a send that this instance cancelled because the endpoint was silent.
+const reasonSilent = "silent"
+
 // reasonLate is the failure reason of a send for which no connection came up while this instance was late
 // itself.
 const reasonLate = "instance_late"
 
 func (p *proxyRequest) endpointFailed(r *balance.Reservation, result balance.Result, err error) {
 	p.tried = append(p.tried, r.Endpoint.ID)
+	p.history.add(r.Endpoint.ID + ": " + p.failure)
 	ejected := r.Done(p.Now(), result)
 	n := p.logLine(eventlog.EndpointFailed, p.failure, err)
 	n.Endpoint, n.Software, n.Address = r.Endpoint.ID, r.Endpoint.Software, r.Endpoint.Address.String()
--- a/internal/forward/ending.go
+++ b/internal/forward/ending.go
@@ -43,8 +43,11 @@
 func (p *proxyRequest) giveUp() {
 	switch {
 	case p.headSent.Load():
-		p.requestLog.Write(p.logLine(eventlog.Broken, p.failure, nil))
+		n := p.logLine(eventlog.Broken, p.failure, nil)
+		n.Detail = p.history.String()
+		p.requestLog.Write(n)
 		p.Scope.Counter("requests_broken").Inc(1)
+		p.Scope.Tagged(map[string]string{"reason": p.failure}).Counter("breaks").Inc(1)
 		panic(http.ErrAbortHandler)
 	case p.fallback != nil:
 		p.writeBuffered(p.fallback)
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -124,6 +124,7 @@
 	if refusal.Reason == placement.ReasonNoZone {
 		p.failure = p.noEndpointReason()
 	}
+	p.history.add("no place: " + p.failure)
 	if refusal.Reason == placement.ReasonLimited && p.waitToResume(ctx, refusal.RetryAfter) {
 		return stepRetry
 	}
@@ -271,6 +272,7 @@
 	}
 	result := p.classifyPrefill(parent, r.Endpoint, head, err)
 	r.Done(p.Now(), result)
+	p.history.add("prefill at " + r.Endpoint.ID + " failed")
 	n := p.logLine(eventlog.PrefillFailed, "", err)
 	n.Endpoint, n.Address = r.Endpoint.ID, r.Endpoint.Address.String()
 	p.requestLog.Write(n)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -43,6 +43,7 @@
 	runs          int               // sends that may have run
 	tried         []string          // IDs of endpoints that failed this request
 	failure       string            // reason for the last failure
+	history       history           // how the steps so far ended
 	sharePercent  int               // workspace's share of the engines at the last refusal of a place
 	retryAfter    time.Duration     // Retry-After of a refusal
 	fallback      *bufferedResponse // last 5xx response of an endpoint, sent if no better one comes
@@ -65,6 +66,7 @@
 	fullEngine    string         // ID of the engine that rejected the request at this place
 	failedEngine  string         // ID of the engine that failed at this place
 	timing        responseTiming // of the response at this place
+	silence       *silenceWatch  // of the last send
 	alternative   *alternative   // endpoint for the next attempt, found during a silence
 	throughPeer   bool           // a peer carried the connection of the last send
 	ownLinkLost   bool           // the last send failed because of this instance's own link
@@ -205,6 +207,7 @@
 // budgetSpent ends a request for lack of retry budget.
 func (p *proxyRequest) budgetSpent() stepResult {
 	p.requestLog.Write(p.logLine(eventlog.BudgetSpent, p.failure, nil))
+	p.history.add("retry budget spent")
 	p.Scope.Counter("budget_spent").Inc(1)
 	p.failure = "budget_spent"
 	return stepGiveUp
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -114,6 +114,16 @@
 	}
 }
 
+// canceled reports whether the watch has canceled the attempt.
+func (s *silenceWatch) canceled() bool {
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.alternative != nil
+}
+
 // stop ends the watch. It returns the alternative if the watch canceled the attempt.
 func (s *silenceWatch) stop() *alternative {
 	if s == nil {
