--- a/internal/eventlog/sampling.go
+++ b/internal/eventlog/sampling.go
@@ -1,6 +1,7 @@
 package eventlog
 
 import (
+	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -16,9 +17,10 @@
 	immediateBurst = 80
 )
 
-// RequestLog collects the lines of one request.
+// RequestLog collects the lines of one request. It is safe for concurrent use.
 type RequestLog struct {
 	log       *Log
+	mu        sync.Mutex
 	held      []Line
 	immediate bool // lines are written without waiting for the outcome
 }
@@ -32,6 +34,8 @@
 
 // Write writes one line, or holds it with the present time until End.
 func (r *RequestLog) Write(line Line) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.immediate {
 		r.log.Write(line)
 		return
@@ -43,6 +47,8 @@
 // End writes the lines held so far, or leaves them out if the request was served in
 // time.
 func (r *RequestLog) End(served bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if served {
 		r.log.sampled.Add(int64(len(r.held)))
 		r.held = nil
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -39,50 +40,81 @@
 	onceMaxIdle       = 400 * time.Millisecond
 )
 
-// attempt sends the request once. It returns true if the caller has been answered or has
-// disconnected.
-func (p *proxyRequest) attempt(parent context.Context, r *balance.Reservation) (done bool) {
+// answer is an endpoint's response that has begun.
+type answer struct {
+	reservation *balance.Reservation
+	exchange    *uplink.Exchange
+	head        ResponseHead
+	cancel      context.CancelFunc // ends the attempt
+	stopHeld    func()             // see watchHeld
+
+	// Of a stream:
+	events  *bufio.Reader
+	event   []byte // the first one
+	eventID string
+	err     error // of reading the first event
+
+	body []byte // of another response, up to its end or its first part
+	long bool   // there is more of it
+}
+
+// begin sends the request once and reads the response up to its first event or, if it is no stream, up to its
+// end or the size that is buffered. If it returns true, the response is in p.answer.
+func (p *proxyRequest) begin(parent context.Context, r *balance.Reservation) bool {
 	ctx, cancel := context.WithCancel(parent)
-	defer cancel()
-	defer p.watchHeld(cancel)()
-	silence := p.watchSilence(parent, cancel, r.Endpoint)
-	p.silence = silence
-	defer func() {
-		p.alternative = silence.stop()
-		if done && p.alternative != nil {
-			p.takeAlternative().release()
-		}
-	}()
+	a := &answer{reservation: r, cancel: cancel, stopHeld: p.watchHeld(cancel)}
+	if p.read(ctx, parent, a) {
+		p.answer = a
+		return true
+	}
+	p.endAttempt(a)
+	return false
+}
+
+// endAttempt ends an attempt. An attempt that runs beside it goes on as the request's successor.
+func (p *proxyRequest) endAttempt(a *answer) {
+	successor, spent := p.silence.stop()
+	p.successor, p.silence = successor, nil
+	p.spend(spent)
+	a.stopHeld()
+	a.cancel()
+	p.answer = nil
+}
+
+// read sends the request and reads the response as begin does.
+func (p *proxyRequest) read(ctx, parent context.Context, a *answer) bool {
 	sent := p.Now()
-	exchange, head, err := p.send(ctx, r)
+	exchange, head, err := p.send(ctx, a.reservation, func() { p.silence = p.watchSilence(parent, a.cancel, a.reservation.Endpoint) })
 	if err != nil {
-		p.sendFailed(parent, r, err)
+		p.sendFailed(parent, a.reservation, err)
 		return false
 	}
+	a.exchange, a.head = exchange, head
 	if head.HasLoad {
-		r.ReportLoad(p.Now(), head.Load)
-		p.recordLoad(r.Endpoint, head)
+		a.reservation.ReportLoad(p.Now(), head.Load)
+		p.recordLoad(a.reservation.Endpoint, head)
 		if p.place != nil && !head.NotRun {
 			p.ReportDecodeStart(p.place, head.Load.Running)
 		}
 	}
-	silence.reset()
-	if head.Signed && exchange.Response.StatusCode < http.StatusMultipleChoices {
-		p.reportNoLimit(r.Endpoint, head, sent)
+	good := exchange.Response.StatusCode < http.StatusMultipleChoices
+	if head.Signed && good {
+		p.reportNoLimit(a.reservation.Endpoint, head, sent)
 	}
 	if head.NotRun {
 		p.runs--
 		exchange.Close(p.drainBody(exchange))
-		p.endpointRejected(r, head)
+		p.endpointRejected(a.reservation, head)
 		return false
 	}
-	if head.Streamed && exchange.Response.StatusCode < http.StatusMultipleChoices {
-		return p.forwardStream(parent, r, exchange, head, silence)
+	if head.Streamed && good {
+		return p.readFirstEvent(parent, a)
 	}
-	return p.forwardPlain(parent, r, exchange, head, silence)
+	return p.readPlain(parent, a)
 }
 
-func (p *proxyRequest) send(ctx context.Context, r *balance.Reservation) (*uplink.Exchange, ResponseHead, error) {
+// send sends the request and reads the head of the response. It calls counted when the send has been counted.
+func (p *proxyRequest) send(ctx context.Context, r *balance.Reservation, counted func()) (*uplink.Exchange, ResponseHead, error) {
 	m := p.message
 	m.Address, m.EndpointID, m.Request = r.Endpoint.Address, r.Endpoint.ID, p.call.ID
 	m.MaxIdle = onceMaxIdle
@@ -103,6 +135,7 @@
 	n := p.logLine(eventlog.Sent, "", nil)
 	n.Endpoint, n.Software, n.Address, n.Revision = r.Endpoint.ID, r.Endpoint.Software, r.Endpoint.Address.String(), p.view.Revision
 	p.requestLog.Write(n)
+	counted()
 	var head ResponseHead
 	exchange, err := p.Pool.Do(ctx, m, func(resp *http.Response) bool {
 		head = p.Codec.ReadHead(resp)
@@ -146,6 +179,10 @@
 // sendFailed classifies a send that brought no complete, signed response and reports it to
 // the balancer.
 func (p *proxyRequest) sendFailed(parent context.Context, r *balance.Reservation, err error) {
+	if p.silence.superseded() {
+		p.moved(r)
+		return
+	}
 	result := balance.Failed
 	p.failure = "no_answer"
 	switch {
@@ -166,8 +203,6 @@
 	case errors.Is(err, uplink.ErrNotSent):
 		result = balance.Unreachable
 		p.failure = "unreachable"
-	case p.silence.canceled():
-		p.failure = reasonSilent
 	}
 	if result == balance.Failed {
 		p.checkProcessEnded(parent, r.Endpoint, p.suspectPrompt())
@@ -184,7 +219,7 @@
 // link to the endpoint.
 const reasonOwnLinks = "links_lost"
 
-// reasonSilent is the failure reason of a send that this instance cancelled because the endpoint was silent.
+// reasonSilent is the failure reason of a send that this instance cancelled after another endpoint had spoken first.
 const reasonSilent = "silent"
 
 // reasonLate is the failure reason of a send for which no connection came up while this instance was late
@@ -218,42 +253,61 @@
 	}
 }
 
-// forwardPlain forwards a response that is not a stream.
-func (p *proxyRequest) forwardPlain(parent context.Context, r *balance.Reservation, x *uplink.Exchange, head ResponseHead, silence *silenceWatch) bool {
-	resp := x.Response
-	header := p.Codec.CallerHeader(resp.Header)
+// readPlain reads a response that is not a stream.
+func (p *proxyRequest) readPlain(parent context.Context, a *answer) bool {
+	resp := a.exchange.Response
 	good := resp.StatusCode < http.StatusMultipleChoices
 	limit := maxBufferedBytes
 	if good && resp.ContentLength > maxUnreservedBytes && !p.reserveMemory(min(resp.ContentLength, maxBufferedBytes)) {
 		limit = maxUnreservedBytes // no memory to buffer it: pass it on as it arrives
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
-	if err == nil && good && (!head.Signed || head.Reencoded) {
+	if err == nil && good && (!a.head.Signed || a.head.Reencoded) {
 		err = Error.New("the response is unsigned or was re-encoded on the way")
 	}
-	if err == nil && len(body) > limit {
-		silence.suspend() // the response is being passed on, so no failover any more
-		return p.copyResponse(parent, r, x, header, body)
-	}
 	if err != nil {
-		x.Close(false)
-		p.sendFailed(parent, r, err)
+		a.exchange.Close(false)
+		p.sendFailed(parent, a.reservation, err)
 		return false
 	}
-	x.Close(true)
-	response := &bufferedResponse{status: resp.StatusCode, header: header, body: body}
-	if resp.StatusCode >= http.StatusInternalServerError {
+	a.body, a.long = body, len(body) > limit
+	if resp.StatusCode >= http.StatusInternalServerError && !a.long {
+		a.exchange.Close(true)
 		p.failure = "endpoint_status"
-		p.fallback = response
-		p.endpointFailed(r, balance.Failed, nil)
+		p.fallback = &bufferedResponse{status: resp.StatusCode, header: p.Codec.CallerHeader(resp.Header), body: body}
+		p.endpointFailed(a.reservation, balance.Failed, nil)
+		return false
+	}
+	return true
+}
+
+// deliver passes the response in p.answer on to the caller. It returns true if the caller has been answered or
+// has disconnected, and false if the request is to be sent again.
+func (p *proxyRequest) deliver(ctx context.Context) (done bool) {
+	a := p.answer
+	defer func() {
+		if !done {
+			p.recordFailedEngine(a.reservation.Endpoint.ID)
+		}
+		p.endAttempt(a)
+		p.leavePlace()
+	}()
+	switch {
+	case a.events != nil:
+		return p.forwardStream(ctx, a)
+	case !p.silence.speak():
+		p.supersede(a)
 		return false
+	case a.long:
+		return p.copyResponse(ctx, a)
 	}
+	a.exchange.Close(true)
 	p.Suspects.RecordCompletion(p.work())
-	if good {
+	if a.exchange.Response.StatusCode < http.StatusMultipleChoices {
 		p.recordBegun(p.sentAt)
 	}
-	r.Done(p.Now(), balance.Succeeded)
-	p.writeBuffered(response)
+	a.reservation.Done(p.Now(), balance.Succeeded)
+	p.writeBuffered(&bufferedResponse{status: a.exchange.Response.StatusCode, header: p.Codec.CallerHeader(a.exchange.Response.Header), body: a.body})
 	return true
 }
 
@@ -274,29 +328,30 @@
 
 // copyResponse passes on a response that is too long to buffer, starting with the bytes
 // already read.
-func (p *proxyRequest) copyResponse(parent context.Context, r *balance.Reservation, x *uplink.Exchange, header http.Header, start []byte) bool {
-	copyHeader(p.w.Header(), header)
-	if x.Response.ContentLength >= 0 {
-		p.w.Header().Set("Content-Length", strconv.FormatInt(x.Response.ContentLength, 10))
+func (p *proxyRequest) copyResponse(ctx context.Context, a *answer) bool {
+	resp := a.exchange.Response
+	copyHeader(p.w.Header(), p.Codec.CallerHeader(resp.Header))
+	if resp.ContentLength >= 0 {
+		p.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
-	p.w.WriteHeader(x.Response.StatusCode)
+	p.w.WriteHeader(resp.StatusCode)
 	p.beginAnswer()
-	_, err := io.Copy(p.w, io.MultiReader(bytes.NewReader(start), x.Response.Body))
-	x.Close(err == nil)
+	_, err := io.Copy(p.w, io.MultiReader(bytes.NewReader(a.body), resp.Body))
+	a.exchange.Close(err == nil)
 	if err != nil {
-		r.Done(p.Now(), balance.Failed)
+		a.reservation.Done(p.Now(), balance.Failed)
 		p.failure = "answer_cut"
-		p.checkProcessEnded(parent, r.Endpoint, p.suspectPrompt())
+		p.checkProcessEnded(ctx, a.reservation.Endpoint, p.suspectPrompt())
 		p.giveUp()
 	}
-	if x.Response.StatusCode < http.StatusInternalServerError {
+	if resp.StatusCode < http.StatusInternalServerError {
 		p.Suspects.RecordCompletion(p.work())
 	}
-	if x.Response.StatusCode < http.StatusMultipleChoices {
+	if resp.StatusCode < http.StatusMultipleChoices {
 		p.recordBegun(p.sentAt)
 	}
-	r.Done(p.Now(), balance.Succeeded)
-	p.recordAnswer(x.Response.StatusCode, nil)
+	a.reservation.Done(p.Now(), balance.Succeeded)
+	p.recordAnswer(resp.StatusCode, nil)
 	return true
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -166,7 +166,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	p := &proxyRequest{
-		Forwarder: f, w: newTimeoutWriter(w, f.WriteTimeout), arrived: f.Now(), view: f.Directory.View(), requestLog: f.Log.NewRequestLog(),
+		Forwarder: f, w: newTimeoutWriter(w, f.WriteTimeout), arrived: f.Now(), progress: progress{view: f.Directory.View(), placeLimit: maxPlaceRequests}, requestLog: f.Log.NewRequestLog(),
 		sample: rand.Float64(),
 	}
 	defer func() {
@@ -180,9 +180,3 @@
 		p.run(r.Context())
 	}
 }
-
-const (
-	stepRetry    stepResult = iota // try again, usually at another endpoint
-	stepAnswered                   // the caller has been answered or has disconnected
-	stepGiveUp                     // the request is not sent again, mostly for lack of an endpoint or of retry budget
-)
--- a/internal/forward/memory_test.go
+++ b/internal/forward/memory_test.go
@@ -26,7 +26,7 @@
 			g.view.Table.Limits.BodyBytes = 800
 			request := func(length int64, r io.Reader) (*proxyRequest, *http.Request, *httptest.ResponseRecorder) {
 				answer := httptest.NewRecorder()
-				p := &proxyRequest{Forwarder: g.Forwarder, w: newTimeoutWriter(answer, time.Minute), view: g.view, requestLog: g.Log.NewRequestLog(), route: g.route, deadline: g.deadline}
+				p := &proxyRequest{Forwarder: g.Forwarder, w: newTimeoutWriter(answer, time.Minute), progress: progress{view: g.view}, requestLog: g.Log.NewRequestLog(), route: g.route, deadline: g.deadline}
 				req := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/x", r)
 				req.ContentLength = length
 				return p, req, answer
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -13,19 +13,8 @@
 	"github.com/trailshed/trailshed/internal/placement"
 )
 
-// nextPlace returns the place found during a silence, with the sends already paid for, or
-// requests one.
-func (p *proxyRequest) nextPlace(ctx context.Context) (place *broker.Place, paid int, refusal *placement.Refusal) {
-	p.placeRequests++
-	if alt := p.takeAlternative(); alt != nil {
-		return alt.place, alt.paidSends, nil
-	}
-	place, refusal = p.findPlace(ctx)
-	return place, 0, refusal
-}
-
 func (p *proxyRequest) findPlace(ctx context.Context) (*broker.Place, *placement.Refusal) {
-	req := p.newPlaceRequest(strconv.Itoa(p.placeRequests))
+	req := p.newPlaceRequest(p.placePrefix + strconv.Itoa(p.placeRequests))
 	p.setPlaceWait(&req)
 	req.Exclude = slices.Concat(p.tried, p.prefill.tried, p.prefill.rejected, p.unavailableEngines())
 	req.Avoid = append(p.Balancer.Ejected(p.Now()), p.prefill.avoid...)
@@ -38,6 +27,8 @@
 	left := p.left()
 	inTime := p.route.Target - p.Now().Sub(p.arrived)
 	switch {
+	case p.beside != nil: // the silent endpoint may go on while the request waits
+		req.Late, req.Budget = true, min(latePlaceWait, left-minAnswerTime)
 	case p.headSent.Load(): // the caller is waiting in the middle of a stream
 		req.Late, req.QueueTime = true, min(resumeWait, left/maxWaitDivisor)
 	case p.prefill.handle != nil: // the KV cache must not expire
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -64,7 +64,7 @@
 // request to the decode engine.
 func (p *proxyRequest) engineStep(ctx context.Context) stepResult {
 	p.view = p.Directory.View()
-	if p.placeRequests >= maxPlaceRequests {
+	if p.placeRequests >= p.placeLimit {
 		return stepGiveUp
 	}
 	if !p.usesEngines() {
@@ -72,13 +72,31 @@
 		return stepGiveUp
 	}
 	p.dropStaleHandle()
-	place, paid, refusal := p.nextPlace(ctx)
+	p.placeRequests++
+	place, refusal := p.findPlace(ctx)
 	if place == nil {
 		return p.placeRefused(ctx, refusal)
 	}
 	p.fullEngine, p.failedEngine, p.place, p.timing = "", "", place, responseTiming{}
 	p.logPlace(place)
-	defer func() { p.ReleasePlace(place, p.fullEngine, p.failedEngine, p.timing.observation()) }()
+	result := p.usePlace(ctx, place)
+	if result != stepBegun {
+		p.leavePlace()
+	}
+	return result
+}
+
+// leavePlace gives the request's place back.
+func (p *proxyRequest) leavePlace() {
+	if p.place == nil {
+		return
+	}
+	p.ReleasePlace(p.place, p.fullEngine, p.failedEngine, p.timing.observation())
+	p.place = nil
+}
+
+// usePlace runs the prefill at a place and sends the request to its decode engine.
+func (p *proxyRequest) usePlace(ctx context.Context, place *broker.Place) stepResult {
 	if p.quarantined() {
 		return stepGiveUp
 	}
@@ -92,11 +110,10 @@
 		if decode == nil {
 			p.tried = append(p.tried, place.Decode)
 		}
-		p.budget(p.service).Return(p.Now(), paid)
 		return stepRetry
 	}
 	send := p.extraSends(false)
-	if !p.takeBudget(max(p.extraSends(withPrefill)-paid, 0)) {
+	if !p.takeBudget(p.extraSends(withPrefill)) {
 		return p.prefillUnaffordable(place, withPrefill)
 	}
 	if withPrefill && (!p.runPrefill(ctx, place.Prefill) || p.quarantined()) {
@@ -110,8 +127,8 @@
 		p.budget(p.service).Return(p.Now(), send)
 		return stepRetry
 	}
-	if p.attempt(ctx, r) {
-		return stepAnswered
+	if p.begin(ctx, r) {
+		return stepBegun
 	}
 	p.recordFailedEngine(decode.ID)
 	return stepRetry
@@ -197,7 +214,7 @@
 	switch {
 	case len(p.prefill.rejected) >= maxHandleRejections:
 		p.fullEngine, p.failedEngine = "", p.prefill.engine
-	case p.ownLinkLost, p.failure == reasonLate: // says nothing about the engine
+	case p.ownLinkLost, p.failure == reasonLate, p.failure == reasonSilent: // says nothing about the engine
 	case p.fullEngine == "":
 		p.failedEngine = decode
 	}
--- a/internal/forward/rank_test.go
+++ b/internal/forward/rank_test.go
@@ -17,7 +17,7 @@
 	"github.com/trailshed/trailshed/internal/route"
 )
 
-// Requests for a place, also those after a silence, carry the workspace and its priority, or else
+// Requests for a place, also those beside a silent attempt, carry the workspace and its priority, or else
 // the route's.
 func TestPlaceRequestsCarryPriority(t *testing.T) {
 	tests := []struct {
@@ -36,7 +36,7 @@
 			g := newEngineRequest(t)
 			g.route.Priority, g.workspace = 2, test.workspace
 			g.findPlace(t.Context())
-			g.engineFinder(t.Context(), nil, "")()
+			g.successor(t).findPlace(t.Context())
 			c.Assert(g.requested, qt.HasLen, 2)
 			for _, req := range g.requested {
 				c.Check(req.Rank, qt.Equals, test.rank)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -19,14 +19,14 @@
 )
 
 // proxyRequest is the state of one request, from its arrival until the caller has been
-// answered.
+// answered. An attempt that runs beside a silent one has a proxyRequest of its own, with a copy of the
+// progress and without a caller to write to.
 type proxyRequest struct {
 	*Forwarder
-	w          *timeoutWriter
+	w          *timeoutWriter // nil for an attempt beside another
 	arrived    clock.Millis
 	requestLog *eventlog.RequestLog
 	inTime     bool // answered successfully within the route's target
-	view       *directory.View
 	call       Call
 	route      *route.Route
 	// workspace is the caller's workspace; nil in a deployment without workspaces,
@@ -37,8 +37,19 @@
 	service       string
 	deadline      clock.Millis // end of the caller's wait or of the route's timeout, whichever is earlier
 	message       uplink.Message
-	reservedBytes int64 // reserved for bodies
+	reservedBytes int64         // reserved for bodies
+	sample        float64       // for quarantine.Prompt
+	headSent      atomic.Bool   // the caller has the head of the answer
+	firstEvent    time.Duration // from arrival to the first event; 0 before
+	cancelledHeld atomic.Bool   // CancelHeld cancelled a send
+	beside        *successor    // the attempt that this is; nil for the caller's request itself
+
+	progress
+}
 
+// progress is what has been done for a request so far.
+type progress struct {
+	view          *directory.View
 	sends         int               // sends that may have reached an endpoint
 	runs          int               // sends that may have run
 	tried         []string          // IDs of endpoints that failed this request
@@ -47,29 +58,28 @@
 	sharePercent  int               // workspace's share of the engines at the last refusal of a place
 	retryAfter    time.Duration     // Retry-After of a refusal
 	fallback      *bufferedResponse // last 5xx response of an endpoint, sent if no better one comes
-	headSent      atomic.Bool       // read by the silence watch too
-	firstEvent    time.Duration     // from arrival to the first event; 0 before
 	predicted     time.Duration     // prediction of firstEvent, made when the request got its place
 	events        int               // passed on in this send
 	sentAt        clock.Millis      // time of this send
 	begunAt       clock.Millis      // time of the first event of this send
 	wroteOn       bool              // the endpoint went on writing after it began the answer to this send
-	sample        float64           // for quarantine.Prompt
-	cancelledHeld atomic.Bool       // CancelHeld cancelled a send
 	heldPart      prompt.Part       // part of the prompt for which the request is refused
 	lastEventID   string            // of the last event passed on
 	version       streamVersion     // of the stream
 	longestWrite  time.Duration     // longest write of an event to the caller, of this send
 	prefill       prefillState
 	placeRequests int            // requests for places
+	placeLimit    int            // of placeRequests
+	placePrefix   string         // of their IDs
 	place         *broker.Place  // place at engines of the send in progress
 	fullEngine    string         // ID of the engine that rejected the request at this place
 	failedEngine  string         // ID of the engine that failed at this place
 	timing        responseTiming // of the response at this place
-	silence       *silenceWatch  // of the last send
-	alternative   *alternative   // endpoint for the next attempt, found during a silence
+	answer        *answer        // response that has begun
 	throughPeer   bool           // a peer carried the connection of the last send
 	ownLinkLost   bool           // the last send failed because of this instance's own link
+	silence       *silenceWatch  // of the last send
+	successor     *successor     // attempt that outlived the one beside which it ran
 }
 
 // admit checks the request and reads its body. If it returns false, the caller has been
@@ -130,46 +140,73 @@
 	defer cancel()
 	defer p.credit()
 	defer p.freeHandle()
-	defer func() {
-		if alt := p.takeAlternative(); alt != nil {
-			alt.release()
-		}
-	}()
+	defer p.abandonSuccessor()
 	for {
-		if ctx.Err() != nil {
-			p.contextEnded(ctx)
+		switch p.seek(ctx) {
+		case stepAnswered:
 			return
-		}
-		if !p.maySend() {
+		case stepBegun:
+			if p.deliver(ctx) {
+				return
+			}
+		case stepRetry, stepGiveUp:
+			if ctx.Err() != nil {
+				p.contextEnded(ctx)
+				return
+			}
 			p.giveUp()
 			return
 		}
+	}
+}
+
+// seek sends the request until a response has begun, which is left in p.answer.
+func (p *proxyRequest) seek(ctx context.Context) stepResult {
+	for ctx.Err() == nil {
+		if p.successor != nil {
+			if p.awaitSuccessor(ctx) {
+				return stepBegun
+			}
+			continue
+		}
+		if !p.maySend() {
+			return stepGiveUp
+		}
 		next := p.plainStep
 		if p.usesEngines() {
 			next = p.engineStep
 		}
-		switch next(ctx) {
-		case stepAnswered:
-			return
-		case stepGiveUp:
-			p.giveUp()
-			return
-		case stepRetry:
+		if result := next(ctx); result != stepRetry {
+			return result
 		}
 	}
+	return stepGiveUp
 }
 
-// stepResult is the outcome of one step of a request: answered, to be retried or given up.
+// stepResult is the outcome of one step of a request.
 type stepResult int
 
+// The outcomes of a step.
+const (
+	stepRetry    stepResult = iota // try again, usually at another endpoint
+	stepBegun                      // a response has begun
+	stepAnswered                   // the caller has been answered or has disconnected
+	stepGiveUp                     // the request is not sent again now, mostly for lack of an endpoint or of retry budget
+)
+
 // timeoutGrace is how long after the deadline an endpoint may still report the timeout
 // itself before the forwarder does. Operators require an answer within 500 ms after the
 // timeout.
 const timeoutGrace = 120 * time.Millisecond
 
+// mayRepeat reports whether the request may be sent to another endpoint, after what has run so far.
+func (p *proxyRequest) mayRepeat() bool {
+	return p.runs == 0 || p.route.Repeatable() && p.runs < p.route.Attempts
+}
+
 // maySend reports whether the request may be sent, for the first time or again.
 func (p *proxyRequest) maySend() bool {
-	if p.runs > 0 && (!p.route.Repeatable() || p.runs >= p.route.Attempts) {
+	if !p.mayRepeat() {
 		return false
 	}
 	if p.left() < minTimeLeft {
@@ -216,13 +253,6 @@
 // plainStep sends the request to an endpoint of a plain service.
 func (p *proxyRequest) plainStep(ctx context.Context) stepResult {
 	p.view = p.Directory.View()
-	if alt := p.takeAlternative(); alt != nil {
-		if p.version.excludes(alt.reservation.Endpoint) {
-			alt.release() // the stream began while it was looked for
-			return stepRetry
-		}
-		return p.plainAttempt(ctx, alt.reservation)
-	}
 	criteria := p.endpointCriteria()
 	avoided := p.avoidedEndpoints()
 	criteria.Exclude = slices.Concat(criteria.Exclude, avoided)
@@ -241,12 +271,8 @@
 		p.Permits.Return(r.Endpoint.ID)
 		return p.budgetSpent()
 	}
-	return p.plainAttempt(ctx, r)
-}
-
-func (p *proxyRequest) plainAttempt(ctx context.Context, r *balance.Reservation) stepResult {
-	if p.attempt(ctx, r) {
-		return stepAnswered
+	if p.begin(ctx, r) {
+		return stepBegun
 	}
 	return stepRetry
 }
--- a/internal/forward/share_test.go
+++ b/internal/forward/share_test.go
@@ -75,7 +75,7 @@
 	match, ok := table.Match("h", "/x")
 	c.Assert(ok, qt.IsTrue)
 	g.proxyRequest = &proxyRequest{
-		Forwarder: f, w: newTimeoutWriter(g.response, time.Minute), arrived: now(), view: d.View(), requestLog: log.NewRequestLog(), route: match, service: "plain",
+		Forwarder: f, w: newTimeoutWriter(g.response, time.Minute), arrived: now(), progress: progress{view: d.View(), placeLimit: maxPlaceRequests}, requestLog: log.NewRequestLog(), route: match, service: "plain",
 		workspace: &workspace, deadline: now().Add(time.Minute), call: Call{ID: "r1"},
 	}
 	return g
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -2,68 +2,66 @@
 
 import (
 	"context"
-	"slices"
-	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/trailshed/trailshed/internal/balance"
-	"github.com/trailshed/trailshed/internal/broker"
 	"github.com/trailshed/trailshed/internal/directory"
-	"github.com/trailshed/trailshed/internal/placement"
 	"github.com/trailshed/trailshed/internal/route"
 )
 
 const (
 	// silenceTargetRatio times the target is how long a repeatable request waits for the
-	// beginning of a response before it moves to another endpoint.
+	// beginning of a response before it is sent to another endpoint as well.
 	silenceTargetRatio = 0.8
 	// minEngineSilence is the shortest wait for the first event of a stream, since the
 	// prefill takes time.
 	minEngineSilence = 1500 * time.Millisecond
 	// silenceGapTargets times the gap target is how long a resumable stream waits for the
-	// next event before it moves.
+	// next event before it is sent to another engine as well.
 	silenceGapTargets = 3
 )
 
-// silenceWatch cancels an attempt whose endpoint has been silent for too long, if the
-// request may be sent again and an alternative endpoint is available; without one, a late
-// response is better than none. It guards against slow endpoints only; failures are
-// detected elsewhere. A nil silenceWatch never cancels.
+// silenceWatch starts a successor beside an attempt whose endpoint has been silent for too long, if the
+// request may be sent again. The endpoint that speaks first answers the caller, and the other attempt is
+// canceled: a silent endpoint may go on at any moment, and another one may turn out not to be usable. A
+// nil silenceWatch never starts one.
 type silenceWatch struct {
 	first, gap time.Duration
-	cancel     context.CancelFunc
-	find       func() *alternative // returns nil if no alternative is available now
+	cancel     context.CancelFunc // ends the attempt
+	request    *proxyRequest      // of the attempt, which alone may use it
+	start      func(s *silenceWatch) *successor
 	overloaded func() bool
 	timer      *time.Timer
 
-	suspended atomic.Bool // while an event is being written to the caller
+	mu        sync.Mutex
+	suspended bool // while an event is being written to the caller
+	stopped   bool // the attempt has ended
+	lost      bool // the successor spoke first
+	at        position
+	starts    int      // of successors
+	spent     spending // by successors that have ended
+	successor *successor
+}
 
-	mu          sync.Mutex
-	stopped     bool
-	alternative *alternative
+// position is how much of a stream the caller has received.
+type position struct {
+	begun       bool
+	lastEventID string
+	version     streamVersion
 }
 
-// alternative is a reservation at another endpoint, paid for from the retry budget.
-type alternative struct {
-	place       *broker.Place        // at model engines
-	reservation *balance.Reservation // at an endpoint of a plain service
-	paidSends   int                  // sends taken from the retry budget
-	release     func()               // gives back the place, or the reservation with its permit, and the budget
+func (p *proxyRequest) position() position {
+	return position{begun: p.headSent.Load(), lastEventID: p.lastEventID, version: p.version}
 }
 
-// watchSilence starts the silence watch of an attempt at an endpoint.
+// watchSilence starts the silence watch of an attempt at an endpoint, which is counted in p.runs already.
 func (p *proxyRequest) watchSilence(ctx context.Context, cancel context.CancelFunc, endpoint *directory.Endpoint) *silenceWatch {
-	if !p.route.Repeatable() || p.runs+1 >= p.route.Attempts {
+	if p.beside != nil || !p.route.Repeatable() || p.runs >= p.route.Attempts {
 		return nil
 	}
-	s := &silenceWatch{first: time.Duration(silenceTargetRatio * float64(p.route.Target)), cancel: cancel, overloaded: p.Overloaded}
-	exclude := append(slices.Clone(p.tried), endpoint.ID)
-	if p.usesEngines() {
-		s.find = p.engineFinder(ctx, exclude, endpoint.Software)
-	} else {
-		s.find = p.endpointFinder(ctx, exclude, endpoint.Software)
+	s := &silenceWatch{
+		first: time.Duration(silenceTargetRatio * float64(p.route.Target)), cancel: cancel,
+		request: p, at: p.position(), start: p.successorStarter(ctx, endpoint), overloaded: p.Overloaded,
 	}
 	if p.route.Kind == route.Streaming {
 		s.first = max(p.route.Target, minEngineSilence)
@@ -76,135 +74,95 @@
 }
 
 func (s *silenceWatch) fire() {
-	var alt *alternative
-	if !s.suspended.Load() && !s.overloaded() {
-		alt = s.find()
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stopped {
+		return
+	}
+	if !s.suspended && s.successor == nil && !s.overloaded() {
+		if s.successor = s.start(s); s.successor != nil {
+			s.starts++
+			go s.run(s.successor)
+		}
+	}
+	s.timer.Reset(s.first)
+}
+
+// run sends the successor's request until a response has begun or it fails.
+func (s *silenceWatch) run(x *successor) {
+	begun := x.request.seek(x.ctx) == stepBegun
+	s.mu.Lock()
+	x.begun = begun && !x.canceled
 	switch {
-	case s.stopped && alt != nil:
-		alt.release()
-	case s.stopped:
-	case alt == nil:
-		s.timer.Reset(s.first)
-	default:
-		s.alternative = alt
+	case !x.begun && !s.stopped:
+		s.spent.add(x.spending())
+		s.successor = nil
+	case x.begun && !s.stopped:
+		s.lost = true
 		s.cancel()
 	}
+	s.mu.Unlock()
+	if !x.begun {
+		x.request.drop()
+	}
+	close(x.done)
 }
 
-// suspend stops counting silence while an event is written to the caller. Under
-// backpressure nothing is read from the endpoint, so its silence means nothing.
-func (s *silenceWatch) suspend() {
-	if s != nil {
-		s.suspended.Store(true)
+// speak is called when the endpoint has sent something that ends its silence. It reports whether the attempt
+// still answers the caller: it does unless another endpoint spoke first. The successor is canceled, and silence does
+// not count until reset, while an event is written to the caller: under backpressure nothing is read
+// from the endpoint.
+func (s *silenceWatch) speak() bool {
+	if s == nil {
+		return true
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost {
+		return false
+	}
+	s.suspended = true
+	if s.successor != nil && !s.successor.canceled {
+		s.successor.canceled = true
+		s.successor.cancel()
+		s.request.logKept(s.successor)
+	}
+	return true
 }
 
-// reset is called after the endpoint has sent something. It ends a suspension and, for a
-// stream, restarts the timer with the gap.
+// reset is called after the endpoint has sent something, when it is waited for again. It ends a suspension
+// and, for a stream, restarts the timer with the gap.
 func (s *silenceWatch) reset() {
 	if s == nil {
 		return
 	}
-	s.suspended.Store(false)
-	if s.gap > 0 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspended, s.at = false, s.request.position()
+	if s.gap > 0 && !s.stopped {
 		s.timer.Reset(s.gap)
 	}
 }
 
-// canceled reports whether the watch has canceled the attempt.
-func (s *silenceWatch) canceled() bool {
+// superseded reports whether another endpoint spoke first.
+func (s *silenceWatch) superseded() bool {
 	if s == nil {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.alternative != nil
+	return s.lost
 }
 
-// stop ends the watch. It returns the alternative if the watch canceled the attempt.
-func (s *silenceWatch) stop() *alternative {
+// stop ends the watch together with the attempt. It returns the successor if there is one, by which the request
+// goes on, and what earlier ones have spent.
+func (s *silenceWatch) stop() (*successor, spending) {
 	if s == nil {
-		return nil
+		return nil, spending{}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopped = true // first, so that a concurrent fire does not rearm the timer
 	s.timer.Stop()
-	return s.alternative
-}
-
-// engineFinder returns a function that finds a place at other engines. The function may run
-// in another goroutine, so the request for the place, the number of prefills and the budget
-// are captured here. current is the software version of this attempt's endpoint: once that has
-// sent an event, the stream stays at its version.
-func (p *proxyRequest) engineFinder(ctx context.Context, exclude []string, current string) func() *alternative {
-	req := p.newPlaceRequest("m" + strconv.Itoa(p.sends))
-	req.Late, req.Part = true, placement.Both
-	req.Software = p.version.software
-	hasPrefilled, budget := p.prefill.sends > 0, p.budget(p.service)
-	return func() *alternative {
-		left := p.left() - minAnswerTime
-		if left <= 0 {
-			return nil
-		}
-		req := req
-		req.Budget = min(latePlaceWait, left)
-		if p.headSent.Load() {
-			req.Software, req.Begun = current, true
-		}
-		req.Exclude = slices.Concat(exclude, p.unavailableEngines())
-		req.Avoid = p.Balancer.Ejected(p.Now())
-		place, _ := p.FindPlace(ctx, req, p.allowedArea())
-		if place == nil {
-			return nil
-		}
-		alt := &alternative{place: place, paidSends: 1}
-		if hasPrefilled && place.Prefill != "" {
-			alt.paidSends++ // another prefill
-		}
-		alt.release = func() {
-			p.ReleasePlace(place, "", "", nil)
-			budget.Return(p.Now(), alt.paidSends)
-		}
-		if !budget.Take(p.Now(), alt.paidSends) {
-			p.ReleasePlace(place, "", "", nil)
-			return nil
-		}
-		return alt
-	}
-}
-
-// endpointFinder is engineFinder for plain services.
-func (p *proxyRequest) endpointFinder(ctx context.Context, exclude []string, current string) func() *alternative {
-	service, budget, priority, software := p.service, p.budget(p.service), p.priority(), p.version.software
-	return func() *alternative {
-		criteria := balance.Request{Service: service, Exclude: exclude, Area: p.allowedArea(), Stage: directory.Decode, Software: software}
-		if p.headSent.Load() {
-			criteria.Software = current
-		}
-		r := p.reserve(ctx, &criteria, priority)
-		if r == nil {
-			return nil
-		}
-		if !budget.Take(p.Now(), 1) {
-			r.Done(p.Now(), balance.Canceled)
-			p.Permits.Return(r.Endpoint.ID)
-			return nil
-		}
-		return &alternative{reservation: r, paidSends: 1, release: func() {
-			r.Done(p.Now(), balance.Canceled)
-			p.Permits.Return(r.Endpoint.ID)
-			budget.Return(p.Now(), 1)
-		}}
-	}
-}
-
-// takeAlternative returns the alternative found during a silence, once.
-func (p *proxyRequest) takeAlternative() *alternative {
-	alt := p.alternative
-	p.alternative = nil
-	return alt
+	return s.successor, s.spent
 }
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -18,7 +18,7 @@
 		g := newEngineRequest(t)
 		s := g.watchSilence(t.Context(), func() {}, &directory.Endpoint{ID: "d2"})
 		s.reset()
-		s.suspend()
+		s.speak()
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
 		c.Check(g.requested, qt.HasLen, 0)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -16,39 +16,51 @@
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 64 << 10
 
-// forwardStream passes events on as they arrive. It returns false if the stream broke and
-// may resume at another endpoint.
-func (p *proxyRequest) forwardStream(parent context.Context, r *balance.Reservation, x *uplink.Exchange, head ResponseHead, silence *silenceWatch) bool {
-	if !head.Signed || head.Reencoded {
-		x.Close(false)
-		p.sendFailed(parent, r, Error.New("the stream is unsigned or was re-encoded on the way"))
+// readFirstEvent reads a stream up to its first event, or to its end before that.
+func (p *proxyRequest) readFirstEvent(parent context.Context, a *answer) bool {
+	if !a.head.Signed || a.head.Reencoded {
+		a.exchange.Close(false)
+		p.sendFailed(parent, a.reservation, Error.New("the stream is unsigned or was re-encoded on the way"))
 		return false
 	}
+	p.silence.reset()
 	p.longestWrite = 0
-	events := bufio.NewReader(x.Response.Body)
-	for {
-		event, id, err := readEvent(events)
-		if err != nil {
-			return p.streamEnded(parent, r, x, event, err)
+	a.events = bufio.NewReader(a.exchange.Response.Body)
+	a.event, a.eventID, a.err = readEvent(a.events)
+	if a.err == nil || p.endsWhole(a, a.event, a.err) == nil {
+		return true
+	}
+	p.streamBroken(parent, a, a.err)
+	return false
+}
+
+// forwardStream passes events on as they arrive. It returns false if the stream broke, or another endpoint
+// spoke first, and it may go on there.
+func (p *proxyRequest) forwardStream(ctx context.Context, a *answer) bool {
+	event, id, err := a.event, a.eventID, a.err
+	for ; err == nil; event, id, err = readEvent(a.events) {
+		if !p.silence.speak() {
+			p.supersede(a)
+			return false
 		}
-		silence.suspend()
-		p.bindVersion(r.Endpoint)
+		p.bindVersion(a.reservation.Endpoint)
 		start := p.Now()
-		written := p.writeEvent(x, event)
+		written := p.writeEvent(a.exchange, event)
 		p.longestWrite = max(p.longestWrite, p.Now().Sub(start))
-		silence.reset()
+		if id != "" {
+			p.lastEventID = id
+		}
 		if !written {
-			x.Close(false)
-			r.Done(p.Now(), balance.Canceled)
+			a.exchange.Close(false)
+			a.reservation.Done(p.Now(), balance.Canceled)
 			p.requestLog.Write(p.logLine(eventlog.Cancelled, "caller_left", nil))
 			return true
 		}
+		p.silence.reset()
 		p.recordEvent()
 		p.timing.event(p.Now())
-		if id != "" {
-			p.lastEventID = id
-		}
 	}
+	return p.streamEnded(ctx, a, event, err)
 }
 
 func (p *proxyRequest) writeEvent(x *uplink.Exchange, event []byte) bool {
@@ -84,37 +96,59 @@
 // errNoEvent is the error of a stream that its connection ended before the first event.
 var errNoEvent = Error.New("the connection ended before the first event")
 
-// streamEnded handles the end of an endpoint's stream. The stream is complete only if it
-// ended where HTTP says so, and between two events. One that ends with its connection must
-// have had an event: an engine that ends closes its connections too.
-func (p *proxyRequest) streamEnded(parent context.Context, r *balance.Reservation, x *uplink.Exchange, rest []byte, err error) bool {
-	if errors.Is(err, io.EOF) && p.events == 0 && x.EndsWithConnection() {
-		err = errNoEvent
+// endsWhole returns nil if a stream is complete that ended with err after the bytes in rest, and else
+// why it is not. It is complete only if it ended where HTTP says so, and between two events. One that ends with
+// its connection must have had an event: an engine that ends closes its connections too.
+func (p *proxyRequest) endsWhole(a *answer, rest []byte, err error) error {
+	if !errors.Is(err, io.EOF) {
+		return err
 	}
-	if !errors.Is(err, io.EOF) || len(rest) > 0 {
-		x.Close(false)
-		if p.longestWrite >= callerStallTime {
-			p.streamCutForStall(r, err)
-			return false
-		}
-		p.sendFailed(parent, r, err)
-		p.failure = "stream_cut"
+	if p.events == 0 && a.exchange.EndsWithConnection() {
+		return errNoEvent
+	}
+	if len(rest) > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
+// streamEnded handles the end of an endpoint's stream.
+func (p *proxyRequest) streamEnded(ctx context.Context, a *answer, rest []byte, err error) bool {
+	if broken := p.endsWhole(a, rest, err); broken != nil {
+		p.streamBroken(ctx, a, broken)
+		return false
+	}
+	if !p.silence.speak() {
+		p.supersede(a)
 		return false
 	}
 	if !p.headSent.Load() {
-		p.writeEvent(x, nil)
+		p.writeEvent(a.exchange, nil)
 	}
-	x.Close(true)
+	a.exchange.Close(true)
 	p.Suspects.RecordCompletion(p.work())
 	if p.events > 0 {
 		p.recordBegun(p.begunAt)
 	}
 	p.timing.ended = true
-	r.Done(p.Now(), balance.Succeeded)
-	p.recordAnswer(x.Response.StatusCode, nil)
+	a.reservation.Done(p.Now(), balance.Succeeded)
+	p.recordAnswer(a.exchange.Response.StatusCode, nil)
 	return true
 }
 
+// streamBroken records a stream that ended before it was complete.
+func (p *proxyRequest) streamBroken(ctx context.Context, a *answer, err error) {
+	a.exchange.Close(false)
+	if p.longestWrite >= callerStallTime {
+		p.streamCutForStall(a.reservation, err)
+		return
+	}
+	p.sendFailed(ctx, a.reservation, err)
+	if p.failure != reasonSilent {
+		p.failure = "stream_cut"
+	}
+}
+
 // readEvent reads one event up to and including the empty line that ends it, and returns
 // its ID. If it fails, it returns the bytes of the unfinished event with the error.
 func readEvent(r *bufio.Reader) (event []byte, id string, err error) {
--- /dev/null
+++ b/internal/forward/successor.go
@@ -0,0 +1,194 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"strconv"
+
+	"github.com/trailshed/trailshed/internal/balance"
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// successor is an attempt that runs beside one whose endpoint is silent. It sends the request until a response has begun,
+// and writes nothing to the caller.
+type successor struct {
+	request *proxyRequest
+	watch   *silenceWatch
+	ctx     context.Context //nolint:containedctx // the attempt's
+	cancel  context.CancelFunc
+	started clock.Millis
+	from    spending      // what had been spent when it was started
+	done    chan struct{} // closed when it has begun or ended
+
+	// Guarded by watch.mu until done is closed:
+	canceled bool
+	begun    bool
+}
+
+// spending is what attempts beside another one have done.
+type spending struct {
+	sends, runs, prefills, placeRequests int
+	tried                                []string // IDs of endpoints that failed
+	steps                                []string // of the history
+	fallback                             *bufferedResponse
+}
+
+func (s *spending) add(t spending) {
+	s.sends, s.runs, s.prefills, s.placeRequests = s.sends+t.sends, s.runs+t.runs, s.prefills+t.prefills, s.placeRequests+t.placeRequests
+	s.tried, s.steps = slices.Concat(s.tried, t.tried), slices.Concat(s.steps, t.steps)
+	if t.fallback != nil {
+		s.fallback = t.fallback
+	}
+}
+
+// spending returns what the successor has done since its start.
+func (x *successor) spending() spending {
+	q := x.request
+	return spending{
+		sends: q.sends - x.from.sends, runs: q.runs - x.from.runs, prefills: q.prefill.sends - x.from.prefills, placeRequests: q.placeRequests,
+		tried: q.tried[len(x.from.tried):], steps: q.history.steps, fallback: q.fallback,
+	}
+}
+
+// abandon ends a successor whose response is not needed.
+func (x *successor) abandon() {
+	x.watch.mu.Lock()
+	begun := x.begun
+	x.canceled = true
+	x.watch.mu.Unlock()
+	x.cancel()
+	if begun {
+		x.request.drop()
+	}
+}
+
+// abandonSuccessor ends the request's successor, if there is one.
+func (p *proxyRequest) abandonSuccessor() {
+	if p.successor != nil {
+		p.successor.abandon()
+		p.successor = nil
+	}
+}
+
+// successorStarter returns a function that starts a successor of an attempt at an endpoint. The function may run in
+// another goroutine than the attempt, so what it needs is captured here, and the rest is in the watch.
+func (p *proxyRequest) successorStarter(parent context.Context, current *directory.Endpoint) func(s *silenceWatch) *successor {
+	base := progress{
+		view: p.view, sends: p.sends, runs: p.runs, tried: append(slices.Clone(p.tried), current.ID),
+		prefill: prefillState{sends: p.prefill.sends, tried: slices.Clone(p.prefill.tried)},
+	}
+	usesEngines, prefix := p.usesEngines(), "s"+strconv.Itoa(p.placeRequests)
+	return func(s *silenceWatch) *successor {
+		if usesEngines && p.left() <= minAnswerTime || base.runs+s.spent.runs >= p.route.Attempts {
+			return nil
+		}
+		x := &successor{watch: s, started: p.Now(), done: make(chan struct{})}
+		x.ctx, x.cancel = context.WithCancel(parent)
+		q := &proxyRequest{
+			Forwarder: p.Forwarder, arrived: p.arrived, requestLog: p.requestLog, call: p.call, route: p.route, workspace: p.workspace,
+			share: p.share, service: p.service, deadline: p.deadline, message: p.message, sample: p.sample, beside: x, progress: base,
+		}
+		q.sends, q.runs, q.prefill.sends = q.sends+s.spent.sends, q.runs+s.spent.runs, q.prefill.sends+s.spent.prefills
+		q.tried = slices.Concat(base.tried, s.spent.tried)
+		q.placePrefix, q.placeLimit = prefix+"-"+strconv.Itoa(s.starts)+"-", maxPlaceRequests
+		q.headSent.Store(s.at.begun)
+		q.lastEventID, q.version = s.at.lastEventID, s.at.version
+		x.request, x.from = q, spending{sends: q.sends, runs: q.runs, prefills: q.prefill.sends, tried: q.tried}
+		n := q.logLine(eventlog.Silent, "", nil)
+		n.Endpoint, n.Software, n.Address = current.ID, current.Software, current.Address.String()
+		q.requestLog.Write(n)
+		q.countSilence("started")
+		return x
+	}
+}
+
+// awaitSuccessor waits for the attempt that ran beside the last one. It returns true if its response has begun,
+// which is left in p.answer.
+func (p *proxyRequest) awaitSuccessor(ctx context.Context) bool {
+	x := p.successor
+	select {
+	case <-x.done:
+	case <-ctx.Done():
+		return false
+	}
+	p.successor = nil
+	if !x.begun {
+		p.spend(x.spending())
+		return false
+	}
+	p.adopt(ctx, x)
+	return true
+}
+
+// spend adds what attempts beside the last one have done.
+func (p *proxyRequest) spend(s spending) {
+	p.sends, p.runs, p.prefill.sends, p.placeRequests = p.sends+s.sends, p.runs+s.runs, p.prefill.sends+s.prefills, p.placeRequests+s.placeRequests
+	p.tried = slices.Concat(p.tried, s.tried)
+	for _, step := range s.steps {
+		p.history.add("beside: " + step)
+	}
+	if s.fallback != nil && !p.headSent.Load() {
+		p.fallback = s.fallback
+	}
+}
+
+// adopt makes the successor's attempt the request's own.
+func (p *proxyRequest) adopt(ctx context.Context, x *successor) {
+	p.freeHandle()
+	q := x.request
+	spent := x.spending()
+	spent.fallback = nil
+	next := q.progress
+	next.sends, next.runs, next.prefill.sends, next.placeRequests = p.sends, p.runs, p.prefill.sends, p.placeRequests
+	next.history, next.fallback, next.placeLimit = p.history, p.fallback, p.placeLimit
+	next.tried = p.tried
+	p.progress = next
+	p.spend(spent)
+	p.reservedBytes += q.reservedBytes
+	p.silence = p.watchSilence(ctx, p.answer.cancel, p.answer.reservation.Endpoint)
+}
+
+// drop releases what an attempt beside another one holds, and ends its response if one has begun.
+func (p *proxyRequest) drop() {
+	if a := p.answer; a != nil {
+		a.exchange.Close(false)
+		a.reservation.Done(p.Now(), balance.Canceled)
+		p.endAttempt(a)
+	}
+	p.leavePlace()
+	p.freeHandle()
+	p.releaseMemory()
+}
+
+// supersede ends an attempt whose response came after another one's.
+func (p *proxyRequest) supersede(a *answer) {
+	a.exchange.Close(false)
+	p.moved(a.reservation)
+}
+
+// moved records that the request goes on at another endpoint than a silent one, which is not judged by that.
+func (p *proxyRequest) moved(r *balance.Reservation) {
+	p.failure = reasonSilent
+	p.tried = append(p.tried, r.Endpoint.ID)
+	p.history.add(r.Endpoint.ID + ": " + p.failure)
+	r.Done(p.Now(), balance.Canceled)
+	n := p.logLine(eventlog.Moved, "", nil)
+	n.Endpoint, n.Software, n.Address = r.Endpoint.ID, r.Endpoint.Software, r.Endpoint.Address.String()
+	p.requestLog.Write(n)
+	p.countSilence("moved")
+}
+
+// logKept logs that a silent endpoint has gone on before an attempt beside it had a response.
+func (p *proxyRequest) logKept(x *successor) {
+	n := p.logLine(eventlog.Kept, "", nil)
+	n.Age = p.Now().Sub(x.started)
+	p.requestLog.Write(n)
+	p.countSilence("kept")
+}
+
+// countSilence counts attempts that are started beside silent ones, and what becomes of these.
+func (p *proxyRequest) countSilence(outcome string) {
+	p.Scope.Tagged(map[string]string{"outcome": outcome}).Counter("silent_attempts").Inc(1)
+}
--- a/internal/forward/unavailable_test.go
+++ b/internal/forward/unavailable_test.go
@@ -74,7 +74,10 @@
 	t.Cleanup(func() { c.Check(log.Close(), qt.IsNil) })
 	f := New(Options{
 		Directory: d, Balancer: balance.New("a", nil), Pool: pool, Log: log, Scope: tally.NoopScope, Now: now, WriteTimeout: time.Minute,
-		Codec: Codec{FreeRequest: func(KVHandle) (string, string) { return "DELETE", "/handle" }},
+		Codec: Codec{
+			FreeRequest:  func(KVHandle) (string, string) { return "DELETE", "/handle" },
+			EncodeHeader: func(Call, Send) http.Header { return nil },
+		},
 		Permits: Permits{
 			Take:          func(_ context.Context, endpoint string, _ int) time.Duration { return g.withheld[endpoint] },
 			Return:        func(string) {},
@@ -97,12 +100,25 @@
 	match, ok := table.Match("h", "/x")
 	c.Assert(ok, qt.IsTrue)
 	g.proxyRequest = &proxyRequest{
-		Forwarder: f, arrived: now(), view: d.View(), requestLog: log.NewRequestLog(), route: match, service: "llm",
+		Forwarder: f, arrived: now(), progress: progress{view: d.View(), placeLimit: maxPlaceRequests}, requestLog: log.NewRequestLog(), route: match, service: "llm",
 		deadline: now().Add(time.Minute), call: Call{ID: "r1", PromptTokens: 100, MaxOutputTokens: 10},
 	}
 	return g
 }
 
+// watch returns the silence watch of an attempt at an engine that is none of the known ones.
+func (g *engineRequest) watch(t *testing.T) *silenceWatch {
+	s := g.watchSilence(t.Context(), func() {}, &directory.Endpoint{ID: "silent"})
+	t.Cleanup(func() { s.stop() })
+	return s
+}
+
+// successor returns the request of an attempt beside one at such an engine.
+func (g *engineRequest) successor(t *testing.T) *proxyRequest {
+	s := g.watch(t)
+	return s.start(s).request
+}
+
 // Conditions in which an engine accepts no requests.
 var unavailable = []struct {
 	name            string
@@ -132,8 +148,8 @@
 	}
 }
 
-// A request that looks for an alternative after a silence excludes the engines that back
-// off, have no permit or leave at that moment, not only those known when the attempt began.
+// An attempt beside a silent one excludes the engines that back
+// off, have no permit or leave at that moment, not only those known when the silent one began.
 func TestAlternativesExcludeUnavailableEngines(t *testing.T) {
 	leaves := func(g *engineRequest, engine string) { g.Directory.Apply(g.Now(), directory.Leaving{ID: engine}) }
 	for _, test := range append(unavailable, struct {
@@ -143,26 +159,26 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			g := newEngineRequest(t)
-			find := g.engineFinder(t.Context(), nil, "")
+			s := g.watch(t)
 			test.makeUnavailable(g, decodeEngine)
-			find()
+			s.start(s).request.findPlace(t.Context())
 			c.Assert(g.requested, qt.HasLen, 1)
 			c.Assert(g.requested[0].Exclude, qt.Contains, decodeEngine)
 		})
 	}
 }
 
-// The silence watch looks for an alternative while the first event may be on its way to the
+// The silence watch starts a successor while the first event may be on its way to the
 // caller. Under the race detector this fails if both use the request without care.
 func TestFindingAlternativesWhileStreamBegins(t *testing.T) {
 	g := newEngineRequest(t)
 	g.w = newTimeoutWriter(httptest.NewRecorder(), time.Minute)
 	g.Codec.CallerHeader = func(h http.Header) http.Header { return h }
-	find := g.engineFinder(t.Context(), nil, "")
+	s := g.watch(t)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		find()
+		s.start(s).request.findPlace(t.Context())
 	}()
 	g.writeEvent(&uplink.Exchange{Response: &http.Response{StatusCode: http.StatusOK}}, []byte("data: 1\n\n"))
 	<-done
