forward: a stream that has begun waits for an endpoint

Callers saw a stream cut within milliseconds of its engine's end when no other engine could take it at that moment, although most of their time was left: no place, no retry budget and lost links ended a stream that has begun as they end a request that has not.

Cause: such a request was given up at its first step without an endpoint. A request that has not begun is best refused at once, since its caller can go elsewhere; a caller with a part of a stream would lose it.

Now a stream that has begun pauses, 50 ms at first and half a second at most, and tries again while its caller waits. Endpoints that only could not take it count as untried after a pause; those that broke off a run of it do so after five. Attempts, the retry budget and the records of crashing requests and parts bound it as before; a stream whose attempts are used up is broken off at once.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -52,6 +52,7 @@
 	Silent          Event = "silent"
 	Moved           Event = "moved"
 	Kept            Event = "kept"
+	Waiting         Event = "waiting"
 	Answered        Event = "answered"
 	Refused         Event = "refused"
 	GaveUp          Event = "gave_up"
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -228,6 +228,9 @@
 
 func (p *proxyRequest) endpointFailed(r *balance.Reservation, result balance.Result, err error) {
 	p.tried = append(p.tried, r.Endpoint.ID)
+	if result == balance.Failed {
+		p.broke = append(p.broke, r.Endpoint.ID)
+	}
 	p.history.add(r.Endpoint.ID + ": " + p.failure)
 	ejected := r.Done(p.Now(), result)
 	n := p.logLine(eventlog.EndpointFailed, p.failure, err)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -14,6 +14,7 @@
 	"github.com/trailshed/trailshed/internal/prompt"
 	"github.com/trailshed/trailshed/internal/route"
 	"github.com/trailshed/trailshed/internal/sharegate"
+	"github.com/trailshed/trailshed/internal/ticker"
 	"github.com/trailshed/trailshed/internal/uplink"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
@@ -42,6 +43,7 @@
 	headSent      atomic.Bool   // the caller has the head of the answer
 	firstEvent    time.Duration // from arrival to the first event; 0 before
 	cancelledHeld atomic.Bool   // CancelHeld cancelled a send
+	pauses        int           // waits of a stream that has begun for an endpoint
 	beside        *successor    // the attempt that this is; nil for the caller's request itself
 
 	progress
@@ -53,6 +55,7 @@
 	sends         int               // sends that may have reached an endpoint
 	runs          int               // sends that may have run
 	tried         []string          // IDs of endpoints that failed this request
+	broke         []string          // IDs of endpoints that broke off a run
 	failure       string            // reason for the last failure
 	history       history           // how the steps so far ended
 	sharePercent  int               // workspace's share of the engines at the last refusal of a place
@@ -154,8 +157,10 @@
 				p.contextEnded(ctx)
 				return
 			}
-			p.giveUp()
-			return
+			if !p.pause(ctx) {
+				p.giveUp()
+				return
+			}
 		}
 	}
 }
@@ -183,6 +188,39 @@
 	return stepGiveUp
 }
 
+const (
+	// firstPause and maxPause are the first and the longest pause of a stream that has begun and for which
+	// there is no endpoint.
+	firstPause = 50 * time.Millisecond
+	maxPause   = 500 * time.Millisecond
+	// maxPauseDoublings bounds how often a pause is doubled.
+	maxPauseDoublings = 4
+	// pausesBeforeReturn is the number of pauses before a stream may return to an endpoint that broke it off,
+	// which may have started again by then: about a second.
+	pausesBeforeReturn = 5
+)
+
+// pause waits a little if the request is a stream that has begun and may still go on at an endpoint later:
+// its caller has a part of the answer, which would be lost. It returns false if the request is to be
+// given up.
+func (p *proxyRequest) pause(ctx context.Context) bool {
+	if !p.headSent.Load() || !p.mayRepeat() || p.left() < minTimeLeft || p.version.software == "" || p.quarantined() {
+		return false
+	}
+	length := min(firstPause<<min(p.pauses, maxPauseDoublings), maxPause, p.left())
+	if p.pauses++; p.pauses == 1 {
+		p.requestLog.Write(p.logLine(eventlog.Waiting, p.failure, nil))
+		p.Scope.Counter("streams_waiting").Inc(1)
+	}
+	ticker.Sleep(ctx, length)
+	p.tried, p.placeLimit = nil, p.placeRequests+maxPlaceRequests
+	if p.pauses < pausesBeforeReturn {
+		p.tried = slices.Clone(p.broke)
+	}
+	p.prefill.tried, p.prefill.rejected, p.prefill.avoid = nil, nil, nil
+	return true
+}
+
 // stepResult is the outcome of one step of a request.
 type stepResult int
 
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -31,13 +31,14 @@
 type spending struct {
 	sends, runs, prefills, placeRequests int
 	tried                                []string // IDs of endpoints that failed
+	broke                                []string // IDs of endpoints that broke off a run
 	steps                                []string // of the history
 	fallback                             *bufferedResponse
 }
 
 func (s *spending) add(t spending) {
 	s.sends, s.runs, s.prefills, s.placeRequests = s.sends+t.sends, s.runs+t.runs, s.prefills+t.prefills, s.placeRequests+t.placeRequests
-	s.tried, s.steps = slices.Concat(s.tried, t.tried), slices.Concat(s.steps, t.steps)
+	s.tried, s.broke, s.steps = slices.Concat(s.tried, t.tried), slices.Concat(s.broke, t.broke), slices.Concat(s.steps, t.steps)
 	if t.fallback != nil {
 		s.fallback = t.fallback
 	}
@@ -48,7 +49,7 @@
 	q := x.request
 	return spending{
 		sends: q.sends - x.from.sends, runs: q.runs - x.from.runs, prefills: q.prefill.sends - x.from.prefills, placeRequests: q.placeRequests,
-		tried: q.tried[len(x.from.tried):], steps: q.history.steps, fallback: q.fallback,
+		tried: q.tried[len(x.from.tried):], broke: q.broke, steps: q.history.steps, fallback: q.fallback,
 	}
 }
 
@@ -125,7 +126,7 @@
 // spend adds what attempts beside the last one have done.
 func (p *proxyRequest) spend(s spending) {
 	p.sends, p.runs, p.prefill.sends, p.placeRequests = p.sends+s.sends, p.runs+s.runs, p.prefill.sends+s.prefills, p.placeRequests+s.placeRequests
-	p.tried = slices.Concat(p.tried, s.tried)
+	p.tried, p.broke = slices.Concat(p.tried, s.tried), slices.Concat(p.broke, s.broke)
 	for _, step := range s.steps {
 		p.history.add("beside: " + step)
 	}
@@ -143,7 +144,7 @@
 	next := q.progress
 	next.sends, next.runs, next.prefill.sends, next.placeRequests = p.sends, p.runs, p.prefill.sends, p.placeRequests
 	next.history, next.fallback, next.placeLimit = p.history, p.fallback, p.placeLimit
-	next.tried = p.tried
+	next.tried, next.broke = p.tried, p.broke
 	p.progress = next
 	p.spend(spent)
 	p.reservedBytes += q.reservedBytes
