--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -41,6 +41,7 @@
 	Status   int            `json:"status"`
 	Took     int64          `json:"took_ms"`
 	Left     int64          `json:"left_ms"`
+	Age      int64          `json:"age_ms"`
 	Wait     int64          `json:"wait_ms"`
 	Version  int64          `json:"version"`
 	Revision int64          `json:"revision"`
@@ -155,6 +156,10 @@
 		eventlog.Repeated:        fmt.Sprintf("is retried because of %s", e.Reason),
 		eventlog.TakenUp:         fmt.Sprintf("the caller goes on with a stream that was begun%s; that is %s", softwareText(e), e.Outcome),
 		eventlog.Resumed:         fmt.Sprintf("the stream is resumed on another endpoint because of %s", e.Reason),
+		eventlog.Silent:          fmt.Sprintf("endpoint %s is silent; the request is sent to another one as well, and the first to speak answers", e.Endpoint),
+		eventlog.Moved:           fmt.Sprintf("another endpoint spoke first; the send to %s is canceled", e.Endpoint),
+		eventlog.Kept:            fmt.Sprintf("the silent endpoint went on; the other send, %d ms old, is canceled", e.Age),
+		eventlog.Waiting:         fmt.Sprintf("the stream waits for an endpoint (%s)", e.Reason),
 		eventlog.BudgetSpent:     "is not retried: the retry budget is exhausted",
 		eventlog.Answered:        fmt.Sprintf("answered with status %d after %d ms, %s", e.Status, e.Took, strings.ReplaceAll(e.Outcome, "_", " ")),
 		eventlog.Refused:         fmt.Sprintf("refused with status %d after %d ms, not run: %s; the caller may retry after %d ms", e.Status, e.Took, e.Reason, e.Wait),
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -38,6 +38,30 @@
 	c.Assert(strings.Count(lines.String(), "\n"), qt.Equals, 5)
 }
 
+// The story of a stream that was lost names what ended each of its sends.
+func TestStoryOfBrokenStream(t *testing.T) {
+	c := qt.New(t)
+	s, err := story.Read(strings.NewReader(`{"instance":"n1","time":1000,"event":"sent","request":"r1","attempt":1,"service":"s","endpoint":"e1","left_ms":900,"version":3}
+{"instance":"n1","time":1100,"event":"silent","request":"r1","attempt":1,"endpoint":"e1"}
+{"instance":"n1","time":1200,"event":"kept","request":"r1","attempt":1,"age_ms":100}
+{"instance":"n1","time":1300,"event":"silent","request":"r1","attempt":1,"endpoint":"e1"}
+{"instance":"n1","time":1320,"event":"moved","request":"r1","attempt":1,"endpoint":"e1"}
+{"instance":"n1","time":1340,"event":"waiting","request":"r1","attempt":2,"reason":"no_decode_endpoint"}
+{"instance":"n1","time":1900,"event":"broken","request":"r1","attempt":2,"reason":"time_over","detail":"e1: silent; e2: no_answer","took_ms":900}
+`), "r1")
+	c.Assert(err, qt.IsNil)
+	var text strings.Builder
+	c.Assert(s.Write(&text), qt.IsNil)
+	c.Assert(text.String(), qt.Equals, `     +0 ms  n1  send 1 to endpoint e1 of s, with 900 ms left, under configuration 3
+   +100 ms  n1  endpoint e1 is silent; the request is sent to another one as well, and the first to speak answers
+   +200 ms  n1  the silent endpoint went on; the other send, 100 ms old, is canceled
+   +300 ms  n1  endpoint e1 is silent; the request is sent to another one as well, and the first to speak answers
+   +320 ms  n1  another endpoint spoke first; the send to e1 is canceled
+   +340 ms  n1  the stream waits for an endpoint (no_decode_endpoint)
+   +900 ms  n1  the response was aborted after 900 ms: time_over [e1: silent; e2: no_answer]
+`)
+}
+
 func TestUnknownRequest(t *testing.T) {
 	_, err := story.Read(strings.NewReader(logs), "r7")
 	qt.Assert(t, err, qt.ErrorMatches, `story: no line names request "r7".*`)
