balance: keep silence apart from failure

Callers saw whole services refused or late: an endpoint that fell silent for a second or two was judged like one that refuses connections. It was ejected for 1, 2, 4 and 8 s, although its entry stood and it answered again after 1.5 s.

Cause: a connection that does not come up in time and one that is refused were the same result, and nothing but the end of the ejection or an answer ended it. When the ejection had run out, all requests of the instance tried the endpoint at once and waited for the dial timeout in vain.

Silent is a result of its own: the endpoint counts as silent for a second after the last connection that did not come up, whoever tried it, and until the first one that does. Neither the failure rate nor the length of later ejections changes. Unconfirmed failures are treated alike, so that they end with a connection, too. Refused connections, failures and cancels are judged as before.

With Silent treated as Unreachable, as the code did before, TestConclusions (the row of time-outs), three rows of TestSilenceEndsWithAConnection, and TestAllEndpointsSilent fail. Each other row was broken on purpose, too.

The planner of engines is left as it is.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -28,6 +28,9 @@
 	// initialEjection doubles with each consecutive ejection, up to maxEjection.
 	initialEjection = time.Second
 	maxEjection     = 8 * time.Second
+	// silenceLifetime is how long an endpoint counts as silent after a connection to it did not come up. It
+	// exceeds the interval at which silent endpoints are probed.
+	silenceLifetime = time.Second
 	// failureWeight is the weight of one result in the moving averages; its half-life
 	// is about four results.
 	failureWeight = 0.15
@@ -70,6 +73,7 @@
 	Rejected                  // the endpoint reported that it did not run the request
 	Unreachable               // no connection
 	Unconfirmed               // no connection, perhaps because of this instance's own links
+	Silent                    // no connection within the dial timeout; it may come up a moment later
 	Canceled                  // canceled on this side; says nothing about the endpoint
 )
 
@@ -101,10 +105,14 @@
 	failureRate  float64 // moving average of failures, 0 to 1
 	ejections    int     // consecutive, at most 3
 	ejectedUntil clock.Millis
+	silentUntil  clock.Millis // 0 unless the last connection did not come up in time
 	usedAt       clock.Millis
 	unreachable  bool // the last request could not connect
 }
 
+// ejected reports whether the endpoint is used only if there is no other.
+func (s *state) ejected(now clock.Millis) bool { return now < max(s.ejectedUntil, s.silentUntil) }
+
 // New returns a balancer for an instance in zone; regions maps zones to their regions.
 func New(zone string, regions map[string]string) *Balancer {
 	return &Balancer{zone: zone, regions: regions, backoffs: notice.NewTable[string](0), states: map[string]*state{}, random: rand.Float64}
@@ -139,10 +147,10 @@
 			continue
 		}
 		s := b.stateOrDefault(e.ID)
-		if s.unreachable && now < s.ejectedUntil && now.Sub(s.usedAt) < minProbeInterval {
+		if s.unreachable && s.ejected(now) && now.Sub(s.usedAt) < minProbeInterval {
 			continue // a single request probes whether it is back
 		}
-		score, ejected := b.score(now, e, s), now < s.ejectedUntil
+		score, ejected := b.score(now, e, s), s.ejected(now)
 		switch {
 		case best == nil || bestEjected && !ejected || bestEjected == ejected && score < bestScore:
 			best, bestScore, bestEjected, ties = e, score, ejected, 1
@@ -203,7 +211,7 @@
 	defer b.mu.Unlock()
 	var ids []string
 	for id, s := range b.states {
-		if now < s.ejectedUntil {
+		if s.ejected(now) {
 			ids = append(ids, id)
 		}
 	}
@@ -241,7 +249,41 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.states[id]; s != nil && s.unreachable {
-		s.unreachable, s.ejectedUntil, s.ejections, s.failureRate = false, 0, 0, 0
+		s.unreachable, s.ejectedUntil, s.silentUntil, s.ejections, s.failureRate = false, 0, 0, 0, 0
+	}
+}
+
+// RecordSilence records that a connection to an endpoint did not come up in time. It says nothing of how
+// requests fare there, so that neither the failure rate nor the length of later ejections changes.
+func (b *Balancer) RecordSilence(now clock.Millis, id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.states[id]; s != nil {
+		s.recordSilence(now)
+	}
+}
+
+// RecordConnection records that a connection to an endpoint came up, so that it is no longer silent.
+func (b *Balancer) RecordConnection(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.states[id]; s != nil {
+		s.endSilence()
+	}
+}
+
+func (s *state) recordSilence(now clock.Millis) time.Duration {
+	wasEjected := s.ejected(now)
+	s.unreachable, s.silentUntil = true, now.Add(silenceLifetime)
+	if wasEjected {
+		return 0
+	}
+	return silenceLifetime
+}
+
+func (s *state) endSilence() {
+	if s.silentUntil != 0 {
+		s.unreachable, s.silentUntil = false, 0
 	}
 }
 
@@ -354,7 +396,7 @@
 	s.running--
 	switch result {
 	case Succeeded:
-		s.unreachable = false
+		s.unreachable, s.silentUntil = false, 0
 		s.failureRate *= 1 - failureWeight
 		s.work += (r.usualTime(now) - s.work) * failureWeight
 		s.ejections = 0
@@ -364,13 +406,15 @@
 			return s.eject(now)
 		}
 	case Unreachable:
-		s.unreachable = true
+		s.unreachable, s.silentUntil = true, 0
 		return s.eject(now)
 	case Unconfirmed:
-		s.unreachable, s.ejections = true, 0 // as if for the first time
-		return s.eject(now)
+		s.ejections = 0 // as if for the first time
+		return s.recordSilence(now)
+	case Silent:
+		return s.recordSilence(now)
 	case Rejected:
-		s.unreachable = false
+		s.unreachable, s.silentUntil = false, 0
 	case Canceled:
 	}
 	return 0
