dialer: try silent endpoints apart from requests

Callers waited for the dial timeout of 100 ms, often several times in a row, to find out whether an endpoint that had fallen silent answered again, and endpoints that did answer again were left alone until their ejection had run out.

Cause: the dialer tried again only endpoints that a peer had reached in its stead. A connection that came up by itself told the balancer nothing, and an error did not say whether the endpoint was silent or refused.

An own connection that doesn't come up in time now fails with uplink.ErrSilent, unless this instance is late or a peer was refused. The balancer is told of each result but a refusal, which the next request learns. A connection that takes longer than a request waits ends no silence. The connection is kept for the next request.

In the tests' world, the first instance's lost packets now go before the endpoint's refusal: it can't see one when its own links are silent, as the row "endpoint refuses everyone, own links are silent" of TestConnect means.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -49,6 +49,9 @@
 	// Absolve is called for each endpoint that failed only because the own links to it were
 	// lost.
 	Absolve func(endpoint string)
+	// OnSilence is called for each endpoint that still does not answer when it is tried again after a connection
+	// to it did not come up in time, and OnConnection for each own connection that came up in time. Both may be nil.
+	OnSilence, OnConnection func(endpoint string)
 	// OnLost and OnRegained are called when the own links to a service are lost, and when they
 	// are back.
 	OnLost, OnRegained func(reachability.Loss)
@@ -66,6 +69,7 @@
 	sound    soundness
 	failures failures
 	holds    holds
+	silences silences
 }
 
 // New returns a Dialer. Tunnels must be set before its first use.
@@ -73,7 +77,13 @@
 	if o.Overloaded == nil {
 		o.Overloaded = func() bool { return false }
 	}
-	d := &Dialer{Options: o, reach: reachability.New(o.Now), sound: soundness{last: map[string][2]connection{}}, failures: failures{last: map[string]map[string]clock.Millis{}}, holds: newHolds()}
+	if o.OnSilence == nil {
+		o.OnSilence = func(string) {}
+	}
+	if o.OnConnection == nil {
+		o.OnConnection = func(string) {}
+	}
+	d := &Dialer{Options: o, reach: reachability.New(o.Now), sound: soundness{last: map[string][2]connection{}}, failures: failures{last: map[string]map[string]clock.Millis{}}, holds: newHolds(), silences: silences{endpoints: map[string]*silence{}}}
 	d.reach.OnLost = func(l reachability.Loss) {
 		d.OnLost(l)
 		for e := range d.Endpoints(l.Service) {
@@ -111,6 +121,7 @@
 
 // dialOwn opens an own connection and records that the endpoint was reached.
 func (d *Dialer) dialOwn(ctx context.Context, to tunnel.Destination) (net.Conn, error) {
+	start := d.Now()
 	c, err := d.Pool.DialOwn(ctx, to.Address)
 	if err != nil {
 		return nil, err
@@ -118,6 +129,10 @@
 	d.sound.record(d.Now(), to.Service, to.EndpointID)
 	d.failures.reset(to.Service)
 	d.reach.RecordConnection(to.Service, to.EndpointID)
+	if d.Now().Sub(start) < uplink.DialTimeout { // a later one would not have served a request
+		d.silences.forget(to.EndpointID)
+		d.OnConnection(to.EndpointID)
+	}
 	return c, nil
 }
 
@@ -149,6 +164,7 @@
 func (d *Dialer) LinksLost() bool { return d.reach.Lost() }
 
 func (d *Dialer) recordBypass(to tunnel.Destination, failure error) {
+	d.silences.forget(to.EndpointID)
 	d.Absolve(to.EndpointID)
 	d.reach.RecordBypass(to.Service, to.EndpointID, d.size(to.Service), failure)
 }
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -56,6 +56,8 @@
 	absolved sync.Map
 
 	lost, regained atomic.Int64 // calls of OnLost and OnRegained
+	silences       atomic.Int64 // calls of OnSilence
+	connections    atomic.Int64 // calls of OnConnection
 	overloaded     atomic.Bool
 	delay          atomic.Int64 // ms until a connection of its own comes up
 }
@@ -108,22 +110,24 @@
 		i.dials.Add(1)
 		ctx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
 		defer cancel()
-		if _, crashed := w.crashed.Load(to); crashed || fault(i.links.Load()) == refuses {
-			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
-		}
 		if _, dark := w.silent.Load(to); dark || fault(i.links.Load()) == silent {
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
+		if _, crashed := w.crashed.Load(to); crashed || fault(i.links.Load()) == refuses {
+			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+		}
 		time.Sleep(time.Duration(i.delay.Load()) * time.Millisecond)
 		return (&net.Dialer{}).DialContext(context.WithoutCancel(ctx), "tcp", to.String())
 	}
 	i.Dialer = dialer.New(dialer.Options{
 		Pool: i.pool, Endpoints: w.endpoints, Absolve: func(id string) { i.absolved.Store(id, true) }, Scope: tally.NoopScope, Now: w.now,
-		ServiceOf:  func(string) string { return "web" },
-		Overloaded: i.overloaded.Load,
-		OnLost:     func(reachability.Loss) { i.lost.Add(1) },
-		OnRegained: func(reachability.Loss) { i.regained.Add(1) },
+		ServiceOf:    func(string) string { return "web" },
+		Overloaded:   i.overloaded.Load,
+		OnSilence:    func(string) { i.silences.Add(1) },
+		OnConnection: func(string) { i.connections.Add(1) },
+		OnLost:       func(reachability.Loss) { i.lost.Add(1) },
+		OnRegained:   func(reachability.Loss) { i.regained.Add(1) },
 	})
 	i.Tunnels = tunnel.New(tunnel.Options{
 		Transport: transport, Candidates: func() []tunnel.Peer { return []tunnel.Peer{other} },
--- a/internal/dialer/probe.go
+++ b/internal/dialer/probe.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
 	"github.com/trailshed/trailshed/internal/ticker"
 	"github.com/trailshed/trailshed/internal/tunnel"
+	"github.com/trailshed/trailshed/internal/uplink"
 )
 
 const (
@@ -17,9 +19,56 @@
 	probesPerService = 2
 )
 
-// Run tries the links that are lost until ctx ends.
+// Run tries the links that are lost, and the endpoints that are silent, until ctx ends.
 func (d *Dialer) Run(ctx context.Context) {
-	ticker.Every(ctx, probeInterval, func() { d.probe(ctx) })
+	ticker.Every(ctx, probeInterval, func() {
+		d.probe(ctx)
+		d.probeSilent(ctx)
+	})
+}
+
+// probeSilent tries endpoints to which a connection did not come up in time, so that requests need not do so to find
+// out that they answer again. An instance that is overloaded is late itself and learns nothing from it.
+func (d *Dialer) probeSilent(ctx context.Context) {
+	if d.Overloaded() {
+		return
+	}
+	for _, e := range d.silences.due(d.Now()) {
+		if d.Bypassed(e.EndpointID) || !d.takesRequests(e) {
+			d.silences.forget(e.EndpointID)
+			continue
+		}
+		go d.probeSilence(ctx, e)
+	}
+}
+
+// probeSilence tries one silent endpoint, and keeps a connection that comes up.
+func (d *Dialer) probeSilence(ctx context.Context, e tunnel.Destination) {
+	ctx, cancel := context.WithTimeout(ctx, uplink.DialTimeout)
+	defer cancel()
+	c, err := d.dialOwn(ctx, e)
+	if isTimeout(err) {
+		err = d.timeoutError()
+	}
+	switch {
+	case err == nil:
+		d.Pool.Keep(c, e.Address, e.EndpointID)
+	case errors.Is(err, uplink.ErrLate):
+	case errors.Is(err, uplink.ErrSilent):
+		d.OnSilence(e.EndpointID)
+	default: // the next request learns the same
+		d.silences.forget(e.EndpointID)
+	}
+}
+
+// takesRequests reports whether an endpoint still takes requests at its address.
+func (d *Dialer) takesRequests(e tunnel.Destination) bool {
+	for o := range d.Endpoints(e.Service) {
+		if o.EndpointID == e.EndpointID && o.Address == e.Address {
+			return true
+		}
+	}
+	return false
 }
 
 func (d *Dialer) probe(ctx context.Context) {
--- a/internal/dialer/race.go
+++ b/internal/dialer/race.go
@@ -43,18 +43,23 @@
 	err  error
 }
 
-// errTimeout is the result of an own attempt that has taken too long.
-var errTimeout = errors.New("no connection in time")
-
 // startOwn begins an own connection. The attempt goes on if the request ends or has waited for longer than
 // patience, so that its result is known for the next one.
 func (d *Dialer) startOwn(ctx context.Context, to tunnel.Destination, patience time.Duration) <-chan attempt[net.Conn] {
 	own := make(chan attempt[net.Conn], 1)
-	timer := time.AfterFunc(patience, func() { own <- attempt[net.Conn]{err: d.timeoutError()} })
+	timer := time.AfterFunc(patience, func() {
+		err := d.timeoutError()
+		d.recordSilence(to, err)
+		own <- attempt[net.Conn]{err: err}
+	})
 	go func() {
 		c, err := d.dialOwn(context.WithoutCancel(ctx), to)
 		switch {
 		case timer.Stop():
+			if isTimeout(err) {
+				err = errors.Join(d.timeoutError(), err)
+			}
+			d.recordSilence(to, err)
 			own <- attempt[net.Conn]{c, err}
 		case err == nil:
 			d.Pool.Keep(c, to.Address, to.EndpointID)
@@ -69,9 +74,22 @@
 	before := d.Now()
 	runtime.Gosched()
 	if d.Overloaded() || d.Now().Sub(before) > maxTurn {
-		return errors.Join(errTimeout, uplink.ErrLate)
+		return errors.Join(uplink.ErrSilent, uplink.ErrLate)
+	}
+	return uplink.ErrSilent
+}
+
+// isTimeout reports whether an attempt took as long as connecting may take at all.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// recordSilence records the result of an own attempt if nothing came back from the endpoint.
+func (d *Dialer) recordSilence(to tunnel.Destination, err error) {
+	if errors.Is(err, uplink.ErrSilent) && !errors.Is(err, uplink.ErrLate) {
+		d.silences.record(d.Now(), to)
 	}
-	return errTimeout
 }
 
 // afterOwn asks a peer after the own connection has failed. The request waits for the peer only if
@@ -98,10 +116,14 @@
 	return path(c), nil
 }
 
-// judged returns the failure of an own connection, marked if no peer could say whose fault it is.
+// judged returns the failure of an own connection, marked if no peer could say whose fault it is. A refusal that a
+// peer saw says more than silence.
 func judged(own, peers error) error {
-	if errors.Is(peers, tunnel.ErrNoPeer) {
+	switch {
+	case errors.Is(peers, tunnel.ErrNoPeer):
 		return errors.Join(own, uplink.ErrUnconfirmed)
+	case errors.Is(peers, tunnel.ErrRefused) && errors.Is(own, uplink.ErrSilent):
+		return Error.Wrap(peers)
 	}
 	return own
 }
@@ -151,6 +173,11 @@
 			return path(b.conn), nil
 		}
 		d.recordFailure(to, b.err)
+		p, err := d.waitOwn(ctx, to, own)
+		if errors.Is(b.err, tunnel.ErrRefused) && errors.Is(err, uplink.ErrSilent) && !errors.Is(err, uplink.ErrLate) {
+			err = Error.Wrap(b.err)
+		}
+		return p, err
 	case <-ctx.Done():
 		go discard(peers)
 	}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -31,7 +31,9 @@
 	scope := g.counters.Scope
 	g.dialer = dialer.New(dialer.Options{
 		Pool: g.pool, ServiceOf: g.serviceOf, Endpoints: g.readyEndpoints, Absolve: g.balancer.Absolve, Scope: scope, Now: g.now,
-		Overloaded: g.overloaded,
+		Overloaded:   g.overloaded,
+		OnSilence:    func(endpoint string) { g.balancer.RecordSilence(g.now(), endpoint) },
+		OnConnection: g.balancer.RecordConnection,
 		OnLost: func(l reachability.Loss) {
 			g.log.Write(eventlog.Line{Event: eventlog.LinksLost, Service: l.Service, Detail: l.Evidence})
 		},
--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -31,6 +31,9 @@
 // nothing about the endpoint.
 var ErrLate = errors.New("this instance is late itself")
 
+// ErrSilent means that no connection came up in time and nothing said why. The endpoint may go on a moment later.
+var ErrSilent = errors.New("no connection in time")
+
 // ErrThroughPeer marks failures of a connection that a peer carried.
 var ErrThroughPeer = errors.New("through a peer")
 
