forward: silence is no failure of an endpoint

Callers were kept from sound endpoints that had been silent for a second: sends that this instance had cancelled itself, prompts that it had not waited for and connections that had not come up in time all counted as failures, ejected the endpoint for up to 8 s, were reported to its planner, and had its process looked for.

Cause: only the error was looked at, and the error of a connection that this instance closes reads like one that the endpoint closes.

Now such an end is balance.Silent: other endpoints are preferred until the silent one is heard again, a second at the most. An endpoint that has answered other requests in the second half of the silence has failed this one and is judged as before, so that one which hangs with a part of its requests is still ejected. A connection that does not come up in time (uplink.ErrSilent) is Silent, too. Reservations note when the endpoint last sent something.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/trailshed/trailshed/internal/directory"
@@ -28,8 +29,8 @@
 	// initialEjection doubles with each consecutive ejection, up to maxEjection.
 	initialEjection = time.Second
 	maxEjection     = 8 * time.Second
-	// silenceLifetime is how long an endpoint counts as silent after a connection to it did not come up. It
-	// exceeds the interval at which silent endpoints are probed.
+	// silenceLifetime is how long an endpoint counts as silent after a connection to it did not come up, or an
+	// answer did not come. It exceeds the interval at which silent endpoints are probed.
 	silenceLifetime = time.Second
 	// failureWeight is the weight of one result in the moving averages; its half-life
 	// is about four results.
@@ -73,7 +74,7 @@
 	Rejected                  // the endpoint reported that it did not run the request
 	Unreachable               // no connection
 	Unconfirmed               // no connection, perhaps because of this instance's own links
-	Silent                    // no connection within the dial timeout; it may come up a moment later
+	Silent                    // no connection or no answer in time; it may come a moment later
 	Canceled                  // canceled on this side; says nothing about the endpoint
 )
 
@@ -107,11 +108,17 @@
 	ejectedUntil clock.Millis
 	silentUntil  clock.Millis // 0 unless the last connection did not come up in time
 	usedAt       clock.Millis
-	unreachable  bool // the last request could not connect
+	unreachable  bool         // the last request could not connect
+	heardAt      atomic.Int64 // clock.Millis at which the endpoint last sent something to this instance
 }
 
 // ejected reports whether the endpoint is used only if there is no other.
-func (s *state) ejected(now clock.Millis) bool { return now < max(s.ejectedUntil, s.silentUntil) }
+func (s *state) ejected(now clock.Millis) bool { return now < s.ejectedUntil || s.silent(now) }
+
+// silent reports whether the endpoint counts as silent: nothing has come from it since it was found to be.
+func (s *state) silent(now clock.Millis) bool {
+	return now < s.silentUntil && s.heardAt.Load() <= int64(s.silentUntil.Add(-silenceLifetime))
+}
 
 // New returns a balancer for an instance in zone; regions maps zones to their regions.
 func New(zone string, regions map[string]string) *Balancer {
@@ -127,6 +134,7 @@
 type Reservation struct {
 	Endpoint *directory.Endpoint
 	balancer *Balancer
+	state    *state // while the reservation lasts; without the balancer's lock, only heardAt may be used
 	start    clock.Millis
 	factor   float64 // Load.WorkFactor of the answer
 	done     bool
@@ -291,7 +299,7 @@
 	s := b.state(e.ID)
 	s.running++
 	s.usedAt = now
-	return &Reservation{Endpoint: e, balancer: b, start: now}
+	return &Reservation{Endpoint: e, balancer: b, state: s, start: now}
 }
 
 // score predicts the wait at an endpoint in ms, beyond the usual time of the request itself. Where endpoints
@@ -365,6 +373,12 @@
 	return s
 }
 
+// Heard records that the endpoint has sent something in answer to the request.
+func (r *Reservation) Heard(now clock.Millis) { r.state.heardAt.Store(int64(now)) }
+
+// HeardSince reports whether the endpoint has sent this instance anything since a time, in answer to any request.
+func (r *Reservation) HeardSince(t clock.Millis) bool { return r.state.heardAt.Load() >= int64(t) }
+
 // ReportLoad records the load that an answer reports.
 func (r *Reservation) ReportLoad(now clock.Millis, l Load) {
 	r.balancer.mu.Lock()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -90,6 +90,7 @@
 		return false
 	}
 	a.exchange, a.head = exchange, head
+	p.heard(a.reservation)
 	if head.HasLoad {
 		a.reservation.ReportLoad(p.Now(), head.Load)
 		p.recordLoad(a.reservation.Endpoint, head)
@@ -132,6 +133,7 @@
 	p.runs++
 	p.ownLinkLost = false
 	p.events, p.wroteOn, p.sentAt = 0, false, p.Now()
+	p.heardAt = p.sentAt
 	n := p.logLine(eventlog.Sent, "", nil)
 	n.Endpoint, n.Software, n.Address, n.Revision = r.Endpoint.ID, r.Endpoint.Software, r.Endpoint.Address.String(), p.view.Revision
 	p.requestLog.Write(n)
@@ -200,6 +202,8 @@
 	case errors.Is(err, uplink.ErrUnconfirmed):
 		result, p.ownLinkLost = balance.Unconfirmed, true
 		p.failure = "unreachable"
+	case errors.Is(err, uplink.ErrSilent):
+		result, p.failure = balance.Silent, "unreachable"
 	case errors.Is(err, uplink.ErrNotSent):
 		result = balance.Unreachable
 		p.failure = "unreachable"
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -263,6 +263,7 @@
 	sent := p.Now()
 	id, head, err := p.requestPrefill(ctx, m, r.Endpoint)
 	if err == nil {
+		r.Heard(p.Now())
 		p.reportNoLimit(r.Endpoint, head, sent)
 	}
 	unsent := errors.Is(err, uplink.ErrNotSent)
@@ -287,17 +288,24 @@
 		// counts as its first send. Later prefills were paid for when sent.
 		p.sends++
 	}
-	result := p.classifyPrefill(parent, r.Endpoint, head, err)
+	reason := ""
+	if parent.Err() == nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		reason = reasonSilent
+		if p.answersOthers(r, sent) {
+			reason = reasonHangs
+		}
+	}
+	result := p.classifyPrefill(parent, r.Endpoint, head, err, reason)
 	r.Done(p.Now(), result)
 	p.history.add("prefill at " + r.Endpoint.ID + " failed")
-	n := p.logLine(eventlog.PrefillFailed, "", err)
+	n := p.logLine(eventlog.PrefillFailed, reason, err)
 	n.Endpoint, n.Address = r.Endpoint.ID, r.Endpoint.Address.String()
 	p.requestLog.Write(n)
 }
 
 // classifyPrefill returns the result of a prefill that failed, and notes the engine for the
-// planner if it is at fault or full.
-func (p *proxyRequest) classifyPrefill(parent context.Context, e *directory.Endpoint, head ResponseHead, err error) balance.Result {
+// planner if it is at fault or full. timedOut is the reason if this instance ended the prefill itself.
+func (p *proxyRequest) classifyPrefill(parent context.Context, e *directory.Endpoint, head ResponseHead, err error, timedOut string) balance.Result {
 	p.failedEngine = e.ID
 	switch {
 	case head.AddressReused:
@@ -314,8 +322,15 @@
 	case errors.Is(err, uplink.ErrUnconfirmed):
 		p.failedEngine = ""
 		return balance.Unconfirmed
+	case errors.Is(err, uplink.ErrSilent):
+		return balance.Silent
 	case errors.Is(err, uplink.ErrNotSent):
 		return balance.Unreachable
+	case timedOut == reasonHangs:
+		return balance.Failed
+	case timedOut != "":
+		p.failedEngine = ""
+		return balance.Silent
 	}
 	p.checkProcessEnded(parent, e, quarantine.Prompt{}) // a prompt that is only read has no answer
 	if !errors.Is(err, uplink.ErrThroughPeer) && p.LinkLost(e.ID) {
--- a/internal/forward/rank_test.go
+++ b/internal/forward/rank_test.go
@@ -36,7 +36,7 @@
 			g := newEngineRequest(t)
 			g.route.Priority, g.workspace = 2, test.workspace
 			g.findPlace(t.Context())
-			g.successor(t).findPlace(t.Context())
+			g.startBeside(t).findPlace(t.Context())
 			c.Assert(g.requested, qt.HasLen, 2)
 			for _, req := range g.requested {
 				c.Check(req.Rank, qt.Equals, test.rank)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -64,6 +64,7 @@
 	predicted     time.Duration     // prediction of firstEvent, made when the request got its place
 	events        int               // passed on in this send
 	sentAt        clock.Millis      // time of this send
+	heardAt       clock.Millis      // when this send was made, or its endpoint last heard
 	begunAt       clock.Millis      // time of the first event of this send
 	wroteOn       bool              // the endpoint went on writing after it began the answer to this send
 	heldPart      prompt.Part       // part of the prompt for which the request is refused
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -43,6 +43,7 @@
 			p.supersede(a)
 			return false
 		}
+		p.heard(a.reservation)
 		p.bindVersion(a.reservation.Endpoint)
 		start := p.Now()
 		written := p.writeEvent(a.exchange, event)
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -148,6 +148,8 @@
 	p.progress = next
 	p.spend(spent)
 	p.reservedBytes += q.reservedBytes
+	p.answer.stopHeld()
+	p.answer.stopHeld = p.watchHeld(p.answer.cancel)
 	p.silence = p.watchSilence(ctx, p.answer.cancel, p.answer.reservation.Endpoint)
 }
 
@@ -169,16 +171,39 @@
 	p.moved(a.reservation)
 }
 
-// moved records that the request goes on at another endpoint than a silent one, which is not judged by that.
+// moved records that the request goes on at another endpoint than one that was silent. An endpoint that was silent to all
+// may go on at any moment, and has not failed. One that answered other requests meanwhile has failed this one.
 func (p *proxyRequest) moved(r *balance.Reservation) {
+	p.countSilence("moved")
+	n := p.logLine(eventlog.Moved, reasonSilent, nil)
+	n.Endpoint, n.Software, n.Address = r.Endpoint.ID, r.Endpoint.Software, r.Endpoint.Address.String()
+	if p.answersOthers(r, p.heardAt) {
+		n.Reason = reasonHangs
+		p.requestLog.Write(n)
+		p.failure = reasonHangs
+		p.endpointFailed(r, balance.Failed, nil)
+		return
+	}
+	p.requestLog.Write(n)
 	p.failure = reasonSilent
 	p.tried = append(p.tried, r.Endpoint.ID)
 	p.history.add(r.Endpoint.ID + ": " + p.failure)
-	r.Done(p.Now(), balance.Canceled)
-	n := p.logLine(eventlog.Moved, "", nil)
-	n.Endpoint, n.Software, n.Address = r.Endpoint.ID, r.Endpoint.Software, r.Endpoint.Address.String()
-	p.requestLog.Write(n)
-	p.countSilence("moved")
+	r.Done(p.Now(), balance.Silent)
+}
+
+// reasonHangs is the failure reason of a send that the endpoint has not answered in time, while it answered others.
+const reasonHangs = "hangs"
+
+// heard records that an endpoint has sent something in answer to the request.
+func (p *proxyRequest) heard(r *balance.Reservation) {
+	p.heardAt = p.Now()
+	r.Heard(p.heardAt)
+}
+
+// answersOthers reports whether an endpoint that the request has not heard since a time has answered others in the second
+// half of that silence. In the first half, it may have done so before its own silence began.
+func (p *proxyRequest) answersOthers(r *balance.Reservation, since clock.Millis) bool {
+	return r.HeardSince(since.Add(p.Now().Sub(since) / 2))
 }
 
 // logKept logs that a silent endpoint has gone on before an attempt beside it had a response.
--- a/internal/forward/unavailable_test.go
+++ b/internal/forward/unavailable_test.go
@@ -42,6 +42,7 @@
 	dials     atomic.Int64 // to endpoints, none of which is reachable
 	withheld  map[string]time.Duration
 	requested []placement.Request // for places
+	ctx       context.Context     //nolint:containedctx // of the test
 }
 
 func newEngineRequest(t *testing.T) *engineRequest {
@@ -113,8 +114,8 @@
 	return s
 }
 
-// successor returns the request of an attempt beside one at such an engine.
-func (g *engineRequest) successor(t *testing.T) *proxyRequest {
+// startBeside returns the request of an attempt beside one at such an engine.
+func (g *engineRequest) startBeside(t *testing.T) *proxyRequest {
 	s := g.watch(t)
 	return s.start(s).request
 }
