forward: more than one attempt may run beside a silent one

Review of the attempts beside silent ones. Attempts are now begun as long as the route allows, and go on when the first fails by itself. An attempt beside another one keeps to its version.

A stream whose service or version is gone is broken off at once, as no endpoint will take it; pauses start short again once events have come.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -67,18 +67,22 @@
 		p.answer = a
 		return true
 	}
-	p.endAttempt(a)
+	p.endAttempt(a, false)
 	return false
 }
 
-// endAttempt ends an attempt. An attempt that runs beside it goes on as the request's successor.
-func (p *proxyRequest) endAttempt(a *answer) {
-	successor, spent := p.silence.stop()
-	p.successor, p.silence = successor, nil
-	p.spend(spent)
+// endAttempt ends an attempt. Unless it has answered the caller, the request goes on by those that run beside it.
+func (p *proxyRequest) endAttempt(a *answer, answered bool) {
 	a.stopHeld()
 	a.cancel()
 	p.answer = nil
+	if !answered {
+		p.silence.end()
+		p.hedge = p.silence
+	} else {
+		p.silence.stop()
+	}
+	p.silence = nil
 }
 
 // read sends the request and reads the response as begin does.
@@ -190,11 +194,12 @@
 	switch {
 	case p.cancelledHeld.Load():
 		result, p.failure = balance.Canceled, reasonCrashingPart
+	case parent.Err() != nil && (p.beside != nil || !errors.Is(context.Cause(parent), context.DeadlineExceeded)):
+		p.failure = reasonCanceled
+		p.history.add(r.Endpoint.ID + ": " + p.failure)
+		r.Done(p.Now(), balance.Canceled)
+		return
 	case parent.Err() != nil:
-		result = balance.Canceled
-		if errors.Is(context.Cause(parent), context.DeadlineExceeded) {
-			result = balance.Failed
-		}
 	case errors.Is(err, uplink.ErrOwnLinks):
 		result, p.failure = balance.Canceled, reasonOwnLinks
 	case errors.Is(err, uplink.ErrLate):
@@ -226,6 +231,9 @@
 // reasonSilent is the failure reason of a send that this instance cancelled after another endpoint had spoken first.
 const reasonSilent = "silent"
 
+// reasonCanceled is the failure reason of a send that is not needed any more.
+const reasonCanceled = "canceled"
+
 // reasonLate is the failure reason of a send for which no connection came up while this instance was late
 // itself.
 const reasonLate = "instance_late"
@@ -296,7 +304,7 @@
 		if !done {
 			p.recordFailedEngine(a.reservation.Endpoint.ID)
 		}
-		p.endAttempt(a)
+		p.endAttempt(a, done)
 		p.leavePlace()
 	}()
 	switch {
--- a/internal/forward/own_cancel_test.go
+++ b/internal/forward/own_cancel_test.go
@@ -26,7 +26,7 @@
 func TestOwnCancelsJudgeNobody(t *testing.T) {
 	const silence = time.Second
 	superseded := func(g *engineRequest, r *balance.Reservation) {
-		g.silence = &silenceWatch{lost: true}
+		g.silence = &silenceWatch{winner: &successor{}}
 		g.heardAt = g.Now().Add(-silence)
 		g.sendFailed(g.ctx, r, uplink.ErrNoResponse)
 		g.recordFailedEngine(r.Endpoint.ID)
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -68,7 +68,7 @@
 		return stepGiveUp
 	}
 	if !p.usesEngines() {
-		p.failure = "service_gone" // removed by a newer configuration
+		p.failure = reasonServiceGone
 		return stepGiveUp
 	}
 	p.dropStaleHandle()
@@ -86,6 +86,9 @@
 	return result
 }
 
+// reasonServiceGone is the failure reason of a request whose service a newer configuration has removed.
+const reasonServiceGone = "service_gone"
+
 // leavePlace gives the request's place back.
 func (p *proxyRequest) leavePlace() {
 	if p.place == nil {
@@ -214,7 +217,7 @@
 	switch {
 	case len(p.prefill.rejected) >= maxHandleRejections:
 		p.fullEngine, p.failedEngine = "", p.prefill.engine
-	case p.ownLinkLost, p.failure == reasonLate, p.failure == reasonSilent: // says nothing about the engine
+	case p.ownLinkLost, p.failure == reasonLate, p.failure == reasonSilent, p.failure == reasonCanceled: // says nothing about the engine
 	case p.fullEngine == "":
 		p.failedEngine = decode
 	}
@@ -282,23 +285,35 @@
 		p.ReportPrefillDone(p.place, head.Load.Running, p.prefill.finishedAt.Sub(sent))
 		return
 	}
-	p.prefill.tried = append(p.prefill.tried, r.Endpoint.ID)
 	if p.prefill.sends == 1 && !unsent {
 		// The request may have reached the engine without being run, so this
 		// counts as its first send. Later prefills were paid for when sent.
 		p.sends++
 	}
-	reason := ""
-	if parent.Err() == nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		reason = reasonSilent
-		if p.answersOthers(r, sent) {
-			reason = reasonHangs
-		}
+	p.prefillFailed(parent, r, head, err, p.timedOutReason(ctx, parent, r, sent))
+}
+
+// timedOutReason returns why this instance ended a prefill that was sent at a time, or "" if the prefill failed.
+func (p *proxyRequest) timedOutReason(ctx, parent context.Context, r *balance.Reservation, sent clock.Millis) string {
+	switch {
+	case parent.Err() != nil || !errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return ""
+	case p.answersOthers(r, sent):
+		return reasonHangs
+	default:
+		return reasonSilent
 	}
-	result := p.classifyPrefill(parent, r.Endpoint, head, err, reason)
-	r.Done(p.Now(), result)
+}
+
+// prefillFailed records a prefill that brought no KV cache.
+func (p *proxyRequest) prefillFailed(parent context.Context, r *balance.Reservation, head ResponseHead, err error, timedOut string) {
+	r.Done(p.Now(), p.classifyPrefill(parent, r.Endpoint, head, err, timedOut))
+	if parent.Err() != nil {
+		return
+	}
+	p.prefill.tried = append(p.prefill.tried, r.Endpoint.ID)
 	p.history.add("prefill at " + r.Endpoint.ID + " failed")
-	n := p.logLine(eventlog.PrefillFailed, reason, err)
+	n := p.logLine(eventlog.PrefillFailed, timedOut, err)
 	n.Endpoint, n.Address = r.Endpoint.ID, r.Endpoint.Address.String()
 	p.requestLog.Write(n)
 }
@@ -315,6 +330,7 @@
 		p.fullEngine, p.failedEngine = e.ID, ""
 		return balance.Rejected
 	case parent.Err() != nil:
+		p.failedEngine = ""
 		return balance.Canceled
 	case errors.Is(err, uplink.ErrOwnLinks), errors.Is(err, uplink.ErrLate):
 		p.failedEngine = ""
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -44,7 +44,7 @@
 	firstEvent    time.Duration // from arrival to the first event; 0 before
 	cancelledHeld atomic.Bool   // CancelHeld cancelled a send
 	pauses        int           // waits of a stream that has begun for an endpoint
-	beside        *successor    // the attempt that this is; nil for the caller's request itself
+	beside        *successor    // the attempt that this is; nil for the caller's request
 
 	progress
 }
@@ -83,7 +83,7 @@
 	throughPeer   bool           // a peer carried the connection of the last send
 	ownLinkLost   bool           // the last send failed because of this instance's own link
 	silence       *silenceWatch  // of the last send
-	successor     *successor     // attempt that outlived the one beside which it ran
+	hedge         *silenceWatch  // of the last attempt, if others that ran beside it go on
 }
 
 // admit checks the request and reads its body. If it returns false, the caller has been
@@ -144,7 +144,7 @@
 	defer cancel()
 	defer p.credit()
 	defer p.freeHandle()
-	defer p.abandonSuccessor()
+	defer func() { p.hedge.stop() }()
 	for {
 		switch p.seek(ctx) {
 		case stepAnswered:
@@ -169,7 +169,7 @@
 // seek sends the request until a response has begun, which is left in p.answer.
 func (p *proxyRequest) seek(ctx context.Context) stepResult {
 	for ctx.Err() == nil {
-		if p.successor != nil {
+		if p.hedge != nil {
 			if p.awaitSuccessor(ctx) {
 				return stepBegun
 			}
@@ -205,7 +205,7 @@
 // its caller has a part of the answer, which would be lost. It returns false if the request is to be
 // given up.
 func (p *proxyRequest) pause(ctx context.Context) bool {
-	if !p.headSent.Load() || !p.mayRepeat() || p.left() < minTimeLeft || p.version.software == "" || p.quarantined() {
+	if !p.headSent.Load() || !p.mayRepeat() || p.left() < minTimeLeft || !p.mayGoOn() || p.failure == reasonServiceGone || p.quarantined() {
 		return false
 	}
 	length := min(firstPause<<min(p.pauses, maxPauseDoublings), maxPause, p.left())
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,10 +22,10 @@
 	silenceGapTargets = 3
 )
 
-// silenceWatch starts a successor beside an attempt whose endpoint has been silent for too long, if the
-// request may be sent again. The endpoint that speaks first answers the caller, and the other attempt is
-// canceled: a silent endpoint may go on at any moment, and another one may turn out not to be usable. A
-// nil silenceWatch never starts one.
+// silenceWatch starts successors beside an attempt whose endpoint has been silent for too long, if the
+// request may be sent again. The endpoint that speaks first answers the caller, and the other attempts are
+// canceled: a silent endpoint may go on at any moment, and another one may turn out not to be usable. If the
+// attempt fails by itself, the request goes on by its successors. A nil silenceWatch never starts one.
 type silenceWatch struct {
 	first, gap time.Duration
 	cancel     context.CancelFunc // ends the attempt
@@ -33,14 +34,16 @@
 	overloaded func() bool
 	timer      *time.Timer
 
-	mu        sync.Mutex
-	suspended bool // while an event is being written to the caller
-	stopped   bool // the attempt has ended
-	lost      bool // the successor spoke first
-	at        position
-	starts    int      // of successors
-	spent     spending // by successors that have ended
-	successor *successor
+	mu         sync.Mutex
+	suspended  bool // while an event is being written to the caller
+	ended      bool // the attempt has ended without an answer
+	stopped    bool // no successor is started or needed any more
+	at         position
+	starts     int           // of successors
+	successors []*successor  // that run
+	winner     *successor    // the one that spoke first
+	spent      spending      // by successors that have ended
+	settled    chan struct{} // closed once the attempt has ended, and a successor has spoken or none is left
 }
 
 // position is how much of a stream the caller has received.
@@ -61,7 +64,7 @@
 	}
 	s := &silenceWatch{
 		first: time.Duration(silenceTargetRatio * float64(p.route.Target)), cancel: cancel,
-		request: p, at: p.position(), start: p.successorStarter(ctx, endpoint), overloaded: p.Overloaded,
+		request: p, at: p.position(), start: p.successorStarter(ctx, endpoint), overloaded: p.Overloaded, settled: make(chan struct{}),
 	}
 	if p.route.Kind == route.Streaming {
 		s.first = max(p.route.Target, minEngineSilence)
@@ -76,13 +79,14 @@
 func (s *silenceWatch) fire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopped {
+	if s.stopped || s.winner != nil {
 		return
 	}
-	if !s.suspended && s.successor == nil && !s.overloaded() {
-		if s.successor = s.start(s); s.successor != nil {
+	if !s.suspended && !s.overloaded() {
+		if x := s.start(s); x != nil {
 			s.starts++
-			go s.run(s.successor)
+			s.successors = append(s.successors, x)
+			go s.run(x)
 		}
 	}
 	s.timer.Reset(s.first)
@@ -92,24 +96,46 @@
 func (s *silenceWatch) run(x *successor) {
 	begun := x.request.seek(x.ctx) == stepBegun
 	s.mu.Lock()
-	x.begun = begun && !x.canceled
-	switch {
-	case !x.begun && !s.stopped:
+	s.successors = slices.DeleteFunc(s.successors, func(y *successor) bool { return x == y })
+	won := begun && !x.canceled && !s.stopped && s.winner == nil
+	if won {
+		s.winner = x
+		s.cancelSuccessors()
+		if !s.ended {
+			s.cancel()
+		}
+	} else {
 		s.spent.add(x.spending())
-		s.successor = nil
-	case x.begun && !s.stopped:
-		s.lost = true
-		s.cancel()
 	}
+	s.settle()
 	s.mu.Unlock()
-	if !x.begun {
+	if !won {
 		x.request.drop()
 	}
-	close(x.done)
+}
+
+// cancelSuccessors cancels those that run. The lock must be held.
+func (s *silenceWatch) cancelSuccessors() (canceled bool) {
+	for _, x := range s.successors {
+		if !x.canceled {
+			x.canceled, canceled = true, true
+			x.cancel()
+		}
+	}
+	return canceled
+}
+
+// settle closes settled if it is time. The lock must be held.
+func (s *silenceWatch) settle() {
+	if s.ended && !s.stopped && (s.winner != nil || len(s.successors) == 0) {
+		s.stopped = true
+		s.timer.Stop()
+		close(s.settled)
+	}
 }
 
 // speak is called when the endpoint has sent something that ends its silence. It reports whether the attempt
-// still answers the caller: it does unless another endpoint spoke first. The successor is canceled, and silence does
+// still answers the caller: it does unless another endpoint spoke first. Successors are canceled, and silence does
 // not count until reset, while an event is written to the caller: under backpressure nothing is read
 // from the endpoint.
 func (s *silenceWatch) speak() bool {
@@ -118,14 +144,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.lost {
+	if s.winner != nil {
 		return false
 	}
 	s.suspended = true
-	if s.successor != nil && !s.successor.canceled {
-		s.successor.canceled = true
-		s.successor.cancel()
-		s.request.logKept(s.successor)
+	if s.cancelSuccessors() {
+		s.request.logKept()
 	}
 	return true
 }
@@ -151,18 +175,45 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.lost
+	return s.winner != nil
 }
 
-// stop ends the watch together with the attempt. It returns the successor if there is one, by which the request
-// goes on, and what earlier ones have spent.
-func (s *silenceWatch) stop() (*successor, spending) {
+// end is called when the attempt has ended without an answer. Its successors go on until settled is closed.
+func (s *silenceWatch) end() {
 	if s == nil {
-		return nil, spending{}
+		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ended = true
+	s.settle()
+}
+
+// result returns the successor that spoke first, or nil, and what the others have spent, once settled is closed. Those
+// that have not ended yet count as having run.
+func (s *silenceWatch) result() (*successor, spending) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	winner, spent := s.winner, s.spent
+	s.winner = nil
+	spent.sends, spent.runs = spent.sends+len(s.successors), spent.runs+len(s.successors)
+	return winner, spent
+}
+
+// stop ends the watch and all successors.
+func (s *silenceWatch) stop() {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
 	s.stopped = true // first, so that a concurrent fire does not rearm the timer
 	s.timer.Stop()
-	return s.successor, s.spent
+	s.cancelSuccessors()
+	winner := s.winner
+	s.winner = nil
+	s.mu.Unlock()
+	if winner != nil {
+		winner.cancel()
+		winner.request.drop()
+	}
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -59,6 +59,7 @@
 		}
 		p.silence.reset()
 		p.recordEvent()
+		p.pauses = 0
 		p.timing.event(p.Now())
 	}
 	return p.streamEnded(ctx, a, event, err)
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -11,20 +11,14 @@
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
-// successor is an attempt that runs beside one whose endpoint is silent. It sends the request until a response has begun,
-// and writes nothing to the caller.
+// successor is an attempt that runs beside one whose endpoint is silent (a hedged request). It sends the request until a
+// response has begun, and writes nothing to the caller.
 type successor struct {
-	request *proxyRequest
-	watch   *silenceWatch
-	ctx     context.Context //nolint:containedctx // the attempt's
-	cancel  context.CancelFunc
-	started clock.Millis
-	from    spending      // what had been spent when it was started
-	done    chan struct{} // closed when it has begun or ended
-
-	// Guarded by watch.mu until done is closed:
-	canceled bool
-	begun    bool
+	request  *proxyRequest
+	ctx      context.Context //nolint:containedctx // the attempt's
+	cancel   context.CancelFunc
+	from     spending // what had been spent when it was started
+	canceled bool     // guarded by the watch's lock
 }
 
 // spending is what attempts beside another one have done.
@@ -53,26 +47,6 @@
 	}
 }
 
-// abandon ends a successor whose response is not needed.
-func (x *successor) abandon() {
-	x.watch.mu.Lock()
-	begun := x.begun
-	x.canceled = true
-	x.watch.mu.Unlock()
-	x.cancel()
-	if begun {
-		x.request.drop()
-	}
-}
-
-// abandonSuccessor ends the request's successor, if there is one.
-func (p *proxyRequest) abandonSuccessor() {
-	if p.successor != nil {
-		p.successor.abandon()
-		p.successor = nil
-	}
-}
-
 // successorStarter returns a function that starts a successor of an attempt at an endpoint. The function may run in
 // another goroutine than the attempt, so what it needs is captured here, and the rest is in the watch.
 func (p *proxyRequest) successorStarter(parent context.Context, current *directory.Endpoint) func(s *silenceWatch) *successor {
@@ -80,22 +54,29 @@
 		view: p.view, sends: p.sends, runs: p.runs, tried: append(slices.Clone(p.tried), current.ID),
 		prefill: prefillState{sends: p.prefill.sends, tried: slices.Clone(p.prefill.tried)},
 	}
-	usesEngines, prefix := p.usesEngines(), "s"+strconv.Itoa(p.placeRequests)
+	prefix, minLeft := "s"+strconv.Itoa(p.placeRequests), minTimeLeft
+	if p.usesEngines() {
+		minLeft = minAnswerTime
+	}
 	return func(s *silenceWatch) *successor {
-		if usesEngines && p.left() <= minAnswerTime || base.runs+s.spent.runs >= p.route.Attempts {
+		if p.left() <= minLeft || base.runs+s.spent.runs+len(s.successors) >= p.route.Attempts {
 			return nil
 		}
-		x := &successor{watch: s, started: p.Now(), done: make(chan struct{})}
+		x := &successor{}
 		x.ctx, x.cancel = context.WithCancel(parent)
 		q := &proxyRequest{
 			Forwarder: p.Forwarder, arrived: p.arrived, requestLog: p.requestLog, call: p.call, route: p.route, workspace: p.workspace,
 			share: p.share, service: p.service, deadline: p.deadline, message: p.message, sample: p.sample, beside: x, progress: base,
 		}
-		q.sends, q.runs, q.prefill.sends = q.sends+s.spent.sends, q.runs+s.spent.runs, q.prefill.sends+s.spent.prefills
+		others := len(s.successors) // count as having run
+		q.sends, q.runs, q.prefill.sends = q.sends+s.spent.sends+others, q.runs+s.spent.runs+others, q.prefill.sends+s.spent.prefills
 		q.tried = slices.Concat(base.tried, s.spent.tried)
 		q.placePrefix, q.placeLimit = prefix+"-"+strconv.Itoa(s.starts)+"-", maxPlaceRequests
 		q.headSent.Store(s.at.begun)
 		q.lastEventID, q.version = s.at.lastEventID, s.at.version
+		if !q.version.began {
+			q.version.software = current.Software // of which the stream is recorded already
+		}
 		x.request, x.from = q, spending{sends: q.sends, runs: q.runs, prefills: q.prefill.sends, tried: q.tried}
 		n := q.logLine(eventlog.Silent, "", nil)
 		n.Endpoint, n.Software, n.Address = current.ID, current.Software, current.Address.String()
@@ -105,27 +86,28 @@
 	}
 }
 
-// awaitSuccessor waits for the attempt that ran beside the last one. It returns true if its response has begun,
+// awaitSuccessor waits for the attempts that ran beside the last one. It returns true if a response of one has begun,
 // which is left in p.answer.
 func (p *proxyRequest) awaitSuccessor(ctx context.Context) bool {
-	x := p.successor
 	select {
-	case <-x.done:
+	case <-p.hedge.settled:
 	case <-ctx.Done():
 		return false
 	}
-	p.successor = nil
-	if !x.begun {
-		p.spend(x.spending())
+	winner, spent := p.hedge.result()
+	p.hedge = nil
+	p.spend(spent)
+	if winner == nil {
 		return false
 	}
-	p.adopt(ctx, x)
+	p.adopt(ctx, winner)
 	return true
 }
 
 // spend adds what attempts beside the last one have done.
 func (p *proxyRequest) spend(s spending) {
 	p.sends, p.runs, p.prefill.sends, p.placeRequests = p.sends+s.sends, p.runs+s.runs, p.prefill.sends+s.prefills, p.placeRequests+s.placeRequests
+	p.placeLimit += s.placeRequests // which limits the request's own
 	p.tried, p.broke = slices.Concat(p.tried, s.tried), slices.Concat(p.broke, s.broke)
 	for _, step := range s.steps {
 		p.history.add("beside: " + step)
@@ -143,7 +125,7 @@
 	spent.fallback = nil
 	next := q.progress
 	next.sends, next.runs, next.prefill.sends, next.placeRequests = p.sends, p.runs, p.prefill.sends, p.placeRequests
-	next.history, next.fallback, next.placeLimit = p.history, p.fallback, p.placeLimit
+	next.history, next.fallback, next.placeLimit, next.placePrefix = p.history, p.fallback, p.placeLimit, p.placePrefix
 	next.tried, next.broke = p.tried, p.broke
 	p.progress = next
 	p.spend(spent)
@@ -158,7 +140,7 @@
 	if a := p.answer; a != nil {
 		a.exchange.Close(false)
 		a.reservation.Done(p.Now(), balance.Canceled)
-		p.endAttempt(a)
+		p.endAttempt(a, true)
 	}
 	p.leavePlace()
 	p.freeHandle()
@@ -207,9 +189,9 @@
 }
 
 // logKept logs that a silent endpoint has gone on before an attempt beside it had a response.
-func (p *proxyRequest) logKept(x *successor) {
+func (p *proxyRequest) logKept() {
 	n := p.logLine(eventlog.Kept, "", nil)
-	n.Age = p.Now().Sub(x.started)
+	n.Age = p.Now().Sub(p.heardAt)
 	p.requestLog.Write(n)
 	p.countSilence("kept")
 }
--- a/internal/forward/successor_test.go
+++ b/internal/forward/successor_test.go
@@ -10,17 +10,17 @@
 	"github.com/trailshed/trailshed/internal/prompt"
 )
 
-// begunSuccessor returns a successor whose response has begun, of an attempt of g that has ended.
-func begunSuccessor(t *testing.T, g *engineRequest) *successor {
+// wonHedge returns the watch of an attempt of g that has ended, with a successor whose response has begun.
+func wonHedge(t *testing.T, g *engineRequest) *silenceWatch {
 	t.Helper()
 	s := g.watch(t)
 	x := s.start(s)
 	q := x.request
 	q.sends, q.runs, q.placeRequests = q.sends+1, q.runs+1, 2
 	q.answer = &answer{reservation: g.Balancer.ReserveAt(g.Now(), &directory.Endpoint{ID: "next"}), cancel: x.cancel, stopHeld: q.watchHeld(x.cancel)}
-	x.begun = true
-	close(x.done)
-	return x
+	s.winner = x
+	s.end()
+	return s
 }
 
 // What an attempt beside a silent one has sent counts once for the request that goes on by it, also if earlier ones failed.
@@ -28,16 +28,16 @@
 	c := qt.New(t)
 	g := newEngineRequest(t)
 	g.sends, g.runs, g.placeRequests = 1, 1, 1
-	x := begunSuccessor(t, g)
-	g.spend(spending{sends: 1, placeRequests: 1, tried: []string{"failed"}, steps: []string{"failed: unreachable"}})
-	g.successor = x
+	g.hedge = wonHedge(t, g)
+	g.hedge.spent = spending{sends: 1, placeRequests: 1, tried: []string{"failed"}, steps: []string{"failed: unreachable"}}
 	c.Assert(g.awaitSuccessor(t.Context()), qt.IsTrue)
 	c.Check(g.sends, qt.Equals, 3)
 	c.Check(g.runs, qt.Equals, 2)
 	c.Check(g.placeRequests, qt.Equals, 4)
+	c.Check(g.placeLimit, qt.Equals, maxPlaceRequests+3) // what successors asked for does not count against it
 	c.Check(g.tried, qt.DeepEquals, []string{"failed"})
 	c.Check(g.history.String(), qt.Equals, "beside: failed: unreachable")
-	c.Check(g.successor, qt.IsNil)
+	c.Check(g.hedge, qt.IsNil)
 }
 
 // A stream that goes on by another attempt is not cancelled for a part of its prompt once that has been proven there.
@@ -45,10 +45,9 @@
 	c := qt.New(t)
 	g := newEngineRequest(t)
 	g.call.Parts = []prompt.Part{"a"}
+	g.hedge = wonHedge(t, g)
 	canceled := false
-	x := begunSuccessor(t, g)
-	x.request.answer.cancel = context.CancelFunc(func() { canceled = true })
-	g.successor = x
+	g.hedge.winner.request.answer.cancel = func() { canceled = true }
 	c.Assert(g.awaitSuccessor(t.Context()), qt.IsTrue)
 	c.Assert(g.waiting.cancels, qt.HasLen, 1)
 	g.waiting.cancels[g.proxyRequest]()
@@ -57,14 +56,13 @@
 	c.Check(g.waiting.cancels, qt.HasLen, 0)
 }
 
-// A request that ends while an attempt beside its own one runs gives back what that one holds.
+// A request that ends while an attempt beside its own one has a response gives that up.
 func TestSuccessorIsDropped(t *testing.T) {
 	c := qt.New(t)
 	g := newEngineRequest(t)
-	x := begunSuccessor(t, g)
-	x.request.answer = nil // its response needs a connection
-	g.successor = x
-	g.abandonSuccessor()
-	c.Check(g.successor, qt.IsNil)
+	g.hedge = wonHedge(t, g)
+	x := g.hedge.winner
+	x.request.answer = nil // ending its response needs a connection
+	g.hedge.stop()
 	c.Check(x.ctx.Err(), qt.Equals, context.Canceled)
 }
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -158,7 +158,7 @@
 		eventlog.Resumed:         fmt.Sprintf("the stream is resumed on another endpoint because of %s", e.Reason),
 		eventlog.Silent:          fmt.Sprintf("endpoint %s is silent; the request is sent to another one as well, and the first to speak answers", e.Endpoint),
 		eventlog.Moved:           fmt.Sprintf("another endpoint spoke first; the send to %s is canceled", e.Endpoint),
-		eventlog.Kept:            fmt.Sprintf("the silent endpoint went on; the other send, %d ms old, is canceled", e.Age),
+		eventlog.Kept:            fmt.Sprintf("the silent endpoint went on after %d ms; the other send is canceled", e.Age),
 		eventlog.Waiting:         fmt.Sprintf("the stream waits for an endpoint (%s)", e.Reason),
 		eventlog.BudgetSpent:     "is not retried: the retry budget is exhausted",
 		eventlog.Answered:        fmt.Sprintf("answered with status %d after %d ms, %s", e.Status, e.Took, strings.ReplaceAll(e.Outcome, "_", " ")),
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -54,7 +54,7 @@
 	c.Assert(s.Write(&text), qt.IsNil)
 	c.Assert(text.String(), qt.Equals, `     +0 ms  n1  send 1 to endpoint e1 of s, with 900 ms left, under configuration 3
    +100 ms  n1  endpoint e1 is silent; the request is sent to another one as well, and the first to speak answers
-   +200 ms  n1  the silent endpoint went on; the other send, 100 ms old, is canceled
+   +200 ms  n1  the silent endpoint went on after 100 ms; the other send is canceled
    +300 ms  n1  endpoint e1 is silent; the request is sent to another one as well, and the first to speak answers
    +320 ms  n1  another endpoint spoke first; the send to e1 is canceled
    +340 ms  n1  the stream waits for an endpoint (no_decode_endpoint)
