forward: only a stream goes on with a stream

Callers lost a stream at an engine that was only silent when the one beside it answered with an error status or with something that is no stream; on a resumption after a real break, too. A long body was even written behind the events, and the answer ended as a whole one.

Cause: any response counted as the begin of an answer. Now a request of which the caller has events takes only a stream, and an attempt beside another one only a signed response; others are failed sends.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -112,7 +112,14 @@
 		p.endpointRejected(a.reservation, head)
 		return false
 	}
-	if head.Streamed && good {
+	streams := head.Streamed && good
+	if p.headSent.Load() && !streams || p.beside != nil && !head.Signed {
+		exchange.Close(false)
+		p.failure = "unfit_answer"
+		p.endpointFailed(a.reservation, balance.Failed, nil)
+		return false
+	}
+	if streams {
 		return p.readFirstEvent(parent, a)
 	}
 	return p.readPlain(parent, a)
--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
@@ -14,6 +17,7 @@
 
 	"github.com/trailshed/trailshed/internal/broker"
 	"github.com/trailshed/trailshed/internal/budget"
+	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/placement"
 	"github.com/trailshed/trailshed/internal/residency"
@@ -110,3 +114,32 @@
 	g.seek(t.Context())
 	c.Check(len(g.requested) > before, qt.IsTrue, qt.Commentf("%d place requests, limit %d", g.placeRequests, g.placeLimit))
 }
+
+// Nothing but events is written into a stream that has begun, also if an engine answers its resumption with a long
+// body that is no stream.
+func TestLongAnswerIsNotWrittenIntoStream(t *testing.T) {
+	c := qt.New(t)
+	g := newEngineRequest(t)
+	out := httptest.NewRecorder()
+	g.w = newTimeoutWriter(out, time.Minute)
+	g.Codec.CallerHeader = func(h http.Header) http.Header { return h }
+	g.Codec.ReadHead = func(*http.Response) ResponseHead { return ResponseHead{RequestID: "r1", Signed: true} }
+	g.Pool.Dial = func(context.Context, netip.AddrPort) (net.Conn, error) {
+		client, server := net.Pipe()
+		go func() {
+			_, _ = server.Read(make([]byte, 4096))
+			_, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n"+strings.Repeat("x", 5000))
+		}()
+		return client, nil
+	}
+	g.headSent.Store(true)
+	g.lastEventID, g.version = "3", streamVersion{began: true, software: "v1"}
+	r := g.Balancer.ReserveAt(g.Now(), &directory.Endpoint{ID: decodeEngine, Slots: 8, Software: "v1"})
+	func() {
+		defer func() { t.Log("recovered:", recover()) }()
+		if g.begin(t.Context(), r) {
+			g.deliver(t.Context())
+		}
+	}()
+	c.Check(out.Body.Len(), qt.Equals, 0)
+}
