--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -59,9 +59,12 @@
 	if !g.settings.Load().Callers.Refuse {
 		return
 	}
-	now, unanswered := g.now(), g.forwarder.Unanswered()
-	waits := intake.Measure(now, g.processorWait, g.connectTime)
-	change := g.limit.Update(now, waits, unanswered)
+	g.applyWaits(intake.Measure(g.now(), g.processorWait, g.connectTime))
+}
+
+func (g *Gateway) applyWaits(waits intake.Waits) {
+	unanswered := g.forwarder.Unanswered()
+	change := g.limit.Update(g.now(), waits, unanswered)
 	if change == intake.None {
 		return
 	}
