overload: accept what is queued before the port is closed

Callers whose connections were in the accept queue of the port when a planned stop closed it got resets, with whole requests in them. Finish accepts them, with room or without, and closes the port once the queue is empty, or after half a second of further connections. A late process asks the kernel for the length of the queue, since a deadline that has passed hides the queue from Accept. A connection that comes between the last look and the close is still reset; on Linux nothing closes a listening socket without that gap.

--- a/internal/overload/listener.go
+++ b/internal/overload/listener.go
@@ -3,7 +3,9 @@
 package overload
 
 import (
+	"errors"
 	"net"
+	"os"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -26,6 +28,10 @@
 	// maxRefusing is how long all connections may be refused. A balancer that routes connections to the
 	// instance must not see it dead.
 	maxRefusing = time.Second
+	// queueWait is how long no connection arrives before Finish closes the port.
+	queueWait = 10 * time.Millisecond
+	// maxFinishing is how long Finish accepts connections if they keep arriving.
+	maxFinishing = 500 * time.Millisecond
 )
 
 // Listener is a listener for callers. While the instance can't take another request, the port is closed, so
@@ -55,6 +61,8 @@
 	port    net.Listener // nil while connections are refused
 	address net.Addr
 	closed  chan struct{}
+	// finishing is when Finish closes the port, though connections keep arriving. It is 0 before.
+	finishing clock.Millis
 }
 
 // Reasons to close a connection unread.
@@ -85,13 +93,57 @@
 		return nil
 	default:
 	}
-	close(l.closed)
+	defer close(l.closed) // when the port is closed
 	if l.port == nil {
 		return nil
 	}
 	return l.port.Close() //nolint:wrapcheck // net/http only returns it
 }
 
+// Finish accepts the connections that are in the port's queue, whether or not there is room for them, and closes the
+// port once none is left. A port that is closed with connections in its queue resets these. Accept then fails with
+// net.ErrClosed.
+func (l *Listener) Finish() {
+	l.mu.Lock()
+	l.finishing = l.Now().Add(maxFinishing)
+	if l.port != nil {
+		waitAtMost(l.port, queueWait) // wakes an Accept
+	}
+	l.mu.Unlock()
+	select {
+	case <-l.closed:
+	case <-time.After(2 * maxFinishing): // nobody accepts
+		_ = l.Close()
+	}
+}
+
+// waitAtMost bounds the time for which connections are waited for.
+func waitAtMost(port net.Listener, length time.Duration) {
+	if bounded, ok := port.(interface{ SetDeadline(at time.Time) error }); ok {
+		_ = bounded.SetDeadline(time.Now().Add(length)) // fails on a closed port; Accept reports that
+	}
+}
+
+// finishes reports whether Finish was called.
+func (l *Listener) finishes() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.finishing > 0
+}
+
+// finished closes the port if its queue is empty, or Finish has lasted too long. A deadline that has passed hides the
+// queue from Accept.
+func (l *Listener) finished(port net.Listener) bool {
+	l.mu.Lock()
+	late := l.Now() >= l.finishing
+	l.mu.Unlock()
+	if !late && queueLength(port) > 0 {
+		return false
+	}
+	_ = l.Close()
+	return true
+}
+
 // Accept returns the next connection that may be read.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
@@ -101,10 +153,16 @@
 			return nil, err
 		}
 		c, err := port.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if l.finished(port) {
+				return nil, net.ErrClosed
+			}
+			continue
+		}
 		if err != nil {
 			return nil, err //nolint:wrapcheck // net/http tells temporary errors by their type
 		}
-		if l.room() > 0 || forced && l.open.Load() < l.MaxConnections {
+		if l.room() > 0 || (forced || l.finishes()) && l.open.Load() < l.MaxConnections {
 			l.open.Add(1)
 			l.unread.Add(1)
 			return &conn{Conn: c, listener: l, accepted: l.Now()}, nil
@@ -137,7 +195,7 @@
 // refuse closes the port until connections can be taken, or for maxRefusing. Then it returns true: a connection is
 // to be taken nevertheless.
 func (l *Listener) refuse() (forced bool) {
-	if !l.closePort() {
+	if l.finishes() || !l.closePort() {
 		return false
 	}
 	started := l.Now()
@@ -147,6 +205,10 @@
 			return false
 		case <-time.After(pollInterval):
 		}
+		if l.finishes() {
+			_ = l.Close()
+			return false
+		}
 		length, mayOpen := l.Now().Sub(started), l.mayOpen()
 		if !mayOpen && length < maxRefusing {
 			continue
@@ -193,6 +255,9 @@
 	if l.port == nil {
 		return nil, net.ErrClosed
 	}
+	if l.finishing > 0 {
+		waitAtMost(l.port, min(queueWait, max(l.finishing.Sub(l.Now()), 0)))
+	}
 	return l.port, nil
 }
 
--- a/internal/overload/listener_test.go
+++ b/internal/overload/listener_test.go
@@ -235,3 +235,70 @@
 		c.Assert(get(t, address), qt.IsTrue)
 	}
 }
+
+// Whole requests that were in the queue of the port when a planned stop closed it were answered by resets.
+func TestFinishServesTheQueue(t *testing.T) {
+	tests := []struct {
+		name string
+		full bool
+	}{{"with room", false}, {"without room", true}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			full := atomic.Bool{}
+			l := &overload.Listener{
+				MaxConnections: 100, Now: clock.System(), Room: roomUnless(&full), Admit: func(time.Duration) bool { return true },
+				OnUnread: func(string) {}, OnRefused: func(time.Duration, error) {},
+				Listen: func() (net.Listener, error) {
+					return (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+				},
+			}
+			c.Assert(l.Open(), qt.IsNil)
+			var queue []net.Conn
+			for range 20 {
+				conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", l.Addr().String())
+				c.Assert(err, qt.IsNil)
+				defer func() { _ = conn.Close() }()
+				_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+				c.Assert(err, qt.IsNil)
+				queue = append(queue, conn)
+			}
+			full.Store(test.full)
+			finished := make(chan struct{})
+			go func() {
+				defer close(finished)
+				l.Finish()
+			}()
+			time.Sleep(50 * time.Millisecond) // the process is late
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }), ReadHeaderTimeout: time.Second}
+			go func() { _ = server.Serve(l) }()
+			answered := 0
+			for _, conn := range queue {
+				c.Assert(conn.SetReadDeadline(time.Now().Add(20*time.Second)), qt.IsNil)
+				answer, err := io.ReadAll(conn)
+				if err == nil && len(answer) > 0 {
+					answered++
+				}
+			}
+			c.Check(answered, qt.Equals, len(queue))
+			<-finished
+			c.Check(isRefused("http://"+l.Addr().String()), qt.IsTrue)
+			_, err := l.Accept()
+			c.Check(errors.Is(err, net.ErrClosed), qt.IsTrue)
+			_ = server.Close()
+		})
+	}
+}
+
+// A planned stop that begins while all connections are refused waits for nobody.
+func TestFinishWhileRefusing(t *testing.T) {
+	full := atomic.Bool{}
+	l := &overload.Listener{MaxConnections: 100, Now: clock.System(), Room: roomUnless(&full)}
+	address := listen(t, l)
+	full.Store(true)
+	for !isRefused(address) {
+	}
+	l.Finish()
+	_, err := l.Accept()
+	qt.Check(t, errors.Is(err, net.ErrClosed), qt.IsTrue)
+}
