gateway: end callers' connections only between requests

Callers got no answer to requests on open connections when overload began and at planned stops. net/http calls a connection idle until the whole next header is parsed; SetKeepAlivesEnabled(false) and Shutdown close what is idle, and a request read after Shutdown began is dropped.

Neither is used any more. Package keepalive follows the connections from below: while overload lasts, and from the signal on, each answer that begins says "Connection: close". Connections between requests stay open in overload; at a stop they are ended once nothing has come for a second. A connection is ended by the goroutine that reads it, which looks into the socket first, so that no byte is read and dropped. Its sending side is closed first, so that a caller that sends at that moment sees an end and no reset. The port is closed by Finish. What runs at the end of the grace period ends with it, as before.

Not seen: up to three bytes of a header that came in one read with the request before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,10 +24,12 @@
 	"github.com/trailshed/trailshed/internal/forward"
 	"github.com/trailshed/trailshed/internal/freshness"
 	"github.com/trailshed/trailshed/internal/intake"
+	"github.com/trailshed/trailshed/internal/keepalive"
 	"github.com/trailshed/trailshed/internal/lateness"
 	"github.com/trailshed/trailshed/internal/leadership"
 	"github.com/trailshed/trailshed/internal/metering"
 	"github.com/trailshed/trailshed/internal/notice"
+	"github.com/trailshed/trailshed/internal/overload"
 	"github.com/trailshed/trailshed/internal/pace"
 	"github.com/trailshed/trailshed/internal/peer"
 	"github.com/trailshed/trailshed/internal/placement"
@@ -132,6 +134,8 @@
 	unread           atomic.Int64 // connections closed unread since the limit is in force
 	duty             *leadership.Leadership
 	staging          *staging.Runner
+	port             *overload.Listener // for callers
+	connections      *keepalive.Connections
 	servers          []*http.Server
 	listeners        []net.Listener // of the servers
 	certCheckPending atomic.Bool    // a check of an unknown certificate is pending
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -13,7 +13,7 @@
 
 // listenForCallers opens the listener for callers, which takes no more than this instance can serve.
 func (g *Gateway) listenForCallers(address string) (net.Listener, error) {
-	l := &overload.Listener{
+	g.port = &overload.Listener{
 		Listen:         func() (net.Listener, error) { return listenTCP(address) },
 		MaxConnections: maxCallerConnections(), Now: g.now, Room: g.room, Admit: g.admitConnection,
 		OnUnread: func(reason string) {
@@ -30,13 +30,17 @@
 			}
 		},
 	}
-	if err := l.Open(); err != nil {
+	if err := g.port.Open(); err != nil {
 		return nil, err
 	}
-	address = l.Addr().String() // the port is opened again with the number that it got
-	return l, nil
+	address = g.port.Addr().String() // the port is opened again with the number that it got
+	return g.connections.Listener(g.port), nil
 }
 
+// lastAnswers reports whether answers are the last ones on their connections. What comes on open connections can't be
+// refused, so that their callers are to open new ones, also while the instance is overloaded.
+func (g *Gateway) lastAnswers() bool { return g.leaving.Load() || g.overloaded() }
+
 // room returns how many requests can be taken beside those in progress and a number of connections that are yet to
 // be read, and the number below which none is taken.
 func (g *Gateway) room(unread int) (room, few int) {
@@ -76,6 +80,4 @@
 		line.Event, line.Count = eventlog.OverloadEnded, g.unread.Load()
 	}
 	g.log.Write(line)
-	// What comes on open connections can't be refused: their callers are to open new ones.
-	g.servers[0].SetKeepAlivesEnabled(change == intake.Ended)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -18,6 +18,7 @@
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/epoch"
 	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/keepalive"
 	"github.com/trailshed/trailshed/internal/ticker"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
@@ -34,6 +35,11 @@
 	streamCutoffPercent = 35
 	// exitMargin is the part of the grace period reserved for the exit of the process.
 	exitMargin = 250 * time.Millisecond
+	// stopIdleTime is how long nothing has arrived on a connection that is ended in a planned stop. Callers that
+	// use theirs more often are told by an answer.
+	stopIdleTime = time.Second
+	// stopPollInterval is how often a planned stop looks for such connections.
+	stopPollInterval = 20 * time.Millisecond
 )
 
 // Run serves until stop is closed or a listener fails, and returns after the shutdown.
@@ -81,9 +87,14 @@
 // listen opens the TCP listeners for callers, readiness checks and metrics.
 func (g *Gateway) listen() error {
 	set := g.settings.Load()
+	g.connections = &keepalive.Connections{Now: g.now, Last: g.lastAnswers}
 	callers := &http.Server{
-		Addr: set.Callers.Listen, Handler: g.forwarder,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.limitSendBuffer,
+		Addr: set.Callers.Listen, Handler: g.connections.Handler(g.forwarder),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			g.limitSendBuffer(c, state)
+			g.connections.ConnState(c, state)
+		},
 	}
 	ready := &http.Server{Addr: set.Callers.Ready, Handler: g.readiness(), ReadHeaderTimeout: headerTimeout}
 	admin := &http.Server{Addr: set.Admin.Listen, Handler: g.admin(), ReadHeaderTimeout: headerTimeout}
@@ -158,10 +169,19 @@
 	left := grace - g.now().Sub(started) - exitMargin
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
-	_ = g.servers[0].Shutdown(ctx) // it fails only by timeout, which the count in the Stopped event shows
+	g.port.Finish()
+	g.drainConnections(ctx)
 	g.tunnels.Drain(ctx)
 }
 
+// drainConnections waits until all callers' connections have ended: after an answer, or idle.
+func (g *Gateway) drainConnections(ctx context.Context) {
+	for g.connections.Open() > 0 && ctx.Err() == nil {
+		g.connections.EndIdle(stopIdleTime)
+		ticker.Sleep(ctx, stopPollInterval)
+	}
+}
+
 func (g *Gateway) sweep(ctx context.Context) {
 	ticker.Every(ctx, sweepInterval, func() {
 		g.pool.CloseExpired()
--- /dev/null
+++ b/internal/keepalive/conn.go
@@ -0,0 +1,171 @@
+package keepalive
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// lingerTime is how long a connection that was ended as idle is read after its sending side was closed. A caller
+// that sends a request at that moment sees the end of the connection, and not a reset, which could cost it the end
+// of the last answer.
+const lingerTime = 500 * time.Millisecond
+
+// conn is a caller's connection. It is ended as idle by the goroutine that reads it, so that no byte can be read at
+// the same time.
+type conn struct {
+	net.Conn
+	connections *Connections
+	closeOnce   sync.Once
+
+	mu sync.Mutex
+	// idle is whether nothing of a request was read since the connection was accepted, or since the last answer. Up to
+	// three bytes that were read together with the request before are not seen.
+	idle      bool
+	idleSince clock.Millis // while idle
+	waiting   bool         // the server waits for the next request, while idle
+	ahead     bool         // a byte of the next request was read before the last answer ended
+	ending    bool         // it is to be ended if nothing has arrived
+	ended     bool         // it was ended as idle
+	deadline  time.Time    // of the server, for reads
+}
+
+// answered records that the last request was answered and the server waits for the next one.
+func (c *conn) answered(now clock.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle, c.idleSince, c.waiting, c.ahead = !c.ahead, now, false, false
+}
+
+// endIdle ends a connection that has been idle since before a time, unless something has arrived.
+func (c *conn) endIdle(before clock.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle || c.ending || c.idleSince > before {
+		return
+	}
+	c.ending = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails on a closed connection
+}
+
+// begin records that something of a request was read. c.mu must be held.
+func (c *conn) begin() {
+	c.idle = false
+	if c.ending {
+		c.ending = false
+		_ = c.Conn.SetReadDeadline(c.deadline) // fails on a closed connection; the next read reports that
+	}
+}
+
+// SetReadDeadline sets the deadline of reads. The server sets one to wait for a request and another once it has the
+// first bytes, which it may have read ahead, behind the request before.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.idle && c.waiting {
+		c.begin()
+	}
+	c.waiting = true
+	if c.ending {
+		return nil // the read is to end at once
+	}
+	return c.Conn.SetReadDeadline(t) //nolint:wrapcheck // as of the connection
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n == 0 && c.idle && errors.Is(err, os.ErrDeadlineExceeded) {
+		// A deadline that has passed hides what has arrived.
+		n = c.readArrived(b)
+		switch {
+		case n > 0:
+			err = nil
+		case c.ending:
+			c.ended = true
+			return 0, io.EOF
+		default:
+		}
+	}
+	switch {
+	case n > 0 && c.idle:
+		c.begin()
+	case n > 0 && len(b) == 1: // this is how net/http watches the caller while it is answered
+		c.ahead = true
+	default:
+	}
+	return n, err //nolint:wrapcheck // net/http tells errors by their type
+}
+
+// readArrived reads what is in the socket, without waiting.
+func (c *conn) readArrived(b []byte) int {
+	raw, ok := c.NetConn().(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	var readErr error
+	err = control.Control(func(fd uintptr) {
+		for n, readErr = syscall.Read(int(fd), b); errors.Is(readErr, syscall.EINTR); {
+			n, readErr = syscall.Read(int(fd), b)
+		}
+	})
+	if err != nil || readErr != nil {
+		return 0 // it is closed, or has nothing
+	}
+	return n
+}
+
+// Close closes the connection. One that was ended as idle is read for lingerTime before.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	ended := c.ended
+	c.mu.Unlock()
+	first := false
+	c.closeOnce.Do(func() {
+		first = true
+		c.connections.remove(c)
+	})
+	if !first || !ended || c.CloseWrite() != nil {
+		return c.Conn.Close() //nolint:wrapcheck // as of the connection
+	}
+	go func() {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) // fails on a closed connection
+		_, _ = io.Copy(io.Discard, c.Conn)
+		_ = c.Conn.Close()
+	}()
+	return nil
+}
+
+// CloseWrite closes the sending side, as net/http does before it closes a connection that may have unread bytes.
+func (c *conn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return Error.New("the sending side can't be closed")
+	}
+	return half.CloseWrite() //nolint:wrapcheck // as of the connection
+}
+
+// NetConn returns the connection as the kernel accepted it.
+func (c *conn) NetConn() net.Conn {
+	inner := c.Conn
+	for {
+		wrapped, ok := inner.(interface{ NetConn() net.Conn })
+		if !ok {
+			return inner
+		}
+		inner = wrapped.NetConn()
+	}
+}
--- /dev/null
+++ b/internal/keepalive/connections.go
@@ -0,0 +1,123 @@
+// Package keepalive keeps callers' connections between requests and ends them without losing a request: by
+// "Connection: close" on an answer, or while a connection is idle and nothing has arrived on it.
+package keepalive
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/trailshed/trailshed/pkg/clock"
+)
+
+// Error marks every error of this package.
+var Error = errs.Class("keepalive")
+
+// Connections are the open connections of an http.Server, which needs its Listener, Handler and ConnState. The
+// server's own ways to end idle connections are not to be used: it takes a connection for idle until it has parsed
+// the header of the next request.
+type Connections struct {
+	Now func() clock.Millis
+	// Last reports whether the answers that begin now are to be the last ones on their connections.
+	Last func() bool
+
+	mu   sync.Mutex
+	open map[*conn]struct{}
+}
+
+// Listener returns a listener whose connections are these.
+func (s *Connections) Listener(l net.Listener) net.Listener { return &listener{l, s} }
+
+type listener struct {
+	net.Listener
+	connections *Connections
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err //nolint:wrapcheck // net/http tells temporary errors by their type
+	}
+	return l.connections.add(c), nil
+}
+
+func (s *Connections) add(inner net.Conn) *conn {
+	c := &conn{Conn: inner, connections: s, idle: true, idleSince: s.Now()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == nil {
+		s.open = map[*conn]struct{}{}
+	}
+	s.open[c] = struct{}{}
+	return c
+}
+
+func (s *Connections) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
+// ConnState is a hook for http.Server.
+func (s *Connections) ConnState(c net.Conn, state http.ConnState) {
+	if own, ok := c.(*conn); ok && state == http.StateIdle {
+		own.answered(s.Now())
+	}
+}
+
+// Open returns the number of open connections.
+func (s *Connections) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+// EndIdle ends the connections on which nothing has arrived for a time.
+func (s *Connections) EndIdle(after time.Duration) {
+	s.mu.Lock()
+	all := make([]*conn, 0, len(s.open))
+	for c := range s.open {
+		all = append(all, c)
+	}
+	s.mu.Unlock()
+	for _, c := range all {
+		c.endIdle(s.Now().Add(-after))
+	}
+}
+
+// Handler returns a handler that tells callers which answer is the last one on its connection.
+func (s *Connections) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&responseWriter{ResponseWriter: w, last: s.Last}, r)
+	})
+}
+
+// responseWriter adds "Connection: close" to the last answer. Whether it is the last is decided when it begins.
+type responseWriter struct {
+	http.ResponseWriter
+	last  func() bool
+	begun bool
+}
+
+func (w *responseWriter) WriteHeader(status int) {
+	if !w.begun && status >= http.StatusOK {
+		w.begun = true
+		if w.last() {
+			w.Header().Set("Connection", "close")
+		}
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *responseWriter) Write(b []byte) (int, error) {
+	if !w.begun {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(b) //nolint:wrapcheck // as of the server
+}
+
+// Unwrap supports http.ResponseController.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
