--- a/internal/keepalive/connections.go
+++ b/internal/keepalive/connections.go
@@ -87,37 +87,3 @@
 		c.endIdle(s.Now().Add(-after))
 	}
 }
-
-// Handler returns a handler that tells callers which answer is the last one on its connection.
-func (s *Connections) Handler(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		next.ServeHTTP(&responseWriter{ResponseWriter: w, last: s.Last}, r)
-	})
-}
-
-// responseWriter adds "Connection: close" to the last answer. Whether it is the last is decided when it begins.
-type responseWriter struct {
-	http.ResponseWriter
-	last  func() bool
-	begun bool
-}
-
-func (w *responseWriter) WriteHeader(status int) {
-	if !w.begun && status >= http.StatusOK {
-		w.begun = true
-		if w.last() {
-			w.Header().Set("Connection", "close")
-		}
-	}
-	w.ResponseWriter.WriteHeader(status)
-}
-
-func (w *responseWriter) Write(b []byte) (int, error) {
-	if !w.begun {
-		w.WriteHeader(http.StatusOK)
-	}
-	return w.ResponseWriter.Write(b) //nolint:wrapcheck // as of the server
-}
-
-// Unwrap supports http.ResponseController.
-func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
