keepalive: no end of an answer that was given up

A caller that had closed its sending side, and read on, saw an answer end as if it were whole: net/http cancels the request of such a caller, the forwarder stops in the middle of a stream and returns, and net/http writes the last chunk.

An answer whose request is cancelled when the handler returns now ends with its connection.

--- a/internal/keepalive/handler.go
+++ b/internal/keepalive/handler.go
@@ -3,12 +3,13 @@
 import "net/http"
 
 // Handler returns a handler that tells callers which answer is the last one on its connection. A request that next
-// does not answer ends its connection: the server would answer it with an empty success.
+// does not answer, or of which it leaves the answer unfinished since the caller has left, ends its connection: the
+// server would answer with an empty success, or finish the answer.
 func (s *Connections) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		answer := &responseWriter{ResponseWriter: w, last: s.Last}
 		next.ServeHTTP(answer, r)
-		if !answer.begun {
+		if !answer.begun || r.Context().Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
 	})
