gateway: answer and log panics, count requests without an answer

A request whose handler panicked got no answer, and the panic went to the standard error without the request's ID. Connections that ended with a request on them left no trace.

A panic before the answer has begun is answered with 502 "may have run"; it is counted and written as a line with the ID and the stack. What the HTTP servers report is written as lines, too. Requests without an answer, or with a part of one, are counted by reason. A deadline for the header that has passed no longer hides bytes that have arrived at a late process.

A header that ends in the middle of a line, by a timeout or since the caller left, is answered with 400 by net/http, as before.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -32,6 +32,7 @@
 	OverloadEnded  Event = "overload_ended"
 	ListenFailed   Event = "listen_failed"
 	RotationLeft   Event = "rotation_left"
+	ServerError    Event = "server_error"
 )
 
 // Events of requests and endpoints.
@@ -54,4 +55,5 @@
 	GaveUp          Event = "gave_up"
 	Broken          Event = "broken"
 	Cancelled       Event = "cancelled"
+	Panicked        Event = "panicked"
 )
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"log"
 	"time"
 
 	"github.com/trailshed/trailshed/internal/intake"
@@ -8,3 +9,6 @@
 
 // BeginOverload makes this instance overloaded, as a long standing wait for the processor does.
 func (g *Gateway) BeginOverload() { g.applyWaits(intake.Waits{Processor: time.Second}) }
+
+// ServerErrorLog returns the log of the HTTP server for callers.
+func (g *Gateway) ServerErrorLog() *log.Logger { return g.servers[0].ErrorLog }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	stdlog "log"
 	"math"
 	"net"
 	"net/http"
@@ -67,6 +68,7 @@
 	case err = <-failed:
 		g.log.Write(eventlog.Line{Event: eventlog.Stopping, Reason: "listener_failed", Detail: err.Error()})
 	}
+	g.connections.Abandon()
 	for _, s := range g.servers {
 		_ = s.Close()
 	}
@@ -87,19 +89,17 @@
 // listen opens the TCP listeners for callers, readiness checks and metrics.
 func (g *Gateway) listen() error {
 	set := g.settings.Load()
-	g.connections = &keepalive.Connections{Now: g.now, Last: g.lastAnswers}
 	callers := &http.Server{
-		Addr: set.Callers.Listen, Handler: g.connections.Handler(g.forwarder),
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: func(c net.Conn, state http.ConnState) {
-			g.limitSendBuffer(c, state)
-			g.connections.ConnState(c, state)
-		},
+		Addr: set.Callers.Listen, Handler: g.forwarder,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.limitSendBuffer,
 	}
+	g.connections = &keepalive.Connections{Now: g.now, Last: g.lastAnswers, OnPanic: g.logPanic, OnUnanswered: g.countUnanswered}
+	g.connections.Attach(callers)
 	ready := &http.Server{Addr: set.Callers.Ready, Handler: g.readiness(), ReadHeaderTimeout: headerTimeout}
 	admin := &http.Server{Addr: set.Admin.Listen, Handler: g.admin(), ReadHeaderTimeout: headerTimeout}
 	g.servers = []*http.Server{callers, ready, admin}
 	for _, s := range g.servers {
+		s.ErrorLog = stdlog.New(serverErrors{g.log}, "", 0)
 		open := listenTCP
 		if s == callers {
 			open = g.listenForCallers
--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -6,9 +6,12 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -23,6 +26,7 @@
 	net.Conn
 	connections *Connections
 	closeOnce   sync.Once
+	rejected    atomic.Bool // the server itself has answered the request
 
 	mu sync.Mutex
 	// idle is whether nothing of a request was read since the connection was accepted, or since the last answer. Up to
@@ -33,6 +37,8 @@
 	ahead     bool         // a byte of the next request was read before the last answer ended
 	ending    bool         // it is to be ended if nothing has arrived
 	ended     bool         // it was ended as idle
+	handled   bool         // a handler has the request
+	failure   error        // of the last read
 	deadline  time.Time    // of the server, for reads
 }
 
@@ -40,7 +46,8 @@
 func (c *conn) answered(now clock.Millis) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle, c.idleSince, c.waiting, c.ahead = !c.ahead, now, false, false
+	c.rejected.Store(false)
+	c.idle, c.idleSince, c.waiting, c.ahead, c.handled = !c.ahead, now, false, false, false
 }
 
 // endIdle ends a connection that has been idle since before a time, unless something has arrived.
@@ -54,6 +61,34 @@
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails on a closed connection
 }
 
+// handle records that a handler has the request.
+func (c *conn) handle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handled = true
+}
+
+// readFailure returns the reason why reading a request failed: timeout, that the caller has left, or other if it did
+// not fail.
+func (c *conn) readFailure(timeout, other string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.failure == nil:
+		return other
+	case errors.Is(c.failure, os.ErrDeadlineExceeded):
+		return timeout
+	default:
+		return ReasonCallerLeft
+	}
+}
+
+// Write records answers that no handler has given: the server rejects what is no request.
+func (c *conn) Write(b []byte) (int, error) {
+	c.rejected.Store(true)
+	return c.Conn.Write(b) //nolint:wrapcheck // as of the connection
+}
+
 // begin records that something of a request was read. c.mu must be held.
 func (c *conn) begin() {
 	c.idle = false
@@ -83,18 +118,19 @@
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n == 0 && c.idle && errors.Is(err, os.ErrDeadlineExceeded) {
-		// A deadline that has passed hides what has arrived.
+	if n == 0 && !c.handled && errors.Is(err, os.ErrDeadlineExceeded) {
+		// A deadline that has passed hides what has arrived, such as from a process that was late.
 		n = c.readArrived(b)
 		switch {
 		case n > 0:
 			err = nil
-		case c.ending:
+		case c.idle && c.ending:
 			c.ended = true
 			return 0, io.EOF
 		default:
 		}
 	}
+	c.failure = err
 	switch {
 	case n > 0 && c.idle:
 		c.begin()
@@ -107,6 +143,16 @@
 
 // readArrived reads what is in the socket, without waiting.
 func (c *conn) readArrived(b []byte) int {
+	return c.receive(b, unix.MSG_DONTWAIT)
+}
+
+// hasArrived reports whether something is in the socket.
+func (c *conn) hasArrived() bool {
+	return c.receive(make([]byte, 1), unix.MSG_DONTWAIT|unix.MSG_PEEK) > 0
+}
+
+// receive returns how many bytes it has received, which is 0 if there are none or the connection is closed.
+func (c *conn) receive(b []byte, flags int) int {
 	raw, ok := c.NetConn().(syscall.Conn)
 	if !ok {
 		return 0
@@ -116,14 +162,14 @@
 		return 0
 	}
 	n := 0
-	var readErr error
+	var failure error
 	err = control.Control(func(fd uintptr) {
-		for n, readErr = syscall.Read(int(fd), b); errors.Is(readErr, syscall.EINTR); {
-			n, readErr = syscall.Read(int(fd), b)
+		for n, _, failure = unix.Recvfrom(int(fd), b, flags); errors.Is(failure, unix.EINTR); {
+			n, _, failure = unix.Recvfrom(int(fd), b, flags)
 		}
 	})
-	if err != nil || readErr != nil {
-		return 0 // it is closed, or has nothing
+	if err != nil || failure != nil {
+		return 0
 	}
 	return n
 }
@@ -137,18 +183,39 @@
 	c.closeOnce.Do(func() {
 		first = true
 		c.connections.remove(c)
+		c.report()
 	})
 	if !first || !ended || c.CloseWrite() != nil {
 		return c.Conn.Close() //nolint:wrapcheck // as of the connection
 	}
 	go func() {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) // fails on a closed connection
-		_, _ = io.Copy(io.Discard, c.Conn)
+		if dropped, _ := io.Copy(io.Discard, c.Conn); dropped > 0 {
+			c.connections.OnUnanswered(ReasonCrossed, false)
+		}
 		_ = c.Conn.Close()
 	}()
 	return nil
 }
 
+// report reports a request on the connection, which is about to be closed, that no handler has.
+func (c *conn) report() {
+	c.mu.Lock()
+	idle, handled := c.idle, c.handled
+	c.mu.Unlock()
+	abandoned := c.connections.abandoned.Load()
+	switch {
+	case handled || !idle && c.rejected.Load():
+	case idle && abandoned && c.hasArrived():
+		c.connections.OnUnanswered(ReasonUnread, false)
+	case idle:
+	case abandoned:
+		c.connections.OnUnanswered(ReasonStopped, false)
+	default:
+		c.connections.OnUnanswered(c.readFailure(ReasonHeaderTimeout, ReasonCallerLeft), false)
+	}
+}
+
 // CloseWrite closes the sending side, as net/http does before it closes a connection that may have unread bytes.
 func (c *conn) CloseWrite() error {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
--- a/internal/keepalive/conn_test.go
+++ b/internal/keepalive/conn_test.go
@@ -65,7 +65,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			server, caller := pair(t, &Connections{Now: clock.System()})
+			server, caller := pair(t, &Connections{Now: clock.System(), OnUnanswered: func(string, bool) {}})
 			b := make([]byte, 100)
 			for n, text := range []string{"first", "second"} {
 				_, err := io.WriteString(caller, text)
@@ -118,7 +118,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			s := &Connections{Now: clock.System()}
+			s := &Connections{Now: clock.System(), OnUnanswered: func(string, bool) {}}
 			server, caller := pair(t, s)
 			test.before(server, caller)
 			s.EndIdle(test.after)
@@ -148,11 +148,13 @@
 	port, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	handled = &sync.Map{}
-	server := &http.Server{ConnState: s.ConnState, IdleTimeout: waitTimeout, ReadHeaderTimeout: waitTimeout, Handler: s.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := &http.Server{IdleTimeout: waitTimeout, ReadHeaderTimeout: waitTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		handled.Store(r.Header.Get("Number"), true)
 		_, _ = io.WriteString(w, r.Header.Get("Number"))
-	}))}
+	})}
+	s.OnUnanswered = func(string, bool) {}
+	s.Attach(server)
 	go func() { _ = server.Serve(s.Listener(port)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return port.Addr(), handled
--- a/internal/keepalive/connections.go
+++ b/internal/keepalive/connections.go
@@ -1,11 +1,14 @@
 // Package keepalive keeps callers' connections between requests and ends them without losing a request: by
-// "Connection: close" on an answer, or while a connection is idle and nothing has arrived on it.
+// "Connection: close" on an answer, or while a connection is idle and nothing has arrived on it. Requests that end
+// without an answer are reported.
 package keepalive
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -16,13 +19,18 @@
 // Error marks every error of this package.
 var Error = errs.Class("keepalive")
 
-// Connections are the open connections of an http.Server, which needs its Listener, Handler and ConnState. The
-// server's own ways to end idle connections are not to be used: it takes a connection for idle until it has parsed
-// the header of the next request.
+// Connections are the open connections of an http.Server. The server's own ways to end idle connections are not to be
+// used: it takes a connection for idle until it has parsed the header of the next request.
 type Connections struct {
 	Now func() clock.Millis
 	// Last reports whether the answers that begin now are to be the last ones on their connections.
 	Last func() bool
+	// OnPanic is called with the request whose handler panicked.
+	OnPanic func(r *http.Request, value any, stack []byte)
+	// OnUnanswered is called for each request that ended without an answer, or with a part of one if begun is set.
+	OnUnanswered func(reason string, begun bool)
+
+	abandoned atomic.Bool
 
 	mu   sync.Mutex
 	open map[*conn]struct{}
@@ -61,13 +69,29 @@
 	delete(s.open, c)
 }
 
-// ConnState is a hook for http.Server.
-func (s *Connections) ConnState(c net.Conn, state http.ConnState) {
-	if own, ok := c.(*conn); ok && state == http.StateIdle {
-		own.answered(s.Now())
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+// Attach makes a server, which is to serve on Listener, use these connections.
+func (s *Connections) Attach(server *http.Server) {
+	server.Handler = s.handler(server.Handler)
+	next := server.ConnState
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if next != nil {
+			next(c, state)
+		}
+		if own, ok := c.(*conn); ok && state == http.StateIdle {
+			own.answered(s.Now())
+		}
+	}
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
 	}
 }
 
+// Abandon is called before the server is closed with requests in progress.
+func (s *Connections) Abandon() { s.abandoned.Store(true) }
+
 // Open returns the number of open connections.
 func (s *Connections) Open() int {
 	s.mu.Lock()
--- a/internal/keepalive/handler.go
+++ b/internal/keepalive/handler.go
@@ -1,20 +1,65 @@
 package keepalive
 
-import "net/http"
+import (
+	"errors"
+	"net/http"
+	"runtime/debug"
+)
 
-// Handler returns a handler that tells callers which answer is the last one on its connection. A request that next
+// Reasons why a request ended without an answer, or with a part of one.
+const (
+	ReasonCallerLeft    = "caller_left"
+	ReasonAborted       = "aborted"        // by the handler
+	ReasonPanicked      = "panicked"       // in the middle of its answer
+	ReasonBodyTimeout   = "body_timeout"   // its body did not come in time
+	ReasonHeaderTimeout = "header_timeout" // its header did not come in time
+	ReasonStopped       = "stopped"        // the process ended
+	ReasonUnread        = "unread"         // it had arrived when the process ended
+	ReasonCrossed       = "crossed"        // it arrived when its connection had been ended as idle
+)
+
+// handler returns a handler that tells callers which answer is the last one on its connection. A request that next
 // does not answer, or of which it leaves the answer unfinished since the caller has left, ends its connection: the
-// server would answer with an empty success, or finish the answer.
-func (s *Connections) Handler(next http.Handler) http.Handler {
+// server would answer with an empty success, or finish the answer. One for which next panics is answered with an error.
+func (s *Connections) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		answer := &responseWriter{ResponseWriter: w, last: s.Last}
-		next.ServeHTTP(answer, r)
-		if !answer.begun || r.Context().Err() != nil {
-			panic(http.ErrAbortHandler)
+		c, _ := r.Context().Value(connKey{}).(*conn)
+		if c != nil {
+			c.handle()
 		}
+		defer s.finish(answer, r, c)
+		next.ServeHTTP(answer, r)
 	})
 }
 
+// finish sees to the end of a request whose handler has returned or panics.
+func (s *Connections) finish(answer *responseWriter, r *http.Request, c *conn) {
+	value := recover()
+	err, _ := value.(error)
+	aborted := errors.Is(err, http.ErrAbortHandler)
+	reason := ReasonAborted
+	switch {
+	case value == nil && answer.begun && r.Context().Err() == nil:
+		return
+	case value != nil && !aborted:
+		s.OnPanic(r, value, debug.Stack())
+		if !answer.begun {
+			answer.Header().Set("Connection", "close")
+			http.Error(answer, "may have run: internal_error", http.StatusBadGateway)
+			return
+		}
+		reason = ReasonPanicked
+	case s.abandoned.Load():
+		reason = ReasonStopped
+	case c != nil:
+		reason = c.readFailure(ReasonBodyTimeout, reason)
+	default:
+	}
+	s.OnUnanswered(reason, answer.begun)
+	panic(http.ErrAbortHandler)
+}
+
 // responseWriter adds "Connection: close" to the last answer. Whether it is the last is decided when it begins.
 type responseWriter struct {
 	http.ResponseWriter
--- a/internal/keepalive/unfinished_test.go
+++ b/internal/keepalive/unfinished_test.go
@@ -16,14 +16,15 @@
 // An answer that was given up since its caller had closed its sending side looked whole to that caller.
 func TestUnfinishedAnswerDoesNotLookWhole(t *testing.T) {
 	c := qt.New(t)
-	s := &Connections{Now: clock.System(), Last: func() bool { return false }}
+	s := &Connections{Now: clock.System(), Last: func() bool { return false }, OnUnanswered: func(string, bool) {}}
 	port, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	server := &http.Server{ReadHeaderTimeout: waitTimeout, ConnState: s.ConnState, Handler: s.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := &http.Server{ReadHeaderTimeout: waitTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.WriteString(w, "begun")
 		_ = http.NewResponseController(w).Flush()
 		<-r.Context().Done()
-	}))}
+	})}
+	s.Attach(server)
 	go func() { _ = server.Serve(s.Listener(port)) }()
 	defer server.Close()
 	caller := dial(t, port.Addr())
