gateway: apply the operators' limits on idle time and headers

The document's idle and header time-outs were decoded and not applied; 75 s and 5 s were constants, of which the second may be shorter than the limit, and a time-out of net/http hides what has arrived in the socket.

The constants hold without a configuration. Nothing is ended before its limit, and callers take up connections that have rested up to four fifths of it. A new connection without a byte counts as a header.

TestExpire fails without the look into the socket and without the deadline being restored; package keepalive passes 30 times with -race.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,8 +94,7 @@
 	maxHeaderBytes = 64 << 10
 	// headerTimeout likewise bounds the time to read a request's header.
 	headerTimeout = 5 * time.Second
-	// idleTimeout is how long a caller's connection may stay idle. It is far above the
-	// operators' limit, within which callers reuse a connection.
+	// idleTimeout likewise bounds the time for which a caller's connection is idle.
 	idleTimeout = 75 * time.Second
 )
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -90,8 +90,7 @@
 func (g *Gateway) listen() error {
 	set := g.settings.Load()
 	callers := &http.Server{
-		Addr: set.Callers.Listen, Handler: g.forwarder,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.limitSendBuffer,
+		Addr: set.Callers.Listen, Handler: g.forwarder, MaxHeaderBytes: maxHeaderBytes, ConnState: g.limitSendBuffer,
 	}
 	g.connections = &keepalive.Connections{Now: g.now, Last: g.lastAnswers, OnPanic: g.logPanic, OnUnanswered: g.countUnanswered}
 	g.connections.Attach(callers)
@@ -190,9 +189,23 @@
 		g.feed.DropUnconfirmed()
 		g.updateLimit()
 		g.updateGauges()
+		g.connections.Expire(g.callerTimeouts())
 	})
 }
 
+// callerTimeouts returns how long callers' connections may be idle, and how long the header of a request may take.
+func (g *Gateway) callerTimeouts() (idle, header time.Duration) {
+	idle, header = idleTimeout, headerTimeout
+	table := g.directory.View().Table
+	if table != nil && table.Limits.IdleTimeout > 0 {
+		idle = table.Limits.IdleTimeout
+	}
+	if table != nil && table.Limits.HeaderTimeout > 0 {
+		header = table.Limits.HeaderTimeout
+	}
+	return idle, header
+}
+
 // updateGauges samples the values that are not counted as they change.
 func (g *Gateway) updateGauges() {
 	scope, v := g.counters.Scope, g.directory.View()
--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -33,10 +33,13 @@
 	// three bytes that were read together with the request before are not seen.
 	idle      bool
 	idleSince clock.Millis // while idle
+	fresh     bool         // nothing was read since it was accepted
+	begunAt   clock.Millis // when the first byte of the request was read
 	waiting   bool         // the server waits for the next request, while idle
 	ahead     bool         // a byte of the next request was read before the last answer ended
 	ending    bool         // it is to be ended if nothing has arrived
 	ended     bool         // it was ended as idle
+	expired   bool         // the time of a header is over
 	handled   bool         // a handler has the request
 	failure   error        // of the last read
 	deadline  time.Time    // of the server, for reads
@@ -61,11 +64,34 @@
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails on a closed connection
 }
 
+// expire ends a connection that has been idle since before a time, or whose request began before another one and whose
+// header is not complete. The header of the first request is due from the start.
+func (c *conn) expire(idleBefore, headerBefore clock.Millis) {
+	c.mu.Lock()
+	idle, fresh := c.idle, c.fresh
+	if !idle && !c.handled && c.begunAt <= headerBefore {
+		c.expired = true
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails on a closed connection
+	}
+	c.mu.Unlock()
+	switch {
+	case idle && fresh:
+		c.endIdle(headerBefore)
+	case idle:
+		c.endIdle(idleBefore)
+	default:
+	}
+}
+
 // handle records that a handler has the request.
 func (c *conn) handle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handled = true
+	if c.expired {
+		c.expired = false
+		_ = c.Conn.SetReadDeadline(c.deadline) // fails on a closed connection; the next read reports that
+	}
 }
 
 // readFailure returns the reason why reading a request failed: timeout, that the caller has left, or other if it did
@@ -91,7 +117,7 @@
 
 // begin records that something of a request was read. c.mu must be held.
 func (c *conn) begin() {
-	c.idle = false
+	c.idle, c.fresh, c.begunAt = false, false, c.connections.Now()
 	if c.ending {
 		c.ending = false
 		_ = c.Conn.SetReadDeadline(c.deadline) // fails on a closed connection; the next read reports that
--- a/internal/keepalive/conn_test.go
+++ b/internal/keepalive/conn_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -260,3 +261,68 @@
 	c.Check(answered.Load() > callers*requests/2, qt.IsTrue, qt.Commentf("%d answered, %d crossed the end", answered.Load(), crossed.Load()))
 	t.Logf("%d answered, %d crossed the end of their connections", answered.Load(), crossed.Load())
 }
+
+// The operators' limits on idle time and on the time of a header were not applied, and other, fixed ones were.
+func TestExpire(t *testing.T) {
+	const idle, header = 50 * time.Second, 10 * time.Second
+	write := func(text string) func(c *conn, caller net.Conn) {
+		return func(c *conn, caller net.Conn) {
+			_, _ = io.WriteString(caller, text)
+			_, _ = io.ReadFull(c, make([]byte, len(text)))
+		}
+	}
+	answered := func(c *conn, caller net.Conn) {
+		write("POST")(c, caller)
+		c.handle()
+		c.answered(c.connections.Now())
+	}
+	handle := func(c *conn) { c.handle() }
+	tests := []struct {
+		name   string
+		before func(c *conn, caller net.Conn)
+		after  time.Duration
+		late   string        // arrives in the socket before the end is noticed
+		then   func(c *conn) // nil: nothing
+		err    error         // of the next read, nil if it gets what the caller sends
+	}{
+		{"new, within the time of a header", func(*conn, net.Conn) {}, header - 1e6, "", nil, nil},
+		{"new, later", func(*conn, net.Conn) {}, header, "", nil, io.EOF},
+		{"new, with a request", func(*conn, net.Conn) {}, header, "POST", nil, nil},
+		{"header within its time", write("POST"), header - 1e6, "", nil, nil},
+		{"header late", write("POST"), header, "", nil, os.ErrDeadlineExceeded},
+		{"header late, with more in the socket", write("POST"), header, " / H", nil, nil},
+		{"body after the time of a header", func(c *conn, caller net.Conn) {
+			write("POST")(c, caller)
+			c.handle()
+		}, header, "", nil, nil},
+		{"header complete at that moment", write("POST"), header, "", handle, nil},
+		{"idle within its time", answered, idle - 1e6, "", nil, nil},
+		{"idle for longer", answered, idle, "", nil, io.EOF},
+		{"idle, with a request", answered, idle, "POST", nil, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := atomic.Int64{}
+			now.Store(1000)
+			s := &Connections{Now: func() clock.Millis { return clock.Millis(now.Load()) }, OnUnanswered: func(string, bool) {}}
+			server, caller := pair(t, s)
+			test.before(server, caller)
+			if test.late != "" {
+				_, err := io.WriteString(caller, test.late)
+				c.Assert(err, qt.IsNil)
+				time.Sleep(pause)
+			}
+			now.Add(test.after.Milliseconds())
+			s.Expire(idle, header)
+			if test.then != nil {
+				test.then(server)
+			}
+			if test.err == nil && test.late == "" {
+				time.AfterFunc(pause, func() { _, _ = io.WriteString(caller, "more") })
+			}
+			_, err := server.Read(make([]byte, 4))
+			c.Check(errors.Is(err, test.err), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
--- a/internal/keepalive/connections.go
+++ b/internal/keepalive/connections.go
@@ -20,7 +20,8 @@
 var Error = errs.Class("keepalive")
 
 // Connections are the open connections of an http.Server. The server's own ways to end idle connections are not to be
-// used: it takes a connection for idle until it has parsed the header of the next request.
+// used: it takes a connection for idle until it has parsed the header of the next request. Expire takes the place of its
+// time-outs.
 type Connections struct {
 	Now func() clock.Millis
 	// Last reports whether the answers that begin now are to be the last ones on their connections.
@@ -53,7 +54,7 @@
 }
 
 func (s *Connections) add(inner net.Conn) *conn {
-	c := &conn{Conn: inner, connections: s, idle: true, idleSince: s.Now()}
+	c := &conn{Conn: inner, connections: s, idle: true, fresh: true, idleSince: s.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.open == nil {
@@ -101,13 +102,25 @@
 
 // EndIdle ends the connections on which nothing has arrived for a time.
 func (s *Connections) EndIdle(after time.Duration) {
+	for _, c := range s.all() {
+		c.endIdle(s.Now().Add(-after))
+	}
+}
+
+// Expire ends the connections that have been idle for a time, or that have taken another one to bring the header of a
+// request, unless more of it has arrived.
+func (s *Connections) Expire(idle, header time.Duration) {
+	for _, c := range s.all() {
+		c.expire(s.Now().Add(-idle), s.Now().Add(-header))
+	}
+}
+
+func (s *Connections) all() []*conn {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	all := make([]*conn, 0, len(s.open))
 	for c := range s.open {
 		all = append(all, c)
 	}
-	s.mu.Unlock()
-	for _, c := range all {
-		c.endIdle(s.Now().Add(-after))
-	}
+	return all
 }
