overload: count the queue of a port that is closed for lack of room

Connections in the queue of the port are reset by the kernel when it is closed, which no counter showed. The kernel is asked for the length of the queue, and they count as unread connections, reason `queued`. The resets stay: nothing of them was read, and there is no room for them.

--- a/internal/overload/listener.go
+++ b/internal/overload/listener.go
@@ -48,7 +48,7 @@
 	Room func(unread int) (room, few int)
 	// Admit decides whether a new connection is read, after it has waited for the processor.
 	Admit func(waited time.Duration) bool
-	// OnUnread is called for each connection that is closed unread.
+	// OnUnread is called for each connection that is closed unread, also by the kernel with the port.
 	OnUnread func(reason string)
 	// OnRefused is called when connections are accepted again, with how long they were refused. err is not nil
 	// while the port can't be opened again.
@@ -69,6 +69,7 @@
 const (
 	ReasonOverloaded = "overloaded"
 	ReasonTooMany    = "too_many_connections"
+	ReasonQueued     = "queued" // in the port's queue when it was closed
 )
 
 // Open opens the port for the first time.
@@ -195,9 +196,16 @@
 // refuse closes the port until connections can be taken, or for maxRefusing. Then it returns true: a connection is
 // to be taken nevertheless.
 func (l *Listener) refuse() (forced bool) {
-	if l.finishes() || !l.closePort() {
+	if l.finishes() {
 		return false
 	}
+	queued, open := l.closePort()
+	if !open {
+		return false
+	}
+	for range queued {
+		l.OnUnread(ReasonQueued)
+	}
 	started := l.Now()
 	for {
 		select {
@@ -221,15 +229,17 @@
 	}
 }
 
-func (l *Listener) closePort() bool {
+// closePort closes the port if it is open. The kernel resets the connections in its queue.
+func (l *Listener) closePort() (queued int, open bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.port == nil {
-		return false
+		return 0, false
 	}
+	queued = queueLength(l.port)
 	_ = l.port.Close()
 	l.port = nil
-	return true
+	return queued, true
 }
 
 func (l *Listener) openPort() error {
