keepalive: the time of a header read ahead begins with its wait

A connection on which a byte of the next request had come during a long answer was taken for one whose header had been due since the request before, and could be ended at once. The time now begins when the answer ends. The new row of TestExpire failed before; package keepalive passes 30 times with -race.

--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -50,7 +50,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.rejected.Store(false)
-	c.idle, c.idleSince, c.waiting, c.ahead, c.handled = !c.ahead, now, false, false, false
+	c.idle, c.idleSince, c.begunAt, c.waiting, c.ahead, c.handled = !c.ahead, now, now, false, false, false
 }
 
 // endIdle ends a connection that has been idle since before a time, unless something has arrived.
--- a/internal/keepalive/conn_test.go
+++ b/internal/keepalive/conn_test.go
@@ -296,6 +296,13 @@
 			c.handle()
 		}, header, "", nil, nil},
 		{"header complete at that moment", write("POST"), header, "", handle, nil},
+		{"byte read ahead of a long answer's end", func(c *conn, caller net.Conn) {
+			write("POST")(c, caller)
+			c.begunAt = 0
+			c.handle()
+			write("P")(c, caller)
+			c.answered(c.connections.Now())
+		}, header - 1e6, "", nil, nil},
 		{"idle within its time", answered, idle - 1e6, "", nil, nil},
 		{"idle for longer", answered, idle, "", nil, io.EOF},
 		{"idle, with a request", answered, idle, "POST", nil, nil},
