--- a/internal/gateway/instance_test.go
+++ b/internal/gateway/instance_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -132,23 +133,38 @@
 	n      *instance
 	conn   net.Conn
 	reader *bufio.Reader
+	id     string // of the last request
 }
 
 // dial opens a connection.
 func (n *instance) dial(t *testing.T) *kept {
 	t.Helper()
+	k, err := n.tryDial(t)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = k.conn.Close() })
+	return k
+}
+
+// tryDial opens a connection, which the instance may refuse.
+func (n *instance) tryDial(t *testing.T) (*kept, error) {
 	callers, _ := n.Addresses()
 	conn, err := net.Dial("tcp", callers.String())
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, conn.SetDeadline(time.Now().Add(waitTimeout)), qt.IsNil)
-	t.Cleanup(func() { _ = conn.Close() })
-	return &kept{t: t, n: n, conn: conn, reader: bufio.NewReader(conn)}
+	if err != nil {
+		return nil, err
+	}
+	return &kept{t: t, n: n, conn: conn, reader: bufio.NewReader(conn)}, conn.SetDeadline(time.Now().Add(waitTimeout))
+}
+
+// passedOn reports whether a request has reached the endpoint.
+func (n *instance) passedOn(id string) bool {
+	return slices.ContainsFunc(n.endpoint.Arrivals(), func(a standin.Arrival) bool { return a.Request == id })
 }
 
 // message returns the bytes of a request, and where its header is cut in half.
 func (k *kept) message() (text string, half int) {
 	callers, _ := k.n.Addresses()
-	request := standin.Request{ID: fmt.Sprint("r", k.n.requests.Add(1)), Address: callers, Path: "/unsafe/1", Body: "body"}
+	k.id = fmt.Sprint("r", k.n.requests.Add(1))
+	request := standin.Request{ID: k.id, Address: callers, Path: "/unsafe/1", Body: "body"}
 	req, err := request.HTTPRequest(k.t.Context())
 	qt.Assert(k.t, err, qt.IsNil)
 	var b strings.Builder
