--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	stdlog "log"
 	"math"
 	"net"
 	"net/http"
@@ -18,6 +19,7 @@
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/epoch"
 	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/keepalive"
 	"github.com/trailshed/trailshed/internal/ticker"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
@@ -34,6 +36,11 @@
 	streamCutoffPercent = 35
 	// exitMargin is the part of the grace period reserved for the exit of the process.
 	exitMargin = 250 * time.Millisecond
+	// stopIdleTime is how long nothing has arrived on a connection that is ended in a planned stop. Callers that
+	// use theirs more often are told by an answer.
+	stopIdleTime = time.Second
+	// stopPollInterval is how often a planned stop looks for such connections.
+	stopPollInterval = 20 * time.Millisecond
 )
 
 // Run serves until stop is closed or a listener fails, and returns after the shutdown.
@@ -61,6 +68,7 @@
 	case err = <-failed:
 		g.log.Write(eventlog.Line{Event: eventlog.Stopping, Reason: "listener_failed", Detail: err.Error()})
 	}
+	g.connections.Abandon()
 	for _, s := range g.servers {
 		_ = s.Close()
 	}
@@ -82,13 +90,15 @@
 func (g *Gateway) listen() error {
 	set := g.settings.Load()
 	callers := &http.Server{
-		Addr: set.Callers.Listen, Handler: g.forwarder,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.limitSendBuffer,
+		Addr: set.Callers.Listen, Handler: g.forwarder, MaxHeaderBytes: maxHeaderBytes, ConnState: g.limitSendBuffer,
 	}
+	g.connections = &keepalive.Connections{Now: g.now, Last: g.lastAnswers, OnPanic: g.logPanic, OnUnanswered: g.countUnanswered}
+	g.connections.Attach(callers)
 	ready := &http.Server{Addr: set.Callers.Ready, Handler: g.readiness(), ReadHeaderTimeout: headerTimeout}
 	admin := &http.Server{Addr: set.Admin.Listen, Handler: g.admin(), ReadHeaderTimeout: headerTimeout}
 	g.servers = []*http.Server{callers, ready, admin}
 	for _, s := range g.servers {
+		s.ErrorLog = stdlog.New(serverErrors{g.log}, "", 0)
 		open := listenTCP
 		if s == callers {
 			open = g.listenForCallers
@@ -158,10 +168,19 @@
 	left := grace - g.now().Sub(started) - exitMargin
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
-	_ = g.servers[0].Shutdown(ctx) // it fails only by timeout, which the count in the Stopped event shows
+	g.port.Finish()
+	g.drainConnections(ctx)
 	g.tunnels.Drain(ctx)
 }
 
+// drainConnections waits until all callers' connections have ended: after an answer, or idle.
+func (g *Gateway) drainConnections(ctx context.Context) {
+	for g.connections.Open() > 0 && ctx.Err() == nil {
+		g.connections.EndIdle(stopIdleTime)
+		ticker.Sleep(ctx, stopPollInterval)
+	}
+}
+
 func (g *Gateway) sweep(ctx context.Context) {
 	ticker.Every(ctx, sweepInterval, func() {
 		g.pool.CloseExpired()
@@ -170,9 +189,23 @@
 		g.feed.DropUnconfirmed()
 		g.updateLimit()
 		g.updateGauges()
+		g.connections.Expire(g.callerTimeouts())
 	})
 }
 
+// callerTimeouts returns how long callers' connections may be idle, and how long the header of a request may take.
+func (g *Gateway) callerTimeouts() (idle, header time.Duration) {
+	idle, header = idleTimeout, headerTimeout
+	table := g.directory.View().Table
+	if table != nil && table.Limits.IdleTimeout > 0 {
+		idle = table.Limits.IdleTimeout
+	}
+	if table != nil && table.Limits.HeaderTimeout > 0 {
+		header = table.Limits.HeaderTimeout
+	}
+	return idle, header
+}
+
 // updateGauges samples the values that are not counted as they change.
 func (g *Gateway) updateGauges() {
 	scope, v := g.counters.Scope, g.directory.View()
