--- a/internal/soak/link/link.go
+++ b/internal/soak/link/link.go
@@ -8,8 +8,11 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Fault is what a link does to the connections through it.
@@ -27,6 +30,13 @@
 // Delay is how long a delayed link holds back each chunk.
 const Delay = 120 * time.Millisecond
 
+const (
+	// maxFillers connections fill a queue of length 0.
+	maxFillers = 8
+	// fillTimeout is longer than a connection on loopback takes.
+	fillTimeout = 20 * time.Millisecond
+)
+
 // chunkSize is the maximum number of bytes forwarded at a time.
 const chunkSize = 16 << 10
 
@@ -41,6 +51,8 @@
 	fault       Fault
 	changed     chan struct{} // closed and replaced when the fault changes
 	connections map[net.Conn]bool
+	holds       int        // calls of Hold in force
+	fillers     []net.Conn // connections that fill the listener's queue during a hold
 }
 
 // New opens a link to target on a loopback port.
@@ -89,6 +101,72 @@
 	go l.accept(listener)
 }
 
+// Hold makes the link silent beside its fault: data is held back in both directions, and new
+// connections do not come up, like those to a machine that cannot be reached. The returned
+// function ends the hold, after which everything goes on.
+func (l *Link) Hold() (release func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holds++
+	if l.holds == 1 {
+		l.fillQueue()
+	}
+	return sync.OnceFunc(func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.holds--
+		if l.holds > 0 {
+			return
+		}
+		setQueue(l.listener, unix.SOMAXCONN, time.Time{})
+		for _, c := range l.fillers {
+			_ = c.Close()
+		}
+		l.fillers = nil
+		close(l.changed)
+		l.changed = make(chan struct{})
+	})
+}
+
+// fillQueue fills the queue of the listener, from which nothing is accepted during a hold, so that the
+// kernel drops attempts to connect.
+func (l *Link) fillQueue() {
+	setQueue(l.listener, 0, time.Unix(1, 0))
+	for range maxFillers {
+		c, err := (&net.Dialer{Timeout: fillTimeout}).DialContext(context.Background(), "tcp", l.Address.String())
+		if err != nil {
+			return // the queue is full, or the link refuses connections
+		}
+		l.fillers = append(l.fillers, c)
+	}
+}
+
+// setQueue sets the length of a listener's queue and the deadline of accepting from it. It has no effect
+// on a listener that is closed.
+func setQueue(listener net.Listener, length int, deadline time.Time) {
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok {
+		return
+	}
+	_ = tcp.SetDeadline(deadline)
+	if raw, err := tcp.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), length) })
+	}
+}
+
+// waitHeld waits until the link is not held.
+func (l *Link) waitHeld() {
+	for {
+		l.mu.Lock()
+		held, changed := l.holds > 0, l.changed
+		l.mu.Unlock()
+		if !held {
+			return
+		}
+		<-changed
+	}
+}
+
 // SetTarget sets the target of new connections, as when an address is reused by another
 // process.
 func (l *Link) SetTarget(target netip.AddrPort) {
@@ -118,6 +196,10 @@
 func (l *Link) accept(listener net.Listener) {
 	for {
 		c, err := listener.Accept()
+		l.waitHeld()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue // a hold has ended
+		}
 		if err != nil {
 			return // closed
 		}
@@ -174,9 +256,11 @@
 func (l *Link) wait(fromTarget bool) {
 	for {
 		l.mu.Lock()
-		fault, changed := l.fault, l.changed
+		fault, changed, held := l.fault, l.changed, l.holds > 0
 		l.mu.Unlock()
 		switch {
+		case held:
+			<-changed
 		case fault == Delayed:
 			time.Sleep(Delay)
 			return
--- a/internal/soak/link/link_test.go
+++ b/internal/soak/link/link_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"syscall"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -116,3 +118,38 @@
 	_, err = again.Read(make([]byte, 1))
 	qt.Assert(t, err, qt.IsNotNil)
 }
+
+// A held link takes no new connection and passes no data, like a machine that cannot be reached, and
+// goes on afterwards; a fault that was set meanwhile stays.
+func TestHold(t *testing.T) {
+	c := qt.New(t)
+	l, kept := open(t)
+	send(t, kept, "one")
+	c.Assert(receive(t, kept, 3), qt.Equals, "one")
+	first, second := l.Hold(), l.Hold()
+	first()
+	first() // ends one hold only
+	send(t, kept, "two")
+	for range 3 {
+		_, err := net.DialTimeout("tcp", l.Address.String(), 60*time.Millisecond)
+		var late net.Error
+		c.Assert(errors.As(err, &late) && late.Timeout(), qt.IsTrue, qt.Commentf("%v", err))
+	}
+	c.Assert(kept.SetReadDeadline(time.Now().Add(30*time.Millisecond)), qt.IsNil)
+	_, err := kept.Read(make([]byte, 1))
+	c.Assert(errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(kept.SetReadDeadline(time.Time{}), qt.IsNil)
+	second()
+	c.Assert(receive(t, kept, 3), qt.Equals, "two")
+	again, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Address.String())
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = again.Close() }()
+	send(t, again, "back")
+	c.Assert(receive(t, again, 4), qt.Equals, "back")
+
+	release := l.Hold()
+	l.Set(link.Refused)
+	release()
+	_, err = (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Address.String())
+	c.Assert(errors.Is(err, syscall.ECONNREFUSED), qt.IsTrue, qt.Commentf("%v", err))
+}
