soak: requests end with an answer or a refusal, and streams whole

The soak checked what was answered, and whether planned stops cut answers. A stream that was broken off at a sound endpoint at any other time, and a request whose connection was closed without an answer, broke no promise of it.

Callers that left or whose time was over, kills of the instance, and instances that stood still during their planned stop are excused; silence of an endpoint excuses nothing.

For this, kills, frozen instances and silences are scopes of their own in the timeline, as parts of those that the other checks know. That no sound request is held as one that ends endpoints is checked beside silences, too.

"interrupted stream without a gap" of TestPromises wanted no violation though nothing explained the interruption. It has a crash of the endpoint now, and its twin without one wants the new promise.

The soak's own faults, met by its runs: a crash by a poisoned request was on the timeline only some time after its connections were reset; SIGHUP ended a process that had not started.

--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -278,6 +279,13 @@
 	return c.Call(ctx, g, k)
 }
 
+// LeftOrLate reports whether the caller left before the end of the answer, or the time that it had
+// allowed for the answer was over.
+func (c Call) LeftOrLate() bool {
+	return c.Disconnected || errors.Is(c.Reply.Err, context.Canceled) || errors.Is(c.Reply.Err, context.DeadlineExceeded) ||
+		c.Ended.Sub(c.Sent) >= requestTimeout
+}
+
 // TimedOut reports whether the caller gave up because no complete answer came within
 // requestTimeout and gracePeriod.
 func (c Call) TimedOut() bool {
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -7,6 +7,8 @@
 //     version;
 //   - requests arrive unchanged, run under their own workspace, within its limit, and stay
 //     in its region;
+//   - requests that were passed on or came on kept connections are answered or refused, and
+//     answers that have begun are not broken off;
 //   - work for callers that disconnected stops;
 //   - leaving endpoints and evacuated zones get no new requests, cold endpoints few, and
 //     endpoints that back off or name a limit no more than they accept;
@@ -213,6 +215,7 @@
 	if !call.Disconnected {
 		c.checkReply(call)
 	}
+	c.checkEnd(call, runs)
 	if !c.Bounds.Timed {
 		return
 	}
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -202,7 +202,11 @@
 		{"interrupted stream with a repeated event", "unmixed answer", singleCall("/stream/x", func(c *caller.Call, _ *checker.Run) {
 			c.Reply.Body, c.Reply.Err = standin.Event("r1", 1)+standin.Event("r1", 1), errCut
 		})},
-		{"interrupted stream without a gap", "", singleCall("/stream/x", func(c *caller.Call, _ *checker.Run) {
+		{"interrupted stream without a gap, endpoint crashed", "", during(singleCall("/stream/x", func(c *caller.Call, _ *checker.Run) {
+			c.Reply.Body, c.Reply.Err = standin.Event("r1", 1)+"id: 2", errCut
+			c.Ended = time.Now().Add(time.Second)
+		}), timeline.Endpoint, "e1")},
+		{"interrupted stream, endpoint sound", "not broken off", singleCall("/stream/x", func(c *caller.Call, _ *checker.Run) {
 			c.Reply.Body, c.Reply.Err = standin.Event("r1", 1)+"id: 2", errCut
 		})},
 		{"route of every configuration not found", "allowed", singleCall("/safe/x", func(c *caller.Call, _ *checker.Run) {
--- a/internal/soak/checker/links.go
+++ b/internal/soak/checker/links.go
@@ -104,7 +104,7 @@
 		if until.IsZero() {
 			until = r.At.Add(c.Bounds.CalmTime)
 		}
-		if !c.Faults.Undisturbed(r.At, until, r.Endpoint, timeline.Endpoint) {
+		if !c.Faults.Without(r.At, until, r.Endpoint, timeline.Endpoint) {
 			ended[r.Body] = true
 		}
 	}
--- a/internal/soak/fleet/endpoint.go
+++ b/internal/soak/fleet/endpoint.go
@@ -168,9 +168,11 @@
 // handlePoison completes the crash of an endpoint by a poisoned request in the same way as
 // any other crash.
 func (f *Fleet) handlePoison(e *endpoint) {
+	end := f.faults.Begin(timeline.Endpoint, e.ID, "crash")
 	e.link.Set(link.Refused)
 	e.link.Reset()
 	f.steps.Go(func() {
+		defer end()
 		if err := f.crash(context.Background(), e, 0, false); err != nil {
 			_, _ = fmt.Fprintf(os.Stderr, "seed %d: replace crashed engine %s: %v\n", f.Seed, e.ID, err)
 		}
--- a/internal/soak/fleet/steps.go
+++ b/internal/soak/fleet/steps.go
@@ -145,7 +145,7 @@
 func (f *Fleet) kill(ctx context.Context, length time.Duration, instances ...*instance) error {
 	var exits []<-chan struct{}
 	for _, i := range instances {
-		end := f.faults.Begin(timeline.Process, i.name, "kill")
+		end := f.faults.Begin(timeline.Kill, i.name, "kill")
 		defer end()
 		exits = append(exits, i.program.Signal(syscall.SIGKILL))
 	}
@@ -169,7 +169,7 @@
 
 // pause stops an instance's process by SIGSTOP for a time.
 func (f *Fleet) pause(ctx context.Context, length time.Duration, i *instance) {
-	end := f.faults.Begin(timeline.Process, i.name, "pause")
+	end := f.faults.Begin(timeline.Frozen, i.name, "pause")
 	defer end()
 	i.program.Signal(syscall.SIGSTOP)
 	sleep(ctx, length)
@@ -180,7 +180,7 @@
 // suspend emulates the suspension of an instance's machine: unlike after a pause, the
 // monotonic clock of the process has not advanced.
 func (f *Fleet) suspend(ctx context.Context, length time.Duration, i *instance) error {
-	end := f.faults.Begin(timeline.Process, i.name, "suspend")
+	end := f.faults.Begin(timeline.Frozen, i.name, "suspend")
 	defer end()
 	i.program.Signal(syscall.SIGSTOP)
 	began := time.Now()
@@ -214,6 +214,7 @@
 	signalled := time.Now()
 	if exited := i.program.Signal(syscall.SIGTERM); !program.WaitExit(exited, 2*grace) {
 		f.checker.StopOverdue(i.name, i.program.Incarnation(), signalled)
+		defer f.faults.Begin(timeline.Kill, i.name, "overdue")()
 		i.program.Signal(syscall.SIGCONT) // in case another step has paused it
 		program.WaitExit(i.program.Signal(syscall.SIGKILL), waitTimeout)
 	}
@@ -269,10 +270,13 @@
 // changeSettings changes the grace period in an instance's settings, with or without a
 // SIGHUP.
 func (f *Fleet) changeSettings(i *instance, signal bool) error {
-	if err := i.writeSettings(grace + time.Millisecond*time.Duration(len(f.routes))); err != nil {
+	f.mu.Lock()
+	changed := grace + time.Millisecond*time.Duration(len(f.routes))
+	f.mu.Unlock()
+	if err := i.writeSettings(changed); err != nil {
 		return err
 	}
-	if signal {
+	if signal && i.program.Started() { // before that, SIGHUP ends it
 		i.program.Signal(syscall.SIGHUP)
 	}
 	return nil
--- a/internal/soak/program/program.go
+++ b/internal/soak/program/program.go
@@ -105,6 +105,14 @@
 	close(exited)
 }
 
+// Started reports whether the running process has logged its start.
+func (p *Program) Started() bool {
+	p.mu.Lock()
+	running, offset := p.cmd != nil, p.logOffset
+	p.mu.Unlock()
+	return running && p.hasStarted(offset)
+}
+
 // hasStarted reports whether the incarnation whose log begins at an offset has logged its
 // start. Before that a process does not handle SIGTERM yet: it exits with an error, and
 // nothing is lost.
--- a/internal/soak/timeline/timeline.go
+++ b/internal/soak/timeline/timeline.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -14,17 +15,23 @@
 
 // Scopes of faults.
 const (
-	Process       Scope = "process"  // an instance is killed, paused, suspended or starting
+	Process       Scope = "process"  // an instance is killed, frozen or starting
+	Kill          Scope = "kill"     // an instance is killed; part of Process
+	Frozen        Scope = "frozen"   // an instance is paused or suspended; part of Process
 	Planned       Scope = "planned"  // an instance is stopping after SIGTERM
 	Peers         Scope = "peers"    // the connections between instances
 	Store         Scope = "store"    // the store, for all instances
 	InstanceStore Scope = "door"     // the store, for one instance
 	Links         Scope = "links"    // an instance's own connections to endpoints
 	Endpoint      Scope = "endpoint" // an endpoint or the link to it
+	Silence       Scope = "silence"  // an endpoint is silent and goes on; part of Endpoint
 	Load          Scope = "load"     // an endpoint rejects requests and asks for a backoff
 	Flood         Scope = "flood"    // a workspace sends more than a service can serve
 )
 
+// parents are the scopes of which others are parts.
+var parents = map[Scope]Scope{Kill: Process, Frozen: Process, Silence: Endpoint}
+
 // Fault is one fault.
 type Fault struct {
 	Scope       Scope
@@ -69,10 +76,22 @@
 	return list
 }
 
-// Undisturbed reports whether no fault of the scopes affected a target between two moments.
-// Faults without a target affect all targets. With an empty target, Undisturbed considers
-// the faults of all targets.
+// Undisturbed reports whether no fault of the scopes and of their parts affected a target
+// between two moments. Faults without a target affect all targets. With an empty target,
+// Undisturbed considers the faults of all targets.
 func (t *Timeline) Undisturbed(from, to time.Time, target string, scopes ...Scope) bool {
+	return t.free(from, to, target, func(s Scope) bool {
+		return slices.Contains(scopes, s) || slices.Contains(scopes, parents[s])
+	})
+}
+
+// Without is Undisturbed by the scopes themselves, without their parts.
+func (t *Timeline) Without(from, to time.Time, target string, scopes ...Scope) bool {
+	return t.free(from, to, target, func(s Scope) bool { return slices.Contains(scopes, s) })
+}
+
+// free reports whether no fault of a scope that counts affected a target between two moments.
+func (t *Timeline) free(from, to time.Time, target string, counts func(Scope) bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, f := range t.faults {
@@ -82,10 +101,8 @@
 		if target != "" && f.Target != "" && f.Target != target {
 			continue
 		}
-		for _, s := range scopes {
-			if f.Scope == s {
-				return false
-			}
+		if counts(f.Scope) {
+			return false
 		}
 	}
 	return true
