soak: sound endpoints fall silent and go on

Callers saw streams cut in the middle while their endpoints were only silent for about a second, beside changes of the configuration. The soak had silent links, but as faults, one at a time and for up to 4.5 s, and its routes have targets at which no instance looks for another endpoint in so short a time.

A step "silence" makes one, three, six or nine in ten of the endpoints silent for 0.5 to 2 s, three to eight times, in series and overlapping: they cannot be reached, or stand still. Beside it come, each in half of the steps, changes of the configuration, SIGHUP at all instances, SIGTERM at one and a release of engines. Its callers use two routes of their own.

--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -89,6 +89,21 @@
 	return Kind{Path: "/safe/x", Method: http.MethodGet, Service: "web", Workspace: Flooding}
 }
 
+// Prefixes of the routes of SilenceKinds.
+const (
+	QuickPrefix = "/quick/"
+	ShortPrefix = "/short/"
+)
+
+// SilenceKinds returns the kinds of requests that are sent while endpoints fall silent: on their routes,
+// instances look for another endpoint after less than a second.
+func SilenceKinds() []Kind {
+	return []Kind{
+		{Path: QuickPrefix + "x" + standin.SlowPath, Method: http.MethodPost, Service: "llm", Stream: true, Workspace: secondWorkspace},
+		{Path: ShortPrefix + "x", Method: http.MethodPost, Service: "web", Workspace: secondWorkspace},
+	}
+}
+
 // streamKind returns the kind of streams that can be resumed.
 func streamKind() Kind { return Kinds()[0] }
 
@@ -195,17 +210,14 @@
 	NextKind    func() Kind
 	Done        func(Call)
 	NextID      func() string // returns a new request ID
+	KeepAlive   bool          // reuses connections in any case
 
 	client *http.Client
 }
 
 // Run sends requests until ctx ends, with random pauses of gap on average.
 func (c *Caller) Run(ctx context.Context, gap time.Duration) {
-	c.client = &http.Client{Transport: &http.Transport{
-		DisableKeepAlives: rand.Float64() > keepAliveRatio, DisableCompression: true,
-		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
-	}}
-	defer c.client.CloseIdleConnections()
+	defer c.Close()
 	for ctx.Err() == nil {
 		if g, ok := c.PickGateway(); ok {
 			call := c.Call(ctx, g, c.NextKind())
@@ -235,8 +247,21 @@
 	}
 }
 
+// Close closes the connections that are kept.
+func (c *Caller) Close() {
+	if c.client != nil {
+		c.client.CloseIdleConnections()
+	}
+}
+
 // Call sends one request and waits for its end.
 func (c *Caller) Call(ctx context.Context, g Gateway, k Kind) Call {
+	if c.client == nil {
+		c.client = &http.Client{Transport: &http.Transport{
+			DisableKeepAlives: !c.KeepAlive && rand.Float64() > keepAliveRatio, DisableCompression: true,
+			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+		}}
+	}
 	return c.send(ctx, Call{ID: c.NextID(), Kind: k, Gateway: g, Sent: time.Now()})
 }
 
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -97,7 +97,7 @@
 	home := caller.HomeKind(o.Zones[0])
 	route := standin.NewRoute("home", home.Path[:len(home.Path)-1], "idempotent", home.Service, 2, false)
 	route.Regions = []string{region(home.HomeZone)}
-	f.routes = []standin.Route{route}
+	f.routes = append([]standin.Route{route}, silenceRoutes()...)
 	f.checker = checker.New(bounds(o.Timed), f.faults, f.arrivals)
 	f.checker.Engines = f.decodeEngines
 	defer f.close()
--- a/internal/soak/fleet/steps.go
+++ b/internal/soak/fleet/steps.go
@@ -48,7 +48,7 @@
 	switch s.Kind {
 	case schedule.Suspend, schedule.Poison, schedule.Announce, schedule.Backoff, schedule.Limit,
 		schedule.Evacuate, schedule.Cold, schedule.Unlink, schedule.Release, schedule.Restore, schedule.Parts,
-		schedule.Flood:
+		schedule.Flood, schedule.Silence:
 		return f.applyExtra(ctx, s, i)
 	case schedule.Kill:
 		return f.kill(ctx, s.Duration, i)
@@ -98,6 +98,9 @@
 	if s.Kind == schedule.Announce {
 		return f.announce(ctx, f.endpoint(s.Target), s.Variant%2 == 0)
 	}
+	if s.Kind == schedule.Silence {
+		return f.silence(ctx, s, i)
+	}
 	if s.Kind == schedule.Unlink {
 		return f.unlink(ctx, s, i)
 	}
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -78,6 +78,8 @@
 	Parts Kind = "parts"
 	// A workspace sends several times what the plain service can serve.
 	Flood Kind = "flood"
+	// Sound endpoints fall silent and go on, beside planned operations.
+	Silence Kind = "silence"
 )
 
 // weights are the relative frequencies of the kinds drawn by New.
@@ -148,6 +150,7 @@
 	{0x3c79ac492ba7b653, []Kind{Restore}},
 	{0x1d8e4e27c47d124f, []Kind{Parts}},
 	{0xe7037ed1a0b428db, []Kind{Flood}},
+	{0x8cb92ba72f3d8dd7, []Kind{Silence}},
 }
 
 // Extra draws additional steps of a run, independently of those of New.
