soak: instances get into overload and out of it, on kept connections

Callers got no answer to requests on kept connections, though some of these had been passed on, at the moment at which their instance began to refuse connections: net/http then closes all connections that it holds for idle, and it calls one idle until it has parsed the next header. The soak ran all instances with callers.refuse off.

A step "overload" lets the process of one instance stand still for 0.3 s three times in a row, while 60 callers send requests on connections that they keep and 8 on new ones, and then gives it 2.5 s with few requests. The instances of such steps have callers.refuse from the start; a process reads it only then. The steps come from a stream of random numbers of their own.

--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -104,10 +104,10 @@
 	if o.ExtraSteps {
 		f.store.StateEra(1)
 	}
-	if err := f.start(); err != nil {
+	steps := f.schedule()
+	if err := f.start(steps); err != nil {
 		return Result{}, err
 	}
-	steps := f.schedule()
 	err := f.run(ctx, steps)
 	r := Result{Seed: o.Seed, Violations: f.checker.Check(true), Steps: len(steps), Faults: f.faults}
 	r.Succeeded, r.Requests = f.checker.Served()
@@ -138,8 +138,8 @@
 	}
 }
 
-// start starts the stand-ins and the instances and waits until all instances serve.
-func (f *Fleet) start() error {
+// start starts the stand-ins and the instances for some steps, and waits until all instances serve.
+func (f *Fleet) start(steps []schedule.Step) error {
 	f.configure()
 	for _, zone := range f.Zones {
 		for _, stage := range []string{"", "prefill", "decode", "decode"} {
@@ -155,6 +155,9 @@
 			}
 		}
 	}
+	if err := f.letRefuse(steps); err != nil {
+		return err
+	}
 	for _, i := range f.instances {
 		if err := i.program.Start(); err != nil {
 			return err
--- a/internal/soak/fleet/instance.go
+++ b/internal/soak/fleet/instance.go
@@ -60,6 +60,7 @@
 	storeLink  *link.Link     // in front of storeProxy
 	peerProxy  *ether.Proxy   // in front of its port for peers
 	inRotation atomic.Bool    // the balancer sends it requests
+	refuses    bool           // its settings let it refuse connections in overload
 
 	mu           sync.Mutex
 	inboundLoss  float64 // fraction of the datagrams to it that is dropped
@@ -113,7 +114,7 @@
 func (i *instance) writeSettings(grace time.Duration) error {
 	text := fmt.Sprintf(`instance: {name: %s, zone: %s}
 zones: {%s}
-callers: {listen: "%s", ready: "%s"}
+callers: {listen: "%s", ready: "%s", refuse: %t}
 peers: {listen: "%s", advertise: "%s"}
 admin: {listen: "%s"}
 store: {address: "%s", timeout: 500ms}
@@ -121,7 +122,7 @@
 stop: {grace: %s}
 orders: {gap: 3s}
 memory: {limit_mb: 128}
-`, i.name, i.zone, i.regions, i.addr(portCallers), i.addr(portReady), i.addr(portPeers), i.addr(portAdvertised), i.addr(portAdmin),
+`, i.name, i.zone, i.regions, i.addr(portCallers), i.addr(portReady), i.refuses, i.addr(portPeers), i.addr(portAdvertised), i.addr(portAdmin),
 		i.storeLink.Address, retryRatio, retrySlack, retryWindow, grace)
 	return os.WriteFile(i.program.Settings, []byte(text), 0o600)
 }
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -80,6 +80,8 @@
 	Flood Kind = "flood"
 	// Sound endpoints fall silent and go on, beside planned operations.
 	Silence Kind = "silence"
+	// An instance gets into overload and out of it, while its callers keep their connections.
+	Overload Kind = "overload"
 )
 
 // weights are the relative frequencies of the kinds drawn by New.
@@ -151,6 +153,7 @@
 	{0x1d8e4e27c47d124f, []Kind{Parts}},
 	{0xe7037ed1a0b428db, []Kind{Flood}},
 	{0x8cb92ba72f3d8dd7, []Kind{Silence}},
+	{0x5851f42d4c957f2d, []Kind{Overload}},
 }
 
 // Extra draws additional steps of a run, independently of those of New.
