--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -274,6 +274,10 @@
 	case k.Method == http.MethodPost:
 		call.Body = "body of " + call.ID
 	}
+	request := standin.Request{ID: call.ID, Address: g.Address, Method: k.Method, Path: k.Path, Body: call.Body, Deadline: requestTimeout, Key: key(k.Workspace), BeganAs: call.BeganAs, LastEvent: call.After}
+	if len(k.Parts) > 0 {
+		request.Parts = append(slices.Clone(k.Parts), call.Origin())
+	}
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout+gracePeriod)
 	defer cancel()
 	var once sync.Once
@@ -282,10 +286,6 @@
 		timer := time.AfterFunc(delay, func() { once.Do(func() { call.Disconnected = true }); cancel() })
 		defer timer.Stop()
 	}
-	request := standin.Request{ID: call.ID, Address: g.Address, Method: k.Method, Path: k.Path, Body: call.Body, Deadline: requestTimeout, Key: key(k.Workspace), BeganAs: call.BeganAs, LastEvent: call.After}
-	if len(k.Parts) > 0 {
-		request.Parts = append(slices.Clone(k.Parts), call.Origin())
-	}
 	reply := request.Send(ctx, c.client)
 	once.Do(func() {}) // a disconnect after the answer does not count
 	reply.Body, call.Versions = standin.SplitVersions(reply.Body)
--- a/internal/soak/fleet/instance.go
+++ b/internal/soak/fleet/instance.go
@@ -106,7 +106,9 @@
 		Executable: f.Program, Settings: filepath.Join(dir, i.name+".yaml"), Log: filepath.Join(dir, i.name+".log"),
 		OnFailure: func(how error) { f.checker.ProcessExited(i.name, i.program.Incarnation(), how) },
 	}
+	f.mu.Lock()
 	f.instances = append(f.instances, i)
+	f.mu.Unlock()
 	return i.writeSettings(grace)
 }
 
@@ -131,7 +133,7 @@
 // instances.
 func (f *Fleet) loss(from, to netip.AddrPort) float64 {
 	fraction := 0.0
-	for _, i := range f.instances {
+	for _, i := range f.allInstances() {
 		i.mu.Lock()
 		switch i.ip {
 		case from.Addr():
