soak: look at each instance once, not at each call, for links that are up

A dump showed the check of cut instances under the checker's lock, with all callers waiting for it: for each call at a cut instance it asked the timeline for the instance of every other call, and an instance that refuses connections is called many times.

--- a/internal/soak/checker/links.go
+++ b/internal/soak/checker/links.go
@@ -34,6 +34,10 @@
 // checkCutInstances compares what instances that have lost their links to endpoints serve with
 // what the others serve meanwhile, from CalmTime after the loss.
 func (c *Checker) checkCutInstances(byCall map[string][]Run) {
+	instances := map[string]bool{}
+	for _, call := range c.calls {
+		instances[call.Gateway.Name] = true
+	}
 	for _, window := range c.Faults.Windows(timeline.Links) {
 		from := window.From.Add(c.Bounds.CalmTime)
 		var cut, others share
@@ -47,7 +51,7 @@
 				if c.Faults.Undisturbed(call.Sent, call.Ended, call.Gateway.Name, timeline.Links) {
 					others.add(served)
 				}
-			case c.anyoneLinked(call.Sent.Add(-c.Bounds.CalmTime), call.Ended):
+			case c.anyoneLinked(instances, call.Sent.Add(-c.Bounds.CalmTime), call.Ended):
 				cut.add(served)
 			}
 		}
@@ -84,11 +88,11 @@
 	return cut.served*others.all*minServedDenominator < others.served*cut.all*minServedNumerator
 }
 
-// anyoneLinked reports whether some instance kept its links between two moments. Without one,
-// nobody reaches endpoints.
-func (c *Checker) anyoneLinked(from, to time.Time) bool {
-	for _, call := range c.calls {
-		if c.Faults.Undisturbed(from, to, call.Gateway.Name, timeline.Links) {
+// anyoneLinked reports whether some of the instances kept its links between two moments. Without
+// one, nobody reaches endpoints.
+func (c *Checker) anyoneLinked(instances map[string]bool, from, to time.Time) bool {
+	for name := range instances {
+		if c.Faults.Undisturbed(from, to, name, timeline.Links) {
 			return true
 		}
 	}
