--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -88,6 +89,21 @@
 	return Kind{Path: "/safe/x", Method: http.MethodGet, Service: "web", Workspace: Flooding}
 }
 
+// Prefixes of the routes of SilenceKinds.
+const (
+	QuickPrefix = "/quick/"
+	ShortPrefix = "/short/"
+)
+
+// SilenceKinds returns the kinds of requests that are sent while endpoints fall silent: on their routes,
+// instances look for another endpoint after less than a second.
+func SilenceKinds() []Kind {
+	return []Kind{
+		{Path: QuickPrefix + "x" + standin.SlowPath, Method: http.MethodPost, Service: "llm", Stream: true, Workspace: secondWorkspace},
+		{Path: ShortPrefix + "x", Method: http.MethodPost, Service: "web", Workspace: secondWorkspace},
+	}
+}
+
 // streamKind returns the kind of streams that can be resumed.
 func streamKind() Kind { return Kinds()[0] }
 
@@ -194,17 +210,14 @@
 	NextKind    func() Kind
 	Done        func(Call)
 	NextID      func() string // returns a new request ID
+	KeepAlive   bool          // reuses connections in any case
 
 	client *http.Client
 }
 
 // Run sends requests until ctx ends, with random pauses of gap on average.
 func (c *Caller) Run(ctx context.Context, gap time.Duration) {
-	c.client = &http.Client{Transport: &http.Transport{
-		DisableKeepAlives: rand.Float64() > keepAliveRatio, DisableCompression: true,
-		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
-	}}
-	defer c.client.CloseIdleConnections()
+	defer c.Close()
 	for ctx.Err() == nil {
 		if g, ok := c.PickGateway(); ok {
 			call := c.Call(ctx, g, c.NextKind())
@@ -234,8 +247,21 @@
 	}
 }
 
+// Close closes the connections that are kept.
+func (c *Caller) Close() {
+	if c.client != nil {
+		c.client.CloseIdleConnections()
+	}
+}
+
 // Call sends one request and waits for its end.
 func (c *Caller) Call(ctx context.Context, g Gateway, k Kind) Call {
+	if c.client == nil {
+		c.client = &http.Client{Transport: &http.Transport{
+			DisableKeepAlives: !c.KeepAlive && rand.Float64() > keepAliveRatio, DisableCompression: true,
+			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+		}}
+	}
 	return c.send(ctx, Call{ID: c.NextID(), Kind: k, Gateway: g, Sent: time.Now()})
 }
 
@@ -248,6 +274,10 @@
 	case k.Method == http.MethodPost:
 		call.Body = "body of " + call.ID
 	}
+	request := standin.Request{ID: call.ID, Address: g.Address, Method: k.Method, Path: k.Path, Body: call.Body, Deadline: requestTimeout, Key: key(k.Workspace), BeganAs: call.BeganAs, LastEvent: call.After}
+	if len(k.Parts) > 0 {
+		request.Parts = append(slices.Clone(k.Parts), call.Origin())
+	}
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout+gracePeriod)
 	defer cancel()
 	var once sync.Once
@@ -256,10 +286,6 @@
 		timer := time.AfterFunc(delay, func() { once.Do(func() { call.Disconnected = true }); cancel() })
 		defer timer.Stop()
 	}
-	request := standin.Request{ID: call.ID, Address: g.Address, Method: k.Method, Path: k.Path, Body: call.Body, Deadline: requestTimeout, Key: key(k.Workspace), BeganAs: call.BeganAs, LastEvent: call.After}
-	if len(k.Parts) > 0 {
-		request.Parts = append(slices.Clone(k.Parts), call.Origin())
-	}
 	reply := request.Send(ctx, c.client)
 	once.Do(func() {}) // a disconnect after the answer does not count
 	reply.Body, call.Versions = standin.SplitVersions(reply.Body)
@@ -278,6 +304,13 @@
 	return c.Call(ctx, g, k)
 }
 
+// LeftOrLate reports whether the caller left before the end of the answer, or the time that it had
+// allowed for the answer was over.
+func (c Call) LeftOrLate() bool {
+	return c.Disconnected || errors.Is(c.Reply.Err, context.Canceled) || errors.Is(c.Reply.Err, context.DeadlineExceeded) ||
+		c.Ended.Sub(c.Sent) >= requestTimeout
+}
+
 // TimedOut reports whether the caller gave up because no complete answer came within
 // requestTimeout and gracePeriod.
 func (c Call) TimedOut() bool {
