forward: a body that does not come ends with its time

A caller that stopped in the middle of a body kept its connection, and the instance a goroutine, for good; a request that is answered before its body is read got no answer until all of it had come.

Cause: the deadline of the read was cleared when the read failed, and net/http then reads what is left of a short body before it sends the answer or closes. There was none for requests that are answered before.

The deadline stays unless the whole body has come, and a request that does not need its body waits a second for it. A body that is late is answered with 408: the request has not run.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/trailshed/trailshed/internal/eventlog"
@@ -15,10 +16,7 @@
 	if !p.message.HasBody {
 		return true
 	}
-	// Setting a deadline fails on a closed connection; the read reports that.
-	_ = p.w.control.SetReadDeadline(time.Now().Add(p.left()))
-	// A deadline would also end the server's detection of a caller that disconnects.
-	defer func() { _ = p.w.control.SetReadDeadline(time.Time{}) }()
+	p.limitBodyTime(p.left())
 	limit := p.view.Table.Limits.BodyBytes
 	if r.ContentLength > limit {
 		p.reject(http.StatusRequestEntityTooLarge, "body_too_large", Error.New("the body is over %d bytes", limit))
@@ -45,6 +43,11 @@
 		p.refuse("body_memory_full", retryAfterBusy)
 		return false
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		p.w.Header().Set("Connection", "close")
+		p.reject(http.StatusRequestTimeout, "body_unfinished", err)
+		return false
+	}
 	if err != nil {
 		p.requestLog.Write(p.logLine(eventlog.Cancelled, "body_unfinished", err))
 		panic(http.ErrAbortHandler)
@@ -53,5 +56,17 @@
 		p.reject(http.StatusRequestEntityTooLarge, "body_too_large", Error.New("the body is over %d bytes", limit))
 		return false
 	}
+	// A deadline would also end the server's detection of a caller that disconnects.
+	_ = p.w.control.SetReadDeadline(time.Time{})
 	return true
 }
+
+// limitBodyTime sets how long the body may take to arrive. It holds for what the server still reads after an answer to
+// a request whose body was not read to its end, too.
+func (p *proxyRequest) limitBodyTime(left time.Duration) {
+	_ = p.w.control.SetReadDeadline(time.Now().Add(left)) // fails on a closed connection; the read reports that
+}
+
+// unreadBodyTimeout is how long an answer that does not need the body waits for the rest of it: the server reads a
+// short body before it sends the answer.
+const unreadBodyTimeout = time.Second
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -89,6 +89,9 @@
 // admit checks the request and reads its body. If it returns false, the caller has been
 // answered.
 func (p *proxyRequest) admit(r *http.Request) bool {
+	if r.ContentLength != 0 {
+		p.limitBodyTime(unreadBodyTimeout)
+	}
 	if p.view.Table == nil {
 		p.refuse("no_configuration", retryAfterStarting)
 		return false
