forward: a stream waits while its service is away

A stream that its engine broke off while a newer configuration had no such service, or a plain one, was broken off at the caller although the service came back a moment later; after a pause it was even sent to a decode engine as to a plain endpoint, without a place.

Which kind of service a request has is decided when it arrives, and a stream that has begun waits for its service as it does for engines.

--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -68,7 +68,7 @@
 		return stepGiveUp
 	}
 	if !p.usesEngines() {
-		p.failure = reasonServiceGone
+		p.failure = "service_gone" // a newer configuration has removed it, or made it a plain one
 		return stepGiveUp
 	}
 	p.dropStaleHandle()
@@ -86,9 +86,6 @@
 	return result
 }
 
-// reasonServiceGone is the failure reason of a request whose service a newer configuration has removed.
-const reasonServiceGone = "service_gone"
-
 // leavePlace gives the request's place back.
 func (p *proxyRequest) leavePlace() {
 	if p.place == nil {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -52,6 +52,7 @@
 // progress is what has been done for a request so far.
 type progress struct {
 	view          *directory.View
+	engines       bool              // model engines serve the request; a service that is removed meanwhile does not change that
 	sends         int               // sends that may have reached an endpoint
 	runs          int               // sends that may have run
 	tried         []string          // IDs of endpoints that failed this request
@@ -182,7 +183,7 @@
 			return stepGiveUp
 		}
 		next := p.plainStep
-		if p.usesEngines() {
+		if p.engines = p.engines || p.usesEngines(); p.engines {
 			next = p.engineStep
 		}
 		if result := next(ctx); result != stepRetry {
@@ -208,7 +209,7 @@
 // its caller has a part of the answer, which would be lost. It returns false if the request is to be
 // given up.
 func (p *proxyRequest) pause(ctx context.Context) bool {
-	if !p.headSent.Load() || !p.mayRepeat() || p.left() < minTimeLeft || !p.mayGoOn() || p.failure == reasonServiceGone || p.quarantined() {
+	if !p.headSent.Load() || !p.mayRepeat() || p.left() < minTimeLeft || p.version.software == "" || p.quarantined() {
 		return false
 	}
 	length := min(firstPause<<min(p.pauses, maxPauseDoublings), maxPause, p.left())
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -51,7 +51,7 @@
 // another goroutine than the attempt, so what it needs is captured here, and the rest is in the watch.
 func (p *proxyRequest) successorStarter(parent context.Context, current *directory.Endpoint) func(s *silenceWatch) *successor {
 	base := progress{
-		view: p.view, sends: p.sends, runs: p.runs, tried: append(slices.Clone(p.tried), current.ID),
+		view: p.view, engines: p.engines, sends: p.sends, runs: p.runs, tried: append(slices.Clone(p.tried), current.ID),
 		prefill: prefillState{sends: p.prefill.sends, tried: slices.Clone(p.prefill.tried)},
 	}
 	prefix, minLeft := "s"+strconv.Itoa(p.placeRequests), minTimeLeft
