gateway: a lowered idle limit waits for the former one

Cause: a lowered limit took effect at once, for connections that callers had left resting by the limit that they knew.

A shorter limit takes effect when the longer one has passed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,6 +130,7 @@
 	connectTime      *lateness.Meter // of connections to endpoints
 	limit            intake.Limit
 	rotation         rotation.Rotation
+	idleLimit        idleLimit    // of callers' connections
 	unread           atomic.Int64 // connections closed unread since the limit is in force
 	duty             *leadership.Leadership
 	staging          *staging.Runner
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -194,6 +194,7 @@
 }
 
 // callerTimeouts returns how long callers' connections may be idle, and how long the header of a request may take.
+// It is called by one goroutine.
 func (g *Gateway) callerTimeouts() (idle, header time.Duration) {
 	idle, header = idleTimeout, headerTimeout
 	table := g.directory.View().Table
@@ -203,7 +204,7 @@
 	if table != nil && table.Limits.HeaderTimeout > 0 {
 		header = table.Limits.HeaderTimeout
 	}
-	return idle, header
+	return g.idleLimit.follow(g.now(), idle), header
 }
 
 // updateGauges samples the values that are not counted as they change.
--- a/internal/gateway/timeouts_test.go
+++ b/internal/gateway/timeouts_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/route"
+	"github.com/trailshed/trailshed/pkg/clock"
 )
 
 // Callers' connections were closed by fixed time-outs, which may be shorter than the limits in the operators' document.
@@ -23,7 +24,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			g := &Gateway{directory: directory.New()}
+			g := &Gateway{directory: directory.New(), now: clock.System()}
 			if test.table != nil {
 				g.directory.Apply(1, directory.Configured{Table: test.table})
 			}
