forward: a panic beside a silent attempt does not end the process

An attempt beside a silent one runs in a goroutine of its own, where net/http recovers no panic: all callers of the instance would lose their answers. Read in review, not seen. The attempt ends, with a line panicked; TestPanicInSuccessorEndsOnlyIt ended the test process before.

--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -115,6 +115,21 @@
 	c.Check(len(g.requested) > before, qt.IsTrue, qt.Commentf("%d place requests, limit %d", g.placeRequests, g.placeLimit))
 }
 
+// A panic in an attempt beside a silent one ended the whole process, as it is in no handler's goroutine. It ends the
+// attempt.
+func TestPanicInSuccessorEndsOnlyIt(t *testing.T) {
+	c := qt.New(t)
+	g := newEngineRequest(t)
+	g.sends, g.runs = 1, 1
+	g.FindPlace = func(context.Context, placement.Request, residency.Area) (*broker.Place, *placement.Refusal) {
+		panic("broken")
+	}
+	s := g.watch(t)
+	<-runSuccessor(s)
+	c.Check(s.successors, qt.HasLen, 0)
+	c.Check(s.speak(), qt.IsTrue)
+}
+
 // Nothing but events is written into a stream that has begun, also if an engine answers its resumption with a long
 // body that is no stream.
 func TestLongAnswerIsNotWrittenIntoStream(t *testing.T) {
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -94,7 +94,7 @@
 
 // run sends the successor's request until a response has begun or it fails.
 func (s *silenceWatch) run(x *successor) {
-	begun := x.request.seek(x.ctx) == stepBegun
+	begun := x.seek()
 	s.mu.Lock()
 	s.successors = slices.DeleteFunc(s.successors, func(y *successor) bool { return x == y })
 	won := begun && !x.canceled && !s.stopped && s.winner == nil
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"slices"
 	"strconv"
 
@@ -47,6 +49,20 @@
 	}
 }
 
+// seek sends the request until a response has begun. A panic, which would end the process in this goroutine, ends the
+// attempt.
+func (x *successor) seek() (begun bool) {
+	defer func() {
+		if v := recover(); v != nil {
+			n := x.request.logLine(eventlog.Panicked, "", nil)
+			n.Detail = fmt.Sprintf("%v\n%s", v, debug.Stack())
+			x.request.requestLog.Write(n)
+			x.request.Scope.Counter("requests_panicked").Inc(1)
+		}
+	}()
+	return x.request.seek(x.ctx) == stepBegun
+}
+
 // successorStarter returns a function that starts a successor of an attempt at an endpoint. The function may run in
 // another goroutine than the attempt, so what it needs is captured here, and the rest is in the watch.
 func (p *proxyRequest) successorStarter(parent context.Context, current *directory.Endpoint) func(s *silenceWatch) *successor {
