--- a/internal/balance/silent_load_test.go
+++ b/internal/balance/silent_load_test.go
@@ -280,7 +280,7 @@
 	}
 }
 
-// inTurns returns a silence of a share of the endpoints, drawn anew every 3 s, for 1.5 s.
+// inTurns returns a silence of a share of the endpoints, drawn every 3 s, for 1.5 s.
 func inTurns(share float64) func(time.Duration, int, float64) endpointFault {
 	return func(passed time.Duration, _ int, draw float64) endpointFault {
 		if passed >= 3*time.Second && passed%(3*time.Second) < 1500*time.Millisecond && draw < share {
--- a/internal/dialer/silence_test.go
+++ b/internal/dialer/silence_test.go
@@ -11,7 +11,7 @@
 	"github.com/trailshed/trailshed/internal/uplink"
 )
 
-// What is concluded from an own connection that fails. Only silence that nobody can explain is silence.
+// What is concluded from an own connection that fails. Only a failure that no peer can explain is a silence.
 func TestConclusions(t *testing.T) {
 	tests := []struct {
 		name                      string
--- a/internal/dialer/silences_test.go
+++ b/internal/dialer/silences_test.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// A silence does not begin anew with each connection that fails.
+// A silence does not begin again with each connection that fails.
 func TestRecordSilence(t *testing.T) {
 	c := qt.New(t)
 	s := silences{endpoints: map[string]*silence{}}
--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -39,7 +39,7 @@
 }
 
 // A successor that this instance cancels because the silent endpoint went on says nothing about the engines
-// at which it was: the planner must not be told that they failed, and no line may say so.
+// at which it was: it must not be reported to the planner or logged as a failure of theirs.
 func TestCanceledSuccessorJudgesNobody(t *testing.T) {
 	for _, stage := range []string{"prefill", "decode"} {
 		t.Run(stage, func(t *testing.T) {
--- a/internal/forward/history.go
+++ b/internal/forward/history.go
@@ -6,7 +6,7 @@
 const maxHistory = 12
 
 // history lists how the steps of a request ended, for the line of a request that fails. The first
-// entries tell most, so later ones are left out.
+// entries matter most, so later ones are left out.
 type history struct {
 	steps   []string
 	omitted bool
--- a/internal/forward/own_cancel_test.go
+++ b/internal/forward/own_cancel_test.go
@@ -48,7 +48,7 @@
 		end     func(g *engineRequest, r *balance.Reservation)
 		heard   time.Duration // how long ago the endpoint sent something to another request
 		judged  bool
-		planner bool // its planner is told of it
+		planner bool // it is reported to its planner
 	}{
 		{"another endpoint spoke first", superseded, silence, false, false},
 		{"another spoke first, and it was heard as the silence began", superseded, silence * 3 / 4, false, false},
--- a/internal/forward/ways_test.go
+++ b/internal/forward/ways_test.go
@@ -12,19 +12,19 @@
 
 var (
 	never  = math.Inf(1)
-	cancel = way{"cancel for a place", 1500, 900, 1500, true, false, false}
-	beside = way{"beside the first", 1500, 900, 1500, false, false, true}
+	cancel = way{name: "cancel for a place", unbegun: 1500, begun: 900, again: 1500, cancels: true}
+	beside = way{name: "beside the first", unbegun: 1500, begun: 900, again: 1500, waits: true}
 )
 
 var ways = []way{
 	cancel,
-	{"cancel, and wait for a place", 1500, 900, 1500, true, false, true},
+	{name: "cancel, and wait for a place", unbegun: 1500, begun: 900, again: 1500, cancels: true, waits: true},
 	beside,
-	{"beside, sought each 0.25 s", 1500, 900, 250, false, false, true},
-	{"only after a reset or without an entry", never, never, never, false, false, true},
-	{"hold the first, and back to it", 1500, 900, 1500, false, true, true},
-	{"beside, from 1.5 s on", 1500, 1500, 1500, false, false, true},
-	{"beside, from 2.5 s on", 2500, 2500, 1500, false, false, true},
+	{name: "beside, sought each 0.25 s", unbegun: 1500, begun: 900, again: 250, waits: true},
+	{name: "only after a reset or without an entry", unbegun: never, begun: never, again: never, waits: true},
+	{name: "hold the first, and back to it", unbegun: 1500, begun: 900, again: 1500, holds: true, waits: true},
+	{name: "beside, from 1.5 s on", unbegun: 1500, begun: 1500, again: 1500, waits: true},
+	{name: "beside, from 2.5 s on", unbegun: 2500, begun: 2500, again: 1500, waits: true},
 }
 
 // load disturbs engines. A full one takes 0.95 of their memory, others come with 20 to 60 streams a second.
@@ -121,7 +121,7 @@
 }
 
 // Where engines really fail, a second attempt beside the first is worth no less than a move and serves no fewer streams.
-// Worth alone does not tell: at engines that are full, a stream that is lost makes room for one in time.
+// Worth alone does not show it: at engines that are full, a stream that is lost makes room for one in time.
 func TestAttemptsBesideTheFirstAtFailures(t *testing.T) {
 	for _, l := range failures {
 		t.Run(l.name, func(t *testing.T) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -37,7 +37,7 @@
 	// exitMargin is the part of the grace period reserved for the exit of the process.
 	exitMargin = 250 * time.Millisecond
 	// stopIdleTime is how long nothing has arrived on a connection that is ended in a planned stop. Callers that
-	// use theirs more often are told by an answer.
+	// use theirs more often learn it from an answer.
 	stopIdleTime = time.Second
 	// stopPollInterval is how often a planned stop looks for such connections.
 	stopPollInterval = 20 * time.Millisecond
--- a/internal/keepalive/handler.go
+++ b/internal/keepalive/handler.go
@@ -18,7 +18,7 @@
 	ReasonCrossed       = "crossed"        // it arrived when its connection had been ended as idle
 )
 
-// handler returns a handler that tells callers which answer is the last one on its connection. A request that next
+// handler returns a handler that marks the last answer on a connection for the caller. A request that next
 // does not answer, or of which it leaves the answer unfinished since the caller has left, ends its connection: the
 // server would answer with an empty success, or finish the answer. One for which next panics is answered with an error.
 func (s *Connections) handler(next http.Handler) http.Handler {
--- a/internal/keepalive/handler_test.go
+++ b/internal/keepalive/handler_test.go
@@ -67,7 +67,7 @@
 	_ = http.NewResponseController(w).Flush()
 }
 
-// Requests ended without an answer, or with a part of one that looked whole, and nobody could see why.
+// Requests ended without an answer, or with a part of one that looked whole, and no metric showed why.
 func TestUnansweredRequests(t *testing.T) {
 	request := fmt.Sprintf(requestText, 1)
 	unfinished := request[:len(request)-2]
--- a/internal/overload/listener.go
+++ b/internal/overload/listener.go
@@ -113,7 +113,7 @@
 	l.mu.Unlock()
 	select {
 	case <-l.closed:
-	case <-time.After(2 * maxFinishing): // nobody accepts
+	case <-time.After(2 * maxFinishing): // nothing accepts
 		_ = l.Close()
 	}
 }
--- a/internal/overload/listener_test.go
+++ b/internal/overload/listener_test.go
@@ -290,7 +290,7 @@
 	}
 }
 
-// A planned stop that begins while all connections are refused waits for nobody.
+// A planned stop that begins while all connections are refused waits for no connection.
 func TestFinishWhileRefusing(t *testing.T) {
 	full := atomic.Bool{}
 	l := &overload.Listener{MaxConnections: 100, Now: clock.System(), Room: roomUnless(&full)}
--- a/internal/soak/checker/links.go
+++ b/internal/soak/checker/links.go
@@ -89,7 +89,7 @@
 }
 
 // anyoneLinked reports whether some of the instances kept its links between two moments. Without
-// one, nobody reaches endpoints.
+// one, no instance reaches endpoints.
 func (c *Checker) anyoneLinked(instances map[string]bool, from, to time.Time) bool {
 	for name := range instances {
 		if c.Faults.Undisturbed(from, to, name, timeline.Links) {
