--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -145,8 +145,8 @@
 	p.ownLinkLost = false
 	p.events, p.wroteOn, p.sentAt = 0, false, p.Now()
 	p.heardAt = p.sentAt
-	n := p.logLine(eventlog.Sent, "", nil)
-	n.Endpoint, n.Software, n.Address, n.Revision = r.Endpoint.ID, r.Endpoint.Software, r.Endpoint.Address.String(), p.view.Revision
+	n := p.endpointLine(eventlog.Sent, "", nil, r.Endpoint)
+	n.Revision = p.view.Revision
 	p.requestLog.Write(n)
 	counted()
 	var head ResponseHead
@@ -252,9 +252,7 @@
 	}
 	p.history.add(r.Endpoint.ID + ": " + p.failure)
 	ejected := r.Done(p.Now(), result)
-	n := p.logLine(eventlog.EndpointFailed, p.failure, err)
-	n.Endpoint, n.Software, n.Address = r.Endpoint.ID, r.Endpoint.Software, r.Endpoint.Address.String()
-	p.requestLog.Write(n)
+	p.requestLog.Write(p.endpointLine(eventlog.EndpointFailed, p.failure, err, r.Endpoint))
 	if ejected > 0 {
 		p.Scope.Counter("endpoints_ejected").Inc(1)
 		p.requestLog.Write(eventlog.Line{Event: eventlog.EndpointEjected, Endpoint: r.Endpoint.ID, Service: p.service, Reason: p.failure, Took: ejected})
--- a/internal/forward/ending.go
+++ b/internal/forward/ending.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 )
 
@@ -117,3 +118,10 @@
 	}
 	return n
 }
+
+// endpointLine returns a log line with the fields of this request and of an endpoint.
+func (p *proxyRequest) endpointLine(e eventlog.Event, reason string, err error, endpoint *directory.Endpoint) eventlog.Line {
+	n := p.logLine(e, reason, err)
+	n.Endpoint, n.Software, n.Address = endpoint.ID, endpoint.Software, endpoint.Address.String()
+	return n
+}
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -94,9 +94,7 @@
 			q.version.software = current.Software // of which the stream is recorded already
 		}
 		x.request, x.from = q, spending{sends: q.sends, runs: q.runs, prefills: q.prefill.sends, tried: q.tried}
-		n := q.logLine(eventlog.Silent, "", nil)
-		n.Endpoint, n.Software, n.Address = current.ID, current.Software, current.Address.String()
-		q.requestLog.Write(n)
+		q.requestLog.Write(q.endpointLine(eventlog.Silent, "", nil, current))
 		q.countSilence("started")
 		return x
 	}
@@ -173,8 +171,7 @@
 // may go on at any moment, and has not failed. One that answered other requests meanwhile has failed this one.
 func (p *proxyRequest) moved(r *balance.Reservation) {
 	p.countSilence("moved")
-	n := p.logLine(eventlog.Moved, reasonSilent, nil)
-	n.Endpoint, n.Software, n.Address = r.Endpoint.ID, r.Endpoint.Software, r.Endpoint.Address.String()
+	n := p.endpointLine(eventlog.Moved, reasonSilent, nil, r.Endpoint)
 	if p.answersOthers(r, p.heardAt) {
 		n.Reason = reasonHangs
 		p.requestLog.Write(n)
