--- /dev/null
+++ b/internal/gateway/exit_test.go
@@ -0,0 +1,169 @@
+package gateway_test
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/trailshed/trailshed/internal/gateway"
+	"github.com/trailshed/trailshed/platform/standin"
+)
+
+// hold makes the endpoint keep all answers back until the test ends.
+func (n *instance) hold(t *testing.T) {
+	t.Helper()
+	gate := make(chan struct{})
+	t.Cleanup(func() { close(gate) })
+	n.endpoint.SetBehaviour(standin.Behaviour{Gate: gate})
+}
+
+// begin sends a request and waits until the endpoint has it.
+func (k *kept) begin() {
+	k.t.Helper()
+	text, _ := k.message()
+	qt.Assert(k.t, k.write(text), qt.IsNil)
+	eventually(k.t, "the endpoint has the request", func() bool { return k.n.passedOn(k.id) })
+}
+
+// answerText reads an answer and returns its body, too.
+func (k *kept) answerText() (status int, keep bool, body string, err error) {
+	resp, err := http.ReadResponse(k.reader, nil)
+	if err != nil {
+		return 0, false, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, !resp.Close, string(text), err
+}
+
+// addEngine adds an engine, and waits until the instance knows it.
+func (n *instance) addEngine(t *testing.T, b standin.Behaviour) *standin.Endpoint {
+	t.Helper()
+	e := standin.NewEndpoint("d1", "llm", "a", "decode")
+	t.Cleanup(e.Close)
+	e.SetBehaviour(b)
+	e.Register(n.store, "ready")
+	eventually(t, "the engine is known", func() bool { return strings.Contains(n.log.String(), `"endpoint":"d1"`) })
+	return e
+}
+
+// Requests that were in progress when the process ended got no answer, and the log said that their callers had left.
+func TestRequestsInProgressAreAnsweredAtExit(t *testing.T) {
+	const grace = 1200 * time.Millisecond
+	tests := []struct {
+		name string
+		end  func(n *instance)
+	}{
+		{"planned stop", func(n *instance) { n.beginStop() }},
+		{"planned stop, the grace period is shortened meanwhile", func(n *instance) {
+			set, err := gateway.ParseSettings("n1", []byte(strings.ReplaceAll(n.settings, "grace: 1.2s", "grace: 1s")))
+			qt.Check(t, err, qt.IsNil)
+			n.beginStop()
+			n.Reload(set)
+		}},
+		{"a listener fails", func(n *instance) { n.FailListener() }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel() // mostly waits
+			c := qt.New(t)
+			n := startInstance(t, grace, nil)
+			n.hold(t)
+			var callers []*kept
+			for range 20 {
+				callers = append(callers, n.dial(t))
+				callers[len(callers)-1].begin()
+			}
+			test.end(n)
+			for _, k := range callers {
+				status, keep, body, err := k.answerText()
+				c.Check(err, qt.IsNil)
+				c.Check(status, qt.Equals, http.StatusBadGateway)
+				c.Check(body, qt.Contains, "may have run")
+				c.Check(keep, qt.IsFalse)
+			}
+			<-n.done
+			s := n.log.String()
+			c.Check(strings.Contains(s, "caller_left"), qt.IsFalse)
+			c.Check(strings.Count(s, `"event":"gave_up"`), qt.Equals, len(callers))
+			c.Check(strings.Count(s, `"reason":"instance_stops"`), qt.Equals, len(callers))
+		})
+	}
+}
+
+// A request that waited for a place when the process ended got no answer, though it had certainly not run.
+func TestRequestsThatWaitAreRefusedAtExit(t *testing.T) {
+	c := qt.New(t)
+	n := startInstance(t, 1200*time.Millisecond, nil)
+	gate := make(chan struct{})
+	t.Cleanup(func() { close(gate) })
+	engine := standin.NewEndpoint("d1", "llm", "a", "decode")
+	t.Cleanup(engine.Close)
+	engine.SetSlots(1)
+	engine.SetBehaviour(standin.Behaviour{EventGate: gate})
+	engine.Register(n.store, "ready")
+	eventually(t, "the engine is known", func() bool { return strings.Contains(n.log.String(), `"endpoint":"d1"`) })
+	first, second := n.dial(t), n.dial(t)
+	c.Assert(first.write(first.text("/stream/1")), qt.IsNil)
+	resp, err := http.ReadResponse(first.reader, nil)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = resp.Body.Close() }()
+	c.Assert(second.write(second.text("/stream/2")), qt.IsNil)
+	n.beginStop()
+	status, _, body, err := second.answerText()
+	c.Check(err, qt.IsNil)
+	c.Check(status, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(body, qt.Contains, "not run")
+	// The stream that has begun ends in a way that does not look whole, so that its caller takes it up elsewhere.
+	_, err = io.ReadAll(resp.Body)
+	c.Check(errors.Is(err, io.ErrUnexpectedEOF), qt.IsTrue, qt.Commentf("%v", err))
+	<-n.done
+	s := n.log.String()
+	c.Check(strings.Contains(s, "caller_left"), qt.IsFalse)
+	c.Check(s, qt.Contains, `"event":"broken"`)
+}
+
+// A request was taken shortly before the exit, on a connection whose answer had begun before the planned stop,
+// and was given up.
+func TestRequestsShortlyBeforeExitAreRefused(t *testing.T) {
+	const grace = 2 * time.Second
+	c := qt.New(t)
+	n := startInstance(t, grace, nil)
+	n.addEngine(t, standin.Behaviour{EventInterval: grace / 8}) // the stream takes five of them
+	n.endpoint.SetBehaviour(standin.Behaviour{Delay: grace})
+	k := n.dial(t)
+	c.Assert(k.write(k.text("/stream/1")), qt.IsNil)
+	resp, err := http.ReadResponse(k.reader, nil)
+	c.Assert(err, qt.IsNil)
+	n.beginStop()
+	text, err := io.ReadAll(resp.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(text), qt.Contains, "id: 6")
+	request, _ := k.message()
+	c.Assert(k.write(request), qt.IsNil)
+	status, keep, body, err := k.answerText()
+	c.Check(err, qt.IsNil)
+	c.Check(status, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(body, qt.Contains, "not run")
+	c.Check(keep, qt.IsFalse)
+	c.Check(n.passedOn(k.id), qt.IsFalse)
+	<-n.done
+}
+
+// The log said that a caller had left where the instance had given up, and the other way round.
+func TestLogNamesWhoEndedARequest(t *testing.T) {
+	c := qt.New(t)
+	n := startInstance(t, 300*time.Millisecond, nil)
+	n.hold(t)
+	k := n.dial(t)
+	k.begin()
+	c.Assert(k.conn.Close(), qt.IsNil)
+	eventually(t, "the end is logged", func() bool {
+		return strings.Contains(n.log.String(), `"reason":"caller_left"`)
+	})
+}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -12,3 +12,6 @@
 
 // ServerErrorLog returns the log of the HTTP server for callers.
 func (g *Gateway) ServerErrorLog() *log.Logger { return g.servers[0].ErrorLog }
+
+// FailListener makes the listener for readiness checks fail.
+func (g *Gateway) FailListener() { _ = g.listeners[1].Close() }
--- a/internal/gateway/instance_test.go
+++ b/internal/gateway/instance_test.go
@@ -43,6 +43,8 @@
 // instance is a gateway with an endpoint of a plain service, on loopback.
 type instance struct {
 	*gateway.Gateway
+	settings string
+	store    *standin.Store
 	endpoint *standin.Endpoint
 	counters *counter.Registry
 	log      *logBuffer
@@ -76,12 +78,13 @@
 	store := standin.NewStore()
 	store.Configure(standin.NewDocument(3))
 	n := &instance{
-		endpoint: standin.NewEndpoint("w1", "web", "a", ""), counters: counter.Open(nil), log: &logBuffer{},
+		store: store, endpoint: standin.NewEndpoint("w1", "web", "a", ""), counters: counter.Open(nil), log: &logBuffer{},
 		stop: make(chan struct{}), done: make(chan struct{}),
 	}
 	n.endpoint.Register(store, "ready")
 	proxy := store.NewProxy()
-	set, err := gateway.ParseSettings("n1", fmt.Appendf(nil, instanceSettings, proxy.Address, grace))
+	n.settings = fmt.Sprintf(instanceSettings, proxy.Address, grace)
+	set, err := gateway.ParseSettings("n1", []byte(n.settings))
 	qt.Assert(t, err, qt.IsNil)
 	client := platform.NewStore(set.StoreAddress(), set.Store.Timeout, n.counters.Scope)
 	p := gateway.Platform{
@@ -162,14 +165,20 @@
 
 // message returns the bytes of a request, and where its header is cut in half.
 func (k *kept) message() (text string, half int) {
+	text = k.text("/unsafe/1")
+	return text, strings.Index(text, "\r\n\r\n") / 2
+}
+
+// text returns the bytes of a request to a path.
+func (k *kept) text(path string) string {
 	callers, _ := k.n.Addresses()
 	k.id = fmt.Sprint("r", k.n.requests.Add(1))
-	request := standin.Request{ID: k.id, Address: callers, Path: "/unsafe/1", Body: "body"}
+	request := standin.Request{ID: k.id, Address: callers, Path: path, Body: "body"}
 	req, err := request.HTTPRequest(k.t.Context())
 	qt.Assert(k.t, err, qt.IsNil)
 	var b strings.Builder
 	qt.Assert(k.t, req.Write(&b), qt.IsNil)
-	return b.String(), strings.Index(b.String(), "\r\n\r\n") / 2
+	return b.String()
 }
 
 func (k *kept) write(text string) error {
