forward: a stopping instance refuses what is not expected to end before its exit

Callers saw: a request that was sent 7.7 s after SIGTERM, on a connection whose stream had begun before, was taken and given up 70 ms later. Cause: streams were refused from a fixed time on, plain requests never; nothing compared the time that a request needs with the time that is left.

Change: after SIGTERM a request is taken only if the time that requests of its route take (or of its service, if too few are known; internal/servicetime, the 99th percentile of one to two minutes) is over before requests in progress are ended. Where nothing is known, a plain request is expected to take its target and a stream half of its time-out. The fixed times for streams are gone. Tunnels for peers are refused from the beginning of a stop.

TestRequestsOnConnectionsAreAnsweredInPlannedStop checks what it did, but its instance knows how long requests take: one that does not know refuses those that come 0.6 s before the exit.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -405,6 +405,7 @@
 	p.requestLog.Write(n)
 	p.Scope.Counter("requests_answered").Inc(1)
 	p.Scope.Tagged(map[string]string{"outcome": n.Outcome}).Counter("answers").Inc(1)
+	p.recordTime()
 	p.Scope.Histogram("answer_seconds", latencyBuckets).RecordDuration(p.Now().Sub(p.arrived))
 }
 
--- a/internal/forward/ending.go
+++ b/internal/forward/ending.go
@@ -37,6 +37,7 @@
 		p.failure, p.retryAfter = reasonStops, retryAfterElsewhere
 		p.giveUp()
 	case errors.Is(cause, context.DeadlineExceeded):
+		p.recordTime()
 		p.failure = "time_over"
 		p.giveUp()
 	default:
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -20,6 +20,7 @@
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/placement"
 	"github.com/trailshed/trailshed/internal/residency"
+	"github.com/trailshed/trailshed/internal/servicetime"
 	"github.com/trailshed/trailshed/internal/suspects"
 	"github.com/trailshed/trailshed/internal/uplink"
 	"github.com/trailshed/trailshed/pkg/clock"
@@ -77,13 +78,13 @@
 // Forwarder is the HTTP handler that forwards callers' requests to endpoints.
 type Forwarder struct {
 	Options
-	stopping        *stopping
-	refuseStreaming atomic.Bool
-	bodyBytes       atomic.Int64
-	running         atomic.Int64
-	begun           atomic.Int64 // answers in progress of which the caller has the head
-	deadlines       *deadline.Set
-	waiting         waitingRuns
+	stopping  *stopping
+	bodyBytes atomic.Int64
+	running   atomic.Int64
+	begun     atomic.Int64 // answers in progress of which the caller has the head
+	deadlines *deadline.Set
+	times     *servicetime.Table // by route
+	waiting   waitingRuns
 
 	mu        sync.Mutex
 	budgets   map[string]*budget.Budget // by service
@@ -96,13 +97,9 @@
 	if o.Overloaded == nil {
 		o.Overloaded = func() bool { return false }
 	}
-	return &Forwarder{Options: o, stopping: newStopping(), deadlines: deadline.New(o.Now), waiting: waitingRuns{cancels: map[*proxyRequest]context.CancelFunc{}}, budgets: map[string]*budget.Budget{}, instances: 1, startedAt: o.Now()}
+	return &Forwarder{Options: o, stopping: newStopping(), deadlines: deadline.New(o.Now), times: servicetime.New(o.Now), waiting: waitingRuns{cancels: map[*proxyRequest]context.CancelFunc{}}, budgets: map[string]*budget.Budget{}, instances: 1, startedAt: o.Now()}
 }
 
-// RefuseStreaming makes the Forwarder refuse streaming requests, which might not end before
-// the process does.
-func (f *Forwarder) RefuseStreaming() { f.refuseStreaming.Store(true) }
-
 // Resume is called after a suspension of the machine. It ends the requests whose deadlines
 // passed meanwhile and rearms the others.
 func (f *Forwarder) Resume() { f.deadlines.Resume() }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -128,11 +128,7 @@
 		p.deadline = min(p.deadline, p.arrived.Add(call.Wait))
 	}
 	p.message = uplink.Message{Method: r.Method, Target: r.RequestURI, Host: r.Host}
-	if !p.readBody(r) {
-		return false
-	}
-	if p.refuseStreaming.Load() && p.route.Kind == route.Streaming {
-		p.refuse("stopping", retryAfterElsewhere)
+	if p.refusedForStop() || !p.readBody(r) || p.refusedForStop() {
 		return false
 	}
 	if p.quarantined() {
--- a/internal/forward/stopping.go
+++ b/internal/forward/stopping.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/trailshed/trailshed/internal/route"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -44,6 +45,42 @@
 	f.stopping.end(errStops)
 }
 
+// unknownStreamPercent is the part of its route's timeout that a stream is expected to take if nothing is known of such
+// streams.
+const unknownStreamPercent = 50
+
+// refusedForStop refuses a request that is not expected to end before the instance exits.
+func (p *proxyRequest) refusedForStop() bool {
+	if !p.stopping.begun.Load() || !p.stopping.ended.Load() && p.expectedTime() <= clock.Millis(p.stopping.exit.Load()).Sub(p.Now()) {
+		return false
+	}
+	p.refuse(reasonStops, retryAfterElsewhere)
+	return true
+}
+
+// recordTime records how long the request took.
+func (p *proxyRequest) recordTime() {
+	took := p.Now().Sub(p.arrived)
+	p.times.Record(routeKey(p.route.Name), took)
+	p.times.Record(serviceKey(p.service), took)
+}
+
+func routeKey(name string) string   { return "route " + name }
+func serviceKey(name string) string { return "service " + name }
+
+// expectedTime returns how long the request is expected to take from now on.
+func (p *proxyRequest) expectedTime() time.Duration {
+	for _, key := range []string{routeKey(p.route.Name), serviceKey(p.service)} {
+		if t, known := p.times.Estimate(key); known {
+			return min(t, p.left())
+		}
+	}
+	if p.route.Kind == route.Streaming {
+		return min(p.route.Timeout*unknownStreamPercent/100, p.left())
+	}
+	return min(p.route.Target, p.left())
+}
+
 // endWithInstance returns a context that also ends with EndAll. A body that is being read ends as well.
 func (p *proxyRequest) endWithInstance(parent context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
--- a/internal/gateway/ends_test.go
+++ b/internal/gateway/ends_test.go
@@ -88,6 +88,7 @@
 			t.Parallel() // mostly waits
 			c := qt.New(t)
 			n := startInstance(t, grace, nil)
+			n.learnTimes(t)
 			k := n.dial(t)
 			if test.kept {
 				_, keep, err := k.exchange()
--- a/internal/gateway/instance_test.go
+++ b/internal/gateway/instance_test.go
@@ -158,6 +158,18 @@
 	return &kept{t: t, n: n, conn: conn, reader: bufio.NewReader(conn)}, conn.SetDeadline(time.Now().Add(waitTimeout))
 }
 
+// learnTimes lets the instance learn how long requests take.
+func (n *instance) learnTimes(t *testing.T) {
+	t.Helper()
+	k := n.dial(t)
+	for range 5 {
+		status, _, err := k.exchange()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, status, qt.Equals, http.StatusOK)
+	}
+	qt.Assert(t, k.conn.Close(), qt.IsNil)
+}
+
 // passedOn reports whether a request has reached the endpoint.
 func (n *instance) passedOn(id string) bool {
 	return slices.ContainsFunc(n.endpoint.Arrivals(), func(a standin.Arrival) bool { return a.Request == id })
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -28,12 +28,6 @@
 	// balancerDelay is how long after SIGTERM new connections may arrive: the balancer
 	// checks every second, and removes an instance after two failed checks.
 	balancerDelay = 3200 * time.Millisecond
-	// streamCutoff is how long after SIGTERM streams are accepted. Later ones, on
-	// connections that callers keep open, might not end within the grace period.
-	streamCutoff = 2800 * time.Millisecond
-	// streamCutoffPercent bounds the same time, as a percentage of the grace period, if that
-	// is short.
-	streamCutoffPercent = 35
 	// exitMargin is the part of the grace period reserved for the exit of the process.
 	exitMargin = 250 * time.Millisecond
 	// lastAnswersTime is reserved for the answers to requests that are in progress then, beside the time for each of
@@ -166,13 +160,16 @@
 	started := g.now() // the grace period includes time in which the machine is suspended
 	g.leaving.Store(true)
 	g.forwarder.Drain(g.endOfRequests(started))
+	g.tunnels.Refuse()
 	g.member.Change(g.currentEntry())
 	g.log.Write(eventlog.Line{Event: eventlog.Stopping, Reason: reason, Detail: detail, Count: g.forwarder.Running()})
-	time.Sleep(min(streamCutoff, g.settings.Load().Stop.Grace*streamCutoffPercent/100))
-	g.forwarder.RefuseStreaming()
-	g.tunnels.Refuse()
-	portOpen := func() bool { return g.now().Sub(started) < min(balancerDelay, g.settings.Load().Stop.Grace/2) }
-	for portOpen() && g.now() < g.endOfRequests(started) {
+	requestsEnd := func() bool {
+		end := g.endOfRequests(started)
+		g.forwarder.Drain(end)
+		return g.now() >= end
+	}
+	portEnds := func() bool { return g.now().Sub(started) >= min(balancerDelay, g.settings.Load().Stop.Grace/2) }
+	for !portEnds() && !requestsEnd() {
 		time.Sleep(stopPollInterval)
 	}
 	finished := make(chan struct{})
@@ -180,7 +177,7 @@
 		g.port.Finish()
 		close(finished)
 	}()
-	g.drainConnections(finished, func() bool { return g.now() >= g.endOfRequests(started) })
+	g.drainConnections(finished, requestsEnd)
 	g.forwarder.EndAll()
 	exit := max(started.Add(g.settings.Load().Stop.Grace-g.reserve(exitMargin)), g.now().Add(g.reserve(lastAnswersTime)))
 	g.drainConnections(finished, func() bool { return g.now() >= exit })
