--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -71,6 +71,9 @@
 	// Overloaded reports whether this instance gets more work than it can do. What endpoints sent then waits
 	// here, so that their silence means nothing. If it is nil, the instance never is.
 	Overloaded func() bool
+	// ReturnShare returns the share of the callers refused now that come back to an instance that stops. inRotation is
+	// whether new connections lead to this one, too. If it is nil, none do.
+	ReturnShare func(inRotation bool) float64
 	// Suspects records which requests crash endpoints.
 	Suspects *suspects.Suspects
 }
@@ -97,6 +100,9 @@
 	if o.Overloaded == nil {
 		o.Overloaded = func() bool { return false }
 	}
+	if o.ReturnShare == nil {
+		o.ReturnShare = func(bool) float64 { return 0 }
+	}
 	return &Forwarder{Options: o, stopping: newStopping(), deadlines: deadline.New(o.Now), times: servicetime.New(o.Now), waiting: waitingRuns{cancels: map[*proxyRequest]context.CancelFunc{}}, budgets: map[string]*budget.Budget{}, instances: 1, startedAt: o.Now()}
 }
 
--- a/internal/forward/stopping.go
+++ b/internal/forward/stopping.go
@@ -20,6 +20,7 @@
 type stopping struct {
 	begun atomic.Bool
 	exit  atomic.Int64 // clock.Millis at which requests in progress are ended
+	outAt atomic.Int64 // clock.Millis from which on no caller is led to the instance
 	ended atomic.Bool  // they have been
 	all   context.Context
 	end   context.CancelCauseFunc // ends all
@@ -32,8 +33,9 @@
 }
 
 // Drain makes all further responses ask callers to close their connections. Requests in progress are to be ended, by
-// EndAll, at exit, which a later call may change.
-func (f *Forwarder) Drain(exit clock.Millis) {
+// EndAll, at exit, which a later call may change. From outAt on, new connections lead to other instances.
+func (f *Forwarder) Drain(outAt, exit clock.Millis) {
+	f.stopping.outAt.Store(int64(outAt))
 	f.stopping.exit.Store(int64(exit))
 	f.stopping.begun.Store(true)
 }
@@ -45,42 +47,63 @@
 	f.stopping.end(errStops)
 }
 
-// unknownStreamPercent is the part of its route's timeout that a stream is expected to take if nothing is known of such
-// streams.
-const unknownStreamPercent = 50
-
-// refusedForStop refuses a request that is not expected to end before the instance exits.
+// refusedForStop refuses a request that is better sent elsewhere, since the instance is to exit.
 func (p *proxyRequest) refusedForStop() bool {
-	if !p.stopping.begun.Load() || !p.stopping.ended.Load() && p.expectedTime() <= clock.Millis(p.stopping.exit.Load()).Sub(p.Now()) {
+	s := p.stopping
+	if !s.begun.Load() || !s.ended.Load() && p.endsBefore(clock.Millis(s.exit.Load()), p.Now() < clock.Millis(s.outAt.Load())) {
 		return false
 	}
 	p.refuse(reasonStops, retryAfterElsewhere)
 	return true
 }
 
-// recordTime records how long the request took.
-func (p *proxyRequest) recordTime() {
-	took := p.Now().Sub(p.arrived)
-	p.times.Record(routeKey(p.route.Name), took)
-	p.times.Record(serviceKey(p.service), took)
+// endsBefore reports whether the request is likely enough to end before the exit of the instance. While callers may be
+// led back to the instance, or to another one that stops as well, a request is also taken if it is less likely to be
+// given up at the exit than to be refused once more. Later on, a stream must be sure to end, as it can't be answered any
+// more once it has begun.
+func (p *proxyRequest) endsBefore(exit clock.Millis, inRotation bool) bool {
+	left := exit.Sub(p.Now())
+	switch {
+	case p.left() <= left:
+		return true
+	case !inRotation && p.route.Kind == route.Streaming:
+		return false
+	default:
+		return p.shareLonger(left) <= p.ReturnShare(inRotation)
+	}
 }
 
-func routeKey(name string) string   { return "route " + name }
-func serviceKey(name string) string { return "service " + name }
+// unknownStreamPercent is the part of its route's timeout that a stream is expected to take if nothing is known of such
+// streams.
+const unknownStreamPercent = 50
 
-// expectedTime returns how long the request is expected to take from now on.
-func (p *proxyRequest) expectedTime() time.Duration {
+// shareLonger returns the share of such requests that take longer than a time.
+func (p *proxyRequest) shareLonger(than time.Duration) float64 {
 	for _, key := range []string{routeKey(p.route.Name), serviceKey(p.service)} {
-		if t, known := p.times.Estimate(key); known {
-			return min(t, p.left())
+		if share, known := p.times.ShareLonger(key, than); known {
+			return share
 		}
 	}
+	expected := p.route.Target
 	if p.route.Kind == route.Streaming {
-		return min(p.route.Timeout*unknownStreamPercent/100, p.left())
+		expected = p.route.Timeout * unknownStreamPercent / 100
 	}
-	return min(p.route.Target, p.left())
+	if expected <= than {
+		return 0
+	}
+	return 1
 }
 
+// recordTime records how long the request took.
+func (p *proxyRequest) recordTime() {
+	took := p.Now().Sub(p.arrived)
+	p.times.Record(routeKey(p.route.Name), took)
+	p.times.Record(serviceKey(p.service), took)
+}
+
+func routeKey(name string) string   { return "route " + name }
+func serviceKey(name string) string { return "service " + name }
+
 // endWithInstance returns a context that also ends with EndAll. A body that is being read ends as well.
 func (p *proxyRequest) endWithInstance(parent context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -304,6 +304,7 @@
 		Streams:   forward.Streams{Begin: g.streams.Begin, Find: g.streams.Find},
 		FindPlace: g.broker.Find, ReleasePlace: g.broker.Release, ReportDecodeStart: g.broker.ReportDecodeStart,
 		ReportPrefillDone: g.broker.ReportPrefillDone,
+		ReturnShare:       g.returnShare,
 		CheckProcess:      g.checkProcess, LinkLost: g.dialer.Bypassed, Overloaded: g.overloaded,
 		Suspects: g.suspects, Regions: s.Zones, Isolated: g.isolated,
 		ReportGone: func(id string) { g.feed.Apply(directory.Denied{ID: id}) },
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -28,6 +28,11 @@
 	// balancerDelay is how long after SIGTERM new connections may arrive: the balancer
 	// checks every second, and removes an instance after two failed checks.
 	balancerDelay = 3200 * time.Millisecond
+	// removalTime is how long after SIGTERM callers that open a connection may be led to an instance. It is shorter
+	// than balancerDelay: most callers learn of the removal sooner.
+	removalTime = 2800 * time.Millisecond
+	// removalPercent bounds the same time, as a percentage of the grace period, if that is short.
+	removalPercent = 35
 	// exitMargin is the part of the grace period reserved for the exit of the process.
 	exitMargin = 250 * time.Millisecond
 	// lastAnswersTime is reserved for the answers to requests that are in progress then, beside the time for each of
@@ -159,13 +164,13 @@
 func (g *Gateway) stop(reason, detail string) {
 	started := g.now() // the grace period includes time in which the machine is suspended
 	g.leaving.Store(true)
-	g.forwarder.Drain(g.endOfRequests(started))
+	g.forwarder.Drain(started.Add(g.removalTime()), g.endOfRequests(started))
 	g.tunnels.Refuse()
 	g.member.Change(g.currentEntry())
 	g.log.Write(eventlog.Line{Event: eventlog.Stopping, Reason: reason, Detail: detail, Count: g.forwarder.Running()})
 	requestsEnd := func() bool {
 		end := g.endOfRequests(started)
-		g.forwarder.Drain(end)
+		g.forwarder.Drain(started.Add(g.removalTime()), end)
 		return g.now() >= end
 	}
 	portEnds := func() bool { return g.now().Sub(started) >= min(balancerDelay, g.settings.Load().Stop.Grace/2) }
@@ -191,6 +196,35 @@
 	return min(length, g.settings.Load().Stop.Grace*maxReservePercent/100)
 }
 
+// removalTime returns how long after the begin of a stop callers may be led to the instance that stops.
+func (g *Gateway) removalTime() time.Duration {
+	return min(removalTime, g.settings.Load().Stop.Grace*removalPercent/100)
+}
+
+// returnShare estimates the share of the callers in this availability zone which, being refused now, are led to an
+// instance that stops, this one included if inRotation is set. Of the instances that are known to stop, only those
+// that have begun lately are still in rotation.
+func (g *Gateway) returnShare(inRotation bool) float64 {
+	set := g.settings.Load()
+	ready, stopping := 0.0, 0.0
+	for _, i := range g.roster.Ranked(set.Instance.Zone, "") {
+		switch {
+		case i.Name == set.Instance.Name:
+		case i.Leaving:
+			stopping += float64(g.removalTime()) / float64(set.Stop.Grace)
+		default:
+			ready++
+		}
+	}
+	if inRotation {
+		stopping++
+	}
+	if stopping == 0 {
+		return 0
+	}
+	return stopping / (ready + stopping)
+}
+
 // endOfRequests returns when requests in progress are to be ended in a stop that has begun at a time, so that all of
 // their answers can be written.
 func (g *Gateway) endOfRequests(started clock.Millis) clock.Millis {
--- a/internal/servicetime/table.go
+++ b/internal/servicetime/table.go
@@ -15,10 +15,8 @@
 	period = time.Minute
 	// maxKeys bounds the memory of a period: 2 kB for each key.
 	maxKeys = 64
-	// minTimes is how many times are needed for an estimate.
+	// minTimes is how many times are needed for a share.
 	minTimes = 5
-	// percentile of the times that an estimate covers.
-	percentile = 99
 	// maxTime and significantDigits are the range and the precision of times.
 	maxTime           = 2 * time.Minute
 	significantDigits = 1
@@ -58,21 +56,28 @@
 	_ = h.RecordValue(min(max(took, time.Millisecond), maxTime).Milliseconds()) // it is in the range
 }
 
-// Estimate returns a time in which nearly all requests of a key are over, or false if too few are known.
-func (t *Table) Estimate(key string) (time.Duration, bool) {
+// ShareLonger returns the share of a key's recent requests that took longer than a time, from 0 to 1. It returns false
+// if too few are known.
+func (t *Table) ShareLonger(key string, than time.Duration) (share float64, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.advance()
-	all := newHistogram()
+	all, longer := int64(0), int64(0)
 	for _, h := range []*hdrhistogram.Histogram{t.current[key], t.former[key]} {
-		if h != nil {
-			all.Merge(h)
+		if h == nil {
+			continue
+		}
+		all += h.TotalCount()
+		for _, bar := range h.Distribution() {
+			if bar.To > than.Milliseconds() {
+				longer += bar.Count
+			}
 		}
 	}
-	if all.TotalCount() < minTimes {
+	if all < minTimes {
 		return 0, false
 	}
-	return time.Duration(all.ValueAtQuantile(percentile)) * time.Millisecond, true
+	return float64(longer) / float64(all), true
 }
 
 // advance begins a new period if it is time. t.mu must be held.
