forward, gateway: a stopping instance weighs giving up against refusing once more

Change: while callers may be led back to instances that stop, a request is taken if the share of such requests that take longer than the time left is no larger than the share of callers who would be led to an instance that stops.

--- a/internal/forward/stopping.go
+++ b/internal/forward/stopping.go
@@ -75,7 +75,7 @@
 
 // unknownStreamPercent is the part of its route's timeout that a stream is expected to take if nothing is known of such
 // streams.
-const unknownStreamPercent = 50
+const unknownStreamPercent = 33
 
 // shareLonger returns the share of such requests that take longer than a time.
 func (p *proxyRequest) shareLonger(than time.Duration) float64 {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -202,8 +202,8 @@
 }
 
 // returnShare estimates the share of the callers in this availability zone which, being refused now, are led to an
-// instance that stops, this one included if inRotation is set. Of the instances that are known to stop, only those
-// that have begun lately are still in rotation.
+// instance that stops, this one included if inRotation is set. Some of the instances that are known to stop are out of
+// rotation by now; others have begun to stop and are not known yet.
 func (g *Gateway) returnShare(inRotation bool) float64 {
 	set := g.settings.Load()
 	ready, stopping := 0.0, 0.0
@@ -211,7 +211,7 @@
 		switch {
 		case i.Name == set.Instance.Name:
 		case i.Leaving:
-			stopping += float64(g.removalTime()) / float64(set.Stop.Grace)
+			stopping++
 		default:
 			ready++
 		}
