forward, gateway: the line stopped tells what came of requests

Nothing told after a planned stop how many requests it had cost: the line stopped had a count only, and the counters of answers and refusals do not distinguish a stop.

Change: requests that end after the stop began are counted by the event of their last line, apart for those that had arrived before and those that came after; detail of stopped has the counts, and the counter requests_at_stop.

Evidence: TestStoppedLineTellsOutcomes failed before (no detail, no counter) and passes.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -402,7 +402,7 @@
 	if p.inTime {
 		n.Outcome = "in_time"
 	}
-	p.requestLog.Write(n)
+	p.writeLast(n)
 	p.Scope.Counter("requests_answered").Inc(1)
 	p.Scope.Tagged(map[string]string{"outcome": n.Outcome}).Counter("answers").Inc(1)
 	p.recordTime()
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -53,7 +53,7 @@
 		return false
 	}
 	if err != nil {
-		p.requestLog.Write(p.logLine(eventlog.Cancelled, "body_unfinished", err))
+		p.writeLast(p.logLine(eventlog.Cancelled, "body_unfinished", err))
 		panic(http.ErrAbortHandler)
 	}
 	if int64(len(p.message.Body)) > limit {
--- a/internal/forward/ending.go
+++ b/internal/forward/ending.go
@@ -61,7 +61,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		reason = reasonCallerStalled
 	}
-	p.requestLog.Write(p.logLine(eventlog.Cancelled, reason, err))
+	p.writeLast(p.logLine(eventlog.Cancelled, reason, err))
 	p.Scope.Counter("requests_cancelled").Inc(1)
 }
 
@@ -71,7 +71,7 @@
 	case p.headSent.Load():
 		n := p.logLine(eventlog.Broken, p.failure, nil)
 		n.Detail = p.history.String()
-		p.requestLog.Write(n)
+		p.writeLast(n)
 		p.Scope.Counter("requests_broken").Inc(1)
 		p.Scope.Tagged(map[string]string{"reason": p.failure}).Counter("breaks").Inc(1)
 		panic(http.ErrAbortHandler)
@@ -99,7 +99,7 @@
 // refuseWith is refuse with a given status and log line.
 func (p *proxyRequest) refuseWith(status int, after time.Duration, n eventlog.Line) {
 	n.Status, n.Wait = status, max(after, 0)
-	p.requestLog.Write(n)
+	p.writeLast(n)
 	p.Scope.Counter("requests_refused").Inc(1)
 	p.Scope.Tagged(map[string]string{"reason": n.Reason}).Counter("refusals").Inc(1)
 	if after != noRetryAfter {
@@ -112,7 +112,7 @@
 func (p *proxyRequest) fail(status int) {
 	n := p.logLine(eventlog.GaveUp, p.failure, nil)
 	n.Status = status
-	p.requestLog.Write(n)
+	p.writeLast(n)
 	p.Scope.Counter("requests_failed").Inc(1)
 	p.Scope.Tagged(map[string]string{"reason": p.failure}).Counter("failures").Inc(1)
 	http.Error(p.w, "may have run: "+p.failure, status)
@@ -122,11 +122,17 @@
 func (p *proxyRequest) reject(status int, reason string, err error) {
 	n := p.logLine(eventlog.Refused, reason, err)
 	n.Status = status
-	p.requestLog.Write(n)
+	p.writeLast(n)
 	p.Scope.Counter("requests_rejected").Inc(1)
 	http.Error(p.w, err.Error(), status)
 }
 
+// writeLast writes the line that tells how the request ended.
+func (p *proxyRequest) writeLast(n eventlog.Line) {
+	p.outcome = n.Event
+	p.requestLog.Write(n)
+}
+
 // logLine returns a log line with the fields of this request.
 func (p *proxyRequest) logLine(e eventlog.Event, reason string, err error) eventlog.Line {
 	n := eventlog.Line{
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -156,23 +156,31 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.running.Add(1)
 	defer f.running.Add(-1)
-	if f.stopping.begun.Load() {
+	late := f.stopping.begun.Load()
+	if late {
 		w.Header().Set("Connection", "close")
 	}
 	p := &proxyRequest{
 		Forwarder: f, w: newTimeoutWriter(w, f.WriteTimeout), arrived: f.Now(), progress: progress{view: f.Directory.View(), placeLimit: maxPlaceRequests}, requestLog: f.Log.NewRequestLog(),
-		sample: rand.Float64(),
+		sample: rand.Float64(), outcome: eventlog.Panicked,
 	}
 	defer func() {
 		if p.headSent.Load() {
 			f.begun.Add(-1)
 		}
 		p.requestLog.End(p.inTime)
+		if f.stopping.begun.Load() {
+			f.stopping.count(f.Scope, late, p.outcome)
+		}
 	}()
 	defer p.releaseMemory()
 	ctx, cancel := p.endWithInstance(r.Context())
 	defer cancel()
-	if r = r.WithContext(ctx); p.admit(r) {
-		p.run(ctx)
+	if r = r.WithContext(ctx); !p.admit(r) {
+		return
+	}
+	if late {
+		f.stopping.taken.Add(1)
 	}
+	p.run(ctx)
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -28,7 +28,8 @@
 	w          *timeoutWriter // nil for an attempt beside another
 	arrived    clock.Millis
 	requestLog *eventlog.RequestLog
-	inTime     bool // answered successfully within the route's target
+	inTime     bool           // answered successfully within the route's target
+	outcome    eventlog.Event // of the line that ended it; Panicked as long as there is none
 	call       Call
 	route      *route.Route
 	// workspace is the caller's workspace; nil in a deployment without workspaces,
--- a/internal/forward/stopping.go
+++ b/internal/forward/stopping.go
@@ -23,6 +23,7 @@
 	ended atomic.Bool  // they have been
 	all   context.Context
 	end   context.CancelCauseFunc // ends all
+	stopOutcomes
 }
 
 func newStopping() *stopping {
@@ -45,6 +46,9 @@
 	f.stopping.end(errStops)
 }
 
+// StopOutcomes returns a text that tells how many requests ended since Drain was called, by how they ended.
+func (f *Forwarder) StopOutcomes() string { return f.stopping.String() }
+
 // unknownStreamPercent is the part of its route's timeout that a stream is expected to take if nothing is known of such
 // streams.
 const unknownStreamPercent = 50
--- a/internal/gateway/exit_test.go
+++ b/internal/gateway/exit_test.go
@@ -159,6 +159,43 @@
 	<-n.done
 }
 
+// Nothing told what had come of the requests of a planned stop: which had been answered, and which were refused or given up.
+func TestStoppedLineTellsOutcomes(t *testing.T) {
+	const grace = 2 * time.Second
+	c := qt.New(t)
+	n := startInstance(t, grace, nil)
+	n.learnTimes(t)
+	n.addEngine(t, standin.Behaviour{EventInterval: grace / 4}) // the stream takes longer than the grace period
+	stream := n.dial(t)
+	c.Assert(stream.write(stream.text("/stream/1")), qt.IsNil)
+	broken, err := http.ReadResponse(stream.reader, nil)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = broken.Body.Close() }()
+	n.hold(t)
+	waiting, later, leaving, late := n.dial(t), n.dial(t), n.dial(t), n.dial(t)
+	waiting.begin()
+	n.beginStop()
+	eventually(t, "the stop has begun", func() bool { return strings.Contains(n.log.String(), `"event":"stopping"`) })
+	later.begin()
+	leaving.begin()
+	c.Assert(leaving.conn.Close(), qt.IsNil)
+	c.Assert(late.write(late.text("/stream/2")), qt.IsNil) // a stream is expected to take longer
+	status, _, _, err := late.answerText()
+	c.Check(err, qt.IsNil)
+	c.Check(status, qt.Equals, http.StatusServiceUnavailable)
+	for _, k := range []*kept{waiting, later} {
+		status, _, _, err = k.answerText()
+		c.Check(err, qt.IsNil)
+		c.Check(status, qt.Equals, http.StatusBadGateway)
+	}
+	<-n.done
+	eventually(t, "the line stopped is written", func() bool { return strings.Contains(n.log.String(), `"event":"stopped"`) })
+	c.Check(n.log.String(), qt.Contains, `"detail":"before: gave_up 1, broken 1; after: taken 2, refused 1, gave_up 1, cancelled 1"`)
+	eventually(t, "it is counted", func() bool {
+		return strings.Contains(n.metrics(), `requests_at_stop{arrived="after",outcome="cancelled"} 1`)
+	})
+}
+
 // The log said that a caller had left where the instance had given up, and the other way round.
 func TestLogNamesWhoEndedARequest(t *testing.T) {
 	c := qt.New(t)
--- a/internal/gateway/instance_test.go
+++ b/internal/gateway/instance_test.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime/debug"
 	"slices"
 	"strings"
@@ -170,6 +171,13 @@
 	qt.Assert(t, k.conn.Close(), qt.IsNil)
 }
 
+// metrics returns what a scrape of the metrics gets.
+func (n *instance) metrics() string {
+	w := httptest.NewRecorder()
+	n.counters.Handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+	return w.Body.String()
+}
+
 // passedOn reports whether a request has reached the endpoint.
 func (n *instance) passedOn(id string) bool {
 	return slices.ContainsFunc(n.endpoint.Arrivals(), func(a standin.Arrival) bool { return a.Request == id })
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -73,7 +73,7 @@
 	for _, s := range g.servers {
 		_ = s.Close()
 	}
-	g.log.Write(eventlog.Line{Event: eventlog.Stopped, Count: g.forwarder.Running()})
+	g.log.Write(eventlog.Line{Event: eventlog.Stopped, Count: g.forwarder.Running(), Detail: g.forwarder.StopOutcomes()})
 	g.close = func() error {
 		cancel()
 		g.pool.Close()
