forward, keepalive: the log and counters name who ended a request

Lines and counters named a wrong cause: a caller that did not read a long answer was logged as caller_left, one that did not read an answer held in memory as answered; streams that EndAll ended, and those of callers that do not read, were counted as answers_cut{aborted}; a body whose connection the instance closed was logged as body_unfinished; a caller that left while its stream's version was looked for got a refusal for that version in the log, one that left (or a stop that came) while an endpoint was chosen one for its workspace's share.

Change: the writer of an answer keeps the failure of its last write, which tells caller_stalled; a stop ends answers with keepalive.ErrStopped, counted as stopped; an answer that was not written is cancelled, not answered, and its time is not learned; ended contexts are looked at before the other reasons.

TestLogNamesWhoEndedARequest became a table; its former case is the first one.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -342,8 +342,11 @@
 	copyHeader(p.w.Header(), b.header)
 	p.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
 	p.w.WriteHeader(b.status)
-	_, err := p.w.Write(b.body)
-	p.recordAnswer(b.status, err)
+	if _, err := p.w.Write(b.body); err != nil {
+		p.canceled(err)
+		return
+	}
+	p.recordAnswer(b.status)
 }
 
 // copyResponse passes on a response that is too long to buffer, starting with the bytes
@@ -376,7 +379,7 @@
 		p.recordBegun(p.sentAt)
 	}
 	a.reservation.Done(p.Now(), balance.Succeeded)
-	p.recordAnswer(resp.StatusCode, nil)
+	p.recordAnswer(resp.StatusCode)
 	return true
 }
 
@@ -387,15 +390,14 @@
 	}
 }
 
-// recordAnswer logs and counts a response that was passed on completely. A non-nil err
-// means that the caller did not take it.
-func (p *proxyRequest) recordAnswer(status int, err error) {
+// recordAnswer logs and counts a response that was passed on completely.
+func (p *proxyRequest) recordAnswer(status int) {
 	took := p.Now().Sub(p.arrived)
 	if p.firstEvent > 0 {
 		took = p.firstEvent
 	}
-	p.inTime = err == nil && status < http.StatusMultipleChoices && took <= p.route.Target
-	n := p.logLine(eventlog.Answered, "", err)
+	p.inTime = status < http.StatusMultipleChoices && took <= p.route.Target
+	n := p.logLine(eventlog.Answered, "", nil)
 	n.Status = status
 	n.TimeToFirst, n.Predicted = p.firstEvent, p.predicted
 	n.Outcome = "late"
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -10,6 +10,9 @@
 	"github.com/trailshed/trailshed/internal/eventlog"
 )
 
+// reasonUnfinished is the reason why a request ended whose caller did not send all of its body.
+const reasonUnfinished = "body_unfinished"
+
 // readBody reads the body into memory, since it may have to be sent again.
 func (p *proxyRequest) readBody(r *http.Request) bool {
 	p.message.HasBody = r.ContentLength != 0
@@ -49,11 +52,15 @@
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		p.w.Header().Set("Connection", "close")
-		p.reject(http.StatusRequestTimeout, "body_unfinished", err)
+		p.reject(http.StatusRequestTimeout, reasonUnfinished, err)
 		return false
 	}
 	if err != nil {
-		p.writeLast(p.logLine(eventlog.Cancelled, "body_unfinished", err))
+		reason := reasonUnfinished
+		if p.stopping.ended.Load() {
+			reason = reasonStops // the instance itself closes connections
+		}
+		p.writeLast(p.logLine(eventlog.Cancelled, reason, err))
 		panic(http.ErrAbortHandler)
 	}
 	if int64(len(p.message.Body)) > limit {
--- a/internal/forward/ending.go
+++ b/internal/forward/ending.go
@@ -10,6 +10,7 @@
 
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/keepalive"
 )
 
 // Values of Retry-After in refusals.
@@ -41,7 +42,7 @@
 		p.failure = "time_over"
 		p.giveUp()
 	default:
-		p.canceled(nil)
+		p.canceled(p.w.failure)
 	}
 }
 
@@ -74,6 +75,9 @@
 		p.writeLast(n)
 		p.Scope.Counter("requests_broken").Inc(1)
 		p.Scope.Tagged(map[string]string{"reason": p.failure}).Counter("breaks").Inc(1)
+		if p.failure == reasonStops {
+			panic(keepalive.ErrStopped)
+		}
 		panic(http.ErrAbortHandler)
 	case p.fallback != nil:
 		p.writeBuffered(p.fallback)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -301,7 +301,7 @@
 	avoided := p.avoidedEndpoints()
 	criteria.Exclude = slices.Concat(criteria.Exclude, avoided)
 	r := p.reserve(ctx, &criteria, p.priority())
-	if r == nil && len(avoided) > 0 {
+	if r == nil && len(avoided) > 0 && ctx.Err() == nil {
 		p.refuseShare()
 		return stepAnswered
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -133,7 +133,7 @@
 	}
 	p.timing.ended = true
 	a.reservation.Done(p.Now(), balance.Succeeded)
-	p.recordAnswer(a.exchange.Response.StatusCode, nil)
+	p.recordAnswer(a.exchange.Response.StatusCode)
 	return true
 }
 
--- a/internal/forward/timeout_writer.go
+++ b/internal/forward/timeout_writer.go
@@ -11,6 +11,7 @@
 	http.ResponseWriter
 	control *http.ResponseController
 	timeout time.Duration
+	failure error // of the last write, which the caller's connection is the reason for
 }
 
 func newTimeoutWriter(w http.ResponseWriter, timeout time.Duration) *timeoutWriter {
@@ -21,7 +22,9 @@
 // response.
 func (w *timeoutWriter) Write(b []byte) (int, error) {
 	_ = w.control.SetWriteDeadline(time.Now().Add(w.timeout)) // fails on a closed connection; the write reports that
-	return w.ResponseWriter.Write(b)
+	n, err := w.ResponseWriter.Write(b)
+	w.failure = err
+	return n, err
 }
 
 // Unwrap supports http.ResponseController.
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -73,6 +73,8 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errStops):
 		p.refuse(reasonStops, retryAfterElsewhere)
+	case ctx.Err() != nil:
+		p.canceled(nil)
 	case outcome == streams.Unanswered:
 		p.refuse(reasonVersionUnknown, retryAfterUnanswered)
 	case outcome == streams.Unknown:
--- a/internal/gateway/exit_test.go
+++ b/internal/gateway/exit_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -191,20 +192,55 @@
 	<-n.done
 	eventually(t, "the line stopped is written", func() bool { return strings.Contains(n.log.String(), `"event":"stopped"`) })
 	c.Check(n.log.String(), qt.Contains, `"detail":"before: gave_up 1, broken 1; after: taken 2, refused 1, gave_up 1, cancelled 1"`)
-	eventually(t, "it is counted", func() bool {
-		return strings.Contains(n.metrics(), `requests_at_stop{arrived="after",outcome="cancelled"} 1`)
-	})
+	for _, count := range []string{`requests_at_stop{arrived="after",outcome="cancelled"} 1`, `answers_cut{reason="stopped"} 1`, `requests_unanswered{reason="caller_left"} 1`} {
+		eventually(t, count, func() bool { return strings.Contains(n.metrics(), count) })
+	}
 }
 
-// The log said that a caller had left where the instance had given up, and the other way round.
+// The log said that a caller had left where the instance had given up, and the other way round; or that an endpoint
+// had cut a long answer that its caller did not read.
 func TestLogNamesWhoEndedARequest(t *testing.T) {
-	c := qt.New(t)
-	n := startInstance(t, 300*time.Millisecond, nil)
-	n.hold(t)
-	k := n.dial(t)
-	k.begin()
-	c.Assert(k.conn.Close(), qt.IsNil)
-	eventually(t, "the end is logged", func() bool {
-		return strings.Contains(n.log.String(), `"reason":"caller_left"`)
-	})
+	const long, event = 4 << 20, 40_000 // bytes; more than all buffers hold, and of an event of a stream
+	tests := []struct {
+		name    string
+		padding int // of the answer
+		path    string
+		end     func(k *kept) // after the request was sent
+		reason  string
+		counted string
+	}{
+		{"the caller leaves", 0, "/unsafe/1", func(k *kept) {
+			eventually(k.t, "the endpoint has the request", func() bool { return k.n.passedOn(k.id) })
+			qt.Check(k.t, k.conn.Close(), qt.IsNil)
+		}, "caller_left", `requests_unanswered{reason="caller_left"} 1`},
+		{"the caller leaves inside a long answer", long, "/unsafe/1", func(k *kept) {
+			_, err := k.reader.ReadByte()
+			qt.Check(k.t, err, qt.IsNil)
+			qt.Check(k.t, k.conn.Close(), qt.IsNil)
+		}, "caller_left", `answers_cut{reason="caller_left"} 1`},
+		{"the caller does not read a long answer", long, "/unsafe/1", func(*kept) {}, "caller_stalled", `answers_cut{reason="caller_stalled"} 1`},
+		{"the caller does not read an answer that is held in memory", 250_000, "/unsafe/1", func(*kept) {}, "caller_stalled", `answers_cut{reason="caller_stalled"} 1`},
+		{"the caller does not read a stream", long, "/stream/1", func(*kept) {}, "caller_stalled", `answers_cut{reason="caller_stalled"} 1`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel() // mostly waits
+			c := qt.New(t)
+			n := startInstance(t, 300*time.Millisecond, nil)
+			if test.padding == 0 {
+				n.hold(t)
+			}
+			n.endpoint.Padding = test.padding
+			engine := n.addEngine(t, standin.Behaviour{})
+			engine.Events, engine.Padding = long/event, event
+			k := n.dial(t)
+			c.Assert(k.conn.(*net.TCPConn).SetReadBuffer(event), qt.IsNil) // smaller than the answers
+			c.Assert(k.write(k.text(test.path)), qt.IsNil)
+			test.end(k)
+			eventually(t, "the end is logged", func() bool { return strings.Contains(n.log.String(), `"event":"cancelled"`) })
+			c.Check(n.log.String(), qt.Contains, `"reason":"`+test.reason+`"`)
+			c.Check(strings.Contains(n.log.String(), `"event":"endpoint_failed"`), qt.IsFalse)
+			eventually(t, test.counted, func() bool { return strings.Contains(n.metrics(), test.counted) })
+		})
+	}
 }
--- a/internal/keepalive/handler.go
+++ b/internal/keepalive/handler.go
@@ -2,13 +2,16 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
+	"os"
 	"runtime/debug"
 )
 
 // Reasons why a request ended without an answer, or with a part of one.
 const (
 	ReasonCallerLeft    = "caller_left"
+	ReasonCallerStalled = "caller_stalled" // it does not read
 	ReasonAborted       = "aborted"        // by the handler
 	ReasonPanicked      = "panicked"       // in the middle of its answer
 	ReasonBodyTimeout   = "body_timeout"   // its body did not come in time
@@ -18,6 +21,10 @@
 	ReasonCrossed       = "crossed"        // it arrived when its connection had been ended as idle
 )
 
+// ErrStopped is what a handler panics with, instead of http.ErrAbortHandler, to end an answer because the process is to
+// end.
+var ErrStopped = fmt.Errorf("%w: the process is to end", http.ErrAbortHandler)
+
 // handler returns a handler that marks the last answer on a connection for the caller. A request that next
 // does not answer, or of which it leaves the answer unfinished since the caller has left, ends its connection: the
 // server would answer with an empty success, or finish the answer. One for which next panics is answered with an error.
@@ -52,6 +59,12 @@
 		reason = ReasonPanicked
 	case s.abandoned.Load():
 		reason = ReasonStopped
+	case errors.Is(err, ErrStopped):
+		reason = ReasonStopped
+	case errors.Is(answer.failure, os.ErrDeadlineExceeded):
+		reason = ReasonCallerStalled
+	case answer.failure != nil:
+		reason = ReasonCallerLeft
 	case c != nil:
 		reason = c.readFailure(ReasonBodyTimeout, reason)
 	default:
@@ -63,8 +76,9 @@
 // responseWriter adds "Connection: close" to the last answer. Whether it is the last is decided when it begins.
 type responseWriter struct {
 	http.ResponseWriter
-	last  func() bool
-	begun bool
+	last    func() bool
+	begun   bool
+	failure error // of the last write
 }
 
 func (w *responseWriter) WriteHeader(status int) {
@@ -81,7 +95,18 @@
 	if !w.begun {
 		w.WriteHeader(http.StatusOK)
 	}
-	return w.ResponseWriter.Write(b) //nolint:wrapcheck // as of the server
+	n, err := w.ResponseWriter.Write(b)
+	w.failure = err
+	return n, err //nolint:wrapcheck // as of the server
+}
+
+// FlushError supports http.ResponseController.
+func (w *responseWriter) FlushError() error {
+	if !w.begun {
+		w.WriteHeader(http.StatusOK)
+	}
+	w.failure = http.NewResponseController(w.ResponseWriter).Flush()
+	return w.failure //nolint:wrapcheck // as of the server
 }
 
 // Unwrap supports http.ResponseController.
--- a/internal/keepalive/handler_test.go
+++ b/internal/keepalive/handler_test.go
@@ -114,6 +114,21 @@
 			<-s.handling
 			_ = caller.CloseWrite()
 		}, end{ReasonCallerLeft, true}, 200, false},
+		{"the caller does not read", func(w http.ResponseWriter, _ *http.Request) {
+			control := http.NewResponseController(w)
+			_ = control.SetWriteDeadline(time.Now().Add(pause))
+			for err := error(nil); err == nil; err = control.Flush() {
+				_, _ = io.WriteString(w, "event")
+			}
+		}, request, func(s *unansweredServer, _ *net.TCPConn) {
+			for len(s.ends) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+		}, end{ReasonCallerStalled, true}, 200, false},
+		{"the handler aborts an answer since the process is to end", func(w http.ResponseWriter, _ *http.Request) {
+			beginAnswer(w)
+			panic(ErrStopped)
+		}, request, ignore, end{ReasonStopped, true}, 200, false},
 		{"the process ends", func(_ http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
