--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -162,10 +162,10 @@
 		eventlog.Waiting:         fmt.Sprintf("the stream waits for an endpoint (%s)", e.Reason),
 		eventlog.BudgetSpent:     "is not retried: the retry budget is exhausted",
 		eventlog.Answered:        fmt.Sprintf("answered with status %d after %d ms, %s", e.Status, e.Took, strings.ReplaceAll(e.Outcome, "_", " ")),
-		eventlog.Refused:         fmt.Sprintf("refused with status %d after %d ms, not run: %s; the caller may retry after %d ms", e.Status, e.Took, e.Reason, e.Wait),
-		eventlog.GaveUp:          fmt.Sprintf("failed with status %d after %d ms, may have run: %s", e.Status, e.Took, e.Reason),
-		eventlog.Broken:          fmt.Sprintf("the response was aborted after %d ms: %s", e.Took, e.Reason),
-		eventlog.Cancelled:       fmt.Sprintf("the caller disconnected after %d ms", e.Took),
+		eventlog.Refused:         fmt.Sprintf("refused with status %d after %d ms, not run: %s; the caller may retry after %d ms", e.Status, e.Took, reasonText(e), e.Wait),
+		eventlog.GaveUp:          fmt.Sprintf("failed with status %d after %d ms, may have run: %s", e.Status, e.Took, reasonText(e)),
+		eventlog.Broken:          fmt.Sprintf("the response was aborted after %d ms: %s", e.Took, reasonText(e)),
+		eventlog.Cancelled:       cancelledText(e),
 		eventlog.Believed:        fmt.Sprintf("belief: %s %s%s at revision %d", strings.ReplaceAll(e.Outcome, "_", " "), e.Endpoint, versionText(e), e.Revision),
 	}[e.Event]
 	if text == "" {
@@ -177,6 +177,31 @@
 	return text
 }
 
+// ends say who ended a request, by the reasons that tell it.
+var ends = map[string]string{
+	"caller_left":     "ended by the caller, which left",
+	"caller_stalled":  "ended by the caller, which did not read the answer",
+	"body_unfinished": "ended by the caller, which did not send all of the body",
+	"stopping":        "ended by the planned stop of this instance",
+	"time_over":       "ended because the time of the caller or of the route was over",
+}
+
+// reasonText returns a line's reason, and who ended the request if the reason tells that.
+func reasonText(e Entry) string {
+	end, known := ends[e.Reason]
+	if !known {
+		return e.Reason
+	}
+	return e.Reason + ", " + end
+}
+
+// cancelledText returns the sentence for a request that ended without a whole answer. Lines of earlier builds have no
+// reason if the caller left.
+func cancelledText(e Entry) string {
+	reason := cmp.Or(e.Reason, "caller_left")
+	return fmt.Sprintf("%s (%s), after %d ms", cmp.Or(ends[reason], "ended"), reason, e.Took)
+}
+
 func prefillText(e Entry) string {
 	if e.Prefill == "" {
 		return ", which computes the prefill itself,"
