servicetime: a test of late requests at a stop, which fails

None of the requests that a stopping instance takes after the balancer has removed it is to be given up: refusing one costs a round trip then.

The whole deadline, from the balancer's delay on, would refuse what TestRequestsOnConnectionsAreAnsweredInPlannedStop wants answered (2 s into a grace period of 3 s, deadline 4 s), so that it is for the lead to decide.

--- a/internal/servicetime/emulator_test.go
+++ b/internal/servicetime/emulator_test.go
@@ -66,8 +66,8 @@
 	seed    uint64
 	removed float64 // when the balancer has removed the instance
 	calls   []call
-	times   [][]float64 // of requests before the stop by kind, in ascending order
-	table   *servicetime.Table
+	times   [][]float64        // of requests before the stop by kind, in ascending order
+	learned [kindCount]float64 // what the table expects by kind
 }
 
 // newStop draws the requests before and during a stop.
@@ -108,15 +108,17 @@
 // learn draws the requests before the stop.
 func (s *stop) learn(r *rand.Rand) {
 	now := clock.Millis(0)
-	s.table = servicetime.New(func() clock.Millis { return now })
+	table := servicetime.New(func() clock.Millis { return now })
 	s.times = make([][]float64, len(kinds))
 	for i, k := range kinds {
 		for at := 0.0; at < warmUp; at += r.ExpFloat64() * 1000 / k.rate {
 			took := k.draw(r)
 			s.times[i] = append(s.times[i], took)
-			s.table.Record(k.name, time.Duration(took*float64(time.Millisecond)))
+			table.Record(k.name, time.Duration(took*float64(time.Millisecond)))
 		}
 		slices.Sort(s.times[i])
+		estimate, _ := table.Estimate(k.name) // enough are known
+		s.learned[i] = float64(estimate.Milliseconds())
 	}
 }
 
--- a/internal/servicetime/ways_test.go
+++ b/internal/servicetime/ways_test.go
@@ -40,9 +40,7 @@
 
 // takesTimes takes what fits if it takes some times as long as the table expects.
 func takesTimes(s *stop, at float64, kind int, times float64) bool {
-	k := kinds[kind]
-	t, known := s.table.Estimate(k.name)
-	return known && at+min(times*float64(t.Milliseconds()), k.deadline) <= requestsEnd
+	return at+min(times*s.learned[kind], kinds[kind].deadline) <= requestsEnd
 }
 
 func takesQuantile(share float64) func(s *stop, at float64, kind int) bool {
@@ -51,7 +49,11 @@
 
 func takesDeadline(_ *stop, at float64, kind int) bool { return at+kinds[kind].deadline <= requestsEnd }
 
-const seeds = 40
+const (
+	seeds = 40
+	// lateSeeds bring some thousand late requests, so that one in a thousand shows.
+	lateSeeds = 2000
+)
 
 var fleets = []int{2, 6, 30} // instances that share the callers of a zone
 
@@ -119,6 +121,16 @@
 	}
 }
 
+// A request that comes on a kept connection when the balancer has removed the instance can be refused at the price of a
+// round trip. Of those taken then, none is to be given up.
+func TestNoLateRequestIsGivenUp(t *testing.T) {
+	list := stops(lateSeeds)
+	former := sum(play(list, 2, ways[0]))
+	qt.Assert(t, former.givenUp[late] > 0, qt.IsTrue, qt.Commentf("the former way gives up none"))
+	r := sum(play(list, 2, chosen))
+	qt.Check(t, r.givenUp[late], qt.Equals, 0.0, qt.Commentf("of %v", r.taken[late]))
+}
+
 // The ways that were weighed, on the same stops: means of a stop. Costs rest on assumptions: a failed plain request,
 // which is the unit, is as bad as a second of a caller's wait; a stream that is given up is taken up elsewhere, which
 // takes half a second for its prompt and a new connection; a refusal costs its Retry-After and a round trip, and the
