--- a/internal/forward/ending.go
+++ b/internal/forward/ending.go
@@ -10,6 +10,7 @@
 
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
+	"github.com/trailshed/trailshed/internal/keepalive"
 )
 
 // Values of Retry-After in refusals.
@@ -41,7 +42,7 @@
 		p.failure = "time_over"
 		p.giveUp()
 	default:
-		p.canceled(nil)
+		p.canceled(p.w.failure)
 	}
 }
 
@@ -61,7 +62,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		reason = reasonCallerStalled
 	}
-	p.requestLog.Write(p.logLine(eventlog.Cancelled, reason, err))
+	p.writeLast(p.logLine(eventlog.Cancelled, reason, err))
 	p.Scope.Counter("requests_cancelled").Inc(1)
 }
 
@@ -71,9 +72,12 @@
 	case p.headSent.Load():
 		n := p.logLine(eventlog.Broken, p.failure, nil)
 		n.Detail = p.history.String()
-		p.requestLog.Write(n)
+		p.writeLast(n)
 		p.Scope.Counter("requests_broken").Inc(1)
 		p.Scope.Tagged(map[string]string{"reason": p.failure}).Counter("breaks").Inc(1)
+		if p.failure == reasonStops {
+			panic(keepalive.ErrStopped)
+		}
 		panic(http.ErrAbortHandler)
 	case p.fallback != nil:
 		p.writeBuffered(p.fallback)
@@ -99,7 +103,7 @@
 // refuseWith is refuse with a given status and log line.
 func (p *proxyRequest) refuseWith(status int, after time.Duration, n eventlog.Line) {
 	n.Status, n.Wait = status, max(after, 0)
-	p.requestLog.Write(n)
+	p.writeLast(n)
 	p.Scope.Counter("requests_refused").Inc(1)
 	p.Scope.Tagged(map[string]string{"reason": n.Reason}).Counter("refusals").Inc(1)
 	if after != noRetryAfter {
@@ -112,7 +116,7 @@
 func (p *proxyRequest) fail(status int) {
 	n := p.logLine(eventlog.GaveUp, p.failure, nil)
 	n.Status = status
-	p.requestLog.Write(n)
+	p.writeLast(n)
 	p.Scope.Counter("requests_failed").Inc(1)
 	p.Scope.Tagged(map[string]string{"reason": p.failure}).Counter("failures").Inc(1)
 	http.Error(p.w, "may have run: "+p.failure, status)
@@ -122,11 +126,17 @@
 func (p *proxyRequest) reject(status int, reason string, err error) {
 	n := p.logLine(eventlog.Refused, reason, err)
 	n.Status = status
-	p.requestLog.Write(n)
+	p.writeLast(n)
 	p.Scope.Counter("requests_rejected").Inc(1)
 	http.Error(p.w, err.Error(), status)
 }
 
+// writeLast writes the line that tells how the request ended.
+func (p *proxyRequest) writeLast(n eventlog.Line) {
+	p.outcome = n.Event
+	p.requestLog.Write(n)
+}
+
 // logLine returns a log line with the fields of this request.
 func (p *proxyRequest) logLine(e eventlog.Event, reason string, err error) eventlog.Line {
 	n := eventlog.Line{
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -71,9 +71,9 @@
 	// Overloaded reports whether this instance gets more work than it can do. What endpoints sent then waits
 	// here, so that their silence means nothing. If it is nil, the instance never is.
 	Overloaded func() bool
-	// ReturnShare returns the share of the callers refused now that come back to an instance that stops. inRotation is
-	// whether new connections lead to this one, too. If it is nil, none do.
-	ReturnShare func(inRotation bool) float64
+	// ReturnShare returns the share of the callers refused now that come back to an instance that stops, this one
+	// included. If it is nil, none do.
+	ReturnShare func() float64
 	// Suspects records which requests crash endpoints.
 	Suspects *suspects.Suspects
 }
@@ -101,7 +101,7 @@
 		o.Overloaded = func() bool { return false }
 	}
 	if o.ReturnShare == nil {
-		o.ReturnShare = func(bool) float64 { return 0 }
+		o.ReturnShare = func() float64 { return 0 }
 	}
 	return &Forwarder{Options: o, stopping: newStopping(), deadlines: deadline.New(o.Now), times: servicetime.New(o.Now), waiting: waitingRuns{cancels: map[*proxyRequest]context.CancelFunc{}}, budgets: map[string]*budget.Budget{}, instances: 1, startedAt: o.Now()}
 }
@@ -162,23 +162,31 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.running.Add(1)
 	defer f.running.Add(-1)
-	if f.stopping.begun.Load() {
+	late := f.stopping.begun.Load()
+	if late {
 		w.Header().Set("Connection", "close")
 	}
 	p := &proxyRequest{
 		Forwarder: f, w: newTimeoutWriter(w, f.WriteTimeout), arrived: f.Now(), progress: progress{view: f.Directory.View(), placeLimit: maxPlaceRequests}, requestLog: f.Log.NewRequestLog(),
-		sample: rand.Float64(),
+		sample: rand.Float64(), outcome: eventlog.Panicked,
 	}
 	defer func() {
 		if p.headSent.Load() {
 			f.begun.Add(-1)
 		}
 		p.requestLog.End(p.inTime)
+		if f.stopping.begun.Load() {
+			f.stopping.count(f.Scope, late, p.outcome)
+		}
 	}()
 	defer p.releaseMemory()
 	ctx, cancel := p.endWithInstance(r.Context())
 	defer cancel()
-	if r = r.WithContext(ctx); p.admit(r) {
-		p.run(ctx)
+	if r = r.WithContext(ctx); !p.admit(r) {
+		return
+	}
+	if late {
+		f.stopping.taken.Add(1)
 	}
+	p.run(ctx)
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -28,7 +28,8 @@
 	w          *timeoutWriter // nil for an attempt beside another
 	arrived    clock.Millis
 	requestLog *eventlog.RequestLog
-	inTime     bool // answered successfully within the route's target
+	inTime     bool           // answered successfully within the route's target
+	outcome    eventlog.Event // of the line that ended it; Panicked as long as there is none
 	call       Call
 	route      *route.Route
 	// workspace is the caller's workspace; nil in a deployment without workspaces,
@@ -300,7 +301,7 @@
 	avoided := p.avoidedEndpoints()
 	criteria.Exclude = slices.Concat(criteria.Exclude, avoided)
 	r := p.reserve(ctx, &criteria, p.priority())
-	if r == nil && len(avoided) > 0 {
+	if r == nil && len(avoided) > 0 && ctx.Err() == nil {
 		p.refuseShare()
 		return stepAnswered
 	}
--- a/internal/forward/stopping.go
+++ b/internal/forward/stopping.go
@@ -24,6 +24,7 @@
 	ended atomic.Bool  // they have been
 	all   context.Context
 	end   context.CancelCauseFunc // ends all
+	stopOutcomes
 }
 
 func newStopping() *stopping {
@@ -47,6 +48,9 @@
 	f.stopping.end(errStops)
 }
 
+// StopOutcomes returns a text that tells how many requests ended since Drain was called, by how they ended.
+func (f *Forwarder) StopOutcomes() string { return f.stopping.String() }
+
 // refusedForStop refuses a request that is better sent elsewhere, since the instance is to exit.
 func (p *proxyRequest) refusedForStop() bool {
 	s := p.stopping
@@ -57,10 +61,10 @@
 	return true
 }
 
-// endsBefore reports whether the request is likely enough to end before the exit of the instance. While callers may be
-// led back to the instance, or to another one that stops as well, a request is also taken if it is less likely to be
-// given up at the exit than to be refused once more. Later on, a stream must be sure to end, as it can't be answered any
-// more once it has begun.
+// endsBefore reports whether the request is likely enough to end before the exit of the instance. While new connections
+// may lead back to the instance, a request is also taken if it is less likely to be given up at the exit than to be
+// refused once more, here or by another instance that stops. Later on, no known request may have taken longer than the
+// time left, and a stream must be sure to end, as it can't be answered any more once it has begun.
 func (p *proxyRequest) endsBefore(exit clock.Millis, inRotation bool) bool {
 	left := exit.Sub(p.Now())
 	switch {
@@ -68,11 +72,21 @@
 		return true
 	case !inRotation && p.route.Kind == route.Streaming:
 		return false
-	default:
-		return p.shareLonger(left) <= p.ReturnShare(inRotation)
 	}
+	givenUp, refusedAgain := p.shareLonger(left), 0.0
+	if inRotation {
+		refusedAgain = p.ReturnShare()
+	}
+	if p.route.Resumable {
+		givenUp *= resumableLoss
+	}
+	return givenUp <= refusedAgain
 }
 
+// resumableLoss is what giving up a stream costs that its caller takes up elsewhere, where its prompt is read again,
+// relative to a request that is lost.
+const resumableLoss = 0.5
+
 // unknownStreamPercent is the part of its route's timeout that a stream is expected to take if nothing is known of such
 // streams.
 const unknownStreamPercent = 33
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -78,7 +78,7 @@
 	for _, s := range g.servers {
 		_ = s.Close()
 	}
-	g.log.Write(eventlog.Line{Event: eventlog.Stopped, Count: g.forwarder.Running()})
+	g.log.Write(eventlog.Line{Event: eventlog.Stopped, Count: g.forwarder.Running(), Detail: g.forwarder.StopOutcomes()})
 	g.close = func() error {
 		cancel()
 		g.pool.Close()
@@ -202,27 +202,21 @@
 }
 
 // returnShare estimates the share of the callers in this availability zone which, being refused now, are led to an
-// instance that stops, this one included if inRotation is set. Some of the instances that are known to stop are out of
-// rotation by now; others have begun to stop and are not known yet.
-func (g *Gateway) returnShare(inRotation bool) float64 {
-	set := g.settings.Load()
-	ready, stopping := 0.0, 0.0
-	for _, i := range g.roster.Ranked(set.Instance.Zone, "") {
-		switch {
-		case i.Name == set.Instance.Name:
-		case i.Leaving:
+// instance that stops, this one included. Some of the instances that are known to stop are out of rotation by now;
+// others have begun to stop and are not known yet.
+func (g *Gateway) returnShare() float64 {
+	own := g.settings.Load().Instance
+	all, stopping := 1.0, 1.0
+	for _, i := range g.roster.Ranked(own.Zone, "") {
+		if i.Name == own.Name {
+			continue
+		}
+		all++
+		if i.Leaving {
 			stopping++
-		default:
-			ready++
 		}
 	}
-	if inRotation {
-		stopping++
-	}
-	if stopping == 0 {
-		return 0
-	}
-	return stopping / (ready + stopping)
+	return stopping / all
 }
 
 // endOfRequests returns when requests in progress are to be ended in a stop that has begun at a time, so that all of
