uplink: the head of a response is bounded

Callers would see: an instance whose memory grows until it is ended, with all its requests, while one endpoint sends a head without end. http.ReadResponse has no bound on a head, a line or the number of lines, and interim responses were read for as long as they came.

Change: a reader below the buffer fails once the head of a response and the interim responses before it exceed 32 KB. The request fails as one without a response, so it goes on elsewhere if it may, and the connection is closed. The bound holds for each response anew and not for bodies.

TestEndlessBeforeResponse failed before in each row: 8 MB were read, after which the test's endpoint is silent, and the request ended with its time after 5 s. TestEndlessEncodingOfBody and TestSoundResponsesWithinBounds passed before: net/http bounds chunk extensions and trailers itself.

--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -149,14 +149,10 @@
 func (e *Exchange) receive(method string, accept func(*http.Response) bool) error {
 	request := &http.Request{Method: method}
 	for {
-		resp, err := http.ReadResponse(e.conn.reader, request) //nolint:bodyclose // Exchange.Close closes the connection, or reuses it once the body was read
+		resp, err := e.readHead(request) //nolint:bodyclose // Exchange.Close closes the connection, or reuses it once the body was read
 		if err != nil {
 			return err
 		}
-		e.pool.OnResponse(e.conn.key.endpointID, resp)
-		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
-			continue
-		}
 		if accept(resp) {
 			e.Response = resp
 			return nil
@@ -171,6 +167,22 @@
 	}
 }
 
+// readHead reads interim responses and then the head of a final one.
+func (e *Exchange) readHead(request *http.Request) (*http.Response, error) {
+	e.conn.head.begin()
+	defer e.conn.head.end()
+	for {
+		resp, err := http.ReadResponse(e.conn.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		e.pool.OnResponse(e.conn.key.endpointID, resp)
+		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
+		}
+	}
+}
+
 // Peer returns the name of the instance that carries the connection, or "" if it is this
 // instance's own.
 func (e *Exchange) Peer() string { return e.conn.peer }
--- a/internal/uplink/pool.go
+++ b/internal/uplink/pool.go
@@ -78,7 +78,8 @@
 type conn struct {
 	net.Conn
 	key         connKey
-	reader      *bufio.Reader
+	head        *headReader
+	reader      *bufio.Reader // reads from head
 	maxIdle     time.Duration
 	idleSince   clock.Millis  // end of the last exchange
 	connectTime time.Duration // that opening it took
@@ -168,7 +169,8 @@
 }
 
 func newConn(raw net.Conn, key connKey) *conn {
-	return &conn{Conn: raw, key: key, reader: bufio.NewReaderSize(raw, readBufferSize), maxIdle: defaultMaxIdle}
+	head := &headReader{Reader: raw}
+	return &conn{Conn: raw, key: key, head: head, reader: bufio.NewReaderSize(head, readBufferSize), maxIdle: defaultMaxIdle}
 }
 
 // countDialFailure counts a failed dial by its cause: an instance that has lost its links to all
