uplink: responses to other requests are skipped up to a bound

Callers would see: a request that waits until its time is over while its connection brings a response to another request, or one after the other, without end. Their bodies were read to the end, whatever the end.

Change: responses to other requests are skipped up to 1 MB, each counting with 32 KB and its body. Beyond that the request fails as one without a response and the connection is closed. A whole answer that an endpoint sent twice still fits.

The rows of TestEndlessBeforeResponse for foreign bodies, chunks and series of responses failed before as the head rows did: 8 MB were read and the request ended with its time after 5 s.

--- a/internal/uplink/endless_test.go
+++ b/internal/uplink/endless_test.go
@@ -74,7 +74,10 @@
 // Guards against an endpoint that sends something other than a response, without end: the request fails before its
 // time is over, little is read, and the connection is not used again.
 func TestEndlessBeforeResponse(t *testing.T) {
-	const headBytes = 64 << 10
+	const (
+		headBytes    = 64 << 10
+		skippedBytes = 2 << 20
+	)
 	tests := []struct {
 		name          string
 		begin, repeat string
@@ -88,6 +91,14 @@
 		{"continued header line", ownHead + "A: a\r\n", " a\r\n", headBytes},
 		{"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n", headBytes},
 		{"head after an interim response", "HTTP/1.1 102 Processing\r\n\r\n" + ownHead, "A: a\r\n", headBytes},
+		{"foreign responses without a body", "", foreignHead + "Content-Length: 0\r\n\r\n", skippedBytes},
+		{"foreign responses", "", foreignHead + "Content-Length: 1\r\n\r\nx", skippedBytes},
+		{"foreign body", foreignHead + "Content-Length: 1000000000000\r\n\r\n", "x", skippedBytes},
+		{"foreign body with chunks", foreignHead + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 4096) + "\r\n", skippedBytes},
+		{"foreign chunk extension", foreignHead + "Transfer-Encoding: chunked\r\n\r\n1;", "x", skippedBytes},
+		{"foreign chunk extensions", foreignHead + "Transfer-Encoding: chunked\r\n\r\n", "1;" + strings.Repeat("x", 100) + "\r\nx\r\n", skippedBytes},
+		{"foreign trailer", foreignHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: a\r\n", skippedBytes},
+		{"head after a foreign response", foreignHead + "Content-Length: 1\r\n\r\nx" + ownHead, "A: a\r\n", skippedBytes},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -148,7 +148,7 @@
 // receive reads responses until accept takes one.
 func (e *Exchange) receive(method string, accept func(*http.Response) bool) error {
 	request := &http.Request{Method: method}
-	for {
+	for left := maxSkippedBytes; ; {
 		resp, err := e.readHead(request) //nolint:bodyclose // Exchange.Close closes the connection, or reuses it once the body was read
 		if err != nil {
 			return err
@@ -161,12 +161,23 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return errors.New("a response to another request has no length")
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, int64(left)))
+		if err != nil {
 			return err
 		}
+		if left -= maxHeadBytes + int(n); left <= 0 {
+			return errManySkipped
+		}
 	}
 }
 
+// maxSkippedBytes bounds the responses to other requests that are skipped. Each of them counts with maxHeadBytes and
+// its body.
+const maxSkippedBytes = 1 << 20
+
+// errManySkipped is the error of a request in front of whose response more than maxSkippedBytes came.
+var errManySkipped = Error.New("responses to other requests exceed %d bytes", maxSkippedBytes)
+
 // readHead reads interim responses and then the head of a final one.
 func (e *Exchange) readHead(request *http.Request) (*http.Response, error) {
 	e.conn.head.begin()
