forward: a body that nobody needs is read briefly or not at all

Callers would see: a request that an endpoint rejects, as not run, waits until its time is over (503, time_over) if the body of the rejection does not end: the body was read to its end so that the connection could be reused. If the body exceeded 256 KB, the connection was reused with the rest of it.

Change: Exchange.Discard reads the rest of a body only if it is at most 16 KB and arrives within 50 ms, and else closes the connection. It serves rejections and the answers to calls that free a KV cache.

TestEndlessPlainAnswers failed before in the row "rejection, slowly": 503 after 4.1 s for a request that may run once, 1.6 s for one that may be repeated. With the former reading, TestDiscard fails in five rows: it waits for unfinished bodies until the time is over and reuses a connection with 44 KB unread.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -108,7 +108,7 @@
 	}
 	if head.NotRun {
 		p.runs--
-		exchange.Close(p.drainBody(exchange))
+		exchange.Discard()
 		p.endpointRejected(a.reservation, head)
 		return false
 	}
@@ -412,12 +412,6 @@
 // latencyBuckets cover latencies from 5 ms to 20 s.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 13)
 
-// drainBody reads a short body to its end, so that the connection can be reused.
-func (p *proxyRequest) drainBody(x *uplink.Exchange) bool {
-	_, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, maxBufferedBytes))
-	return err == nil
-}
-
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
 		to[name] = values
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -405,7 +405,6 @@
 			p.Scope.Counter("handle_free_failed").Inc(1)
 			return
 		}
-		_, err = io.Copy(io.Discard, x.Response.Body)
-		x.Close(err == nil)
+		x.Discard()
 	}()
 }
--- a/internal/uplink/endless_test.go
+++ b/internal/uplink/endless_test.go
@@ -170,17 +170,7 @@
 			near, far := net.Pipe()
 			t.Cleanup(func() { _ = far.Close() })
 			answer := test.first + ownHead + "A: " + strings.Repeat("a", 16<<10) + "\r\nContent-Length: 4194304\r\n\r\n" + strings.Repeat("x", bodyBytes)
-			go func() {
-				requests := bufio.NewReader(far)
-				for {
-					if _, err := http.ReadRequest(requests); err != nil {
-						return
-					}
-					if _, err := io.WriteString(far, answer); err != nil {
-						return
-					}
-				}
-			}()
+			go answerAll(far, answer)
 			p := uplink.NewPool(tally.NoopScope, clock.System())
 			t.Cleanup(p.Close)
 			dials := 0
@@ -200,3 +190,61 @@
 		})
 	}
 }
+
+// Guards against a connection that is kept although the rest of a body is still to come, and against a wait for a
+// body that nobody needs.
+func TestDiscard(t *testing.T) {
+	const short = ownHead + "Content-Length: 2\r\n\r\nok"
+	tests := []struct {
+		name   string
+		answer string
+		dials  int // by two requests
+	}{
+		{"short", short, 1},
+		{"short with chunks", ownHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 1},
+		{"none", ownHead + "Content-Length: 0\r\n\r\n", 1},
+		{"long", ownHead + "Content-Length: 300000\r\n\r\n" + strings.Repeat("x", 300_000), 2},
+		{"unfinished", ownHead + "Content-Length: 3\r\n\r\nok", 2},
+		{"unfinished after much", ownHead + "Content-Length: 300000\r\n\r\n" + strings.Repeat("x", 256<<10), 2},
+		{"unfinished chunk", ownHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok", 2},
+		{"without a length", ownHead + "\r\nok", 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			p := uplink.NewPool(tally.NoopScope, clock.System())
+			t.Cleanup(p.Close)
+			dials := 0
+			p.Dial = func(context.Context, netip.AddrPort) (net.Conn, error) {
+				dials++
+				near, far := net.Pipe()
+				t.Cleanup(func() { _ = far.Close() })
+				go answerAll(far, test.answer)
+				return near, nil
+			}
+			for range 2 {
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				x, err := do(ctx, p)
+				c.Assert(err, qt.IsNil)
+				x.Discard()
+				c.Check(ctx.Err(), qt.IsNil)
+			}
+			c.Check(dials, qt.Equals, test.dials)
+		})
+	}
+}
+
+// answerAll gives the same answer to each request on a connection.
+func answerAll(conn net.Conn, answer string) {
+	requests := bufio.NewReader(conn)
+	for {
+		if _, err := http.ReadRequest(requests); err != nil {
+			return
+		}
+		if _, err := io.WriteString(conn, answer); err != nil {
+			return
+		}
+	}
+}
--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -229,6 +229,24 @@
 	e.pool.put(e.conn)
 }
 
+const (
+	// maxDiscardedBytes and discardTimeout bound the rest of a body that is read only for the sake of its connection.
+	maxDiscardedBytes = 16 << 10
+	discardTimeout    = 50 * time.Millisecond
+)
+
+// Discard ends an exchange whose body is of no use. The connection is reused as by Close if the rest of the body is
+// short and arrives at once.
+func (e *Exchange) Discard() { e.Close(e.discardBody()) }
+
+func (e *Exchange) discardBody() bool {
+	if e.EndsWithConnection() || e.conn.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(e.Response.Body, maxDiscardedBytes+1))
+	return err == nil && n <= maxDiscardedBytes && e.conn.SetReadDeadline(time.Time{}) == nil
+}
+
 func (e *Exchange) reusable() bool {
 	r := e.Response
 	if r == nil || r.Close || e.EndsWithConnection() {
