forward: long error answers and unsigned ones are no answers

Callers would see: bytes of a failing endpoint, with its 500 or 404, until their time is over, although another endpoint would answer; and 1.6 s of waiting (504 for a request that may run once) for an unsigned answer that comes slowly. An answer of over 256 KB was passed on whatever its status, and the signature of a good one was checked only once its body had been read.

Change: a good answer without a signature fails before its body is read; an unsigned one with another status fails if it exceeds 256 KB; so does a server error, which is kept as the last resort only if it is whole. Signed answers of any length are passed on as before. Answers without a length, and errors, count against the memory for bodies, which only answers with a length did; with that memory full, what has come is passed on as before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -277,30 +277,47 @@
 func (p *proxyRequest) readPlain(parent context.Context, a *answer) bool {
 	resp := a.exchange.Response
 	good := resp.StatusCode < http.StatusMultipleChoices
-	limit := maxBufferedBytes
-	if good && resp.ContentLength > maxUnreservedBytes && !p.reserveMemory(min(resp.ContentLength, maxBufferedBytes)) {
-		limit = maxUnreservedBytes // no memory to buffer it: pass it on as it arrives
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
-	if err == nil && good && (!a.head.Signed || a.head.Reencoded) {
+	var err error
+	if good && (!a.head.Signed || a.head.Reencoded) {
 		err = Error.New("the response is unsigned or was re-encoded on the way")
+	} else {
+		a.body, a.long, err = p.readBeginning(resp.Body)
+	}
+	if err == nil && len(a.body) > maxBufferedBytes && !a.head.Signed {
+		err = Error.New("an unsigned response exceeds %d bytes", maxBufferedBytes)
 	}
 	if err != nil {
 		a.exchange.Close(false)
 		p.sendFailed(parent, a.reservation, err)
 		return false
 	}
-	a.body, a.long = body, len(body) > limit
-	if resp.StatusCode >= http.StatusInternalServerError && !a.long {
-		a.exchange.Close(true)
+	if resp.StatusCode >= http.StatusInternalServerError {
+		a.exchange.Close(!a.long)
 		p.failure = "endpoint_status"
-		p.fallback = &bufferedResponse{status: resp.StatusCode, header: p.Codec.CallerHeader(resp.Header), body: body}
+		if !a.long {
+			p.fallback = &bufferedResponse{status: resp.StatusCode, header: p.Codec.CallerHeader(resp.Header), body: a.body}
+		}
 		p.endpointFailed(a.reservation, balance.Failed, nil)
 		return false
 	}
 	return true
 }
 
+// readBeginning reads a body to its end, or more than maxBufferedBytes of it, or as much as there is memory for. It
+// reports whether there may be more.
+func (p *proxyRequest) readBeginning(r io.Reader) (body []byte, more bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(r, maxUnreservedBytes))
+	if err != nil || len(body) < maxUnreservedBytes {
+		return body, false, err
+	}
+	rest, err := io.ReadAll(memoryReader{io.LimitReader(r, maxBufferedBytes-maxUnreservedBytes+1), p})
+	body = append(body, rest...)
+	if errors.Is(err, errMemoryFull) {
+		return body, true, nil
+	}
+	return body, len(body) > maxBufferedBytes, err
+}
+
 // deliver passes the response in p.answer on to the caller. It returns true if the caller has been answered or
 // has disconnected, and false if the request is to be sent again.
 func (p *proxyRequest) deliver(ctx context.Context) (done bool) {
--- a/internal/forward/memory_test.go
+++ b/internal/forward/memory_test.go
@@ -53,3 +53,37 @@
 		})
 	}
 }
+
+// Guards against answers without a length that are held in memory and count nowhere: many endpoints may send long
+// ones at once. What there is no memory for is left in the connection.
+func TestAnswersCountAgainstMemory(t *testing.T) {
+	tests := []struct {
+		name           string
+		length, memory int
+		read           int // bytes; at least, with more
+		more           bool
+	}{
+		{"short", 100, 1 << 20, 100, false},
+		{"within the bound", maxBufferedBytes, 1 << 20, maxBufferedBytes, false},
+		{"beyond the bound", 2 * maxBufferedBytes, 1 << 20, maxBufferedBytes + 1, true},
+		{"short without memory", 100, 0, 100, false},
+		{"long without memory", 2 * maxBufferedBytes, 0, maxUnreservedBytes, true},
+		{"long with little memory", 2 * maxBufferedBytes, 50_000, 40_000, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			g := newEngineRequest(t)
+			g.BodyMemory = int64(test.memory)
+			p := &proxyRequest{Forwarder: g.Forwarder}
+			body, more, err := p.readBeginning(bytes.NewReader(make([]byte, test.length)))
+			c.Assert(err, qt.IsNil)
+			c.Check(more, qt.Equals, test.more)
+			c.Check(len(body) >= test.read, qt.IsTrue, qt.Commentf("%d bytes", len(body)))
+			c.Check(len(body) <= min(test.length, max(2*test.memory, maxUnreservedBytes+4096)), qt.IsTrue, qt.Commentf("%d bytes", len(body)))
+			c.Check(g.bodyBytes.Load() <= int64(test.memory), qt.IsTrue)
+			p.releaseMemory()
+			c.Check(g.bodyBytes.Load(), qt.Equals, int64(0))
+		})
+	}
+}
