forward: an answer to a prefill ends within its bound

Callers would see: a prefill that an engine rejects delays its request until the prefill times out (1.1 s measured) if the body of the rejection does not end. A body that names a handle and goes on counted as whole after 4 KB: the prefill succeeded and the connection was kept with the rest of the body in it.

Change: the status is looked at before the body, which is discarded if the engine did not run the prefill. A body of over 4 KB is an error and ends the connection.

--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -363,7 +363,14 @@
 		return "", head, err
 	}
 	p.logTunnel(x, e)
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxHandleBytes))
+	if x.Response.StatusCode != http.StatusOK || head.NotRun {
+		x.Discard()
+		return "", head, Error.New("the prefill engine responded %s", x.Response.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(x.Response.Body, maxHandleBytes+1))
+	if err == nil && len(body) > maxHandleBytes {
+		err = Error.New("the answer to a prefill exceeds %d bytes", maxHandleBytes)
+	}
 	if err != nil {
 		x.Close(false)
 		if x.Peer() != "" {
@@ -372,9 +379,6 @@
 		return "", head, Error.Wrap(err)
 	}
 	x.Close(true)
-	if x.Response.StatusCode != http.StatusOK || head.NotRun {
-		return "", head, Error.New("the prefill engine responded %s", x.Response.Status)
-	}
 	id, err := p.Codec.ReadHandle(body)
 	return id, head, err
 }
