dialer, platform: heads of answers to calls to endpoints are bounded

Callers would see: an instance that runs out of memory while several engines send heads without end in answer to calls for their load or to orders. net/http bounds a head by 10 MB unless told otherwise.

Change: these clients allow the same 32 KB for a head and the interim responses before it as requests do. Bodies were bounded or not read.

TestEndlessReports failed before in two rows of four: 10.7 MB of a head or of interim responses were read, by both calls.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -152,7 +152,9 @@
 		p, err := d.Connect(ctx, uplink.Message{Address: address, EndpointID: endpoint})
 		return p.Conn, err
 	}
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial}}
+	return &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true, DialContext: dial, MaxResponseHeaderBytes: uplink.MaxHeadBytes,
+	}}
 }
 
 // Bypassed reports whether an endpoint is to be reached through a peer.
--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -165,13 +165,13 @@
 		if err != nil {
 			return err
 		}
-		if left -= maxHeadBytes + int(n); left <= 0 {
+		if left -= MaxHeadBytes + int(n); left <= 0 {
 			return errManySkipped
 		}
 	}
 }
 
-// maxSkippedBytes bounds the responses to other requests that are skipped. Each of them counts with maxHeadBytes and
+// maxSkippedBytes bounds the responses to other requests that are skipped. Each of them counts with MaxHeadBytes and
 // its body.
 const maxSkippedBytes = 1 << 20
 
--- a/internal/uplink/head.go
+++ b/internal/uplink/head.go
@@ -2,12 +2,12 @@
 
 import "io"
 
-// maxHeadBytes bounds the head of a response together with the interim responses before it. Parsed, a head
+// MaxHeadBytes bounds the head of a response together with the interim responses before it. Parsed, a head
 // of short lines takes about ten times the memory.
-const maxHeadBytes = 32 << 10
+const MaxHeadBytes = 32 << 10
 
-// errLongHead is the error of a head that exceeds maxHeadBytes.
-var errLongHead = Error.New("the head of a response exceeds %d bytes", maxHeadBytes)
+// errLongHead is the error of a head that exceeds MaxHeadBytes.
+var errLongHead = Error.New("the head of a response exceeds %d bytes", MaxHeadBytes)
 
 // headReader reads from a connection and bounds what is read for a head. A buffered reader on top of it reads
 // ahead, so the bound includes up to readBufferSize bytes of the body.
@@ -18,7 +18,7 @@
 }
 
 // begin is called before a head is read, and end after it.
-func (h *headReader) begin() { h.inHead, h.left = true, maxHeadBytes }
+func (h *headReader) begin() { h.inHead, h.left = true, MaxHeadBytes }
 
 func (h *headReader) end() { h.inHead = false }
 
