peer: the memory for a frame grows as its bytes arrive

Callers would see: an instance that is ended for its memory. A frame's length, up to 4 MB, was allocated as soon as its four bytes had come, on each stream that a peer opened, also if nothing followed.

Change: 16 KB are allocated at first, and more as bytes arrive.

TestFrameMemory failed before: 4.2 MB for each length without a frame. TestFrameBounds passed before.

--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"encoding/binary"
 	"io"
 
@@ -75,6 +76,9 @@
 	return n, Error.Wrap(err)
 }
 
+// maxEagerBytes bounds the memory that is taken for a value before its bytes have arrived.
+const maxEagerBytes = 16 << 10
+
 // readValue reads what writeValue wrote into v, and no byte beyond it.
 func readValue(r io.Reader, limit uint32, v any) error {
 	var head [4]byte
@@ -85,9 +89,10 @@
 	if size > limit {
 		return Error.New("%d bytes are over the limit of %d", size, limit)
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(r, body); err != nil {
+	var body bytes.Buffer
+	body.Grow(int(min(size, maxEagerBytes)) + bytes.MinRead)
+	if _, err := io.CopyN(&body, r, int64(size)); err != nil {
 		return Error.Wrap(err)
 	}
-	return Error.Wrap(cbor.Unmarshal(body, v))
+	return Error.Wrap(cbor.Unmarshal(body.Bytes(), v))
 }
