uplink: test of the memory that endless heads take

TestMemoryOfEndlessHeads bounds what 50 endpoints that send heads without end make an instance allocate.

--- a/internal/uplink/endless_test.go
+++ b/internal/uplink/endless_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -248,3 +250,34 @@
 		}
 	}
 }
+
+// Guards against heads that take far more memory than they have bytes: 50 endpoints that send such ones at once are
+// to take less than 75 MB.
+func TestMemoryOfEndlessHeads(t *testing.T) {
+	const endpoints, mostBytes = 50, 1500 << 10 // bytes per endpoint
+	var different strings.Builder
+	for n := range int64(20_000) {
+		different.WriteString(strconv.FormatInt(n, 36) + ":\r\n")
+	}
+	tests := []struct{ name, begin, repeat string }{
+		{"equal lines", ownHead, "A:\r\n"},
+		{"different lines", ownHead + different.String(), "x"},
+		{"long line", ownHead + "A:", "x"},
+		{"interim responses", "", "HTTP/1.1 102 A\r\nA:\r\n\r\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			for range endpoints {
+				e := &floodingEndpoint{begin: test.begin, repeat: test.repeat}
+				_, err := do(t.Context(), e.pool(t))
+				c.Assert(err, qt.ErrorIs, uplink.ErrNoResponse)
+			}
+			runtime.ReadMemStats(&after)
+			each := (after.TotalAlloc - before.TotalAlloc) / endpoints
+			c.Check(each <= mostBytes, qt.IsTrue, qt.Commentf("%d bytes", each))
+		})
+	}
+}
