--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 # these; new inputs are drawn by hand, as their verdict would vary.
 .PHONY: fuzz
 fuzz:
-	for target in FuzzEntry FuzzDocument FuzzReport FuzzPromptParts; do \
+	for target in FuzzEntry FuzzDocument FuzzReport FuzzPromptParts FuzzAnswer; do \
 	  go test ./platform -run '^$$' -fuzz "^$$target$$" -fuzztime 20s -parallel 2 || exit 1; done
 
 # Real processes under faults; bounds on time are not checked, so that the
