peer: a stream that is no longer read is canceled

Callers would see: nothing of what one instance tells another any more, such as places at engines and changes, until one of them ends. A frame that a receiver does not accept, here one of over 4 MB, ended its reading without telling the sender, whose next write waited for the stream's window for good; keep-alives kept the connection open.

Change: the receiver cancels the stream, so that the sender's write fails, and it connects again for the next message. What was queued is lost, as with its connection.

TestMessagesAfterTooLongOne failed before: no message arrived within 10 s.

--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -360,6 +360,7 @@
 	for {
 		f, err := readFrame(s)
 		if err != nil {
+			s.CancelRead(0) // the peer's next write fails, and it begins another stream
 			return
 		}
 		if !address.IsValid() {
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/tls"
 	"fmt"
 	"net"
@@ -126,6 +127,36 @@
 	c.Assert(peer.Send(a, netip.MustParseAddrPort("127.0.0.1:1"), "note", note{1}), qt.ErrorMatches, ".*closed.*")
 }
 
+// Guards against a frame that the receiver does not accept and that ends all messages on its connection: the
+// receiver read no more of the stream, and the sender waited for it.
+func TestMessagesAfterTooLongOne(t *testing.T) {
+	c := qt.New(t)
+	dir := t.TempDir()
+	authority, err := cert.NewAuthority(dir)
+	c.Assert(err, qt.IsNil)
+	received := make(chan int, 1)
+	a := open(t, "a", certificates(t, dir, "a", authority), handleNothing)
+	defer a.close()
+	b := open(t, "b", certificates(t, dir, "b", authority), func(n *node) {
+		peer.Handle(n.router, n.Transport, "note", func(_ peer.Sender, v note) { received <- v.Number })
+	})
+	defer b.close()
+	long := make([]byte, 8<<20)
+	_, _ = rand.Read(long) // not to be compressed
+	c.Assert(peer.Send(a.Transport, b.Address(), "note", long), qt.IsNil)
+	stop := time.After(10 * time.Second)
+	for number := 1; ; number++ {
+		c.Assert(peer.Send(a.Transport, b.Address(), "note", note{number}), qt.IsNil)
+		select {
+		case <-received:
+			return
+		case <-stop:
+			t.Fatal("no message arrived")
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
 // Long, repetitive messages are compressed, and arrive unchanged at each receiver of
 // SendAll.
 func TestLongMessages(t *testing.T) {
