--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -148,15 +148,11 @@
 // receive reads responses until accept takes one.
 func (e *Exchange) receive(method string, accept func(*http.Response) bool) error {
 	request := &http.Request{Method: method}
-	for {
-		resp, err := http.ReadResponse(e.conn.reader, request) //nolint:bodyclose // Exchange.Close closes the connection, or reuses it once the body was read
+	for left := maxSkippedBytes; ; {
+		resp, err := e.readHead(request) //nolint:bodyclose // Exchange.Close closes the connection, or reuses it once the body was read
 		if err != nil {
 			return err
 		}
-		e.pool.OnResponse(e.conn.key.endpointID, resp)
-		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
-			continue
-		}
 		if accept(resp) {
 			e.Response = resp
 			return nil
@@ -165,9 +161,36 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return errors.New("a response to another request has no length")
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, int64(left)))
+		if err != nil {
 			return err
 		}
+		if left -= MaxHeadBytes + int(n); left <= 0 {
+			return errManySkipped
+		}
+	}
+}
+
+// maxSkippedBytes bounds the responses to other requests that are skipped. Each of them counts with MaxHeadBytes and
+// its body.
+const maxSkippedBytes = 1 << 20
+
+// errManySkipped is the error of a request in front of whose response more than maxSkippedBytes came.
+var errManySkipped = Error.New("responses to other requests exceed %d bytes", maxSkippedBytes)
+
+// readHead reads interim responses and then the head of a final one.
+func (e *Exchange) readHead(request *http.Request) (*http.Response, error) {
+	e.conn.head.begin()
+	defer e.conn.head.end()
+	for {
+		resp, err := http.ReadResponse(e.conn.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		e.pool.OnResponse(e.conn.key.endpointID, resp)
+		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
+		}
 	}
 }
 
@@ -206,6 +229,24 @@
 	e.pool.put(e.conn)
 }
 
+const (
+	// maxDiscardedBytes and discardTimeout bound the rest of a body that is read only for the sake of its connection.
+	maxDiscardedBytes = 16 << 10
+	discardTimeout    = 50 * time.Millisecond
+)
+
+// Discard ends an exchange whose body is of no use. The connection is reused as by Close if the rest of the body is
+// short and arrives at once.
+func (e *Exchange) Discard() { e.Close(e.discardBody()) }
+
+func (e *Exchange) discardBody() bool {
+	if e.EndsWithConnection() || e.conn.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(e.Response.Body, maxDiscardedBytes+1))
+	return err == nil && n <= maxDiscardedBytes && e.conn.SetReadDeadline(time.Time{}) == nil
+}
+
 func (e *Exchange) reusable() bool {
 	r := e.Response
 	if r == nil || r.Close || e.EndsWithConnection() {
