node: requests in progress are answered at the end of the drain timeout

Callers of trailshed serve saw: whoever waited for an answer when the drain timeout was over got the end of the connection; a request that only waited for a place, or whose body was still being read, did not hear that it had not run. Cause: the timeout ended the wait for requests, not the requests; the transport was closed and the process exited under them.

Change: half a second before the end of the drain timeout the contexts of all requests end with a cause of their own (entry.ErrLeaving). Requests that reached no endpoint are refused as not run, others fail as they may have run or broke off; the reason is "leaving", no endpoint is judged by them and there is no retry. A body that is being read is ended by the read deadline.

--- a/internal/caller/api.go
+++ b/internal/caller/api.go
@@ -3,12 +3,14 @@
 package caller
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
@@ -80,11 +82,18 @@
 	if !ok || req.Workspace == "" {
 		return req, nil, newProblem(http.StatusUnauthorized, "unknown_key", "Authorization", "A known bearer key must be given.")
 	}
+	stop := context.AfterFunc(r.Context(), func() {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)) // fails on a closed connection; the read reports that
+	})
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(a.settings.BodyLimit)))
+	stop()
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return req, nil, newProblem(http.StatusRequestEntityTooLarge, "body_too_large", "body", "The body is over the limit.")
 	}
+	if errors.Is(context.Cause(r.Context()), entry.ErrLeaving) {
+		return req, nil, outcomeProblem(entry.LeavingOutcome())
+	}
 	if err != nil {
 		return req, nil, newProblem(http.StatusBadRequest, "body_unreadable", "body", "The body did not arrive whole.")
 	}
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -66,7 +66,7 @@
 			return a, outcome
 		}
 		e.endAttempt(a)
-		if outcome.Result == CallerGone || outcome.Reason == cell.ReasonRetryBudget {
+		if ctx.Err() != nil || outcome.Reason == cell.ReasonRetryBudget {
 			return nil, outcome
 		}
 		last = outcome
@@ -132,6 +132,9 @@
 			}
 		case <-ctx.Done():
 			e.reportProgress(a, cell.Progress{Phase: cell.Withdrawn})
+			if isLeaving(ctx) {
+				return LeavingOutcome()
+			}
 			return Outcome{Result: CallerGone}
 		case <-timer.C:
 			e.reportProgress(a, cell.Progress{Phase: cell.Withdrawn})
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -47,6 +47,9 @@
 	return Outcome{Result: RefusedNotRun, Reason: reason, RetryAfter: max(after, defaultRetryAfter/5)}
 }
 
+// LeavingOutcome returns the outcome of a request that did not run before this process exits.
+func LeavingOutcome() Outcome { return refused(reasonLeaving, defaultRetryAfter) }
+
 // keyTaken returns the outcome of a request whose key is claimed by an earlier request.
 // This request did not run; the earlier one may have run.
 func keyTaken(c claim.Claim, digest uint64) Outcome {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -28,6 +28,9 @@
 	prefillTimeout   = 20 * time.Second
 )
 
+// ErrLeaving is the cause with which the context of a request ends if this process is about to exit.
+var ErrLeaving = errors.New("this process is about to exit")
+
 var (
 	errFenced  = errors.New("attempt is no longer owned by this entry")
 	errStalled = errors.New("timed out waiting for a token")
@@ -68,6 +71,9 @@
 		return e.recordOutcome(r, refused(reasonHeld, heldRetryAfter))
 	}
 	o := e.runWithRetries(ctx, r, run)
+	if isLeaving(ctx) && o.Result != Answered && o.EarlierClaim == nil {
+		o.Reason, o.RetryAfter = reasonLeaving, defaultRetryAfter
+	}
 	e.abandonIfNotRun(r, o)
 	return e.recordOutcome(r, o)
 }
@@ -172,7 +178,7 @@
 // evaluateFailure returns the outcome for an attempt's error and whether another attempt
 // is allowed.
 func (e *Entry) evaluateFailure(ctx context.Context, r *request, a *attempt, err error) (o Outcome, retry bool) {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !isLeaving(ctx) {
 		return Outcome{Result: CallerGone}, false
 	}
 	var claimErr claimError
@@ -189,9 +195,12 @@
 		o.Reason = reasonFenced
 	}
 	retry = r.repeatable() || o.Result == RefusedNotRun
-	return o, retry && r.remaining() > 0
+	return o, retry && r.remaining() > 0 && !isLeaving(ctx)
 }
 
+// isLeaving reports whether a request's context has ended because this process is about to exit.
+func isLeaving(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrLeaving) }
+
 // abandonIfNotRun releases the claim of a request that certainly did not run.
 func (e *Entry) abandonIfNotRun(r *request, o Outcome) {
 	if r.claimed && o.Result == RefusedNotRun {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,10 @@
 
 const reconcileInterval = 100 * time.Millisecond
 
+// lastAnswersTime is the part of the drain timeout in which the requests that are still running are
+// ended and their answers are written.
+const lastAnswersTime = 500 * time.Millisecond
+
 // leavingTimeout is how long an endpoint counts as leaving after its last response that
 // said so. The endpoint ends within that time. The entry has to expire because a new
 // process at the same address cannot be distinguished from the endpoint here.
@@ -196,14 +200,19 @@
 	group.Go(func() { n.loadConfiguration(serving) })
 	group.Go(func() { n.changes.Watch(serving, n.settings.Platform.Watch, n.isWatcher) })
 
-	callerServer := &http.Server{Handler: n.api.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	requests, endRequests := context.WithCancelCause(context.Background())
+	defer endRequests(nil)
+	callerServer := &http.Server{
+		Handler: n.api.Handler(), ReadHeaderTimeout: 5 * time.Second,
+		BaseContext: func(net.Listener) context.Context { return requests },
+	}
 	adminServer := &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: 5 * time.Second}
 	group.Go(func() { serve(callerServer, callers, n.log) })
 	group.Go(func() { serve(adminServer, admin, n.log) })
 	n.log.Info().Str("callers", n.settings.Callers.Listen).Str("peers", n.settings.Peers.Listen).Msg("serving")
 
 	<-ctx.Done()
-	n.leave(callerServer)
+	n.leave(callerServer, func() { endRequests(entry.ErrLeaving) })
 	_ = adminServer.Close()
 	stop()
 	_ = n.transport.Close()
@@ -223,8 +232,9 @@
 }
 
 // leave announces that this process leaves, which hands over its roles, and waits for
-// running requests until the drain timeout.
-func (n *Node) leave(callers *http.Server) {
+// running requests until the drain timeout. Those that are still running shortly before it are
+// ended with endRequests, so that they are answered.
+func (n *Node) leave(callers *http.Server, endRequests func()) {
 	n.log.Info().Msg("leaving")
 	n.leaving.Store(true)
 	n.dialer.Tunnels.Refuse()
@@ -236,8 +246,15 @@
 	time.Sleep(n.settings.Callers.LeaveDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Callers.DrainTimeout)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		n.log.Warn().Int("attempts", n.entry.AttemptCount()).Msg("drain timeout expired with requests running")
+	running, stopWaiting := context.WithTimeout(ctx, n.settings.Callers.DrainTimeout-lastAnswersTime)
+	defer stopWaiting()
+	if err := callers.Shutdown(running); err != nil {
+		n.log.Warn().Int("attempts", n.entry.AttemptCount()).Msg("drain timeout expires with requests running, which are ended")
+		endRequests()
+		if err := callers.Shutdown(ctx); err != nil {
+			n.log.Warn().Msg("drain timeout expired before all answers were written")
+			_ = callers.Close()
+		}
 	}
 	n.dialer.Tunnels.Drain(ctx)
 }
