broker: a planner that stops hands its queue over

Callers saw: a request for a place that was queued at a planner heard nothing after the planner's exit; it waited until its time for the queue was over and was then refused with planner_moved, while other planners had places. Cause: from the beginning of a planner's stop new requests went to its successor, but what was queued stayed, and ended with the process.

Change: a planner that is stopping refuses what is queued with planner_moved, at its next tick (10 ms while anything is queued), if another instance of its zone may plan. Whoever waits asks the next planner for the time that is left. Without a successor the planner goes on deciding until its exit.

TestLeavingPlannerHandsQueueOver failed before (no place after 8 s) and passes; the tests of broker ran 5 times, those of placement once, without a failure.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -92,6 +92,8 @@
 	// Exhausted returns the engines of this instance's zone that may get no more requests now,
 	// and the time until the first of them may again.
 	Exhausted func() (engines []string, next time.Duration)
+	// Leaving reports whether this instance is stopping.
+	Leaving func() bool
 	// OnRequest is called with each request for a place that reaches this instance's planner.
 	OnRequest func(req placement.Request)
 }
@@ -188,12 +190,12 @@
 		if b.isBackingOff(i) || silent == maxSilentPlanners && i.Name != b.Name {
 			continue
 		}
-		if i.Name == b.Name {
-			return b.findLocal(ctx, req)
-		}
-		d, answered := b.askPlanner(ctx, i, req)
+		asked := b.Now()
+		d, answered := b.ask(ctx, i, req)
 		if answered {
-			b.markAlive(i)
+			if req.MayQueue && handedOver(d) && shorten(&req, b.Now().Sub(asked)) {
+				continue
+			}
 			return b.placeOrRefusal(i, zone, req, d)
 		}
 		if ctx.Err() != nil {
@@ -211,16 +213,32 @@
 }
 
 func (b *Broker) findLocal(ctx context.Context, req placement.Request) (*Place, *placement.Refusal) {
+	return b.placeOrRefusal(roster.Instance{Name: b.Name}, b.Zone, req, b.askLocal(ctx, req))
+}
+
+// ask asks a planner, which may be that of this instance. It returns false if the planner did not answer in time.
+func (b *Broker) ask(ctx context.Context, i roster.Instance, req placement.Request) (placement.Decision, bool) {
+	if i.Name == b.Name {
+		return b.askLocal(ctx, req), true
+	}
+	d, answered := b.askPlanner(ctx, i, req)
+	if answered {
+		b.markAlive(i)
+	}
+	return d, answered
+}
+
+func (b *Broker) askLocal(ctx context.Context, req placement.Request) placement.Decision {
 	waiting := b.addWaiter(req.ID)
 	defer b.removeWaiter(req.ID)
 	d := b.decide(req)
 	if d.Queued {
 		d = b.awaitDecision(ctx, waiting, req)
 	}
-	return b.placeOrRefusal(roster.Instance{Name: b.Name}, b.Zone, req, d)
+	return d
 }
 
-// askPlanner asks one planner. It returns false if the planner did not answer in time.
+// askPlanner asks the planner of another instance. It returns false if the planner did not answer in time.
 func (b *Broker) askPlanner(ctx context.Context, i roster.Instance, req placement.Request) (placement.Decision, bool) {
 	waiting := b.addWaiter(req.ID)
 	defer b.removeWaiter(req.ID)
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -29,6 +29,8 @@
 	*Broker
 	self roster.Instance
 	now  atomic.Int64 // ms; advanced only by the test
+
+	leaving atomic.Bool
 }
 
 func startNode(t *testing.T, name, zone string) *node {
@@ -41,7 +43,7 @@
 	now := func() clock.Millis { return clock.Millis(n.now.Load()) }
 	b := New(Options{
 		Name: name, Zone: zone, Transport: transport, Roster: roster.New(now), Directory: engines(c, zone), Log: log,
-		Scope: tally.NoopScope, Now: now, Paces: pace.New(pace.ConservativePrior()), OnRequest: func(placement.Request) {}, Exhausted: func() ([]string, time.Duration) { return nil, 0 },
+		Scope: tally.NoopScope, Now: now, Leaving: n.leaving.Load, Paces: pace.New(pace.ConservativePrior()), OnRequest: func(placement.Request) {}, Exhausted: func() ([]string, time.Duration) { return nil, 0 },
 		FetchLoad: func(_ context.Context, e directory.Endpoint) (placement.LoadReport, error) {
 			loadRequests <- e.ID
 			return placement.LoadReport{Engine: e.ID, Running: 1, UsedTokens: 60_000}, nil
@@ -91,6 +93,52 @@
 	c.Assert((<-found).Decode, qt.Equals, "da")
 }
 
+// A request that was queued at a planner whose process ended heard nothing until its time was over.
+func TestLeavingPlannerHandsQueueOver(t *testing.T) {
+	tests := []struct {
+		name      string
+		askerZone string
+		successor bool // the asking instance may plan for the zone
+	}{
+		{"the next planner takes over", "a", true},
+		{"there is no other planner in the zone", "b", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			planner, asker := startNode(t, "n1", "a"), startNode(t, "n2", test.askerZone)
+			for _, n := range []*node{planner, asker} {
+				n.Roster.Update(planner.self)
+				n.Roster.Update(asker.self)
+			}
+			if planner.Roster.Ranked("a", rolePlanner)[0].Name == asker.Name {
+				planner, asker = asker, planner
+			}
+			req := placement.Request{ID: "first", Service: "llm", Prompt: 5000, ExpectedTokens: 100, Budget: 8 * time.Second}
+			first, refusal := planner.findLocal(context.Background(), req)
+			c.Assert(refusal, qt.IsNil)
+			found := make(chan *Place, 1)
+			go func() {
+				second := req
+				second.ID, second.Owner, second.MayQueue = "second", asker.Name, true
+				place, _ := asker.findInZone(context.Background(), "a", second)
+				found <- place
+			}()
+			for len(found) == 0 && planner.queued() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			planner.leaving.Store(true)
+			planner.tick()
+			if !test.successor {
+				planner.Release(first, "", "", nil)
+			}
+			place := <-found
+			c.Assert(place, qt.Not(qt.IsNil))
+			c.Assert(place.planner.Name == asker.Name, qt.Equals, test.successor)
+		})
+	}
+}
+
 func (n *node) queued() int {
 	n.plannerMu.Lock()
 	defer n.plannerMu.Unlock()
--- a/internal/broker/decision.go
+++ b/internal/broker/decision.go
@@ -22,6 +22,18 @@
 	return placement.Decision{}
 }
 
+// handedOver reports whether the request has to be sent to the next planner.
+func handedOver(d placement.Decision) bool {
+	return d.Refusal != nil && d.Refusal.Reason == placement.ReasonMoved
+}
+
+// shorten reduces the time for which a request may be queued, and reports whether any is left.
+func shorten(req *placement.Request, waited time.Duration) bool {
+	left := max(req.Budget, req.QueueTime) > waited
+	req.Budget, req.QueueTime = max(req.Budget-waited, 0), max(req.QueueTime-waited, 0)
+	return left
+}
+
 // placeOrRefusal converts a planner's decision into a place or a refusal.
 func (b *Broker) placeOrRefusal(i roster.Instance, zone string, req placement.Request, d placement.Decision) (*Place, *placement.Refusal) {
 	switch {
--- a/internal/broker/planner.go
+++ b/internal/broker/planner.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/trailshed/trailshed/internal/placement"
+	"github.com/trailshed/trailshed/internal/roster"
 )
 
 // tick advances the time of the local planner and reports whether requests are waiting. A
@@ -19,11 +21,21 @@
 		return false
 	}
 	b.handleEvent(placement.Tick{})
+	if b.Leaving() && b.hasSuccessor() {
+		b.handleEvent(placement.HandOver{})
+	}
 	b.plannerMu.Lock()
 	defer b.plannerMu.Unlock()
 	return b.planner.Queued() > 0
 }
 
+// hasSuccessor reports whether another instance can be the planner of this zone.
+func (b *Broker) hasSuccessor() bool {
+	return slices.ContainsFunc(b.Roster.Ranked(b.Zone, rolePlanner), func(i roster.Instance) bool {
+		return i.Name != b.Name && !i.Leaving && !b.isBackingOff(i)
+	})
+}
+
 // ReportStageChange reports to the planners of a zone that an engine accepts nothing until its
 // stage has changed.
 func (b *Broker) ReportStageChange(zone, engine string) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -208,7 +208,7 @@
 	})
 	g.broker = broker.New(broker.Options{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, Transport: g.transport, Roster: g.roster,
-		Directory: g.directory, Log: g.log, Scope: scope, Now: g.now, FetchLoad: g.fetchLoad, Paces: g.paces, Regions: s.Zones, Exhausted: g.throttle.Exhausted,
+		Directory: g.directory, Log: g.log, Scope: scope, Now: g.now, FetchLoad: g.fetchLoad, Paces: g.paces, Regions: s.Zones, Exhausted: g.throttle.Exhausted, Leaving: g.leaving.Load,
 		OnRequest: func(a placement.Request) {
 			g.staging.AddRequest(a.Service, a.Prompt, g.paces.AnswerLength(a.Service, a.Route, a.ExpectedTokens, a.MaxTokens).Mean)
 		},
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -71,7 +71,7 @@
 )
 
 // Event is an input of a planner: [Request], [Progress], [LoadReport], [Release],
-// [StageChange], [Announcement], [ViewUpdate] or [Tick].
+// [StageChange], [Announcement], [ViewUpdate], [HandOver] or [Tick].
 type Event interface{ event() }
 
 // ViewUpdate carries the current endpoints of the zone.
@@ -80,6 +80,9 @@
 // Tick lets the planner expire allocations and queued requests.
 type Tick struct{}
 
+// HandOver makes the planner refuse all queued requests, so that the next planner is asked.
+type HandOver struct{}
+
 func (Request) event()      {}
 func (Progress) event()     {}
 func (LoadReport) event()   {}
@@ -87,6 +90,7 @@
 func (StageChange) event()  {}
 func (Announcement) event() {}
 func (ViewUpdate) event()   {}
+func (HandOver) event()     {}
 func (Tick) event()         {}
 
 // Answer is an effect of Apply: a decision to send to one gateway.
@@ -157,6 +161,8 @@
 		p.handleAnnouncement(now, e)
 	case ViewUpdate:
 		p.updateEngines(now, e.View)
+	case HandOver:
+		p.handOver()
 	case Tick:
 		p.expire(now)
 		p.refreshSlowness(now)
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -78,6 +78,14 @@
 	p.refuseExpired(now)
 }
 
+// handOver refuses the queued requests.
+func (p *Planner) handOver() {
+	for _, q := range p.queue {
+		p.refuse(q.req, ReasonMoved, minRetryAfter)
+	}
+	p.queue = nil
+}
+
 // refuseExpired refuses the queued requests that have waited too long.
 func (p *Planner) refuseExpired(now clock.Millis) {
 	kept := p.queue[:0]
