tunnel: what an instance carries at its exit is broken off

Callers saw: a request whose connection to the endpoint was carried by another instance went silent when that instance exited; the peer noticed its end only when the connection between the two timed out, after 6 s. Cause: Drain returned at the end of its time and the process exited; nothing told the peers, and the endpoint's side was not closed either.

Change: at its end Drain resets the streams that are left and waits 30 ms until this is sent. The peer sees a reset through a peer, by which it judges no endpoint. The time lies within what a stop reserves for its exit (250 ms). Counter tunnels_broken_off.

TestDrainBreaksOffAtItsEnd failed before (no end within its time) and passes; the tests of tunnel ran 5 times without a failure.

--- a/internal/tunnel/serve.go
+++ b/internal/tunnel/serve.go
@@ -42,7 +42,9 @@
 		t.logServed(from, r.Destination, answer.Outcome, t.Now().Sub(started), errors.Join(err, wrote))
 		return
 	}
+	t.setServed(s, true)
 	err = carry(s, lent)
+	t.setServed(s, false)
 	t.logServed(from, r.Destination, answer.Outcome, t.Now().Sub(started), err)
 }
 
--- a/internal/tunnel/tunnels.go
+++ b/internal/tunnel/tunnels.go
@@ -71,6 +71,7 @@
 	silences map[string]int           // consecutive times that a peer did not answer, by name
 	working  map[string]string        // peer through which the last connection was opened, by service
 	workedAt map[subject]clock.Millis // when a peer last opened a connection to a service
+	served   map[*peer.Stream]bool    // streams of the connections that are carried
 }
 
 // New returns Tunnels that serve peers from now on.
@@ -78,7 +79,7 @@
 	if o.Overloaded == nil {
 		o.Overloaded = func() bool { return false }
 	}
-	t := &Tunnels{Options: o, backoffs: map[subject]clock.Millis{}, silences: map[string]int{}, working: map[string]string{}, workedAt: map[subject]clock.Millis{}}
+	t := &Tunnels{Options: o, backoffs: map[subject]clock.Millis{}, silences: map[string]int{}, working: map[string]string{}, workedAt: map[subject]clock.Millis{}, served: map[*peer.Stream]bool{}}
 	o.Transport.HandleStreams(t.serve)
 	return t
 }
@@ -92,11 +93,36 @@
 // Refuse makes this instance carry no further connections.
 func (t *Tunnels) Refuse() { t.leaving.Store(true) }
 
-// Drain waits until the connections that this instance carries have ended, or ctx ends.
+// breakOffTime is how long Drain waits until peers have been told of the connections that it breaks off.
+const breakOffTime = 30 * time.Millisecond
+
+// Drain waits until the connections that this instance carries have ended, or ctx ends. Those that are left are broken
+// off: their peers would not notice the end of this process before the connection to it times out.
 func (t *Tunnels) Drain(ctx context.Context) {
 	for t.carried.Load() > 0 && ctx.Err() == nil {
 		ticker.Sleep(ctx, drainInterval)
 	}
+	t.mu.Lock()
+	left := len(t.served)
+	for s := range t.served {
+		s.Abort()
+	}
+	t.mu.Unlock()
+	if left > 0 {
+		t.Scope.Counter("tunnels_broken_off").Inc(int64(left))
+		time.Sleep(breakOffTime)
+	}
+}
+
+// setServed records that the connection of a stream is carried, or that it is not any more.
+func (t *Tunnels) setServed(s *peer.Stream, carried bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if carried {
+		t.served[s] = true
+	} else {
+		delete(t.served, s)
+	}
 }
 
 const (
--- a/internal/tunnel/tunnels_test.go
+++ b/internal/tunnel/tunnels_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"sync/atomic"
 	"testing"
@@ -372,6 +373,37 @@
 	c.Assert(err, qt.IsNotNil)
 }
 
+// What an instance carried at its exit looked as if the endpoint were silent, until the peer noticed that the instance
+// was gone.
+func TestDrainBreaksOffAtItsEnd(t *testing.T) {
+	tests := []struct {
+		name    string
+		timeout time.Duration
+	}{
+		{"some time is left", 200 * time.Millisecond},
+		{"no time is left", 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			f, e := newFleet(t, "n1", "n2"), newEndpoint(t)
+			conn, err := f.instances[0].Dial(t.Context(), e.Destination)
+			c.Assert(err, qt.IsNil)
+			exchange(t, conn, "begun\n")
+			f.instances[1].Refuse()
+			ctx, cancel := context.WithTimeout(t.Context(), test.timeout)
+			defer cancel()
+			f.instances[1].Drain(ctx)
+			c.Assert(conn.SetReadDeadline(time.Now().Add(time.Second)), qt.IsNil)
+			_, err = conn.Read(make([]byte, 1))
+			c.Check(err, qt.IsNotNil)
+			c.Check(errors.Is(err, io.EOF), qt.IsFalse) // an end would look like a whole answer
+			c.Check(errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse)
+			eventually(t, "the endpoint's connection is closed", func() bool { return e.closed.Load() == 1 })
+		})
+	}
+}
+
 // A peer that has just reached a service is asked again about its other endpoints when one of
 // them refuses it.
 func TestPeerThatWorkedIsKept(t *testing.T) {
