streams: a keeper of records that stops hands them over

Callers could see: a stream that can't go on though its version still serves, after the instance at which it began and the keepers of its record have stopped one after the other within the stream's time, as in a rolling restart (one keeper where there is one zone). Cause: only the instance that began a stream gave its record away; what an instance kept for others ended with its process.

Change: at its first check after the beginning of a stop (each 100 ms) an instance gives the records of services with several versions, own and kept, to the keepers that are left. At most 20,000 messages of some 50 bytes, where so many are kept; the time this takes was not measured.

TestLeavingKeeperHandsRecordsOver failed before and passes; the tests of streams ran 3 times without a failure.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -220,6 +220,7 @@
 	g.openShares()
 	g.streams = streams.New(streams.Options{
 		Name: s.Instance.Name, Zone: s.Instance.Zone, Transport: g.transport, Roster: g.roster, Directory: g.directory, Scope: scope, Now: g.now,
+		Leaving: g.leaving.Load,
 	})
 	g.relay = relay.New(relay.Options{
 		Name: s.Instance.Name, Transport: g.transport, Roster: g.roster, Directory: g.directory,
--- a/internal/streams/streams.go
+++ b/internal/streams/streams.go
@@ -98,6 +98,8 @@
 	Directory  *directory.Directory
 	Scope      tally.Scope
 	Now        func() clock.Millis
+	// Leaving reports whether this instance is stopping. If it is nil, the instance never is.
+	Leaving func() bool
 }
 
 // Registry remembers the origins of streams, together with those of other instances.
@@ -108,10 +110,15 @@
 	mu    sync.Mutex
 	table table
 	mixed map[string]bool // services whose endpoints ran several versions at the last check
+
+	handedOver bool // this instance is stopping, and has given its records to others
 }
 
 // New returns an empty registry.
 func New(o Options) *Registry {
+	if o.Leaving == nil {
+		o.Leaving = func() bool { return false }
+	}
 	return &Registry{Options: o, startedAt: o.Now(), table: table{records: map[uint64]record{}}, mixed: map[string]bool{}}
 }
 
@@ -132,9 +139,9 @@
 }
 
 // step drops expired records, and gives those of services that have got a second version to
-// their keepers.
+// their keepers. An instance that is stopping also hands over what it keeps for others.
 func (r *Registry) step() {
-	view := r.Directory.View()
+	view, leaving := r.Directory.View(), r.Leaving()
 	r.mu.Lock()
 	r.table.expire(r.Now())
 	var due []uint64
@@ -145,11 +152,11 @@
 			continue
 		}
 		mixed[service] = true
-		if rec.own && !r.mixed[service] {
+		if rec.own && !r.mixed[service] || leaving && !r.handedOver {
 			due = append(due, key)
 		}
 	}
-	r.mixed = mixed
+	r.mixed, r.handedOver = mixed, leaving
 	size := len(r.table.records)
 	r.mu.Unlock()
 	r.Scope.Gauge("stream_records").Update(float64(size))
