throttle: a test of permits while their issuer stops

Shows what the table of stops says: while the issuer is leaving the limit of 4 a second is used whole, after its exit the share that is left, with a permit each second at least.

--- a/internal/throttle/throttle_test.go
+++ b/internal/throttle/throttle_test.go
@@ -282,3 +282,50 @@
 	c.Assert(first >= 10, qt.IsTrue, qt.Commentf("first permit after %d tenths of a second", first)) // the lease, part of which has passed
 	c.Assert(granted >= 2*(seconds-3) && granted <= 2*seconds, qt.IsTrue, qt.Commentf("%d", granted))
 }
+
+// Requests must not be left without permits while the issuer stops and after its exit.
+func TestPermitsWhileIssuerStops(t *testing.T) {
+	const (
+		step    = 100 // ms
+		seconds = 5
+		maxGap  = 10 // steps without a permit
+	)
+	c := qt.New(t)
+	issuer, other := pair(t)
+	lendShare(t, issuer, other)
+	issuer.self.Leaving, issuer.self.Revision = true, 2
+	for _, n := range []*node{issuer, other} {
+		n.Roster.Update(issuer.self)
+	}
+	for _, phase := range []struct {
+		name   string
+		exited bool
+		least  int // permits
+	}{
+		{"stopping", false, 4 * (seconds - 1)}, // the limit is 4 a second
+		{"exited", true, 2 * (seconds - 2)},    // its share is lost while its entry exists
+	} {
+		other.Transport.Partition(func(netip.AddrPort) bool { return phase.exited })
+		granted, gap, longest := 0, 0, 0
+		for i := range seconds * 1000 / step {
+			for _, n := range []*node{issuer, other} {
+				n.now.Add(step)
+				if i%4 == 0 && (!phase.exited || n == other) {
+					n.tick(t.Context())
+				}
+			}
+			eventually(t, "the loans are answered", func() bool {
+				issuer.mu.Lock()
+				defer issuer.mu.Unlock()
+				return len(issuer.pendingLoans) == 0
+			})
+			gap++
+			if other.Take(t.Context(), "e1", 0) == 0 {
+				granted, gap = granted+1, 0
+			}
+			longest = max(longest, gap)
+		}
+		c.Check(granted >= phase.least && granted <= 4*seconds+4, qt.IsTrue, qt.Commentf("%s: %d", phase.name, granted))
+		c.Check(longest <= maxGap, qt.IsTrue, qt.Commentf("%s: %d steps without a permit", phase.name, longest))
+	}
+}
