broker: HandOver for the exit of a planner without successor

Callers saw: where no other instance of a zone may plan, a request that instances of other zones had queued there still heard nothing after the planner's exit.

Change: HandOver refuses what is queued, to be called at the exit; the refusal says planner_moved and not that there is no endpoint. The gateway does not call it yet (one line in gateway.stop, after EndAll).

TestQueueIsRefusedAtExit failed before with no_decode_endpoint, and passes; the tests of broker ran 4 times with -race without a failure.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -185,7 +185,7 @@
 
 // findInZone asks the planner of a zone, and the next one if it does not respond.
 func (b *Broker) findInZone(ctx context.Context, zone string, req placement.Request) (*Place, *placement.Refusal) {
-	silent := 0
+	silent, last := 0, &placement.Refusal{Reason: placement.ReasonNoEndpoint, RetryAfter: minBackoff}
 	for _, i := range b.Roster.Ranked(zone, rolePlanner) {
 		if b.isBackingOff(i) || silent == maxSilentPlanners && i.Name != b.Name {
 			continue
@@ -194,6 +194,7 @@
 		d, answered := b.ask(ctx, i, req)
 		if answered {
 			if req.MayQueue && handedOver(d) && shorten(&req, b.Now().Sub(asked)) {
+				last = d.Refusal
 				continue
 			}
 			return b.placeOrRefusal(i, zone, req, d)
@@ -209,7 +210,7 @@
 		b.handleEvent(b.newAnnouncement(zone))
 		return b.findLocal(ctx, req)
 	}
-	return nil, &placement.Refusal{Reason: placement.ReasonNoEndpoint, RetryAfter: minBackoff}
+	return nil, last
 }
 
 func (b *Broker) findLocal(ctx context.Context, req placement.Request) (*Place, *placement.Refusal) {
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -139,6 +139,33 @@
 	}
 }
 
+// Where no other planner could take over, a queued request still heard nothing after the planner's exit.
+func TestQueueIsRefusedAtExit(t *testing.T) {
+	c := qt.New(t)
+	planner, asker := startNode(t, "n1", "a"), startNode(t, "n2", "b")
+	asker.Roster.Update(planner.self)
+	req := placement.Request{ID: "first", Service: "llm", Prompt: 5000, ExpectedTokens: 100, Budget: 8 * time.Second}
+	_, refusal := planner.findLocal(context.Background(), req)
+	c.Assert(refusal, qt.IsNil)
+	refused := make(chan *placement.Refusal, 1)
+	go func() {
+		second := req
+		second.ID, second.Owner, second.MayQueue = "second", "n2", true
+		_, r := asker.findInZone(context.Background(), "a", second)
+		refused <- r
+	}()
+	for len(refused) == 0 && planner.queued() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	planner.HandOver()
+	select {
+	case r := <-refused:
+		c.Assert(r.Reason, qt.Equals, placement.ReasonMoved)
+	case <-time.After(req.Budget / 2):
+		t.Fatal("the request heard nothing")
+	}
+}
+
 func (n *node) queued() int {
 	n.plannerMu.Lock()
 	defer n.plannerMu.Unlock()
--- a/internal/broker/planner.go
+++ b/internal/broker/planner.go
@@ -22,13 +22,17 @@
 	}
 	b.handleEvent(placement.Tick{})
 	if b.Leaving() && b.hasSuccessor() {
-		b.handleEvent(placement.HandOver{})
+		b.HandOver()
 	}
 	b.plannerMu.Lock()
 	defer b.plannerMu.Unlock()
 	return b.planner.Queued() > 0
 }
 
+// HandOver refuses what is queued at the local planner, so that other planners are asked. It is called at the exit, when
+// the requests that are still queued would hear nothing.
+func (b *Broker) HandOver() { b.handleEvent(placement.HandOver{}) }
+
 // hasSuccessor reports whether another instance can be the planner of this zone.
 func (b *Broker) hasSuccessor() bool {
 	return slices.ContainsFunc(b.Roster.Ranked(b.Zone, rolePlanner), func(i roster.Instance) bool {
