gateway: what is queued at a planner is handed over before the exit

A planner without a successor keeps its queue while it stops; at its exit the instances that wait for it would hear nothing for the time of the queue. They now hear planner_moved before. TestQueueIsRefusedAtExit (broker) shows the hand-over; the call has no test of its own.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -183,6 +183,7 @@
 		close(finished)
 	}()
 	g.drainConnections(finished, requestsEnd)
+	g.broker.HandOver()
 	g.forwarder.EndAll()
 	exit := max(started.Add(g.settings.Load().Stop.Grace-g.reserve(exitMargin)), g.now().Add(g.reserve(lastAnswersTime)))
 	g.drainConnections(finished, func() bool { return g.now() >= exit })
