soak: stops under load, and what an instance owes while it stops

Cause: the soak did not meet requests that are taken shortly before the exit of a planned stop. Its streams took 0.3 s, so no connection outlived its first answer after SIGTERM, and closing a kept connection with a request on it was excused at any moment of a stop.

Change: step stop, from a random stream of its own, sends SIGTERM to instances in series and overlapping while their callers keep connections; streams that began before a stop end in each of its phases, and plain requests follow on the same connection. The step of one SIGTERM is named stop_one. The checker knows when processes were signalled and exited: a request that was written 200 ms before the exit on a connection that was in use is answered or refused; only streams may be broken off, and only at the end of the grace period. Each run prints how many requests were written shortly before an exit.

--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -26,12 +26,13 @@
 	Service    string
 	AtMostOnce bool // must run at most once
 	Stream     bool
-	Resumable  bool     // its caller takes the stream up if it breaks
-	Version    int      // of the configuration that added its route; 0 for the first one
-	Body       string   // of all requests; if empty, each has its own
-	Parts      []string // leading parts of the prompts; behind them, each has one of its own
-	Workspace  string   // whose key is sent
-	HomeZone   string   // the only zone whose endpoints may receive it; empty for all
+	Resumable  bool          // its caller takes the stream up if it breaks
+	Version    int           // of the configuration that added its route; 0 for the first one
+	Body       string        // of all requests; if empty, each has its own
+	Parts      []string      // leading parts of the prompts; behind them, each has one of its own
+	Workspace  string        // whose key is sent
+	HomeZone   string        // the only zone whose endpoints may receive it; empty for all
+	Timeout    time.Duration // that callers send with it; 0: requestTimeout
 }
 
 // Workspaces of the soak. Limited sends more requests than its limit allows, Flooding at times far more
@@ -104,6 +105,37 @@
 	}
 }
 
+// PacedPrefix is the prefix of the route of PacedStream, MaxPacedTime the time that it allows.
+const (
+	PacedPrefix  = "/paced/"
+	MaxPacedTime = 15 * time.Second
+)
+
+// PacedStream returns the kind of streams that take a given time.
+func PacedStream(length time.Duration) Kind {
+	return Kind{
+		Path: PacedPrefix + "x" + standin.PacePath(length/(standin.Events-1)), Method: http.MethodPost, Service: "llm", Stream: true,
+		Resumable: true, Workspace: secondWorkspace, Timeout: MaxPacedTime,
+	}
+}
+
+// PacedKinds returns kinds of plain requests whose answers take a given time.
+func PacedKinds(length time.Duration) []Kind {
+	suffix := "x" + standin.PacePath(length)
+	return []Kind{
+		{Path: ShortPrefix + suffix, Method: http.MethodPost, Service: "web", Workspace: secondWorkspace},
+		{Path: "/unsafe/" + suffix, Method: http.MethodPost, Service: "web", AtMostOnce: true, Workspace: firstWorkspace},
+	}
+}
+
+// timeout returns the timeout that callers send with requests of the kind.
+func (k Kind) timeout() time.Duration {
+	if k.Timeout > 0 {
+		return k.Timeout
+	}
+	return requestTimeout
+}
+
 // streamKind returns the kind of streams that can be resumed.
 func streamKind() Kind { return Kinds()[0] }
 
@@ -190,7 +222,7 @@
 }
 
 const (
-	// requestTimeout is the timeout that callers send with a request; they give up
+	// requestTimeout is the timeout that callers send with most requests; they give up
 	// gracePeriod after it.
 	requestTimeout = 4 * time.Second
 	gracePeriod    = 1500 * time.Millisecond
@@ -220,9 +252,7 @@
 	defer c.Close()
 	for ctx.Err() == nil {
 		if g, ok := c.PickGateway(); ok {
-			call := c.Call(ctx, g, c.NextKind())
-			c.Done(call)
-			c.takeUp(ctx, call)
+			c.CallWhole(ctx, g, c.NextKind())
 		}
 		select {
 		case <-ctx.Done():
@@ -231,6 +261,14 @@
 	}
 }
 
+// CallWhole sends one request, which it returns, and takes its stream up if that breaks.
+func (c *Caller) CallWhole(ctx context.Context, g Gateway, k Kind) Call {
+	call := c.Call(ctx, g, k)
+	c.Done(call)
+	c.takeUp(ctx, call)
+	return call
+}
+
 // takeUp goes on with the stream of a call that broke, at whatever instance.
 func (c *Caller) takeUp(ctx context.Context, call Call) {
 	for n := 0; n < maxTakeUps && call.mayTakeUp() && ctx.Err() == nil; n++ {
@@ -274,11 +312,11 @@
 	case k.Method == http.MethodPost:
 		call.Body = "body of " + call.ID
 	}
-	request := standin.Request{ID: call.ID, Address: g.Address, Method: k.Method, Path: k.Path, Body: call.Body, Deadline: requestTimeout, Key: key(k.Workspace), BeganAs: call.BeganAs, LastEvent: call.After}
+	request := standin.Request{ID: call.ID, Address: g.Address, Method: k.Method, Path: k.Path, Body: call.Body, Deadline: k.timeout(), Key: key(k.Workspace), BeganAs: call.BeganAs, LastEvent: call.After}
 	if len(k.Parts) > 0 {
 		request.Parts = append(slices.Clone(k.Parts), call.Origin())
 	}
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout+gracePeriod)
+	ctx, cancel := context.WithTimeout(ctx, k.timeout()+gracePeriod)
 	defer cancel()
 	var once sync.Once
 	if rand.Float64() < disconnectRatio {
@@ -308,11 +346,11 @@
 // allowed for the answer was over.
 func (c Call) LeftOrLate() bool {
 	return c.Disconnected || errors.Is(c.Reply.Err, context.Canceled) || errors.Is(c.Reply.Err, context.DeadlineExceeded) ||
-		c.Ended.Sub(c.Sent) >= requestTimeout
+		c.Ended.Sub(c.Sent) >= c.Kind.timeout()
 }
 
 // TimedOut reports whether the caller gave up because no complete answer came within
-// requestTimeout and gracePeriod.
+// the timeout of its kind and gracePeriod.
 func (c Call) TimedOut() bool {
-	return c.Reply.Err != nil && c.Ended.Sub(c.Sent) >= requestTimeout+gracePeriod
+	return c.Reply.Err != nil && c.Ended.Sub(c.Sent) >= c.Kind.timeout()+gracePeriod
 }
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -53,6 +53,8 @@
 
 	ColdRate float64 // requests a second that a cold endpoint accepts
 
+	Grace time.Duration // from SIGTERM to the end of a process at the latest
+
 	Timed bool // whether time bounds are checked at all
 }
 
@@ -85,6 +87,7 @@
 	versions   map[int]time.Time    // by configuration version: when the store acknowledged it
 	evacuated  []*storeChange       // of zones
 	cold       []*storeChange       // of endpoints
+	stops      map[incarnation]*stop
 	violations map[string]Violation // by promise and ID
 }
 
@@ -92,7 +95,7 @@
 func New(b Bounds, faults *timeline.Timeline, arrivals func() []Run) *Checker {
 	return &Checker{
 		Bounds: b, Faults: faults, Arrivals: arrivals, Engines: func() []Engine { return nil },
-		calls: map[string]caller.Call{}, leaving: map[string]time.Time{}, versions: map[int]time.Time{},
+		calls: map[string]caller.Call{}, leaving: map[string]time.Time{}, versions: map[int]time.Time{}, stops: map[incarnation]*stop{},
 		violations: map[string]Violation{},
 	}
 }
@@ -324,7 +327,7 @@
 // instance, with no other fault that explains it.
 func (c *Checker) checkPlannedStop(call caller.Call, runs []Run) {
 	interrupted := call.Reply.Err != nil && !call.Disconnected && !call.TimedOut() && (len(runs) > 0 || call.Reply.Status != 0)
-	if !interrupted || !c.callUndisturbed(call, call.Sent, call.Ended) || c.Faults.Undisturbed(call.Sent, call.Ended, call.Gateway.Name, timeline.Planned) {
+	if !interrupted || c.cutByStop(call) || !c.callUndisturbed(call, call.Sent, call.Ended) || c.Faults.Undisturbed(call.Sent, call.Ended, call.Gateway.Name, timeline.Planned) {
 		return
 	}
 	c.violated("planned stop", call.ID, call.Ended, "%s interrupted it: %v", call.Gateway.Name, call.Reply.Err)
--- a/internal/soak/checker/ends.go
+++ b/internal/soak/checker/ends.go
@@ -6,21 +6,20 @@
 )
 
 // checkEnd checks for a request that ended without an answer or a refusal, and for an answer that was
-// broken off. That an endpoint was silent excuses neither.
+// broken off. That an endpoint was silent excuses neither, and that the instance stopped neither what was passed on
+// nor what it had the time to read.
 func (c *Checker) checkEnd(call caller.Call, runs []Run) {
 	reply, instance := call.Reply, call.Gateway.Name
 	unanswered := reply.Err != nil && reply.Status == 0
 	switch {
 	case call.LeftOrLate() || !c.instanceWentOn(call):
 	case reply.Err != nil && !unanswered:
-		if c.endpointsWentOn(call, runs) {
+		if c.endpointsWentOn(call, runs) && !c.cutByStop(call) {
 			c.violated("not broken off", call.ID, call.Ended, "%s broke its answer off: %v", instance, reply.Err)
 		}
 	case unanswered && len(runs) > 0:
 		c.violated("answered or refused", call.ID, call.Ended, "%s passed it on to %s, then closed the connection: %v", instance, runs[0].Endpoint, reply.Err)
-	// A connection may be closed while a request is on its way to an instance that stops.
-	case c.Faults.Undisturbed(call.Sent, call.Ended, instance, timeline.Planned) &&
-		(reply.Writes > 1 || unanswered && reply.Writes == 1 && reply.Reused):
+	case (reply.Writes > 1 || unanswered && reply.Writes == 1 && reply.Reused) && !c.closedByStop(call):
 		c.violated("answered or refused", call.ID, call.Ended, "%s closed the kept connection on which it came: %v", instance, reply.Err)
 	}
 }
--- a/internal/soak/checker/ends_test.go
+++ b/internal/soak/checker/ends_test.go
@@ -58,7 +58,7 @@
 		{name: "passed on, no answer, instance killed", reply: reset, runs: 1, faults: []fault{{timeline.Kill, "a-1"}}},
 		{name: "kept connection closed", reply: reset, want: unanswered},
 		{name: "kept connection closed in overload", reply: reset, faults: []fault{{timeline.Process, "a-1"}}, want: unanswered},
-		{name: "kept connection closed by a planned stop", reply: reset, faults: []fault{{timeline.Planned, "a-1"}}},
+		{name: "kept connection closed, no process of it stopped", reply: reset, faults: []fault{{timeline.Planned, "a-1"}}, want: unanswered},
 		{name: "kept connection closed, instance killed", reply: reset, faults: []fault{{timeline.Kill, "a-1"}}},
 		{name: "kept connection closed before it was written", reply: standin.Response{Err: errCut, Reused: true}},
 		{name: "kept connection closed, sent again", reply: standin.Response{Status: 503, Writes: 2}, want: unanswered},
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -88,7 +88,9 @@
 	Violations          []checker.Violation
 	Steps               int
 	Succeeded, Requests int
-	Faults              *timeline.Timeline
+	// LateAnswered of Late requests to instances that were about to exit were answered or refused.
+	LateAnswered, Late int
+	Faults             *timeline.Timeline
 }
 
 // Run executes one run. The error is that of starting the fleet or of its recovery.
@@ -97,7 +99,7 @@
 	home := caller.HomeKind(o.Zones[0])
 	route := standin.NewRoute("home", home.Path[:len(home.Path)-1], "idempotent", home.Service, 2, false)
 	route.Regions = []string{region(home.HomeZone)}
-	f.routes = append([]standin.Route{route}, silenceRoutes()...)
+	f.routes = append(append([]standin.Route{route}, silenceRoutes()...), pacedRoute())
 	f.checker = checker.New(bounds(o.Timed), f.faults, f.arrivals)
 	f.checker.Engines = f.decodeEngines
 	defer f.close()
@@ -111,6 +113,7 @@
 	err := f.run(ctx, steps)
 	r := Result{Seed: o.Seed, Violations: f.checker.Check(true), Steps: len(steps), Faults: f.faults}
 	r.Succeeded, r.Requests = f.checker.Served()
+	r.LateAnswered, r.Late = f.checker.LateCalls()
 	return r, err
 }
 
@@ -134,7 +137,7 @@
 		RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow, Timed: timed,
 		// Partitioned instances and those that have just started may exceed the limit.
 		LimitRate: caller.LimitRate, LimitBurst: caller.LimitBurst, LimitSlack: 30, LimitWindow: 8 * time.Second,
-		ColdRate: coldRate,
+		ColdRate: coldRate, Grace: grace,
 	}
 }
 
--- a/internal/soak/fleet/overload.go
+++ b/internal/soak/fleet/overload.go
@@ -32,11 +32,11 @@
 	overloadTime = 4 * time.Second
 )
 
-// letRefuse writes settings that let the instances of overload steps refuse connections. Processes read
+// letRefuse writes settings that let the instances of steps with overload refuse connections. Processes read
 // that setting when they start.
 func (f *Fleet) letRefuse(steps []schedule.Step) error {
 	for _, s := range steps {
-		if s.Kind != schedule.Overload {
+		if s.Kind != schedule.Overload && (s.Kind != schedule.Stop || !overloads(s)) {
 			continue
 		}
 		i := f.instances[s.Target%len(f.instances)]
--- a/internal/soak/fleet/steps.go
+++ b/internal/soak/fleet/steps.go
@@ -48,7 +48,7 @@
 	switch s.Kind {
 	case schedule.Suspend, schedule.Poison, schedule.Announce, schedule.Backoff, schedule.Limit,
 		schedule.Evacuate, schedule.Cold, schedule.Unlink, schedule.Release, schedule.Restore, schedule.Parts,
-		schedule.Flood, schedule.Silence, schedule.Overload:
+		schedule.Flood, schedule.Silence, schedule.Overload, schedule.Stop:
 		return f.applyExtra(ctx, s, i)
 	case schedule.Kill:
 		return f.kill(ctx, s.Duration, i)
@@ -56,7 +56,7 @@
 		return f.kill(ctx, s.Duration, all...)
 	case schedule.Pause:
 		f.pause(ctx, s.Duration, i)
-	case schedule.Stop:
+	case schedule.StopOne:
 		return f.stop(ctx, s.Duration, i)
 	case schedule.Roll:
 		return f.roll(ctx, f.Zones[s.Target%len(f.Zones)])
@@ -101,6 +101,9 @@
 	if s.Kind == schedule.Silence {
 		return f.silence(ctx, s, i)
 	}
+	if s.Kind == schedule.Stop {
+		return f.stopUnderLoad(ctx, s, i)
+	}
 	if s.Kind == schedule.Overload {
 		f.overload(ctx, s, i)
 		return nil
@@ -219,12 +222,14 @@
 	end := f.faults.Begin(timeline.Planned, i.name, "stop")
 	defer end()
 	signalled := time.Now()
-	if exited := i.program.Signal(syscall.SIGTERM); !program.WaitExit(exited, 2*grace) {
+	exited := f.checker.StopBegan(i.name, i.program.Incarnation(), signalled)
+	if exit := i.program.Signal(syscall.SIGTERM); !program.WaitExit(exit, 2*grace) {
 		f.checker.StopOverdue(i.name, i.program.Incarnation(), signalled)
 		defer f.faults.Begin(timeline.Kill, i.name, "overdue")()
 		i.program.Signal(syscall.SIGCONT) // in case another step has paused it
 		program.WaitExit(i.program.Signal(syscall.SIGKILL), waitTimeout)
 	}
+	exited(time.Now())
 	endStart := f.faults.Begin(timeline.Process, i.name, "start")
 	defer endStart()
 	sleep(ctx, length/8)
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -16,7 +16,7 @@
 	Kill           Kind = "kill"     // kills an instance
 	KillAll        Kind = "kill_all" // kills all instances at the same moment
 	Pause          Kind = "pause"    // stops the process of an instance by SIGSTOP for a time
-	Stop           Kind = "stop"     // stops an instance by SIGTERM
+	StopOne        Kind = "stop_one" // stops an instance by SIGTERM
 	Roll           Kind = "roll"     // stops the instances of a zone one after the other
 	ChangeSettings Kind = "hangup"   // changes the settings of an instance, with or without SIGHUP
 )
@@ -82,6 +82,8 @@
 	Silence Kind = "silence"
 	// An instance gets into overload and out of it, while its callers keep their connections.
 	Overload Kind = "overload"
+	// Instances are stopped by SIGTERM, while their callers keep connections and begin requests until the exit.
+	Stop Kind = "stop"
 )
 
 // weights are the relative frequencies of the kinds drawn by New.
@@ -92,7 +94,7 @@
 	{Kill, 4},
 	{KillAll, 1},
 	{Pause, 3},
-	{Stop, 4},
+	{StopOne, 4},
 	{Roll, 1},
 	{ChangeSettings, 1},
 	{PeersCut, 2},
@@ -154,6 +156,7 @@
 	{0xe7037ed1a0b428db, []Kind{Flood}},
 	{0x8cb92ba72f3d8dd7, []Kind{Silence}},
 	{0x5851f42d4c957f2d, []Kind{Overload}},
+	{0xda942042e4dd58b5, []Kind{Stop}},
 }
 
 // Extra draws additional steps of a run, independently of those of New.
