soak: endpoints whose answers have no end

Cause: no step gave answers whose head or body does not end, so nothing showed whether instances stop reading them and send such requests elsewhere.

Change: step endless, from a random stream of its own. Endpoints send a head, an unsigned body or the body of a refusal without end, also when instances ask them.

--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -17,6 +17,7 @@
 //   - workspaces are served while another one sends more than a service can serve;
 //   - instances that have lost their links to endpoints serve their callers;
 //   - configurations come into force and are never reverted;
+//   - answers without end are not read on, and calls get theirs from elsewhere;
 //   - planned stops interrupt no answer;
 //   - retries stay within their budget.
 //
@@ -189,6 +190,7 @@
 		c.checkCutInstances(byCall)
 		c.checkTakenUp(byCall)
 		c.checkFlood(byCall)
+		c.checkEndless(byCall)
 		c.checkPoison(runs)
 		c.checkParts(byCall)
 		c.checkNotices(runs)
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -100,7 +100,7 @@
 	route := standin.NewRoute("home", home.Path[:len(home.Path)-1], "idempotent", home.Service, 2, false)
 	route.Regions = []string{region(home.HomeZone)}
 	f.routes = append(append([]standin.Route{route}, silenceRoutes()...), pacedRoute())
-	f.checker = checker.New(bounds(o.Timed), f.faults, f.arrivals)
+	f.checker = checker.New(o.bounds(), f.faults, f.arrivals)
 	f.checker.Engines = f.decodeEngines
 	defer f.close()
 	if o.ExtraSteps {
@@ -130,11 +130,12 @@
 }
 
 // bounds returns the bounds that the checker applies to a run.
-func bounds(timed bool) checker.Bounds {
+func (o Options) bounds() checker.Bounds {
+	ratio, slack := o.retryBudget()
 	return checker.Bounds{
 		CalmTime: 3 * time.Second, ChangeDelay: 2 * time.Second, ConfigDelay: 2 * time.Second, PeerDelay: 5 * time.Second,
 		CancelDelay: 500 * time.Millisecond, Slack: 1500 * time.Millisecond,
-		RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow, Timed: timed,
+		RetryRatio: ratio, RetrySlack: slack, RetryWindow: retryWindow, Timed: o.Timed,
 		// Partitioned instances and those that have just started may exceed the limit.
 		LimitRate: caller.LimitRate, LimitBurst: caller.LimitBurst, LimitSlack: 30, LimitWindow: 8 * time.Second,
 		ColdRate: coldRate, Grace: grace,
--- a/internal/soak/fleet/instance.go
+++ b/internal/soak/fleet/instance.go
@@ -16,9 +16,11 @@
 	"time"
 
 	"github.com/trailshed/trailshed/internal/soak/caller"
+	"github.com/trailshed/trailshed/internal/soak/checker"
 	"github.com/trailshed/trailshed/internal/soak/ether"
 	"github.com/trailshed/trailshed/internal/soak/link"
 	"github.com/trailshed/trailshed/internal/soak/program"
+	"github.com/trailshed/trailshed/internal/soak/schedule"
 	"github.com/trailshed/trailshed/platform"
 	"github.com/trailshed/trailshed/platform/standin"
 )
@@ -35,8 +37,10 @@
 )
 
 // The retry budget in the settings, shared by the whole fleet. It is small so that runs
-// exhaust it.
+// exhaust it, and ampler in runs which check that requests are sent again.
 const (
+	ampleRatio  = 1
+	ampleSlack  = checker.AmpleRetrySlack
 	retryRatio  = 0.05
 	retrySlack  = 8
 	retryWindow = 10 * time.Second
@@ -61,6 +65,8 @@
 	peerProxy  *ether.Proxy   // in front of its port for peers
 	inRotation atomic.Bool    // the balancer sends it requests
 	refuses    bool           // its settings let it refuse connections in overload
+	retryRatio float64
+	retrySlack float64
 
 	mu           sync.Mutex
 	inboundLoss  float64 // fraction of the datagrams to it that is dropped
@@ -68,6 +74,14 @@
 	linkFaults   int     // faults of its links to endpoints that are in force
 }
 
+// retryBudget returns the retry budget of a run.
+func (o Options) retryBudget() (ratio, slack float64) {
+	if o.OnlyKind == schedule.Endless {
+		return ampleRatio, ampleSlack
+	}
+	return retryRatio, retrySlack
+}
+
 // region returns the region of a zone; each zone has its own.
 func region(zone string) string { return "region-of-" + zone }
 
@@ -91,6 +105,7 @@
 	address := f.Network.As4()
 	address[3] = byte(10 + len(f.instances))
 	i := &instance{name: fmt.Sprintf("%s-%d", zone, n), zone: zone, regions: regions(f.Zones), ip: netip.AddrFrom4(address), storeProxy: f.store.NewProxy()}
+	i.retryRatio, i.retrySlack = f.retryBudget()
 	var err error
 	if i.storeLink, err = link.New(i.storeProxy.Address); err != nil {
 		return err
@@ -120,12 +135,12 @@
 peers: {listen: "%s", advertise: "%s"}
 admin: {listen: "%s"}
 store: {address: "%s", timeout: 500ms}
-retry: {ratio: %g, slack: %d, window: %s}
+retry: {ratio: %g, slack: %g, window: %s}
 stop: {grace: %s}
 orders: {gap: 3s}
 memory: {limit_mb: 128}
 `, i.name, i.zone, i.regions, i.addr(portCallers), i.addr(portReady), i.refuses, i.addr(portPeers), i.addr(portAdvertised), i.addr(portAdmin),
-		i.storeLink.Address, retryRatio, retrySlack, retryWindow, grace)
+		i.storeLink.Address, i.retryRatio, i.retrySlack, retryWindow, grace)
 	return os.WriteFile(i.program.Settings, []byte(text), 0o600)
 }
 
--- a/internal/soak/fleet/steps.go
+++ b/internal/soak/fleet/steps.go
@@ -48,7 +48,7 @@
 	switch s.Kind {
 	case schedule.Suspend, schedule.Poison, schedule.Announce, schedule.Backoff, schedule.Limit,
 		schedule.Evacuate, schedule.Cold, schedule.Unlink, schedule.Release, schedule.Restore, schedule.Parts,
-		schedule.Flood, schedule.Silence, schedule.Overload, schedule.Stop:
+		schedule.Flood, schedule.Silence, schedule.Overload, schedule.Stop, schedule.Endless:
 		return f.applyExtra(ctx, s, i)
 	case schedule.Kill:
 		return f.kill(ctx, s.Duration, i)
@@ -101,6 +101,10 @@
 	if s.Kind == schedule.Silence {
 		return f.silence(ctx, s, i)
 	}
+	if s.Kind == schedule.Endless {
+		f.answerEndlessly(ctx, s)
+		return nil
+	}
 	if s.Kind == schedule.Stop {
 		return f.stopUnderLoad(ctx, s, i)
 	}
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -84,6 +84,8 @@
 	Overload Kind = "overload"
 	// Instances are stopped by SIGTERM, while their callers keep connections and begin requests until the exit.
 	Stop Kind = "stop"
+	// Endpoints give answers without end.
+	Endless Kind = "endless"
 )
 
 // weights are the relative frequencies of the kinds drawn by New.
@@ -157,6 +159,7 @@
 	{0x8cb92ba72f3d8dd7, []Kind{Silence}},
 	{0x5851f42d4c957f2d, []Kind{Overload}},
 	{0xda942042e4dd58b5, []Kind{Stop}},
+	{0x7fb5d329728ea185, []Kind{Endless}},
 }
 
 // Extra draws additional steps of a run, independently of those of New.
