--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -88,7 +88,9 @@
 	Violations          []checker.Violation
 	Steps               int
 	Succeeded, Requests int
-	Faults              *timeline.Timeline
+	// LateAnswered of Late requests to instances that were about to exit were answered or refused.
+	LateAnswered, Late int
+	Faults             *timeline.Timeline
 }
 
 // Run executes one run. The error is that of starting the fleet or of its recovery.
@@ -97,8 +99,8 @@
 	home := caller.HomeKind(o.Zones[0])
 	route := standin.NewRoute("home", home.Path[:len(home.Path)-1], "idempotent", home.Service, 2, false)
 	route.Regions = []string{region(home.HomeZone)}
-	f.routes = append([]standin.Route{route}, silenceRoutes()...)
-	f.checker = checker.New(bounds(o.Timed), f.faults, f.arrivals)
+	f.routes = append(append([]standin.Route{route}, silenceRoutes()...), pacedRoute())
+	f.checker = checker.New(o.bounds(), f.faults, f.arrivals)
 	f.checker.Engines = f.decodeEngines
 	defer f.close()
 	if o.ExtraSteps {
@@ -111,6 +113,7 @@
 	err := f.run(ctx, steps)
 	r := Result{Seed: o.Seed, Violations: f.checker.Check(true), Steps: len(steps), Faults: f.faults}
 	r.Succeeded, r.Requests = f.checker.Served()
+	r.LateAnswered, r.Late = f.checker.LateCalls()
 	return r, err
 }
 
@@ -127,14 +130,15 @@
 }
 
 // bounds returns the bounds that the checker applies to a run.
-func bounds(timed bool) checker.Bounds {
+func (o Options) bounds() checker.Bounds {
+	ratio, slack := o.retryBudget()
 	return checker.Bounds{
 		CalmTime: 3 * time.Second, ChangeDelay: 2 * time.Second, ConfigDelay: 2 * time.Second, PeerDelay: 5 * time.Second,
 		CancelDelay: 500 * time.Millisecond, Slack: 1500 * time.Millisecond,
-		RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow, Timed: timed,
+		RetryRatio: ratio, RetrySlack: slack, RetryWindow: retryWindow, Timed: o.Timed,
 		// Partitioned instances and those that have just started may exceed the limit.
 		LimitRate: caller.LimitRate, LimitBurst: caller.LimitBurst, LimitSlack: 30, LimitWindow: 8 * time.Second,
-		ColdRate: coldRate,
+		ColdRate: coldRate, Grace: grace,
 	}
 }
 
