forward: a request may have run while an attempt beside a silent one runs

Callers saw: 503 not run, though an engine was at work on the request. Cause: when a request ends with its time, its caller or its instance, attempts beside the first one that still run were not counted; if the first had certainly not run, nothing seemed to have. Found by review.

Now what runs is counted before the end is told. TestRequestMayHaveRunWhileSuccessorRuns failed before (503 for 502) and passes.

--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -160,6 +160,7 @@
 			}
 		case stepRetry, stepGiveUp:
 			if ctx.Err() != nil {
+				p.spend(p.hedge.running())
 				p.contextEnded(ctx)
 				return
 			}
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -217,3 +217,18 @@
 		winner.request.drop()
 	}
 }
+
+// running returns what has been spent by successors, those that have not ended included, without waiting for them.
+func (s *silenceWatch) running() spending {
+	if s == nil {
+		return spending{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	spent, n := s.spent, len(s.successors)
+	if s.winner != nil {
+		n++
+	}
+	spent.sends, spent.runs = spent.sends+n, spent.runs+n
+	return spent
+}
--- a/internal/forward/successor_test.go
+++ b/internal/forward/successor_test.go
@@ -2,12 +2,20 @@
 
 import (
 	"context"
+	"net"
+	"net/http/httptest"
+	"net/netip"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/trailshed/trailshed/internal/broker"
+	"github.com/trailshed/trailshed/internal/budget"
 	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/placement"
 	"github.com/trailshed/trailshed/internal/prompt"
+	"github.com/trailshed/trailshed/internal/residency"
 )
 
 // wonHedge returns the watch of an attempt of g that has ended, with a successor whose response has begun.
@@ -66,3 +74,45 @@
 	g.hedge.stop()
 	c.Check(x.ctx.Err(), qt.Equals, context.Canceled)
 }
+
+// A caller was told that its request had not run while an attempt beside a silent one ran at an engine: the first
+// attempt had certainly not run, and the others were not counted when the instance ended all requests.
+func TestRequestMayHaveRunWhileSuccessorRuns(t *testing.T) {
+	c := qt.New(t)
+	g := newEngineRequest(t)
+	out := httptest.NewRecorder()
+	g.w = newTimeoutWriter(out, time.Minute)
+	arrived := make(chan struct{}, 1)
+	g.Pool.Dial = func(context.Context, netip.AddrPort) (net.Conn, error) {
+		client, server := net.Pipe()
+		go func() { // never answers
+			b := make([]byte, 4096)
+			for first := true; ; first = false {
+				if _, err := server.Read(b); err != nil {
+					return
+				}
+				if first {
+					arrived <- struct{}{}
+				}
+			}
+		}()
+		return client, nil
+	}
+	g.FindPlace = func(context.Context, placement.Request, residency.Area) (*broker.Place, *placement.Refusal) {
+		return &broker.Place{Grant: placement.Grant{Decode: decodeEngine}, Zone: "a"}, nil
+	}
+	g.Retry = budget.Rule{Slack: 100, Window: time.Minute}
+	ctx, cancel := g.endWithInstance(t.Context())
+	defer cancel()
+	g.runs, g.sends = 1, 1 // the first attempt is on its way
+	s := g.watchSilence(ctx, func() {}, &directory.Endpoint{ID: "silent"})
+	g.silence = s
+	done := runSuccessor(s)
+	<-arrived              // the successor's send has reached an engine
+	g.runs, g.sends = 0, 0 // ErrNotSent, or a refusal of the first engine
+	g.endAttempt(&answer{cancel: func() {}, stopHeld: func() {}}, false)
+	time.AfterFunc(50*time.Millisecond, g.EndAll)
+	g.run(ctx)
+	<-done
+	c.Check(out.Code, qt.Equals, 502, qt.Commentf("%s", out.Body.String()))
+}
