keepalive: a read that failed by its deadline is no caller that left

Callers saw: the end of the connection, where the log had a refusal: a request whose body was being read at the exit (503) or did not come in time (408), and a request that was cancelled as it began, because its header had been slow. Cause: net/http cancels a request's context when any read fails, also by a deadline that this package or the forwarder has set, and finish dropped the answer then. Found by review.

Now an answer is delivered if the last read failed by its deadline, and a deadline for a header does not end the server's watch of the caller.

--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -109,6 +109,13 @@
 	}
 }
 
+// timedOut reports whether the last read failed by its deadline: then the caller has not left.
+func (c *conn) timedOut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return errors.Is(c.failure, os.ErrDeadlineExceeded)
+}
+
 // Write records answers that no handler has given: the server rejects what is no request.
 func (c *conn) Write(b []byte) (int, error) {
 	c.rejected.Store(true)
@@ -143,6 +150,13 @@
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
+	for n == 0 && len(b) == 1 && c.expired && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.expired = false
+		_ = c.Conn.SetReadDeadline(c.deadline)
+		c.mu.Unlock()
+		n, err = c.Conn.Read(b)
+		c.mu.Lock()
+	}
 	defer c.mu.Unlock()
 	if n == 0 && !c.handled && errors.Is(err, os.ErrDeadlineExceeded) {
 		// A deadline that has passed hides what has arrived, such as from a process that was late.
--- a/internal/keepalive/handler.go
+++ b/internal/keepalive/handler.go
@@ -47,7 +47,7 @@
 	aborted := errors.Is(err, http.ErrAbortHandler)
 	reason := ReasonAborted
 	switch {
-	case value == nil && answer.begun && r.Context().Err() == nil:
+	case value == nil && answer.begun && (r.Context().Err() == nil || c != nil && c.timedOut()):
 		return
 	case value != nil && !aborted:
 		s.OnPanic(r, value, debug.Stack())
--- a/internal/keepalive/handler_test.go
+++ b/internal/keepalive/handler_test.go
@@ -204,3 +204,51 @@
 		})
 	}
 }
+
+// A request was cancelled as it began: the time of its header was found to be over after the server had begun to watch the
+// caller, and before the handler had the request.
+func TestExpireBesideBeginOfHandler(t *testing.T) {
+	c := qt.New(t)
+	s := newUnansweredServer(t, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(10 * pause):
+		}
+		_, _ = io.WriteString(w, "ok")
+	})
+	s.Server.ReadHeaderTimeout, s.Server.IdleTimeout = 0, 0
+	inner := s.Server.Handler
+	s.Server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { // the process waits for the processor
+		s.connections.Expire(time.Hour, 0)
+		time.Sleep(pause)
+		inner.ServeHTTP(w, r)
+	})
+	caller := dial(t, s.address)
+	_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.Body.Close(), qt.IsNil)
+}
+
+// A request that had been read whole got no answer after a deadline for its body had cut the server's watch of the caller.
+func TestRequestIsAnsweredAfterDeadlineOfBody(t *testing.T) {
+	c := qt.New(t)
+	s := newUnansweredServer(t, func(w http.ResponseWriter, r *http.Request) {
+		control := http.NewResponseController(w)
+		_, err := io.ReadAll(r.Body)
+		qt.Check(t, err, qt.IsNil)
+		_ = control.SetReadDeadline(time.Unix(1, 0))
+		time.Sleep(pause)
+		_ = control.SetReadDeadline(time.Time{})
+		w.Header().Set("Connection", "close")
+		http.Error(w, "not run: stopping", http.StatusServiceUnavailable)
+	})
+	caller := dial(t, s.address)
+	_, err := io.WriteString(caller, fmt.Sprintf(requestText, 1))
+	c.Assert(err, qt.IsNil)
+	resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(resp.Body.Close(), qt.IsNil)
+}
