--- a/internal/keepalive/handler_test.go
+++ b/internal/keepalive/handler_test.go
@@ -216,9 +216,9 @@
 		}
 		_, _ = io.WriteString(w, "ok")
 	})
-	s.Server.ReadHeaderTimeout, s.Server.IdleTimeout = 0, 0
-	inner := s.Server.Handler
-	s.Server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { // the process waits for the processor
+	s.ReadHeaderTimeout, s.IdleTimeout = 0, 0
+	inner := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { // the process waits for the processor
 		s.connections.Expire(time.Hour, 0)
 		time.Sleep(pause)
 		inner.ServeHTTP(w, r)
