--- a/internal/keepalive/handler_test.go
+++ b/internal/keepalive/handler_test.go
@@ -209,22 +209,28 @@
 // caller, and before the handler had the request.
 func TestExpireBesideBeginOfHandler(t *testing.T) {
 	c := qt.New(t)
-	s := newUnansweredServer(t, func(w http.ResponseWriter, r *http.Request) {
+	s := &Connections{Now: clock.System(), Last: func() bool { return false }, OnUnanswered: func(string, bool) {}}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case <-r.Context().Done():
+			c.Error("the request is cancelled")
 		case <-time.After(10 * pause):
 		}
 		_, _ = io.WriteString(w, "ok")
-	})
-	s.ReadHeaderTimeout, s.IdleTimeout = 0, 0
-	inner := s.Handler
-	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { // the process waits for the processor
-		s.connections.Expire(time.Hour, 0)
+	})}
+	s.Attach(server)
+	attached := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { // the process waits for the processor
+		s.Expire(time.Hour, 0)
 		time.Sleep(pause)
-		inner.ServeHTTP(w, r)
+		attached.ServeHTTP(w, r)
 	})
-	caller := dial(t, s.address)
-	_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	port, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(s.Listener(port)) }()
+	caller := dial(t, port.Addr())
+	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	c.Assert(err, qt.IsNil)
 	resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
 	c.Assert(err, qt.IsNil)
