--- a/internal/forward/stopping.go
+++ b/internal/forward/stopping.go
@@ -65,10 +65,10 @@
 	return true
 }
 
-// isWorthTaking reports whether the request is likely enough to end before requests in progress are ended. While new connections
-// may lead back to the instance, a request is also taken if it is less likely to be given up at the exit than to be
-// refused once more, here or by another instance that stops. Later on, no known request may have taken longer than the
-// time left, and a stream must be sure to end, as it can't be answered any more once it has begun.
+// isWorthTaking reports whether the request is likely enough to end before requests in progress are ended. While new
+// connections may lead back to the instance, a request is also taken if it is less likely to be given up at the exit
+// than to be refused once more, here or by another instance that stops. Later on, no known request may have taken
+// longer than the time left, and a stream must be sure to end, as it can't be answered any more once it has begun.
 func (p *proxyRequest) isWorthTaking(endAt clock.Millis, inRotation bool) bool {
 	served := endAt.Sub(p.Now())
 	switch {
@@ -92,7 +92,7 @@
 const resumableLoss = 0.5
 
 // unknownStreamPercent is the part of its route's timeout that a stream is expected to take if nothing is known of such
-// streams: nine in ten take less where the operators' timeouts leave room for the longest ones.
+// streams.
 const unknownStreamPercent = 33
 
 // shareLonger returns the share of such requests that take longer than a time.
