--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -61,6 +61,7 @@
 	server   *httptest.Server
 	gateways []*gateway
 	record   *record
+	given    map[netip.AddrPort]bool // addresses of the processes
 	ids      atomic.Int64
 	exits    atomic.Int64 // of processes, unexpected
 
@@ -72,7 +73,7 @@
 
 // newFleet starts perZone instances in each of three zones.
 func newFleet(binary, dir string, r *record, perZone int) (*fleet, error) {
-	f := &fleet{dir: dir, store: standin.NewStore(), record: r}
+	f := &fleet{dir: dir, store: standin.NewStore(), record: r, given: map[netip.AddrPort]bool{}}
 	f.store.PageSize = 500
 	f.server = httptest.NewServer(f.store.Handler())
 	for n := range perZone {
@@ -90,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	ports, err := freePorts(4)
+	ports, err := f.freePorts(4)
 	if err != nil {
 		return err
 	}
@@ -112,13 +113,16 @@
 
 // freePorts returns loopback addresses whose ports are free for TCP and UDP. Their ports are below those that the
 // kernel gives to connections, one of which might take a port before its process listens.
-func freePorts(n int) (list []netip.AddrPort, err error) {
+func (f *fleet) freePorts(n int) (list []netip.AddrPort, err error) {
 	const first, count, tries = 20_000, 10_000, 1000
 	for range tries {
 		if len(list) == n {
 			return list, nil
 		}
 		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(first+rand.IntN(count)))
+		if f.given[at] {
+			continue
+		}
 		l, err := net.Listen("tcp", at.String())
 		if err != nil {
 			continue
@@ -126,6 +130,7 @@
 		defer l.Close()
 		if u, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)); err == nil {
 			defer u.Close()
+			f.given[at] = true
 			list = append(list, at)
 		}
 	}
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -24,6 +24,7 @@
 	run     scenario
 	perZone int
 }{
+	"prefill": {prefill, 2},
 	"removal": {removal, 2},
 	"silence": {silence, 2},
 }
--- a/review/driver/record.go
+++ b/review/driver/record.go
@@ -72,6 +72,8 @@
 		for _, a := range e.Arrivals() {
 			what := "refused"
 			switch {
+			case a.PrefillStarted:
+				what = "read its prompt"
 			case a.Ran && a.Cancelled:
 				what = "ran and was cut off"
 			case a.Ran:
@@ -88,10 +90,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	sort.SliceStable(r.lines, func(i, j int) bool { return r.lines[i].at.Before(r.lines[j].at) })
-	text := ""
 	parts := make([]byte, 0, len(r.lines)*80)
 	for _, l := range r.lines {
 		parts = fmt.Appendf(parts, "%8.3f %s\n", r.since(l.at), l.text)
 	}
-	return os.WriteFile(path, append([]byte(text), parts...), 0o644)
+	return os.WriteFile(path, parts, 0o644)
 }
