feed: end the loss of the store by reads that return at once

What callers saw: connections to the store that are idle go silent.

Cause: one failed call sets the store as lost, and only a read that succeeds clears it. The next read was a watch, which returns with the next change or after 20 s. Meanwhile the relay asks only peers, which are in the same state, and does not read the store's revision, the only check that does not depend on a watch.

Change: while the store counts as lost, the feed reads the revision and the changes so far instead of watching. A store that returns its revision but no changes is listed. No new state: the loss itself selects the task, so that it can't outlast the next call that is answered.

The stand-in of the feed's tests counts reads of the revision with the watches, so that their bounds stay as strict.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -176,7 +176,7 @@
 			revision = max(revision, f.Directory.View().Revision)
 			continue // the zone had all endpoints
 		}
-		if t == taskFollow && !f.Watching() && !f.isLost() {
+		if t == taskFollow && !f.Watching() {
 			f.waitIdle(ctx, standbyInterval)
 			revision = f.Directory.View().Revision
 			continue
@@ -235,12 +235,28 @@
 	case taskConfiguration:
 		return f.Source.Configuration(ctx)
 	case taskCatchUp:
-		return f.Source.Watch(ctx, max(revision, f.Directory.View().Revision), catchUpTimeout)
+		return f.catchUp(ctx, max(revision, f.Directory.View().Revision))
 	default:
 		return f.follow(ctx, revision)
 	}
 }
 
+// catchUp reads the changes so far. While the store counts as lost, its revision is read first: a
+// store that returns that but no changes has to be listed.
+func (f *Feed) catchUp(ctx context.Context, revision int64) (Update, error) {
+	lost := f.isLost()
+	if lost {
+		if _, err := f.Source.HeadRevision(ctx); err != nil {
+			return Update{}, err
+		}
+	}
+	update, err := f.Source.Watch(ctx, revision, catchUpTimeout)
+	if err != nil && lost {
+		f.request(&f.needList)
+	}
+	return update, err
+}
+
 // follow waits for changes until something else is to be read.
 func (f *Feed) follow(ctx context.Context, revision int64) (Update, error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -31,7 +31,7 @@
 	staleLists atomic.Int64
 	lists      atomic.Int64
 	tables     atomic.Int64
-	watches    atomic.Int64
+	watches    atomic.Int64 // and reads of the revision
 	failing    atomic.Bool
 	watching   atomic.Bool
 }
@@ -79,6 +79,13 @@
 				s.tables.Add(1)
 				return s.read(ctx)
 			},
+			HeadRevision: func(context.Context) (int64, error) {
+				s.watches.Add(1)
+				if s.failing.Load() {
+					return 0, errDown
+				}
+				return s.version.Load(), nil
+			},
 			Watch: func(ctx context.Context, revision int64, wait time.Duration) (feed.Update, error) {
 				s.watches.Add(1)
 				if s.failing.Load() {
--- /dev/null
+++ b/internal/feed/outage_test.go
@@ -0,0 +1,238 @@
+package feed_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/trailshed/trailshed/internal/directory"
+	"github.com/trailshed/trailshed/internal/feed"
+)
+
+// bound is the time within which a change must be in force, as newFeed sets it.
+const bound = 2 * time.Second
+
+// outageStore is a store with a history of changes. Its outages and the fate of its watches
+// are set at any moment.
+type outageStore struct {
+	mu            sync.Mutex
+	events        []directory.Event // the n-th has revision n+1
+	down          bool              // all calls fail
+	silentWatches bool              // watches that wait get no response
+	cut           chan struct{}     // closed to end the watches in progress
+	waits, reads  int               // calls with and without a wait
+}
+
+func newOutageStore() *outageStore { return &outageStore{cut: make(chan struct{})} }
+
+// write appends a change and returns its revision.
+func (s *outageStore) write(event func(revision int64) directory.Event) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revision := int64(len(s.events) + 1)
+	s.events = append(s.events, event(revision))
+	return revision
+}
+
+func (s *outageStore) register(entry string) {
+	s.write(func(revision int64) directory.Event {
+		return directory.Seen{Endpoint: directory.Endpoint{ID: entry, Service: "web", Zone: "a", Revision: revision}}
+	})
+}
+
+func (s *outageStore) remove(entry string) {
+	s.write(func(revision int64) directory.Event { return directory.Removed{Entry: entry, Revision: revision} })
+}
+
+// cutWatches ends the watches in progress.
+func (s *outageStore) cutWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.cut)
+	s.cut = make(chan struct{})
+}
+
+func (s *outageStore) setDown(down bool) {
+	s.mu.Lock()
+	s.down = down
+	s.mu.Unlock()
+	if down {
+		s.cutWatches()
+	}
+}
+
+func (s *outageStore) setSilentWatches(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentWatches = silent
+}
+
+// calls returns how many calls were made that wait for changes, and that do not.
+func (s *outageStore) calls() (waits, reads int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waits, s.reads
+}
+
+// since returns the changes after a revision.
+func (s *outageStore) since(revision int64) (feed.Update, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return feed.Update{}, errDown
+	}
+	return feed.Update{Events: append([]directory.Event(nil), s.events[revision:]...), Revision: int64(len(s.events))}, nil
+}
+
+func (s *outageStore) head(context.Context) (int64, error) {
+	s.mu.Lock()
+	s.reads++
+	s.mu.Unlock()
+	update, err := s.since(0)
+	return update.Revision, err
+}
+
+const (
+	// callTimeout is what the client of a store adds to the wait of a watch.
+	callTimeout = time.Second
+	// shortWait is the longest wait of a call that only reads what there is.
+	shortWait = 10 * time.Millisecond
+)
+
+func (s *outageStore) watch(ctx context.Context, revision int64, wait time.Duration) (feed.Update, error) {
+	s.mu.Lock()
+	silent, cut := s.silentWatches, s.cut
+	if wait > shortWait {
+		s.waits++
+	} else {
+		s.reads++
+	}
+	s.mu.Unlock()
+	end := time.After(wait)
+	if silent && wait > shortWait {
+		end = time.After(wait + callTimeout)
+	}
+	for {
+		update, err := s.since(revision)
+		if err != nil || len(update.Events) > 0 && (!silent || wait <= shortWait) {
+			return update, err
+		}
+		select {
+		case <-ctx.Done():
+			return feed.Update{}, ctx.Err()
+		case <-cut:
+			return feed.Update{}, errDown
+		case <-end:
+			if silent && wait > shortWait {
+				return feed.Update{}, errDown
+			}
+			return update, nil
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// outageTest is a feed before an outageStore.
+type outageTest struct {
+	*qt.C
+	store     *outageStore
+	feed      *feed.Feed
+	directory *directory.Directory
+	lost      atomic.Bool
+}
+
+// newOutageTest returns a feed that follows a store with the given endpoints until the test ends.
+func newOutageTest(t *testing.T, watching bool, entries ...string) *outageTest {
+	o := &outageTest{C: qt.New(t), store: newOutageStore()}
+	for _, e := range entries {
+		o.store.register(e)
+	}
+	fake := &fakeStore{}
+	fake.watching.Store(watching)
+	o.feed, o.directory = fake.newFeed(t)
+	o.feed.Source.ListStale = func(context.Context, func(feed.Update)) (feed.Update, error) { return o.store.since(0) }
+	o.feed.Source.Watch = o.store.watch
+	o.feed.Source.HeadRevision = o.store.head
+	o.feed.Lost = func() { o.lost.Store(true) }
+	o.feed.Regained = func() { o.lost.Store(false) }
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { o.feed.Run(ctx) })
+	running.Go(func() { o.tick(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	time.Sleep(time.Second)
+	return o
+}
+
+// tick gives the directory the time, as an instance does.
+func (o *outageTest) tick(ctx context.Context) {
+	for ctx.Err() == nil {
+		o.feed.Apply(directory.Tick{})
+		time.Sleep(250 * time.Millisecond)
+	}
+}
+
+// has reports whether an endpoint takes requests.
+func (o *outageTest) has(entry string) bool {
+	e := o.directory.View().Find(entry)
+	return e != nil && e.State == directory.Ready
+}
+
+// An instance counted the store as lost until its next watch returned, 20 s later on a quiet store, and noticed no
+// change meanwhile: requests ran at services that a configuration had replaced.
+func TestReturnOfStoreIsNoticedWithoutAChange(t *testing.T) {
+	tests := []struct {
+		name          string
+		watching      bool
+		outage        time.Duration
+		silentWatches bool // after the outage
+	}{
+		{"short outage", true, 300 * time.Millisecond, false},
+		{"long outage", true, 30 * time.Second, false},
+		{"watches are silent afterwards", true, time.Second, true},
+		{"instance that does not watch", false, time.Second, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := newOutageTest(t, test.watching, "e1")
+				o.store.setDown(true)
+				if !test.watching {
+					o.feed.CatchUp()
+				}
+				time.Sleep(test.outage)
+				o.Assert(o.lost.Load(), qt.IsTrue)
+				o.store.setSilentWatches(test.silentWatches)
+				o.store.setDown(false)
+				time.Sleep(bound / 2)
+				o.Assert(o.lost.Load(), qt.IsFalse)
+			})
+		})
+	}
+}
+
+// The reads by which the end of an outage is noticed stay few, and end with it.
+func TestReadsDuringOutageAreFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOutageTest(t, true, "e1")
+		o.store.setDown(true)
+		_, before := o.store.calls()
+		time.Sleep(10 * time.Second)
+		_, reads := o.store.calls()
+		o.Check(reads-before <= 16, qt.IsTrue, qt.Commentf("%d in the outage", reads-before))
+		o.store.setDown(false)
+		time.Sleep(bound)
+		_, before = o.store.calls()
+		time.Sleep(time.Minute)
+		_, reads = o.store.calls()
+		o.Check(reads, qt.Equals, before)
+	})
+}
--- a/internal/feed/task.go
+++ b/internal/feed/task.go
@@ -54,7 +54,9 @@
 	case f.needConfiguration:
 		f.needConfiguration = false
 		return taskConfiguration
-	case f.needChanges:
+	case f.needChanges, f.storeLost:
+		// A watch returns with the next change, which may be long in coming. While the store counts as
+		// lost, only calls that return at once show that it is back.
 		f.needChanges = false
 		return taskCatchUp
 	default:
