feed: a failed watch alone doesn't mean that the store is lost

The store counted as lost and, from the next read on, as returned, so that removals within the following 2.2 s were held for longer than the bound, though the store was never away and the silence lay 15 s back. A watch that fails now has a read follow at once, and only if that fails is the store lost. A failed renewal during a watch counts as before. What protects entries that lapse in an outage stays as it is: the directory and its tests are untouched.

Ruled out: applying removals later than the first revision read after a return at once. A lease may run out just after the return, before its endpoint reaches the store again; TestRemovalAfterReturnIsNotDelayedFurther holds that case.

TestLapseBesideRemoval guards the other side. TestFailingWatchesAreSpaced bounds the calls if watches fail and reads do not.

--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -14,6 +14,7 @@
 	LinesDropped   Event = "lines_dropped"
 	StoreLost      Event = "store_lost"
 	StoreRegained  Event = "store_regained"
+	WatchFailed    Event = "watch_failed"
 	HistoryLost    Event = "history_lost"
 	PeerLost       Event = "peer_lost"
 	PeerRegained   Event = "peer_regained"
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -168,7 +168,7 @@
 func (f *Feed) Run(ctx context.Context) {
 	start := f.Now()
 	revision := int64(0)
-	retryDelay := initialRetryDelay
+	pause := retryPause{read: initialRetryDelay}
 	for ctx.Err() == nil {
 		t := f.nextTask()
 		if t == taskList && f.isLarge() && f.seedFromZone(ctx) {
@@ -190,13 +190,11 @@
 			f.request(&f.needList)
 			continue
 		case err != nil:
-			f.storeFailed(err)
-			f.taskFailed(t)
-			ticker.Sleep(ctx, retryDelay)
-			retryDelay = min(2*retryDelay, maxRetryDelay)
+			f.taskFailed(t, err)
+			pause.failed(ctx, t)
 			continue
 		}
-		retryDelay = initialRetryDelay
+		pause.succeeded(t)
 		f.taskDone(t)
 		f.ApplyUpdate(update)
 		f.storeReached(update.Revision)
@@ -371,15 +369,15 @@
 	return err
 }
 
-// ObserveCall takes the outcome of another call to the store. A failure cancels the watch
-// in progress, which may wait on a dead connection.
+// ObserveCall takes the outcome of another call to the store. If one fails while a watch is in
+// progress, the store counts as lost, and the watch, which may wait on a dead connection, is
+// canceled.
 func (f *Feed) ObserveCall(err error) {
-	if err == nil {
+	if err == nil || !f.isWatchInProgress() {
 		return
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.endWatch()
+	f.storeFailed(err)
+	f.request(&f.needChanges)
 }
 
 // maxChangeLines is how many changes of one kind that come together are logged on a line
@@ -443,6 +441,16 @@
 	}
 }
 
+// watchFailed records that a watch failed. That says little of the store: the connection may have been
+// closed or have gone silent. Whether the store is lost is decided by the read that follows at once.
+// If it counted as lost already, a removal at this moment would be taken for an entry that lapsed in
+// an outage.
+func (f *Feed) watchFailed(err error) {
+	f.Scope.Counter("feed_watch_failed").Inc(1)
+	f.Log.Write(eventlog.Line{Event: eventlog.WatchFailed, Detail: err.Error()})
+	f.request(&f.needChanges)
+}
+
 // storeFailed records that a call to the store failed.
 func (f *Feed) storeFailed(err error) {
 	f.Apply(directory.StoreLost{})
--- a/internal/feed/large.go
+++ b/internal/feed/large.go
@@ -57,8 +57,7 @@
 	}
 	update, err := f.Source.Configuration(ctx)
 	if err != nil {
-		f.storeFailed(err)
-		f.taskFailed(taskConfiguration)
+		f.taskFailed(taskConfiguration, err)
 		time.AfterFunc(maxRetryDelay, f.wake)
 		return
 	}
--- a/internal/feed/outage_test.go
+++ b/internal/feed/outage_test.go
@@ -24,19 +24,19 @@
 	events        []directory.Event // the n-th has revision n+1
 	down          bool              // all calls fail
 	silentWatches bool              // watches that wait get no response
+	watchesFail   bool              // watches that wait fail at once
 	cut           chan struct{}     // closed to end the watches in progress
-	waits, reads  int               // calls with and without a wait
+	reads         int               // calls that do not wait for changes
 }
 
 func newOutageStore() *outageStore { return &outageStore{cut: make(chan struct{})} }
 
-// write appends a change and returns its revision.
-func (s *outageStore) write(event func(revision int64) directory.Event) int64 {
+// write appends a change.
+func (s *outageStore) write(event func(revision int64) directory.Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	revision := int64(len(s.events) + 1)
 	s.events = append(s.events, event(revision))
-	return revision
 }
 
 func (s *outageStore) register(entry string) {
@@ -72,11 +72,18 @@
 	s.silentWatches = silent
 }
 
-// calls returns how many calls were made that wait for changes, and that do not.
-func (s *outageStore) calls() (waits, reads int) {
+func (s *outageStore) refuseWatches() {
+	s.mu.Lock()
+	s.watchesFail = true
+	s.mu.Unlock()
+	s.cutWatches()
+}
+
+// shortCalls returns how many calls were made that do not wait for changes.
+func (s *outageStore) shortCalls() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.waits, s.reads
+	return s.reads
 }
 
 // since returns the changes after a revision.
@@ -100,19 +107,25 @@
 const (
 	// callTimeout is what the client of a store adds to the wait of a watch.
 	callTimeout = time.Second
+	// watchLength is how long a watch without a response lasts.
+	watchLength = 20*time.Second + callTimeout
 	// shortWait is the longest wait of a call that only reads what there is.
 	shortWait = 10 * time.Millisecond
 )
 
 func (s *outageStore) watch(ctx context.Context, revision int64, wait time.Duration) (feed.Update, error) {
 	s.mu.Lock()
-	silent, cut := s.silentWatches, s.cut
-	if wait > shortWait {
-		s.waits++
-	} else {
+	silent, refused, cut := s.silentWatches, s.watchesFail, s.cut
+	if wait <= shortWait {
 		s.reads++
 	}
 	s.mu.Unlock()
+	if refused && wait > shortWait {
+		return feed.Update{}, errDown
+	}
+	if wait <= shortWait {
+		cut = nil
+	}
 	end := time.After(wait)
 	if silent && wait > shortWait {
 		end = time.After(wait + callTimeout)
@@ -224,15 +237,102 @@
 	synctest.Test(t, func(t *testing.T) {
 		o := newOutageTest(t, true, "e1")
 		o.store.setDown(true)
-		_, before := o.store.calls()
+		before := o.store.shortCalls()
 		time.Sleep(10 * time.Second)
-		_, reads := o.store.calls()
+		reads := o.store.shortCalls()
 		o.Check(reads-before <= 16, qt.IsTrue, qt.Commentf("%d in the outage", reads-before))
 		o.store.setDown(false)
 		time.Sleep(bound)
-		_, before = o.store.calls()
+		before = o.store.shortCalls()
 		time.Sleep(time.Minute)
-		_, reads = o.store.calls()
+		reads = o.store.shortCalls()
 		o.Check(reads, qt.Equals, before)
 	})
 }
+
+// A removal that the store accepts after its return, or that comes with the failure of a single watch, was taken for an
+// entry that had lapsed in an outage: the endpoint got requests for longer than the bound, and some were lost with it.
+func TestRemovalIsInForceWithinBound(t *testing.T) {
+	tests := []struct {
+		name   string
+		before func(*outageStore)
+	}{
+		{"first change after an outage", func(s *outageStore) {
+			s.setDown(true)
+			time.Sleep(time.Second)
+			s.setDown(false)
+			time.Sleep(3 * time.Second)
+		}},
+		{"a watch is cut", func(s *outageStore) {
+			s.cutWatches()
+			time.Sleep(10 * time.Millisecond)
+		}},
+		{"watches are cut again and again", func(s *outageStore) {
+			for range 20 {
+				s.cutWatches()
+				time.Sleep(50 * time.Millisecond)
+			}
+		}},
+		{"a silent watch is given up", func(s *outageStore) {
+			s.setSilentWatches(true)
+			s.cutWatches()
+			time.Sleep(time.Second)
+			s.setSilentWatches(false)
+			time.Sleep(watchLength - 600*time.Millisecond)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := newOutageTest(t, true, "e1", "e2")
+				test.before(o.store)
+				o.store.remove("e1")
+				time.Sleep(bound - 10*time.Millisecond)
+				o.Check(o.has("e1"), qt.IsFalse)
+				o.Check(o.has("e2"), qt.IsTrue)
+			})
+		})
+	}
+}
+
+// An entry that lapses in an outage is not taken for a removal before its endpoint had time to write it again, whatever
+// is removed beside it.
+func TestLapseBesideRemoval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOutageTest(t, true, "back", "left", "dead")
+		o.store.setDown(true)
+		time.Sleep(1500 * time.Millisecond)
+		o.store.remove("back")
+		o.store.remove("dead")
+		o.store.setDown(false)
+		present := func(length time.Duration, entries ...string) {
+			for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				for _, e := range entries {
+					o.Assert(o.has(e), qt.IsTrue, qt.Commentf(e))
+				}
+			}
+		}
+		present(2*time.Second, "back", "left", "dead")
+		o.store.register("back")
+		present(time.Second, "back", "left")
+		o.store.remove("left")
+		time.Sleep(bound - 10*time.Millisecond)
+		o.Check(o.has("left"), qt.IsFalse)
+		o.Check(o.has("dead"), qt.IsFalse)
+		present(time.Second, "back")
+	})
+}
+
+// Watches that fail at once, one after the other, must not become a flood of calls.
+func TestFailingWatchesAreSpaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOutageTest(t, true, "e1")
+		o.store.refuseWatches()
+		time.Sleep(5 * time.Second)
+		before := o.store.shortCalls()
+		time.Sleep(10 * time.Second)
+		reads := o.store.shortCalls()
+		o.Check(reads-before <= 25, qt.IsTrue, qt.Commentf("%d", reads-before))
+		o.Check(o.lost.Load(), qt.IsFalse)
+	})
+}
--- a/internal/feed/task.go
+++ b/internal/feed/task.go
@@ -26,6 +26,13 @@
 	f.cancelWatch = cancel
 }
 
+// isWatchInProgress reports whether Run waits for changes.
+func (f *Feed) isWatchInProgress() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cancelWatch != nil
+}
+
 // pending reports whether anything is to be read.
 func (f *Feed) pending() bool {
 	f.mu.Lock()
@@ -77,8 +84,13 @@
 	}
 }
 
-// taskFailed restores the request of a failed task if selectTask has cleared it.
-func (f *Feed) taskFailed(t task) {
+// taskFailed records that a task failed, and restores its request if selectTask has cleared it.
+func (f *Feed) taskFailed(t task, err error) {
+	if t == taskFollow {
+		f.watchFailed(err)
+		return
+	}
+	f.storeFailed(err)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch t {
@@ -90,6 +102,29 @@
 	}
 }
 
+// retryPause is the pause after a failed task, which doubles with each further failure. A watch that fails
+// is followed by a read at once; only if watches go on failing, though reads succeed, is there a pause.
+type retryPause struct{ read, watch time.Duration }
+
+// failed waits after a failed task.
+func (p *retryPause) failed(ctx context.Context, t task) {
+	if t == taskFollow {
+		ticker.Sleep(ctx, p.watch)
+		p.watch = min(max(2*p.watch, initialRetryDelay), maxRetryDelay)
+		return
+	}
+	ticker.Sleep(ctx, p.read)
+	p.read = min(2*p.read, maxRetryDelay)
+}
+
+// succeeded ends the doubling.
+func (p *retryPause) succeeded(t task) {
+	p.read = initialRetryDelay
+	if t == taskFollow {
+		p.watch = 0
+	}
+}
+
 // waitIdle waits until something is requested, but no longer than the end of the interval.
 func (f *Feed) waitIdle(ctx context.Context, interval time.Duration) {
 	timer := time.NewTimer(ticker.UntilNext(interval))
