forward: engines are looked up again right before each send

Cause: a step looked its decode engine up in the view of its begin, then waited for a place, for permits and for the prefill, and sent the request to what it had found. Evidence: endpoint_leaving of the engine 2.3 s before the line sent that names it, at the same instance.

Change: engines are looked up in the present view, and the decode engine again right before its send. If it left, place, permit and budget go back, and the next place is asked for with the KV cache that there is. Permits were kept when the engine began to rest during the wait; they go back too.

Ruled out: that the instances learn of it late (all lines are there in time); that the planner hands the engine out again.

--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -41,10 +41,14 @@
 			return nil
 		}
 		after := f.Permits.Take(ctx, r.Endpoint.ID, priority)
-		if after == 0 {
+		if after == 0 && f.takesWork(r.Endpoint.ID) {
 			return r
 		}
 		r.Done(f.Now(), balance.Canceled)
+		if after == 0 {
+			f.Permits.Return(r.Endpoint.ID)
+			continue
+		}
 		if criteria.Withheld == nil {
 			criteria.Withheld = map[string]time.Duration{}
 		}
@@ -52,6 +56,13 @@
 	}
 }
 
+// takesWork reports whether an endpoint of this instance's view takes work at present. One that was chosen may have
+// begun to leave while its permit was requested.
+func (f *Forwarder) takesWork(id string) bool {
+	e := f.Directory.View().Find(id)
+	return e != nil && e.State == directory.Ready
+}
+
 // takePermits takes the permits for a place at engines, whose planner may not know the
 // engines' limits.
 func (p *proxyRequest) takePermits(ctx context.Context, place *broker.Place, withPrefill bool) bool {
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -93,10 +93,12 @@
 // findEngine returns the engine with the given ID, or nil if the engine is leaving or the
 // request may not go to its zone. The planner may know an engine that this instance does
 // not know yet, and then sends its data along; conversely, it may not know yet that an
-// engine is leaving.
+// engine is leaving. The engine is looked up in the present view, not in that of the step:
+// a step waits for a place, for permits and for the prefill, and an engine may begin to leave
+// meanwhile.
 func (p *proxyRequest) findEngine(id string) *directory.Endpoint {
 	area := p.allowedArea()
-	if e := p.view.Find(id); e != nil && e.Service == p.service {
+	if e := p.Directory.View().Find(id); e != nil && e.Service == p.service {
 		if e.State != directory.Ready || !area.Allows(e.Zone) {
 			return nil
 		}
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -121,19 +121,39 @@
 		p.budget(p.service).Return(p.Now(), send)
 		return stepRetry
 	}
-	r := p.Balancer.ReserveAt(p.Now(), decode)
-	if r == nil { // the engine began to back off during the prefill
-		p.fullEngine = decode.ID
+	r := p.reserveDecoder(place.Decode)
+	if r == nil {
+		p.returnPermits(place, false)
 		p.budget(p.service).Return(p.Now(), send)
 		return stepRetry
 	}
 	if p.begin(ctx, r) {
 		return stepBegun
 	}
-	p.recordFailedEngine(decode.ID)
+	p.recordFailedEngine(place.Decode)
 	return stepRetry
 }
 
+// reasonLeft is the failure reason of a request whose endpoint began to leave before it was sent.
+const reasonLeft = "endpoint_left"
+
+// reserveDecoder reserves the decode engine of a place right before the send. It returns nil if the engine
+// began to leave or to back off while the request waited; a KV cache is then offered to another engine.
+func (p *proxyRequest) reserveDecoder(id string) *balance.Reservation {
+	decode := p.findDecoder(id)
+	if decode == nil {
+		p.setDefaultFailure(reasonLeft)
+		p.history.add(id + ": " + reasonLeft)
+		p.tried = append(p.tried, id)
+		return nil
+	}
+	r := p.Balancer.ReserveAt(p.Now(), decode)
+	if r == nil {
+		p.fullEngine = id
+	}
+	return r
+}
+
 // placeRefused ends a request for which the planners have no place. If only a permit is
 // missing, a stream that has begun waits for it.
 func (p *proxyRequest) placeRefused(ctx context.Context, refusal *placement.Refusal) stepResult {
@@ -225,11 +245,13 @@
 func (p *proxyRequest) runPrefill(ctx context.Context, id string) bool {
 	e := p.findEngine(id)
 	if e == nil {
+		p.Permits.Return(id)
 		p.prefill.tried = append(p.prefill.tried, id)
 		return false
 	}
 	r := p.Balancer.ReserveAt(p.Now(), e)
 	if r == nil {
+		p.Permits.Return(id)
 		p.fullEngine = id
 		return false
 	}
