soak: changes some seconds after an outage of the store

Why the soak missed both faults: a store that failed was followed by other steps within a second, so that some change always ended the loss before the one that was judged; watches alone went silent only as a fault in force, during which nothing is judged; and 1.5 s of slack hide 2.2 s where 2 s are allowed.

A step "outage" now lets the store fail for 0.3 to 1.2 s (503, 429, silence, reset; all or a third of the instances), in half of the steps lets the watches that follow go silent, waits until instances are in touch, and then lets an endpoint leave and stores a configuration.

--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -44,7 +44,8 @@
 	ConfigDelay time.Duration // from a configuration's acknowledgement until it is in force
 	PeerDelay   time.Duration // added while the store fails some instances, which then learn of changes from peers
 	CancelDelay time.Duration // from a caller's disconnect to the end of the work for it
-	Slack       time.Duration // added to all time bounds, for a busy machine
+	Slack       time.Duration // added to all other time bounds, for a busy machine
+	ChangeSlack time.Duration // added to ChangeDelay and ConfigDelay
 	RetryRatio  float64       // retries allowed per request
 	RetrySlack  float64       // retries allowed in addition, per window
 	RetryWindow time.Duration // over which retries are counted
@@ -420,7 +421,7 @@
 // checkInForce checks whether an instance that did not know a version should have.
 func (c *Checker) checkInForce(call caller.Call) {
 	acknowledged, ok := c.versions[call.Kind.Version]
-	bound := c.Bounds.ConfigDelay + c.Bounds.Slack
+	bound := c.Bounds.ConfigDelay + c.Bounds.ChangeSlack
 	if !ok || !c.Bounds.Timed || !c.canKnow(call, acknowledged, call.Ended, &bound) {
 		return
 	}
--- a/internal/soak/checker/store_changes.go
+++ b/internal/soak/checker/store_changes.go
@@ -31,7 +31,7 @@
 // mustKnow reports whether the instance that sent a request must have known of a change
 // made at since, and no fault affected the endpoint or the link to it.
 func (c *Checker) mustKnow(call caller.Call, r Run, since time.Time) bool {
-	bound := c.Bounds.ChangeDelay + c.Bounds.Slack
+	bound := c.Bounds.ChangeDelay + c.Bounds.ChangeSlack
 	return c.canKnow(call, since, r.At, &bound) && r.At.After(since.Add(bound)) &&
 		c.Faults.Undisturbed(since, r.At, r.Endpoint, timeline.Endpoint)
 }
@@ -39,7 +39,7 @@
 // knewBefore reports whether an instance must have known of a change before a request arrived,
 // whatever has happened to the store and between instances since: a process does not forget.
 func (c *Checker) knewBefore(call caller.Call, r Run, since time.Time) bool {
-	bound := c.Bounds.ChangeDelay + c.Bounds.Slack
+	bound := c.Bounds.ChangeDelay + c.Bounds.ChangeSlack
 	return c.canKnow(call, since, since.Add(bound), &bound) && r.At.After(since.Add(bound)) &&
 		c.Faults.Undisturbed(since, r.At, call.Gateway.Name, timeline.Process, timeline.Planned) &&
 		c.Faults.Undisturbed(since, r.At, r.Endpoint, timeline.Endpoint)
--- a/internal/soak/fleet/endpoint.go
+++ b/internal/soak/fleet/endpoint.go
@@ -84,17 +84,24 @@
 // replace removes an endpoint from the current ones and starts another in its place. If two
 // steps end the same endpoint, only the first call has an effect.
 func (f *Fleet) replace(e *endpoint) error {
+	if !f.withdraw(e) {
+		return nil
+	}
+	return f.addEndpoint(e.Zone, e.Stage)
+}
+
+// withdraw removes an endpoint from the current ones, and reports whether it was one.
+func (f *Fleet) withdraw(e *endpoint) bool {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	n := slices.Index(f.endpoints, e)
 	if n < 0 {
-		f.mu.Unlock()
-		return nil
+		return false
 	}
 	f.endpoints = slices.Delete(slices.Clone(f.endpoints), n, n+1)
 	e.to = time.Now()
 	f.replaced = append(f.replaced, e)
-	f.mu.Unlock()
-	return f.addEndpoint(e.Zone, e.Stage)
+	return true
 }
 
 // endpoint returns the n-th current endpoint, modulo their number.
@@ -191,12 +198,18 @@
 	return f.endpoints[0]
 }
 
-// retire makes an endpoint leave: its entry is marked as draining or, with vanish, removed;
-// the endpoint continues to serve for drainTime, then ends.
+// retire replaces an endpoint and makes it leave.
 func (f *Fleet) retire(ctx context.Context, e *endpoint, vanish bool) error {
 	if err := f.replace(e); err != nil {
 		return err
 	}
+	f.leave(ctx, e, vanish)
+	return nil
+}
+
+// leave makes an endpoint leave: its entry is marked as draining or, with vanish, removed;
+// the endpoint continues to serve for drainTime, then ends.
+func (f *Fleet) leave(ctx context.Context, e *endpoint, vanish bool) {
 	if vanish {
 		e.Deregister(f.store)
 	} else {
@@ -209,7 +222,6 @@
 	e.Deregister(f.store)
 	e.link.Set(link.Refused)
 	e.link.Reset()
-	return nil
 }
 
 // announce makes an endpoint announce in its answers that it is leaving, and retires it
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -57,6 +57,10 @@
 	// coldRate is the number of requests a second that a cold endpoint accepts; without a
 	// limit an endpoint gets about ten.
 	coldRate = 1
+	// calmTime is the time without faults after which bounds on time apply.
+	calmTime = 3 * time.Second
+	// busySlack is added to bounds on time, for a busy machine.
+	busySlack = 1500 * time.Millisecond
 	// settleTime is the time at the end of a run in which time bounds can expire.
 	settleTime = 3 * time.Second
 )
@@ -129,12 +133,20 @@
 	return schedule.Merge(steps, schedule.Extra(f.Seed, f.FaultDuration))
 }
 
+// changeSlack returns the slack of the bounds on changes. Runs of outages alone are for machines that are not busy.
+func (o Options) changeSlack() time.Duration {
+	if o.OnlyKind == schedule.Outage {
+		return outageSlack
+	}
+	return busySlack
+}
+
 // bounds returns the bounds that the checker applies to a run.
 func (o Options) bounds() checker.Bounds {
 	ratio, slack := o.retryBudget()
 	return checker.Bounds{
-		CalmTime: 3 * time.Second, ChangeDelay: 2 * time.Second, ConfigDelay: 2 * time.Second, PeerDelay: 5 * time.Second,
-		CancelDelay: 500 * time.Millisecond, Slack: 1500 * time.Millisecond,
+		CalmTime: calmTime, ChangeDelay: 2 * time.Second, ConfigDelay: 2 * time.Second, PeerDelay: 5 * time.Second,
+		CancelDelay: 500 * time.Millisecond, Slack: busySlack, ChangeSlack: o.changeSlack(),
 		RetryRatio: ratio, RetrySlack: slack, RetryWindow: retryWindow, Timed: o.Timed,
 		// Partitioned instances and those that have just started may exceed the limit.
 		LimitRate: caller.LimitRate, LimitBurst: caller.LimitBurst, LimitSlack: 30, LimitWindow: 8 * time.Second,
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -86,6 +86,9 @@
 	Stop Kind = "stop"
 	// Endpoints give answers without end.
 	Endless Kind = "endless"
+	// The store fails for a moment, or watches of it go silent; seconds later an endpoint leaves and a configuration is
+	// stored.
+	Outage Kind = "outage"
 )
 
 // weights are the relative frequencies of the kinds drawn by New.
@@ -160,6 +163,7 @@
 	{0x5851f42d4c957f2d, []Kind{Overload}},
 	{0xda942042e4dd58b5, []Kind{Stop}},
 	{0x7fb5d329728ea185, []Kind{Endless}},
+	{0x6c62272e07bb0142, []Kind{Outage}},
 }
 
 // Extra draws additional steps of a run, independently of those of New.
