forward: places whose engine left are counted

A place that is given up since its engine left before the send showed only in the history of requests that are refused later. Counter places_left.

--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -144,6 +144,7 @@
 	if decode == nil {
 		p.setDefaultFailure(reasonLeft)
 		p.history.add(id + ": " + reasonLeft)
+		p.Scope.Counter("places_left").Inc(1)
 		p.tried = append(p.tried, id)
 		return nil
 	}
