feed: a store that refuses calls is not listed

At the return of a store that gets too many calls (429) each instance that had lost it would have listed it, several calls each, and added to them. Such a refusal now only leads to another try.

TestStoreWithoutChangesIsListed: the case "too many calls" fails without the condition; the other one is why the listing is there.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -24,8 +24,12 @@
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
-// ErrHistoryLost says that the store no longer has the requested changes.
-var ErrHistoryLost = errors.New("history is lost")
+var (
+	// ErrHistoryLost says that the store no longer has the requested changes.
+	ErrHistoryLost = errors.New("history is lost")
+	// ErrRefused says that the store refused the call, as when it gets too many.
+	ErrRefused = errors.New("store refused the call")
+)
 
 // Update is what the store returned, complete up to Revision.
 type Update struct {
@@ -240,7 +244,7 @@
 }
 
 // catchUp reads the changes so far. While the store counts as lost, its revision is read first: a
-// store that returns that but no changes has to be listed.
+// store that returns that but no changes has to be listed, unless it gets too many calls already.
 func (f *Feed) catchUp(ctx context.Context, revision int64) (Update, error) {
 	lost := f.isLost()
 	if lost {
@@ -249,7 +253,7 @@
 		}
 	}
 	update, err := f.Source.Watch(ctx, revision, catchUpTimeout)
-	if err != nil && lost {
+	if err != nil && lost && !errors.Is(err, ErrRefused) {
 		f.request(&f.needList)
 	}
 	return update, err
--- a/internal/feed/outage_test.go
+++ b/internal/feed/outage_test.go
@@ -23,6 +23,8 @@
 	mu            sync.Mutex
 	events        []directory.Event // the n-th has revision n+1
 	down          bool              // all calls fail
+	unread        error             // of all calls for changes; nil: they succeed
+	lists         int               // complete listings
 	silentWatches bool              // watches that wait get no response
 	watchesFail   bool              // watches that wait fail at once
 	cut           chan struct{}     // closed to end the watches in progress
@@ -96,6 +98,13 @@
 	return feed.Update{Events: append([]directory.Event(nil), s.events[revision:]...), Revision: int64(len(s.events))}, nil
 }
 
+func (s *outageStore) list(context.Context, func(int)) (feed.Update, error) {
+	s.mu.Lock()
+	s.lists++
+	s.mu.Unlock()
+	return s.since(0)
+}
+
 func (s *outageStore) head(context.Context) (int64, error) {
 	s.mu.Lock()
 	s.reads++
@@ -115,7 +124,7 @@
 
 func (s *outageStore) watch(ctx context.Context, revision int64, wait time.Duration) (feed.Update, error) {
 	s.mu.Lock()
-	silent, refused, cut := s.silentWatches, s.watchesFail, s.cut
+	silent, refused, unread, cut := s.silentWatches, s.watchesFail, s.unread, s.cut
 	if wait <= shortWait {
 		s.reads++
 	}
@@ -123,6 +132,9 @@
 	if refused && wait > shortWait {
 		return feed.Update{}, errDown
 	}
+	if unread != nil {
+		return feed.Update{}, unread
+	}
 	if wait <= shortWait {
 		cut = nil
 	}
@@ -169,6 +181,7 @@
 	fake.watching.Store(watching)
 	o.feed, o.directory = fake.newFeed(t)
 	o.feed.Source.ListStale = func(context.Context, func(feed.Update)) (feed.Update, error) { return o.store.since(0) }
+	o.feed.Source.List = o.store.list
 	o.feed.Source.Watch = o.store.watch
 	o.feed.Source.HeadRevision = o.store.head
 	o.feed.Lost = func() { o.lost.Store(true) }
@@ -336,3 +349,37 @@
 		o.Check(o.lost.Load(), qt.IsFalse)
 	})
 }
+
+// A store that returns its revision but no changes is listed, so that its return is noticed. One that gets too many calls
+// is not: all instances of a fleet would list it at its return.
+func TestStoreWithoutChangesIsListed(t *testing.T) {
+	tests := []struct {
+		name   string
+		err    error
+		listed bool
+	}{
+		{"changes are not answered", errDown, true},
+		{"too many calls", feed.ErrRefused, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := newOutageTest(t, true, "e1")
+				o.store.setDown(true)
+				time.Sleep(time.Second)
+				o.store.mu.Lock()
+				o.store.unread = test.err
+				o.store.mu.Unlock()
+				o.store.setDown(false)
+				time.Sleep(2 * bound)
+				o.store.mu.Lock()
+				listed := o.store.lists > 0
+				o.store.unread = nil
+				o.store.mu.Unlock()
+				o.Check(listed, qt.Equals, test.listed)
+				time.Sleep(bound / 2)
+				o.Check(o.lost.Load(), qt.IsFalse)
+			})
+		})
+	}
+}
