--- a/internal/feed/outage_test.go
+++ b/internal/feed/outage_test.go
@@ -123,28 +123,27 @@
 )
 
 func (s *outageStore) watch(ctx context.Context, revision int64, wait time.Duration) (feed.Update, error) {
+	short := wait <= shortWait
 	s.mu.Lock()
-	silent, refused, unread, cut := s.silentWatches, s.watchesFail, s.unread, s.cut
-	if wait <= shortWait {
+	silent, refused, unread, cut := s.silentWatches && !short, s.watchesFail && !short, s.unread, s.cut
+	if short {
 		s.reads++
+		cut = nil
 	}
 	s.mu.Unlock()
-	if refused && wait > shortWait {
+	if refused {
 		return feed.Update{}, errDown
 	}
 	if unread != nil {
 		return feed.Update{}, unread
 	}
-	if wait <= shortWait {
-		cut = nil
+	if silent {
+		wait += callTimeout
 	}
 	end := time.After(wait)
-	if silent && wait > shortWait {
-		end = time.After(wait + callTimeout)
-	}
 	for {
 		update, err := s.since(revision)
-		if err != nil || len(update.Events) > 0 && (!silent || wait <= shortWait) {
+		if err != nil || len(update.Events) > 0 && !silent {
 			return update, err
 		}
 		select {
@@ -153,7 +152,7 @@
 		case <-cut:
 			return feed.Update{}, errDown
 		case <-end:
-			if silent && wait > shortWait {
+			if silent {
 				return feed.Update{}, errDown
 			}
 			return update, nil
