forward: record each send and how it ended

A record shared by all attempts of a request holds each send and the first thing known of it; the number follows from it. No decision changes, but that a successor which has not sent yet counts until it ends also where it was taken as sent before.

Lines: the last line of a request names its sends (sends). Counters: promises by evidence, and unmarked_statuses, which tells hypothesis 1 from the others.

Ruled out: keeping the number and asserting it; the lines would still not tell which send was taken for not run.

--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -57,6 +57,7 @@
 	Wait        time.Duration // predicted wait, or the wait that a refused caller is given
 	Outcome     string
 	Reason      string        // reason code
+	Sends       string        // the request's sends and how they ended
 	Detail      string        // free text, such as an error
 	Status      int           // HTTP status
 	Took        time.Duration // time since the request arrived, or the length of a period
@@ -95,6 +96,7 @@
 	addInt(e, "wait_ms", line.Wait.Milliseconds())
 	addText(e, "outcome", line.Outcome)
 	addText(e, "reason", line.Reason)
+	addText(e, "sends", line.Sends)
 	addText(e, "detail", line.Detail)
 	addInt(e, "status", int64(line.Status))
 	addInt(e, "took_ms", line.Took.Milliseconds())
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/trailshed/trailshed/internal/attempts"
 	"github.com/trailshed/trailshed/internal/balance"
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
@@ -102,12 +103,16 @@
 			p.ReportDecodeStart(p.place, head.Load.Running)
 		}
 	}
+	if !head.NotRun {
+		p.attempt.Finish(attempts.Answered)
+		p.countUnmarked(exchange.Response.StatusCode)
+	}
 	good := exchange.Response.StatusCode < http.StatusMultipleChoices
 	if head.Signed && good {
 		p.reportNoLimit(a.reservation.Endpoint, head, sent)
 	}
 	if head.NotRun {
-		p.runs--
+		p.attempt.Finish(attempts.Rejected)
 		exchange.Discard()
 		p.endpointRejected(a.reservation, head)
 		return false
@@ -125,6 +130,14 @@
 	return p.readPlain(parent, a)
 }
 
+// countUnmarked counts statuses that promise a caller that its request did not run, of responses whose endpoints do not
+// state that.
+func (p *proxyRequest) countUnmarked(status int) {
+	if promisesNotRun(status) {
+		p.Scope.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("unmarked_statuses").Inc(1)
+	}
+}
+
 // send sends the request and reads the head of the response. It calls counted when the send has been counted.
 func (p *proxyRequest) send(ctx context.Context, r *balance.Reservation, counted func()) (*uplink.Exchange, ResponseHead, error) {
 	m := p.message
@@ -140,7 +153,7 @@
 	p.logResend()
 	p.startTiming()
 	p.sends++
-	p.runs++
+	p.beginSend(r.Endpoint.ID)
 	p.ownLinkLost = false
 	p.events, p.wroteOn, p.sentAt = 0, false, p.Now()
 	p.heardAt = p.sentAt
@@ -155,7 +168,7 @@
 	})
 	if errors.Is(err, uplink.ErrNotSent) {
 		p.sends--
-		p.runs--
+		p.attempt.Finish(attempts.Unwritten)
 		p.returnUnsent(r.Endpoint.ID, p.sends)
 	}
 	p.throughPeer = exchange != nil && exchange.Peer() != "" || errors.Is(err, uplink.ErrThroughPeer)
@@ -191,6 +204,7 @@
 // sendFailed classifies a send that brought no complete, signed response and reports it to
 // the balancer.
 func (p *proxyRequest) sendFailed(parent context.Context, r *balance.Reservation, err error) {
+	p.attempt.Finish(attempts.BrokenOff)
 	if p.silence.superseded() {
 		p.moved(r)
 		return
--- a/internal/forward/ending.go
+++ b/internal/forward/ending.go
@@ -81,9 +81,9 @@
 		panic(http.ErrAbortHandler)
 	case p.fallback != nil:
 		p.writeBuffered(p.fallback)
-	case p.runs > 0 && p.left() < minTimeLeft:
+	case p.record.MayHaveRun() > 0 && p.left() < minTimeLeft:
 		p.fail(http.StatusGatewayTimeout)
-	case p.runs > 0:
+	case p.record.MayHaveRun() > 0:
 		p.fail(http.StatusBadGateway)
 	case p.failure == reasonStops:
 		p.refuse(p.failure, p.retryAfter)
@@ -105,6 +105,7 @@
 	n.Status, n.Wait = status, max(after, 0)
 	p.writeLast(n)
 	p.Scope.Counter("requests_refused").Inc(1)
+	p.Scope.Tagged(map[string]string{"evidence": p.record.Evidence()}).Counter("promises").Inc(1)
 	p.Scope.Tagged(map[string]string{"reason": n.Reason}).Counter("refusals").Inc(1)
 	if after != noRetryAfter {
 		p.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
@@ -134,6 +135,7 @@
 // writeLast writes the line that tells how the request ended.
 func (p *proxyRequest) writeLast(n eventlog.Line) {
 	p.outcome = n.Event
+	n.Sends = p.record.String()
 	p.requestLog.Write(n)
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
 
+	"github.com/trailshed/trailshed/internal/attempts"
 	"github.com/trailshed/trailshed/internal/balance"
 	"github.com/trailshed/trailshed/internal/broker"
 	"github.com/trailshed/trailshed/internal/budget"
@@ -168,7 +169,7 @@
 	}
 	p := &proxyRequest{
 		Forwarder: f, w: newTimeoutWriter(w, f.WriteTimeout), arrived: f.Now(), progress: progress{view: f.Directory.View(), placeLimit: maxPlaceRequests}, requestLog: f.Log.NewRequestLog(),
-		sample: rand.Float64(), outcome: eventlog.Panicked,
+		sample: rand.Float64(), outcome: eventlog.Panicked, record: &attempts.Record{},
 	}
 	defer func() {
 		if p.headSent.Load() {
--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -84,7 +84,7 @@
 				mu.Unlock()
 				released <- struct{}{}
 			}
-			g.runs, g.sends = 1, 1
+			g.beginSilent()
 			g.Retry = budget.Rule{Slack: 100, Window: time.Minute}
 			s := g.watch(t)
 			done := runSuccessor(s)
@@ -109,7 +109,8 @@
 func TestSuccessorsLeavePlaceRequests(t *testing.T) {
 	c := qt.New(t)
 	g := newEngineRequest(t) // no endpoint is reachable
-	g.placeRequests, g.sends, g.runs = 1, 1, 1
+	g.beginSilent()
+	g.placeRequests = 1
 	g.Retry = budget.Rule{Slack: 100, Window: time.Minute}
 	s := g.watch(t)
 	<-runSuccessor(s)
@@ -126,7 +127,7 @@
 func TestPanicInSuccessorEndsOnlyIt(t *testing.T) {
 	c := qt.New(t)
 	g := newEngineRequest(t)
-	g.sends, g.runs = 1, 1
+	g.beginSilent()
 	g.FindPlace = func(context.Context, placement.Request, residency.Area) (*broker.Place, *placement.Refusal) {
 		panic("broken")
 	}
--- a/internal/forward/memory_test.go
+++ b/internal/forward/memory_test.go
@@ -26,7 +26,7 @@
 			g.view.Table.Limits.BodyBytes = 800
 			request := func(length int64, r io.Reader) (*proxyRequest, *http.Request, *httptest.ResponseRecorder) {
 				answer := httptest.NewRecorder()
-				p := &proxyRequest{Forwarder: g.Forwarder, w: newTimeoutWriter(answer, time.Minute), progress: progress{view: g.view}, requestLog: g.Log.NewRequestLog(), route: g.route, deadline: g.deadline}
+				p := &proxyRequest{Forwarder: g.Forwarder, w: newTimeoutWriter(answer, time.Minute), progress: progress{view: g.view}, requestLog: g.Log.NewRequestLog(), route: g.route, deadline: g.deadline, record: g.record}
 				req := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/x", r)
 				req.ContentLength = length
 				return p, req, answer
@@ -75,7 +75,7 @@
 			c := qt.New(t)
 			g := newEngineRequest(t)
 			g.BodyMemory = int64(test.memory)
-			p := &proxyRequest{Forwarder: g.Forwarder}
+			p := &proxyRequest{Forwarder: g.Forwarder, record: g.record}
 			body, more, err := p.readBeginning(bytes.NewReader(make([]byte, test.length)))
 			c.Assert(err, qt.IsNil)
 			c.Check(more, qt.Equals, test.more)
--- a/internal/forward/own_cancel_test.go
+++ b/internal/forward/own_cancel_test.go
@@ -28,6 +28,7 @@
 	superseded := func(g *engineRequest, r *balance.Reservation) {
 		g.silence = &silenceWatch{winner: &successor{}}
 		g.heardAt = g.Now().Add(-silence)
+		g.beginSend(r.Endpoint.ID)
 		g.sendFailed(g.ctx, r, uplink.ErrNoResponse)
 		g.recordFailedEngine(r.Endpoint.ID)
 	}
@@ -41,6 +42,7 @@
 	left := func(g *engineRequest, r *balance.Reservation) {
 		ctx, cancel := context.WithCancel(g.ctx)
 		cancel()
+		g.beginSend(r.Endpoint.ID)
 		g.sendFailed(ctx, r, uplink.ErrNoResponse)
 	}
 	tests := []struct {
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -48,7 +48,7 @@
 	return placement.Request{
 		ID: p.call.ID + "/" + suffix, Service: p.service, Route: p.route.Name,
 		Prompt: p.call.PromptTokens, ExpectedTokens: p.call.ExpectedOutputTokens, MaxTokens: p.call.MaxOutputTokens,
-		FinalDecode: !p.route.Repeatable() || p.runs+1 >= p.route.Attempts,
+		FinalDecode: !p.route.Repeatable() || p.otherRuns()+1 >= p.route.Attempts,
 		Final:       p.budget(p.service).Left(p.Now()) < 1,
 		Software:    p.neededSoftware(), Begun: p.version.began,
 		Rank: placement.RankOf(p.priority()), RouteRank: placement.RankOf(p.route.Priority), Workspace: p.workspaceName(),
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/trailshed/trailshed/internal/attempts"
 	"github.com/trailshed/trailshed/internal/balance"
 	"github.com/trailshed/trailshed/internal/broker"
 	"github.com/trailshed/trailshed/internal/directory"
@@ -288,7 +289,9 @@
 	})
 	p.prefill.sends++
 	sent := p.Now()
+	attempt := p.record.BeginPrompt(r.Endpoint.ID)
 	id, head, err := p.requestPrefill(ctx, m, r.Endpoint)
+	attempt.Finish(promptEnd(head, err))
 	if err == nil {
 		r.Heard(p.Now())
 		p.reportNoLimit(r.Endpoint, head, sent)
@@ -317,6 +320,20 @@
 	p.prefillFailed(parent, r, head, err, p.timedOutReason(ctx, parent, r, sent))
 }
 
+// promptEnd returns how the send of a prompt ended.
+func promptEnd(head ResponseHead, err error) attempts.End {
+	switch {
+	case err == nil:
+		return attempts.Answered
+	case errors.Is(err, uplink.ErrNotSent):
+		return attempts.Unwritten
+	case head.NotRun:
+		return attempts.Rejected
+	default:
+		return attempts.BrokenOff
+	}
+}
+
 // timedOutReason returns why this instance ended a prefill that was sent at a time, or "" if the prefill failed.
 func (p *proxyRequest) timedOutReason(ctx, parent context.Context, r *balance.Reservation, sent clock.Millis) string {
 	switch {
--- /dev/null
+++ b/internal/forward/promise.go
@@ -0,0 +1,14 @@
+package forward
+
+import "net/http"
+
+// promisesNotRun reports whether a status of an answer to a caller promises that the request did not run and never
+// will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/trailshed/trailshed/internal/attempts"
 	"github.com/trailshed/trailshed/internal/balance"
 	"github.com/trailshed/trailshed/internal/broker"
 	"github.com/trailshed/trailshed/internal/directory"
@@ -41,13 +42,15 @@
 	routes        route.Bucket // of the routes that a resumable stream matched
 	deadline      clock.Millis // end of the caller's wait or of the route's timeout, whichever is earlier
 	message       uplink.Message
-	reservedBytes int64         // reserved for bodies
-	sample        float64       // for quarantine.Prompt
-	headSent      atomic.Bool   // the caller has the head of the answer
-	firstEvent    time.Duration // from arrival to the first event; 0 before
-	cancelledHeld atomic.Bool   // CancelHeld cancelled a send
-	pauses        int           // waits of a stream that has begun for an endpoint
-	beside        *successor    // the attempt that this is; nil for the caller's request
+	reservedBytes int64            // reserved for bodies
+	sample        float64          // for quarantine.Prompt
+	headSent      atomic.Bool      // the caller has the head of the answer
+	firstEvent    time.Duration    // from arrival to the first event; 0 before
+	cancelledHeld atomic.Bool      // CancelHeld cancelled a send
+	pauses        int              // waits of a stream that has begun for an endpoint
+	beside        *successor       // the attempt that this is; nil for the caller's request
+	record        *attempts.Record // of all sends, shared with the attempts beside each other
+	planned       *attempts.Send   // the first send of an attempt beside another one; nil for the caller's request
 
 	readLock sync.Mutex // guards reading and the deadline of reads
 	reading  bool       // the body
@@ -60,8 +63,8 @@
 	view          *directory.View
 	engines       bool              // model engines serve the request; a service that is removed meanwhile does not change that
 	sends         int               // sends that may have reached an endpoint
-	runs          int               // sends that may have run
 	tried         []string          // IDs of endpoints that failed this request
+	attempt       *attempts.Send    // the last one
 	broke         []string          // IDs of endpoints that broke off a run
 	failure       string            // reason for the last failure
 	history       history           // how the steps so far ended
@@ -257,7 +260,27 @@
 
 // mayRepeat reports whether the request may be sent to another endpoint, after what has run so far.
 func (p *proxyRequest) mayRepeat() bool {
-	return p.runs == 0 || p.route.Repeatable() && p.runs < p.route.Attempts
+	runs := p.otherRuns()
+	return runs == 0 || p.route.Repeatable() && runs < p.route.Attempts
+}
+
+// otherRuns returns the number of sends that may have run, without the one that is planned for this attempt.
+func (p *proxyRequest) otherRuns() int {
+	runs := p.record.MayHaveRun()
+	if p.planned != nil && p.planned.Planned() {
+		runs--
+	}
+	return runs
+}
+
+// beginSend records a send to an endpoint.
+func (p *proxyRequest) beginSend(endpoint string) {
+	if p.planned != nil && p.planned.Planned() {
+		p.attempt = p.planned
+		p.attempt.At(endpoint)
+		return
+	}
+	p.attempt = p.record.Begin(endpoint)
 }
 
 // maySend reports whether the request may be sent, for the first time or again.
--- a/internal/forward/share_test.go
+++ b/internal/forward/share_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/trailshed/trailshed/internal/attempts"
 	"github.com/trailshed/trailshed/internal/balance"
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
@@ -76,7 +77,7 @@
 	c.Assert(ok, qt.IsTrue)
 	g.proxyRequest = &proxyRequest{
 		Forwarder: f, w: newTimeoutWriter(g.response, time.Minute), arrived: now(), progress: progress{view: d.View(), placeLimit: maxPlaceRequests}, requestLog: log.NewRequestLog(), route: match, service: "plain",
-		workspace: &workspace, deadline: now().Add(time.Minute), call: Call{ID: "r1"},
+		workspace: &workspace, deadline: now().Add(time.Minute), call: Call{ID: "r1"}, record: &attempts.Record{},
 	}
 	return g
 }
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -57,9 +57,9 @@
 	return position{begun: p.headSent.Load(), lastEventID: p.lastEventID, version: p.version}
 }
 
-// watchSilence starts the silence watch of an attempt at an endpoint, which is counted in p.runs already.
+// watchSilence starts the silence watch of an attempt at an endpoint, which is recorded already.
 func (p *proxyRequest) watchSilence(ctx context.Context, cancel context.CancelFunc, endpoint *directory.Endpoint) *silenceWatch {
-	if p.beside != nil || !p.route.Repeatable() || p.runs >= p.route.Attempts {
+	if p.beside != nil || !p.route.Repeatable() || p.record.MayHaveRun() >= p.route.Attempts {
 		return nil
 	}
 	s := &silenceWatch{
@@ -106,6 +106,7 @@
 		}
 	} else {
 		s.spent.add(x.spending())
+		x.endPlanned()
 	}
 	s.settle()
 	s.mu.Unlock()
@@ -190,13 +191,13 @@
 }
 
 // result returns the successor that spoke first, or nil, and what the others have spent, once settled is closed. Those
-// that have not ended yet count as having run.
+// that have not ended yet count as having been sent.
 func (s *silenceWatch) result() (*successor, spending) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	winner, spent := s.winner, s.spent
 	s.winner = nil
-	spent.sends, spent.runs = spent.sends+len(s.successors), spent.runs+len(s.successors)
+	spent.sends += len(s.successors)
 	return winner, spent
 }
 
@@ -229,6 +230,6 @@
 	if s.winner != nil {
 		n++
 	}
-	spent.sends, spent.runs = spent.sends+n, spent.runs+n
+	spent.sends += n
 	return spent
 }
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 
+	"github.com/trailshed/trailshed/internal/attempts"
 	"github.com/trailshed/trailshed/internal/balance"
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
@@ -25,15 +26,15 @@
 
 // spending is what attempts beside another one have done.
 type spending struct {
-	sends, runs, prefills, placeRequests int
-	tried                                []string // IDs of endpoints that failed
-	broke                                []string // IDs of endpoints that broke off a run
-	steps                                []string // of the history
-	fallback                             *bufferedResponse
+	sends, prefills, placeRequests int
+	tried                          []string // IDs of endpoints that failed
+	broke                          []string // IDs of endpoints that broke off a run
+	steps                          []string // of the history
+	fallback                       *bufferedResponse
 }
 
 func (s *spending) add(t spending) {
-	s.sends, s.runs, s.prefills, s.placeRequests = s.sends+t.sends, s.runs+t.runs, s.prefills+t.prefills, s.placeRequests+t.placeRequests
+	s.sends, s.prefills, s.placeRequests = s.sends+t.sends, s.prefills+t.prefills, s.placeRequests+t.placeRequests
 	s.tried, s.broke, s.steps = slices.Concat(s.tried, t.tried), slices.Concat(s.broke, t.broke), slices.Concat(s.steps, t.steps)
 	if t.fallback != nil {
 		s.fallback = t.fallback
@@ -44,7 +45,7 @@
 func (x *successor) spending() spending {
 	q := x.request
 	return spending{
-		sends: q.sends - x.from.sends, runs: q.runs - x.from.runs, prefills: q.prefill.sends - x.from.prefills, placeRequests: q.placeRequests,
+		sends: q.sends - x.from.sends, prefills: q.prefill.sends - x.from.prefills, placeRequests: q.placeRequests,
 		tried: q.tried[len(x.from.tried):], broke: q.broke, steps: q.history.steps, fallback: q.fallback,
 	}
 }
@@ -63,11 +64,18 @@
 	return x.request.seek(x.ctx) == stepBegun
 }
 
+// endPlanned ends the successor's first send if it was never made.
+func (x *successor) endPlanned() {
+	if x.request.planned.Planned() {
+		x.request.planned.Finish(attempts.Unwritten)
+	}
+}
+
 // successorStarter returns a function that starts a successor of an attempt at an endpoint. The function may run in
 // another goroutine than the attempt, so what it needs is captured here, and the rest is in the watch.
 func (p *proxyRequest) successorStarter(parent context.Context, current *directory.Endpoint) func(s *silenceWatch) *successor {
 	base := progress{
-		view: p.view, engines: p.engines, sends: p.sends, runs: p.runs, tried: append(slices.Clone(p.tried), current.ID),
+		view: p.view, engines: p.engines, sends: p.sends, tried: append(slices.Clone(p.tried), current.ID),
 		prefill: prefillState{sends: p.prefill.sends, tried: slices.Clone(p.prefill.tried)},
 	}
 	prefix, minLeft := "s"+strconv.Itoa(p.placeRequests), minTimeLeft
@@ -75,17 +83,17 @@
 		minLeft = minAnswerTime
 	}
 	return func(s *silenceWatch) *successor {
-		if p.left() <= minLeft || base.runs+s.spent.runs+len(s.successors) >= p.route.Attempts {
+		if p.left() <= minLeft || p.record.MayHaveRun() >= p.route.Attempts {
 			return nil
 		}
 		x := &successor{}
 		x.ctx, x.cancel = context.WithCancel(parent)
 		q := &proxyRequest{
 			Forwarder: p.Forwarder, arrived: p.arrived, requestLog: p.requestLog, call: p.call, route: p.route, workspace: p.workspace,
-			share: p.share, service: p.service, routes: p.routes, deadline: p.deadline, message: p.message, sample: p.sample, beside: x, progress: base,
+			share: p.share, service: p.service, routes: p.routes, deadline: p.deadline, message: p.message, sample: p.sample, beside: x, record: p.record, planned: p.record.Plan(), progress: base,
 		}
-		others := len(s.successors) // count as having run
-		q.sends, q.runs, q.prefill.sends = q.sends+s.spent.sends+others, q.runs+s.spent.runs+others, q.prefill.sends+s.spent.prefills
+		others := len(s.successors) // count as having been sent
+		q.sends, q.prefill.sends = q.sends+s.spent.sends+others, q.prefill.sends+s.spent.prefills
 		q.tried = slices.Concat(base.tried, s.spent.tried)
 		q.placePrefix, q.placeLimit = prefix+"-"+strconv.Itoa(s.starts)+"-", maxPlaceRequests
 		q.headSent.Store(s.at.begun)
@@ -93,7 +101,7 @@
 		if !q.version.began {
 			q.version.software = current.Software // whose KV cache and events fit, whichever of the two begins
 		}
-		x.request, x.from = q, spending{sends: q.sends, runs: q.runs, prefills: q.prefill.sends, tried: q.tried}
+		x.request, x.from = q, spending{sends: q.sends, prefills: q.prefill.sends, tried: q.tried}
 		q.requestLog.Write(q.endpointLine(eventlog.Silent, "", nil, current))
 		q.countSilence("started")
 		return x
@@ -120,7 +128,7 @@
 
 // spend adds what attempts beside the last one have done.
 func (p *proxyRequest) spend(s spending) {
-	p.sends, p.runs, p.prefill.sends, p.placeRequests = p.sends+s.sends, p.runs+s.runs, p.prefill.sends+s.prefills, p.placeRequests+s.placeRequests
+	p.sends, p.prefill.sends, p.placeRequests = p.sends+s.sends, p.prefill.sends+s.prefills, p.placeRequests+s.placeRequests
 	p.placeLimit += s.placeRequests // which limits the request's own
 	p.tried, p.broke = slices.Concat(p.tried, s.tried), slices.Concat(p.broke, s.broke)
 	for _, step := range s.steps {
@@ -138,7 +146,7 @@
 	spent := x.spending()
 	spent.fallback = nil
 	next := q.progress
-	next.sends, next.runs, next.prefill.sends, next.placeRequests = p.sends, p.runs, p.prefill.sends, p.placeRequests
+	next.sends, next.prefill.sends, next.placeRequests = p.sends, p.prefill.sends, p.placeRequests
 	next.history, next.fallback, next.placeLimit, next.placePrefix = p.history, p.fallback, p.placeLimit, p.placePrefix
 	next.tried, next.broke = p.tried, p.broke
 	p.progress = next
--- a/internal/forward/successor_test.go
+++ b/internal/forward/successor_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/trailshed/trailshed/internal/attempts"
 	"github.com/trailshed/trailshed/internal/broker"
 	"github.com/trailshed/trailshed/internal/budget"
 	"github.com/trailshed/trailshed/internal/directory"
@@ -22,7 +23,8 @@
 	s := g.watch(t)
 	x := s.start(s)
 	q := x.request
-	q.sends, q.runs, q.placeRequests = q.sends+1, q.runs+1, 2
+	q.sends, q.placeRequests = q.sends+1, 2
+	q.beginSend("next")
 	q.answer = &answer{reservation: g.Balancer.ReserveAt(g.Now(), &directory.Endpoint{ID: "next"}), cancel: x.cancel, stopHeld: q.watchHeld(x.cancel)}
 	s.winner = x
 	s.end()
@@ -33,12 +35,13 @@
 func TestSuccessorIsCountedOnce(t *testing.T) {
 	c := qt.New(t)
 	g := newEngineRequest(t)
-	g.sends, g.runs, g.placeRequests = 1, 1, 1
+	g.beginSilent()
+	g.placeRequests = 1
 	g.hedge = wonHedge(t, g)
 	g.hedge.spent = spending{sends: 1, placeRequests: 1, tried: []string{"failed"}, steps: []string{"failed: unreachable"}}
 	c.Assert(g.awaitSuccessor(t.Context()), qt.IsTrue)
 	c.Check(g.sends, qt.Equals, 3)
-	c.Check(g.runs, qt.Equals, 2)
+	c.Check(g.record.MayHaveRun(), qt.Equals, 2)
 	c.Check(g.placeRequests, qt.Equals, 4)
 	c.Check(g.placeLimit, qt.Equals, maxPlaceRequests+3) // what successors asked for does not count against it
 	c.Check(g.tried, qt.DeepEquals, []string{"failed"})
@@ -88,12 +91,13 @@
 	g.Retry = budget.Rule{Slack: 100, Window: time.Minute}
 	ctx, cancel := g.endWithInstance(t.Context())
 	defer cancel()
-	g.runs, g.sends = 1, 1 // the first attempt is on its way
+	g.beginSilent() // the first attempt is on its way
 	s := g.watchSilence(ctx, func() {}, &directory.Endpoint{ID: "silent"})
 	g.silence = s
 	done := runSuccessor(s)
-	<-arrived              // the successor's send has reached an engine
-	g.runs, g.sends = 0, 0 // ErrNotSent, or a refusal of the first engine
+	<-arrived // the successor's send has reached an engine
+	g.attempt.Finish(attempts.Unwritten)
+	g.sends = 0
 	g.endAttempt(&answer{cancel: func() {}, stopHeld: func() {}}, false)
 	time.AfterFunc(50*time.Millisecond, g.EndAll)
 	g.run(ctx)
--- a/internal/forward/unavailable_test.go
+++ b/internal/forward/unavailable_test.go
@@ -15,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/trailshed/trailshed/internal/attempts"
 	"github.com/trailshed/trailshed/internal/balance"
 	"github.com/trailshed/trailshed/internal/broker"
 	"github.com/trailshed/trailshed/internal/directory"
@@ -106,11 +107,17 @@
 	c.Assert(ok, qt.IsTrue)
 	g.proxyRequest = &proxyRequest{
 		Forwarder: f, arrived: now(), progress: progress{view: d.View(), placeLimit: maxPlaceRequests}, requestLog: log.NewRequestLog(), route: match, service: "llm",
-		deadline: now().Add(time.Minute), call: Call{ID: "r1", PromptTokens: 100, MaxOutputTokens: 10},
+		deadline: now().Add(time.Minute), call: Call{ID: "r1", PromptTokens: 100, MaxOutputTokens: 10}, record: &attempts.Record{},
 	}
 	return g
 }
 
+// beginSilent records a send to such an engine as the request's first.
+func (g *engineRequest) beginSilent() {
+	g.beginSend("silent")
+	g.sends++
+}
+
 // watch returns the silence watch of an attempt at an engine that is none of the known ones.
 func (g *engineRequest) watch(t *testing.T) *silenceWatch {
 	s := g.watchSilence(t.Context(), func() {}, &directory.Endpoint{ID: "silent"})
--- a/internal/forward/unsent_test.go
+++ b/internal/forward/unsent_test.go
@@ -88,6 +88,7 @@
 				r := g.Balancer.ReserveAt(g.Now(), g.view.Find(decodeEngine))
 				g.throughPeer = test.throughPeer
 				g.failedEngine = ""
+				g.beginSend(r.Endpoint.ID)
 				g.sendFailed(t.Context(), r, uplink.ErrNoResponse)
 				g.recordFailedEngine(decodeEngine)
 				c.Check(g.failedEngine, qt.Equals, test.failed)
--- a/internal/forward/workspace.go
+++ b/internal/forward/workspace.go
@@ -65,7 +65,7 @@
 // credit gives back the charged units if the request did not run: only requests that ran
 // count.
 func (p *proxyRequest) credit() {
-	if p.chargedUnits > 0 && p.runs == 0 {
+	if p.chargedUnits > 0 && p.record.MayHaveRun() == 0 {
 		p.Limits.Credit(p.workspace, p.chargedUnits)
 	}
 }
