forward: send a request to an endpoint again on a connection of its own

Cause: responses are matched by the request's ID, which all its sends have in common. An engine that rejects a KV cache is sent the request again without one, and the connection of the rejection was kept.

Fix: a send to an endpoint that was sent the request before, also its prompt, uses a new connection, which a MaxIdle of 0 asks for, through a peer as well. So no connection sees an ID twice. Closing each connection after a rejection would cost a connection for each request that an endpoint sheds; this costs one only where the same endpoint is asked twice.

--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -48,7 +48,7 @@
 	Body       []byte
 	// HasBody distinguishes an empty body from none.
 	HasBody bool
-	// MaxIdle is the longest time that a reused connection may have been idle.
+	// MaxIdle is the longest time that a reused connection may have been idle; 0: only a new one is used.
 	MaxIdle time.Duration
 	// Request is the ID of the caller's request, for the log lines of a peer that carries the
 	// connection.
--- a/internal/uplink/pool.go
+++ b/internal/uplink/pool.go
@@ -124,7 +124,7 @@
 // is still open, or a new one.
 func (p *Pool) get(ctx context.Context, m Message) (*conn, error) {
 	key := connKey{m.Address, m.EndpointID}
-	if !p.Bypassed(m.EndpointID) {
+	if m.MaxIdle > 0 && !p.Bypassed(m.EndpointID) {
 		if c := p.popUsable(key, m.MaxIdle); c != nil {
 			return c, nil
 		}
