forward: an endpoint's own 408, 429 or 503 is no promise

Cause: only a response with the mark of a rejection, or 421, shows that an endpoint did not run a request. A 503 without it was kept and passed on by giveUp before it looked at what may have run, a 408 or 429 was passed on as any answer.

Fix: such a response fails the attempt. The request is sent elsewhere if it may be, else its caller gets 502, without the signature, as the status is not the endpoint's.

Ruled out: passing it on for requests that may be repeated. Their callers retry after 502 as well, and "not run" must be true for all. A 408 or 429 is not held against the endpoint: an application may answer so.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -315,9 +315,13 @@
 		p.sendFailed(parent, a.reservation, err)
 		return false
 	}
-	if resp.StatusCode >= http.StatusInternalServerError {
+	switch {
+	case promisesNotRun(resp.StatusCode):
+		p.unmarkedStatus(a)
+		return false
+	case resp.StatusCode >= http.StatusInternalServerError:
 		a.exchange.Close(!a.long)
-		p.failure = "endpoint_status"
+		p.failure = reasonEndpointStatus
 		if !a.long {
 			p.fallback = &bufferedResponse{status: resp.StatusCode, header: p.Codec.CallerHeader(resp.Header), body: a.body}
 		}
@@ -327,6 +331,21 @@
 	return true
 }
 
+// reasonEndpointStatus is the failure reason of a send that the endpoint answered with a failure of its own.
+const reasonEndpointStatus = "endpoint_status"
+
+// unmarkedStatus ends an attempt whose endpoint answered with a status that promises a caller that its request did not
+// run, and did not state that. Such a response is never passed on: the endpoint may have run the request.
+func (p *proxyRequest) unmarkedStatus(a *answer) {
+	a.exchange.Close(!a.long)
+	p.failure = reasonEndpointStatus
+	result := balance.Succeeded // as of any answer below 500
+	if a.exchange.Response.StatusCode >= http.StatusInternalServerError {
+		result = balance.Failed
+	}
+	p.endpointFailed(a.reservation, result, Error.New("%s, without stating that the request did not run", a.exchange.Response.Status))
+}
+
 // readBeginning reads a body to its end, or more than maxBufferedBytes of it, or as much as there is memory for. It
 // reports whether there may be more.
 func (p *proxyRequest) readBeginning(r io.Reader) (body []byte, more bool, err error) {
--- a/internal/forward/ending.go
+++ b/internal/forward/ending.go
@@ -100,8 +100,13 @@
 	p.refuseWith(http.StatusServiceUnavailable, after, n)
 }
 
-// refuseWith is refuse with a given status and log line.
+// refuseWith is refuse with a given status and log line. A request that may have run is not refused, but fails.
 func (p *proxyRequest) refuseWith(status int, after time.Duration, n eventlog.Line) {
+	if p.record.MayHaveRun() > 0 {
+		p.failure = n.Reason
+		p.fail(http.StatusBadGateway)
+		return
+	}
 	n.Status, n.Wait = status, max(after, 0)
 	p.writeLast(n)
 	p.Scope.Counter("requests_refused").Inc(1)
