--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -137,6 +137,10 @@
 	return list, err
 }
 
+// maxResponseBytes bounds a response. A value has up to a megabyte, and a page of the largest ones that are listed,
+// configurations and segments of claims, has a few of them.
+const maxResponseBytes = 32 << 20
+
 func (c *client) call(ctx context.Context, limit time.Duration, method, path string, body []byte, into any) error {
 	c.scope.Tagged(map[string]string{"method": method}).Counter("platform_calls").Inc(1)
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -150,10 +154,13 @@
 		return c.failed(ErrUnknown, err.Error())
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return c.failed(ErrUnknown, err.Error())
 	}
+	if len(data) > maxResponseBytes {
+		return c.failed(ErrUnknown, fmt.Sprintf("the response exceeds %d bytes", maxResponseBytes))
+	}
 	if err := statusError(resp.StatusCode); err != nil {
 		return c.failed(err, resp.Status)
 	}
