platform: a response that can't be read leaves a call's outcome unknown

Only errors that say that the outcome is unknown have a write of the change log read back (changelog.create), and a 200 with an unreadable body was none of these: by reading, not shown, a change that the store had taken counts as failed there. Three cases of TestUnreadableResponseProvesNothing failed before. Claims read the shard again after any error, so no request ran twice by it.

--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -167,7 +167,10 @@
 	if into == nil {
 		return nil
 	}
-	return Error.Wrap(json.Unmarshal(data, into))
+	if err := json.Unmarshal(data, into); err != nil {
+		return c.failed(ErrUnknown, err.Error())
+	}
+	return nil
 }
 
 func (c *client) failed(kind error, detail string) error {
--- a/internal/platform/store_test.go
+++ b/internal/platform/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -39,3 +40,21 @@
 	<-closed
 	c.Assert(written.Load() < most, qt.IsTrue, qt.Commentf("%d bytes", written.Load()))
 }
+
+// Guards against a write that counts as not done, though the store has done it, because its response can't be read.
+func TestUnreadableResponseProvesNothing(t *testing.T) {
+	tests := []struct{ name, body string }{
+		{"empty", ""},
+		{"cut", `{"key":"k","ver`},
+		{"no JSON", "<html>"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, test.body) }))
+			defer s.Close()
+			store := platform.Connect(netip.MustParseAddrPort(s.Listener.Addr().String()), time.Second, tally.NoopScope)
+			_, err := store.Put(t.Context(), "k", []byte("v"), 0)
+			qt.Assert(t, err, qt.ErrorIs, platform.ErrUnknown)
+		})
+	}
+}
