--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -130,6 +130,16 @@
 	return p.readPlain(parent, a)
 }
 
+// maxIdle returns the longest idle time of a connection that is used for the next send to an endpoint: 0, for a new one,
+// if the endpoint was sent the request before. Responses are matched by the ID of the request, and a second response to
+// the earlier send, which may come late, would be taken for that to the next one.
+func (p *proxyRequest) maxIdle(endpoint string, maxIdle time.Duration) time.Duration {
+	if p.record.Reached(endpoint) {
+		return 0
+	}
+	return maxIdle
+}
+
 // countUnmarked counts statuses that promise a caller that its request did not run, of responses whose endpoints do not
 // state that.
 func (p *proxyRequest) countUnmarked(status int) {
@@ -142,10 +152,11 @@
 func (p *proxyRequest) send(ctx context.Context, r *balance.Reservation, counted func()) (*uplink.Exchange, ResponseHead, error) {
 	m := p.message
 	m.Address, m.EndpointID, m.Request = r.Endpoint.Address, r.Endpoint.ID, p.call.ID
-	m.MaxIdle = onceMaxIdle
+	maxIdle := onceMaxIdle
 	if p.route.Kind == route.Idempotent {
-		m.MaxIdle = repeatableMaxIdle
+		maxIdle = repeatableMaxIdle
 	}
+	m.MaxIdle = p.maxIdle(r.Endpoint.ID, maxIdle)
 	m.Header = p.Codec.EncodeHeader(p.call, Send{
 		Endpoint: r.Endpoint, Wait: max(p.left(), 0), LastEventID: p.lastEventID, Priority: p.priority(), Workspace: p.workspaceName(),
 		KVHandle: p.prefill.handle,
@@ -304,9 +315,13 @@
 		p.sendFailed(parent, a.reservation, err)
 		return false
 	}
-	if resp.StatusCode >= http.StatusInternalServerError {
+	switch {
+	case promisesNotRun(resp.StatusCode):
+		p.unmarkedStatus(a)
+		return false
+	case resp.StatusCode >= http.StatusInternalServerError:
 		a.exchange.Close(!a.long)
-		p.failure = "endpoint_status"
+		p.failure = reasonEndpointStatus
 		if !a.long {
 			p.fallback = &bufferedResponse{status: resp.StatusCode, header: p.Codec.CallerHeader(resp.Header), body: a.body}
 		}
@@ -316,6 +331,21 @@
 	return true
 }
 
+// reasonEndpointStatus is the failure reason of a send that the endpoint answered with a failure of its own.
+const reasonEndpointStatus = "endpoint_status"
+
+// unmarkedStatus ends an attempt whose endpoint answered with a status that promises a caller that its request did not
+// run, and did not state that. Such a response is never passed on: the endpoint may have run the request.
+func (p *proxyRequest) unmarkedStatus(a *answer) {
+	a.exchange.Close(!a.long)
+	p.failure = reasonEndpointStatus
+	result := balance.Succeeded // as of any answer below 500
+	if a.exchange.Response.StatusCode >= http.StatusInternalServerError {
+		result = balance.Failed
+	}
+	p.endpointFailed(a.reservation, result, Error.New("%s, without stating that the request did not run", a.exchange.Response.Status))
+}
+
 // readBeginning reads a body to its end, or more than maxBufferedBytes of it, or as much as there is memory for. It
 // reports whether there may be more.
 func (p *proxyRequest) readBeginning(r io.Reader) (body []byte, more bool, err error) {
