forward: take only the response with the request's ID for a prefill's

What callers could see: a stream that went on from another request's KV cache, or one that was late because a sound prefill engine was taken for one that had failed.

The call that frees a KV cache has none, so that its late response was taken for the next prefill on that connection: the handle couldn't be read, the engine was reported to its planner and its process was looked for.

Evidence: TestForeignResponseIsNoPrefill, three of its four cases red before (a foreign handle taken once, the engine blamed twice), green in 20 of 20 runs now.

Fix: the ID is demanded, as send does. A response without one is skipped like that of another request.

--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -401,7 +401,7 @@
 	var head ResponseHead
 	x, err := p.Pool.Do(ctx, m, func(resp *http.Response) bool {
 		head = p.Codec.ReadHead(resp)
-		return head.RequestID == p.call.ID || head.RequestID == ""
+		return head.RequestID == p.call.ID
 	})
 	if err != nil {
 		return "", head, err
