forward: free a handle on a connection of its own

What callers could see: nothing by itself since prefills demand an ID; before, a sound prefill engine was blamed and the stream came late.

Cause: the call that frees a KV cache took any response on a kept connection, as neither it nor its response has an ID. After a late response to an earlier request its own one was left unread, and the connection went back to the pool.

Ruled out: giving the call an ID.

Fix: the call opens a connection, whose first response can only be its own, and closes it.

Evidence: TestHandleIsFreedOnItsOwnConnection, red before (the call came on the prefill's connection), green in 50 of 50 runs.

--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -429,7 +429,9 @@
 
 // freeHandle frees a KV cache that will not be used. The cache expires by itself if the
 // call fails, so a failure is only counted. No call is made to an engine that backs off,
-// whose zone is evacuated or that has no permit left.
+// whose zone is evacuated or that has no permit left. The call and its response have no ID:
+// an engine takes one with an ID for a request to run. So the call has a connection of its
+// own, on which no other response can come first and none is left for another request.
 func (p *proxyRequest) freeHandle() {
 	h := p.prefill.handle
 	if h == nil {
@@ -447,12 +449,12 @@
 		}
 		method, target := p.Codec.FreeRequest(*h)
 		x, err := p.Pool.Do(ctx, uplink.Message{
-			Address: h.Address, EndpointID: h.EndpointID, Method: method, Target: target, Host: h.Address.String(), MaxIdle: repeatableMaxIdle,
+			Address: h.Address, EndpointID: h.EndpointID, Method: method, Target: target, Host: h.Address.String(),
 		}, func(*http.Response) bool { return true })
 		if err != nil {
 			p.Scope.Counter("handle_free_failed").Inc(1)
 			return
 		}
-		x.Discard()
+		x.Close(false)
 	}()
 }
--- a/internal/forward/prefill_answers_test.go
+++ b/internal/forward/prefill_answers_test.go
@@ -26,11 +26,12 @@
 type wireEndpoint struct {
 	dials  atomic.Int64
 	answer func(conn int64, r *http.Request) string
+	closed chan int64 // connections that the other side closed
 }
 
 // serveAt makes an endpoint that answers as given the one that g reaches.
 func serveAt(t *testing.T, g *engineRequest, answer func(conn int64, r *http.Request) string) *wireEndpoint {
-	e := &wireEndpoint{answer: answer}
+	e := &wireEndpoint{answer: answer, closed: make(chan int64, 16)}
 	g.Pool.Dial = func(context.Context, netip.AddrPort) (net.Conn, error) {
 		near, far := net.Pipe()
 		t.Cleanup(func() { _ = far.Close() })
@@ -58,6 +59,7 @@
 	for {
 		r, err := http.ReadRequest(requests)
 		if err != nil {
+			e.closed <- conn
 			return
 		}
 		if _, err = io.WriteString(c, e.answer(conn, r)); err != nil {
@@ -118,3 +120,27 @@
 		})
 	}
 }
+
+// Guards against a response that is taken for the one to the call that frees a handle, which has no ID, so that its own
+// is left on the connection for the next request: the call has a connection of its own.
+func TestHandleIsFreedOnItsOwnConnection(t *testing.T) {
+	c := qt.New(t)
+	g := newEngineRequest(t)
+	freedOn := make(chan int64, 1)
+	e := serveAt(t, g, func(conn int64, r *http.Request) string {
+		if r.Method == http.MethodDelete {
+			freedOn <- conn
+			return wireAnswer(http.StatusOK, "", "")
+		}
+		id := r.Header.Get("Id")
+		return wireAnswer(http.StatusOK, id, `"k-`+id+`"`)
+	})
+	g.another("r0")
+	c.Assert(g.readPrompt(t), qt.Equals, "k-r0")
+	g.freeHandle()
+	c.Assert(<-freedOn, qt.Equals, int64(2))
+	c.Assert(<-e.closed, qt.Equals, int64(2))
+	g.another("r1")
+	c.Check(g.readPrompt(t), qt.Equals, "k-r1")
+	c.Check(e.dials.Load(), qt.Equals, int64(2)) // the prompts are read on the first
+}
