uplink: do not give a peer's connection back after unread bytes

What callers could see: 502 for a request that may run once and that its endpoint ran, after a peer had lent it a connection.

Cause: an own connection on which bytes came after the response is closed by the pool. One through a peer was finished, so that the peer lent it again. If a second response had been read in part, its rest came in front of the next response there, and that request failed with "malformed HTTP status code".

Fix: the decision on reuse looks at unread bytes for both. A second response that came whole now costs a connection through a peer, too, as it does on an own one.

--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -209,8 +209,8 @@
 }
 
 // Close ends the exchange. The connection is reused only if whole is true, the request was
-// written completely, the response had a defined end, and the endpoint did not ask to close
-// the connection.
+// written completely, the response had a defined end, nothing came after it, and the endpoint
+// did not ask to close the connection.
 func (e *Exchange) Close(whole bool) {
 	if e.closed {
 		return
@@ -249,8 +249,8 @@
 
 func (e *Exchange) reusable() bool {
 	r := e.Response
-	if r == nil || r.Close || e.EndsWithConnection() {
-		return false
+	if r == nil || r.Close || e.EndsWithConnection() || e.conn.reader.Buffered() > 0 {
+		return false // or part of a second response was read, whose rest may be still to come
 	}
 	select {
 	case err := <-e.writeDone:
