forward: a 421 of the endpoint that was meant is not another's

What operators could see: fewer endpoints in use on one instance, without an end. Callers: requests that wait or are refused for lack of engines.

Cause: each 421 was taken for one of another endpoint that has the address now. An engine also answers 421 to a request for a stage that it no longer has. It was then marked as denied until its entry changes, which it may have done already: the change of the stage itself often comes first.

Fix: an endpoint that names itself in its 421 is not reported as gone. That it did not run the request is true of both. Without a sender, or from another one, all is as before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -287,7 +287,7 @@
 func (p *proxyRequest) endpointRejected(r *balance.Reservation, head ResponseHead) {
 	p.failure = "endpoints_full"
 	p.fullEngine = r.Endpoint.ID
-	if head.AddressReused {
+	if head.addressReused(r.Endpoint) {
 		p.failure = "address_reused"
 		p.ReportGone(r.Endpoint.ID)
 	}
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -55,15 +55,21 @@
 
 // ResponseHead holds what the header of an endpoint's response says.
 type ResponseHead struct {
-	RequestID     string // of the request that the response belongs to
-	Signed        bool   // the response carries the endpoint's signature
-	NotRun        bool   // the endpoint did not run the request
-	AddressReused bool   // another endpoint has the address now
-	Load          balance.Load
-	HasLoad       bool
-	Reencoded     bool // the body was re-encoded on the way
-	Streamed      bool // the body is an event stream
-	StatesLimit   bool // the endpoint states how many requests per second it accepts
+	RequestID   string // of the request that the response belongs to
+	Signed      bool   // the response carries the endpoint's signature
+	NotRun      bool   // the endpoint did not run the request
+	Misdirected bool   // the endpoint is not the one that was meant, or does not serve requests of this stage
+	Sender      string // entry of the endpoint that responded; empty if not stated
+	Load        balance.Load
+	HasLoad     bool
+	Reencoded   bool // the body was re-encoded on the way
+	Streamed    bool // the body is an event stream
+	StatesLimit bool // the endpoint states how many requests per second it accepts
+}
+
+// addressReused reports whether another endpoint than the one that was meant has its address now, as far as is known.
+func (h ResponseHead) addressReused(meant *directory.Endpoint) bool {
+	return h.Misdirected && h.Sender != meant.Entry
 }
 
 // Codec maps the types above to and from HTTP headers.
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -364,7 +364,7 @@
 func (p *proxyRequest) classifyPrefill(parent context.Context, e *directory.Endpoint, head ResponseHead, err error, timedOut string) balance.Result {
 	p.failedEngine = e.ID
 	switch {
-	case head.AddressReused:
+	case head.addressReused(e):
 		p.ReportGone(e.ID)
 		return balance.Rejected
 	case head.NotRun:
