endpoint: what was sent decides whether a call ran, not the last error

A request is not run now only if net/http gave it no connection for any of its sends (httptrace.GotConn). The kind of the error does not matter any more, so the node's dialer need not dress its errors as those of a dial.

Weighed: a new connection for each send, whose dial then speaks for it. Net/http's repetitions stay: only requests that may be repeated have them, or such of which nothing was written. A connection that was given and not written on counts as a run, which errs on the safe side.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -12,8 +12,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -56,14 +58,13 @@
 	// whether the response was successful; sent is when the request was sent.
 	OnNotice func(at netip.AddrPort, n notice.Notice, good bool, sent time.Time)
 
-	// Dial opens a connection to an endpoint; its errors are net.OpErrors. Ended reports
+	// Dial opens a connection to an endpoint. Ended reports
 	// whether the endpoint's process has ended. Both may be replaced before the first call.
 	Dial  func(ctx context.Context, at netip.AddrPort) (net.Conn, error)
 	Ended func(ctx context.Context, at netip.AddrPort) bool
 
 	pooled *http.Client // reuses connections
-	// unpooled opens a connection for each call, so that a failure to connect proves that
-	// nothing was sent.
+	// unpooled opens a connection for each call. net/http repeats no request on a new connection.
 	unpooled *http.Client
 }
 
@@ -261,9 +262,9 @@
 		client = c.unpooled
 		req.GetBody = nil // net/http must not send it again
 	}
-	resp, err := client.Do(req)
+	resp, err := send(client, req)
 	if err != nil {
-		return Response{}, sendError(err)
+		return Response{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode == http.StatusTooManyRequests && resp.Header.Get("Not-Run") != "" {
@@ -285,9 +286,9 @@
 	if err != nil {
 		return nil, wrapError(ErrNotRun, err)
 	}
-	resp, err := client.Do(req)
+	resp, err := send(client, req)
 	if err != nil {
-		return nil, sendError(err)
+		return nil, err
 	}
 	if resp.StatusCode == http.StatusOK {
 		return resp, nil
@@ -301,14 +302,21 @@
 	return nil, wrapError(ErrMayHaveRun, cause)
 }
 
-// sendError distinguishes a failure to connect, after which the request certainly did not
-// run, from a connection that broke.
-func sendError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return wrapError(ErrNotRun, err)
+// send sends a request. Its error is ErrNotRun only if the request was given no connection, so
+// that nothing of it was written. The error of net/http does not tell that: net/http repeats some
+// requests by itself, and its last error may be the one of a later send.
+func send(client *http.Client, r *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	resp, err := client.Do(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	switch {
+	case err == nil:
+		return resp, nil
+	case connected.Load():
+		return nil, wrapError(ErrMayHaveRun, err)
+	default:
+		return nil, wrapError(ErrNotRun, err)
 	}
-	return wrapError(ErrMayHaveRun, err)
 }
 
 func wrapError(kind, cause error) error {
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -64,9 +64,6 @@
 	})
 	client.Dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 		p, err := n.dialer.Connect(ctx, uplink.Message{Address: to, EndpointID: to.String()})
-		if err != nil {
-			err = &net.OpError{Op: "dial", Net: "tcp", Addr: net.TCPAddrFromAddrPort(to), Err: err}
-		}
 		return p.Conn, err
 	}
 	client.Ended = func(ctx context.Context, at netip.AddrPort) bool {
