endpoint: take a rejection for not run only by the endpoint's word

What callers could see: 503 refused_not_run, or a second run, for a model request that an engine ran and answered with 429. Prefill, Decode and Order took each 429 for not run; the calls of plain services asked for the header Not-Run already, with any value, so that "0" counted as well.

Now one function decides for all: a rejection (408, 421, 429, 503) with Not-Run: 1 in its own header. A marked 503 thus is not run for model requests as well, and is sent elsewhere also if it may run only once. 4 of the new test's 9 cases were red: 429 without a mark, with "0", with the mark in an interim response only, and the marked 503.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -50,6 +50,8 @@
 	// headerLimit is set in all responses of an endpoint that accepts only so many requests
 	// per second from all processes together.
 	headerLimit = "Limit"
+	// headerNotRun is set in the rejection of a request that the endpoint did not run.
+	headerNotRun = "Not-Run"
 )
 
 // Client calls endpoints over HTTP.
@@ -267,7 +269,7 @@
 		return Response{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode == http.StatusTooManyRequests && resp.Header.Get("Not-Run") != "" {
+	if isMarkedNotRun(resp) {
 		return Response{}, wrapError(ErrNotRun, errors.New(resp.Status))
 	}
 	body, err := io.ReadAll(resp.Body)
@@ -296,12 +298,29 @@
 	reason, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
 	_ = resp.Body.Close()
 	cause := fmt.Errorf("%s: %s", resp.Status, bytes.TrimSpace(reason))
-	if resp.StatusCode == http.StatusTooManyRequests {
+	if isMarkedNotRun(resp) {
 		return nil, wrapError(ErrNotRun, cause)
 	}
 	return nil, wrapError(ErrMayHaveRun, cause)
 }
 
+// isMarkedNotRun reports whether a response is a rejection with the endpoint's own word that it did
+// not run the request. A rejection without it says nothing: the endpoint may have run the request
+// and have been rejected by another service.
+func isMarkedNotRun(r *http.Response) bool {
+	return isRejection(r.StatusCode) && r.Header.Get(headerNotRun) == "1"
+}
+
+// isRejection reports whether a status means, in answers to callers, that the request did not run.
+func isRejection(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // send sends a request. Its error is ErrNotRun only if the request was given no connection, so
 // that nothing of it was written. The error of net/http does not tell that: net/http repeats some
 // requests by itself, and its last error may be the one of a later send.
--- a/internal/endpoint/promise_test.go
+++ b/internal/endpoint/promise_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -94,3 +95,45 @@
 		})
 	}
 }
+
+// rejection returns a rejection with a status. mark is the endpoint's word that it did not run the
+// request; there is none if it is empty.
+func rejection(status int, mark string) string {
+	if mark != "" {
+		mark = "Not-Run: " + mark + "\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: 4\r\n\r\nbusy", status, http.StatusText(status), mark)
+}
+
+// Guards against a rejection that says nothing of whether the request ran being taken for the
+// word that it did not.
+func TestModelRequestsAreNotRunOnlyByTheEndpointsWord(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer string
+		want   error
+	}{
+		{"429", rejection(429, ""), ErrMayHaveRun},
+		{"429, marked", rejection(429, "1"), ErrNotRun},
+		{"429, marked as run", rejection(429, "0"), ErrMayHaveRun},
+		{"503", rejection(503, ""), ErrMayHaveRun},
+		{"503, marked", rejection(503, "1"), ErrNotRun},
+		{"408", rejection(408, ""), ErrMayHaveRun},
+		{"421", rejection(421, ""), ErrMayHaveRun},
+		{"500, marked", rejection(500, "1"), ErrMayHaveRun},
+		{"marked before the answer only", "HTTP/1.1 103 Early Hints\r\nNot-Run: 1\r\n\r\n" + rejection(429, ""), ErrMayHaveRun},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			e := newRawEndpoint(t, func(*rawEndpoint, int) string { return test.answer })
+			client := NewClient()
+			_, prefill := client.Prefill(context.Background(), e.address, PrefillRequest{Attempt: "a.1"})
+			decode := client.Decode(context.Background(), e.address, DecodeRequest{Attempt: "a.1"}, func(Token) error { return nil })
+			for _, err := range []error{prefill, decode} {
+				c.Check(errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
+				c.Check(errors.Is(err, ErrNotRun) && errors.Is(err, ErrMayHaveRun), qt.IsFalse)
+			}
+		})
+	}
+}
