entry: a service's own 408, 421, 429 or 503 is no promise

What callers could see: 408, 421, 429 or 503 for a call that a plain service ran, as its status was passed on like any answer; and the same again for whoever repeats the key, as it was kept as the answer. To callers these statuses mean that the request did not run.

Such a response without the endpoint's mark now fails the attempt with "may have run": the call is sent elsewhere if it may be repeated, else its caller gets 502 and the key stays claimed, with 409 for who repeats it. This is what the gateway does. Ruled out: to count it as a failure of the endpoint, as an application may answer so to one of its users, and endpoints that fail are ejected for all of them.

8 of the new test's 12 cases were red (four statuses, for a kind that may run once and for one that may be repeated).

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -33,6 +33,9 @@
 	ErrNotRun = errors.New("not run")
 	// ErrMayHaveRun means that the endpoint may have run the request.
 	ErrMayHaveRun = errors.New("may have run")
+	// ErrRejected means that the endpoint answered with a rejection and did not state whether it
+	// ran the request. It comes with ErrMayHaveRun.
+	ErrRejected = errors.New("rejected")
 	// ErrTruncated means that a stream ended before its last line.
 	ErrTruncated = errors.New("incomplete response")
 )
@@ -249,8 +252,12 @@
 	Body   []byte      `cbor:"3,keyasint"`
 }
 
+// Rejects reports whether the response must not be passed on to a caller: its status means there
+// that the request did not run.
+func (r Response) Rejects() bool { return isRejection(r.Status) }
+
 // Call sends a request to a plain service and reads the whole response. A call that must
-// not be repeated is sent once, on a connection of its own.
+// not be repeated is sent once, on a connection of its own. A rejection is an error.
 func (c *Client) Call(ctx context.Context, to netip.AddrPort, call Call) (Response, error) {
 	url := "http://" + to.String() + "/call/" + call.Path
 	req, err := http.NewRequestWithContext(ctx, call.Method, url, bytes.NewReader(call.Body))
@@ -276,7 +283,11 @@
 	if err != nil {
 		return Response{}, wrapError(ErrMayHaveRun, err)
 	}
-	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	answer := Response{Status: resp.StatusCode, Header: resp.Header, Body: body}
+	if answer.Rejects() {
+		return Response{}, wrapError(ErrMayHaveRun, fmt.Errorf("%w: %s", ErrRejected, resp.Status))
+	}
+	return answer, nil
 }
 
 func (c *Client) post(ctx context.Context, client *http.Client, to netip.AddrPort, path string, v any) (*http.Response, error) {
--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -99,18 +99,18 @@
 }
 
 // KeptAnswer returns the answer of the request that owns a claim, from the entry that
-// ran it.
+// ran it. An entry of an earlier build may have kept a service's rejection, which is none.
 func (e *Entry) KeptAnswer(ctx context.Context, c claim.Claim) (endpoint.Response, bool) {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	req := answerRequest{Request: c.Request}
 	if c.Holder == e.options.Owner.Address {
 		r := e.localKeptAnswer(ctx, peer.Sender{}, req)
-		return r.Answer, r.OK
+		return r.Answer, r.OK && !r.Answer.Rejects()
 	}
 	r, err := peer.Call[answerRequest, answerResponse](ctx, e.transport, c.Holder, topicAnswer, req)
 	if err != nil {
 		return endpoint.Response{}, false
 	}
-	return r.Answer, r.OK
+	return r.Answer, r.OK && !r.Answer.Rejects()
 }
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -35,6 +35,7 @@
 	reasonKeyTaken         = "key_taken"
 	reasonBodyDiffers      = "key_used_for_another_request"
 	reasonEndpointFailed   = "endpoint_failed"
+	reasonEndpointStatus   = "endpoint_status" // a rejection that does not state whether the request ran
 	reasonFenced           = "entry_was_silent"
 	reasonLeaving          = "leaving"
 	reasonLimit            = "workspace_limit"
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -143,6 +143,10 @@
 		return nil
 	}
 	at := a.grant.Decode
+	if errors.Is(err, endpoint.ErrRejected) {
+		r.avoid = append(r.avoid, at)
+		return err // the attempt is finished
+	}
 	if cause := context.Cause(ctx); cause != nil {
 		e.reportProgress(a, cell.Progress{Phase: cell.Withdrawn})
 		return endpointError(endpoint.ErrMayHaveRun, cause)
@@ -191,8 +195,11 @@
 		r.possibleRuns++
 	}
 	o = r.adjustRefusal(refused(reasonEndpointFailed, defaultRetryAfter))
-	if errors.Is(err, errFenced) {
+	switch {
+	case errors.Is(err, errFenced):
 		o.Reason = reasonFenced
+	case errors.Is(err, endpoint.ErrRejected):
+		o.Reason = reasonEndpointStatus
 	}
 	retry = r.repeatable() || o.Result == RefusedNotRun
 	return o, retry && r.remaining() > 0 && !isLeaving(ctx)
@@ -250,11 +257,12 @@
 		Attempt: string(a.request.Attempt), Method: r.Method, Path: r.Path, Header: r.Header, Body: r.Body,
 		AtMostOnce: !r.repeatable(),
 	})
-	if err != nil {
+	if err != nil && !errors.Is(err, endpoint.ErrRejected) {
 		return answer, &attemptError{at: a.grant.Decode, cause: err}
 	}
+	// The endpoint has answered and did not fail: an application may reject a request.
 	e.reportProgress(a, cell.Progress{Phase: cell.Finished, Duration: e.options.Now().Sub(startedAt)})
-	return answer, nil
+	return answer, err
 }
 
 // runModel computes the KV cache of the prompt at the prefill endpoint, has the decode
--- /dev/null
+++ b/internal/node/promise_test.go
@@ -0,0 +1,103 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/trailshed/trailshed/internal/standin/engine"
+	"github.com/trailshed/trailshed/internal/standin/site"
+)
+
+// addTill adds the service till, whose only endpoint answers calls with answer, and the kinds pay,
+// which may run once, and look, which may be repeated.
+func addTill(t *testing.T, s *site.Site, answer http.HandlerFunc) {
+	e := engine.New(engine.Traits{Role: engine.Service})
+	t.Cleanup(e.Close)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/call/") {
+			answer(w, r)
+			return
+		}
+		e.Handler().ServeHTTP(w, r)
+	}))
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	for _, text := range []string{
+		"create kind pay serves = till, repeat = never", "create kind look serves = till",
+		"create pool till zone = a, role = service, serves = till",
+		"create endpoint till pool = till, address = " + server.Listener.Addr().String(),
+	} {
+		_, err := do(s.Nodes[0], text)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	until(t, "the till has reported", func() bool {
+		load, err := do(s.Nodes[1], "show load where state = open")
+		return err == nil && len(load.Rows) == 7
+	})
+	for _, n := range s.Nodes {
+		until(t, "the till's cell is known", func() bool {
+			a, err := call{path: "/v1/services/till/ready", key: "key-w", kind: "look"}.send(context.Background(), n)
+			return err == nil && a.status == http.StatusOK
+		})
+	}
+}
+
+// Guards against a service's own 408, 421, 429 or 503 that reaches the caller as the word that
+// its request did not run, after it has run.
+func TestServicesOwnRejectionIsNoPromise(t *testing.T) {
+	s := open(t)
+	var runs atomic.Int64
+	addTill(t, s, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		var status int
+		_, _ = fmt.Sscanf(r.URL.Path, "/call/%d", &status)
+		w.Header().Set("Retry-After", "0")
+		http.Error(w, "the account is locked", max(status, http.StatusOK))
+	})
+	const failed = `"outcome":"failed_may_have_run"`
+	tests := []struct {
+		status int
+		want   int
+		body   string
+	}{
+		{http.StatusRequestTimeout, http.StatusBadGateway, failed},
+		{http.StatusMisdirectedRequest, http.StatusBadGateway, failed},
+		{http.StatusTooManyRequests, http.StatusBadGateway, failed},
+		{http.StatusServiceUnavailable, http.StatusBadGateway, failed},
+		{http.StatusConflict, http.StatusConflict, "the account is locked"},
+		{http.StatusInternalServerError, http.StatusInternalServerError, "the account is locked"},
+	}
+	for _, kind := range []string{"pay", "look"} {
+		for i, test := range tests {
+			t.Run(fmt.Sprintf("%s %d", kind, test.status), func(t *testing.T) {
+				c := qt.New(t)
+				request := call{path: fmt.Sprintf("/v1/services/till/%d", test.status), key: "key-w", kind: kind, body: "pay"}
+				if kind == "pay" {
+					request.once = fmt.Sprintf("key-%d", i)
+				}
+				before := runs.Load()
+				a, err := request.send(context.Background(), s.Nodes[0])
+				c.Assert(err, qt.IsNil)
+				c.Check(a.status, qt.Equals, test.want, qt.Commentf(a.body))
+				c.Check(a.body, qt.Contains, test.body)
+				c.Check(runs.Load() > before, qt.IsTrue)
+				if kind != "pay" {
+					return
+				}
+				again, err := request.send(context.Background(), s.Nodes[1])
+				c.Assert(err, qt.IsNil)
+				c.Check(strings.Contains(again.body, "refused_not_run"), qt.IsFalse, qt.Commentf(again.body))
+				c.Check(runs.Load(), qt.Equals, before+1)
+			})
+		}
+	}
+}
