endpoint: pass redirects on instead of following them

What could be seen: a call that may run once was sent a second time. The client of calls has its repetition switched off, but followed redirects: a service that answers 301, 302 or 303, or 307 or 308 to a call without a body, got the call, or a GET in its place, again under the same attempt. The send could go to any address that the redirect names, and its failure decided what the caller was told.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -88,16 +88,25 @@
 		}
 		return c.Dial(ctx, at)
 	}
-	c.pooled = &http.Client{Transport: noticeTransport{c, &http.Transport{
+	c.pooled = c.newHTTPClient(&http.Transport{
 		DialContext: dialEndpoint, MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout: idleTimeout, DisableCompression: true,
-	}}}
-	c.unpooled = &http.Client{Transport: noticeTransport{c, &http.Transport{
+	})
+	c.unpooled = c.newHTTPClient(&http.Transport{
 		DialContext: dialEndpoint, DisableKeepAlives: true, DisableCompression: true,
-	}}}
+	})
 	return c
 }
 
+// newHTTPClient returns a client that takes redirects for answers. To follow one is to send the
+// request again.
+func (c *Client) newHTTPClient(t *http.Transport) *http.Client {
+	return &http.Client{
+		Transport:     noticeTransport{c, t},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // noticeTransport is a RoundTripper that reports the notice in each response.
 type noticeTransport struct {
 	client    *Client
--- a/internal/endpoint/promise_test.go
+++ b/internal/endpoint/promise_test.go
@@ -137,3 +137,29 @@
 		})
 	}
 }
+
+// Guards against the client following redirects: each is another send, which may be a second run of
+// a call that may run once.
+func TestRedirectIsAnAnswer(t *testing.T) {
+	for _, once := range []bool{false, true} {
+		for _, status := range []int{301, 302, 303, 307, 308} {
+			for _, body := range []string{"", "pay"} {
+				t.Run(fmt.Sprintf("%d once %t body %q", status, once, body), func(t *testing.T) {
+					c := qt.New(t)
+					e := newRawEndpoint(t, func(_ *rawEndpoint, run int) string {
+						if run > 1 {
+							return wholeAnswer
+						}
+						return fmt.Sprintf("HTTP/1.1 %d Moved\r\nLocation: /call/y\r\nContent-Length: 0\r\n\r\n", status)
+					})
+					call := Call{Attempt: "a.1", Method: http.MethodPost, Path: "x", Header: http.Header{}, Body: []byte(body), AtMostOnce: once}
+					answer, err := NewClient().Call(context.Background(), e.address, call)
+					c.Assert(err, qt.IsNil)
+					c.Check(answer.Status, qt.Equals, status)
+					c.Check(answer.Header.Get("Location"), qt.Equals, "/call/y")
+					c.Check(e.runs, qt.HasLen, 1)
+				})
+			}
+		}
+	}
+}
