endpoint: use no connection again on which a request was rejected

What callers could see: 503 refused_not_run, or a second run, for a request that an endpoint runs. Responses do not name their request. It concerned prefills, decodes and orders, and calls that may be repeated if the rejection has no body: net/http closes the connection otherwise.

A connection is retired with the marked rejection, and its next write fails with nothing written, so that net/http takes a new connection for the next request. If that was written before the rejection was read, its own marked rejection is no evidence. It costs a connection for each rejected request, which are rare here, as dispatchers grant only free places.

What stays: a repeated response of another kind is still taken for the next answer on kept connections, and a rejection without a body leaves the time until its caller's goroutine runs.

4 of 9 cases of TestRepeatedRejectionIsNotOfTheNextSend were red, and TestRepeatedRejectionAfterTheNextSendBegan.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -86,7 +86,11 @@
 		if err != nil {
 			return nil, Error.Wrap(err)
 		}
-		return c.Dial(ctx, at)
+		inner, err := c.Dial(ctx, at)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: inner}, nil
 	}
 	c.pooled = c.newHTTPClient(&http.Transport{
 		DialContext: dialEndpoint, MaxIdleConnsPerHost: maxIdlePerHost,
@@ -285,9 +289,6 @@
 		return Response{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if isMarkedNotRun(resp) {
-		return Response{}, wrapError(ErrNotRun, errors.New(resp.Status))
-	}
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return Response{}, wrapError(ErrMayHaveRun, err)
@@ -315,13 +316,14 @@
 	if resp.StatusCode == http.StatusOK {
 		return resp, nil
 	}
-	reason, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
-	_ = resp.Body.Close()
-	cause := fmt.Errorf("%s: %s", resp.Status, bytes.TrimSpace(reason))
-	if isMarkedNotRun(resp) {
-		return nil, wrapError(ErrNotRun, cause)
-	}
-	return nil, wrapError(ErrMayHaveRun, cause)
+	defer func() { _ = resp.Body.Close() }()
+	return nil, wrapError(ErrMayHaveRun, statusError(resp))
+}
+
+// statusError returns an error with the status and the beginning of the body of a response.
+func statusError(r *http.Response) error {
+	reason, _ := io.ReadAll(io.LimitReader(r.Body, 1024))
+	return fmt.Errorf("%s: %s", r.Status, bytes.TrimSpace(reason))
 }
 
 // isMarkedNotRun reports whether a response is a rejection with the endpoint's own word that it did
@@ -341,21 +343,49 @@
 	}
 }
 
-// send sends a request. Its error is ErrNotRun only if the request was given no connection, so
-// that nothing of it was written. The error of net/http does not tell that: net/http repeats some
-// requests by itself, and its last error may be the one of a later send.
+// send sends a request. Its error is ErrNotRun only with evidence of this very send: it was given
+// no connection, so that nothing of it was written, or the endpoint marked its rejection. The error
+// of net/http is no evidence: net/http repeats some requests by itself, and its last error may be
+// the one of a later send.
 func send(client *http.Client, r *http.Request) (*http.Response, error) {
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var last atomic.Pointer[conn] // nil if it was retired, so that nothing was written on it
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		c, ok := info.Conn.(*conn)
+		if ok && c.retired.Load() {
+			c = nil
+		}
+		last.Store(c)
+		if c != nil {
+			connected.Store(true)
+		}
+	}}
 	resp, err := client.Do(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err == nil && last.Load() == nil {
+		_ = resp.Body.Close()
+		err = errors.New("response without a request")
+	}
 	switch {
-	case err == nil:
-		return resp, nil
-	case connected.Load():
+	case err != nil && !connected.Load():
+		return nil, wrapError(ErrNotRun, err)
+	case err != nil:
 		return nil, wrapError(ErrMayHaveRun, err)
+	case !isMarkedNotRun(resp):
+		return resp, nil
 	default:
-		return nil, wrapError(ErrNotRun, err)
+		defer func() { _ = resp.Body.Close() }()
+		return nil, rejectedError(last.Load(), resp)
+	}
+}
+
+// rejectedError returns the error of a marked rejection. Responses do not name their request, and an
+// endpoint may reject one twice. So no request follows on the connection; if one was written
+// already, its response is no evidence.
+func rejectedError(used *conn, r *http.Response) error {
+	if !used.retire() {
+		return wrapError(ErrMayHaveRun, statusError(r))
 	}
+	return wrapError(ErrNotRun, statusError(r))
 }
 
 func wrapError(kind, cause error) error {
--- a/internal/endpoint/promise_test.go
+++ b/internal/endpoint/promise_test.go
@@ -9,21 +9,25 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/trailshed/trailshed/internal/notice"
 )
 
 // rawEndpoint is an endpoint that answers each request with the bytes that answer returns. If
-// there are none, it ends the connection.
+// there are none, it ends the connection. run counts its requests, and nth those of one connection.
 type rawEndpoint struct {
 	listener net.Listener
 	address  netip.AddrPort
-	answer   func(e *rawEndpoint, run int) string
+	answer   func(e *rawEndpoint, run, nth int) string
 	runs     chan string // paths of the requests that it has read
 }
 
-func newRawEndpoint(t *testing.T, answer func(e *rawEndpoint, run int) string) *rawEndpoint {
+func newRawEndpoint(t *testing.T, answer func(e *rawEndpoint, run, nth int) string) *rawEndpoint {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = l.Close() })
@@ -45,14 +49,14 @@
 func (e *rawEndpoint) handle(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	r := bufio.NewReader(conn)
-	for {
+	for nth := 1; ; nth++ {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
 		e.runs <- req.URL.Path
-		answer := e.answer(e, len(e.runs))
+		answer := e.answer(e, len(e.runs), nth)
 		if answer == "" {
 			return
 		}
@@ -77,7 +81,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			e := newRawEndpoint(t, func(e *rawEndpoint, run int) string {
+			e := newRawEndpoint(t, func(e *rawEndpoint, run, _ int) string {
 				if run == 1 {
 					return wholeAnswer
 				}
@@ -126,7 +130,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			e := newRawEndpoint(t, func(*rawEndpoint, int) string { return test.answer })
+			e := newRawEndpoint(t, func(*rawEndpoint, int, int) string { return test.answer })
 			client := NewClient()
 			_, prefill := client.Prefill(context.Background(), e.address, PrefillRequest{Attempt: "a.1"})
 			decode := client.Decode(context.Background(), e.address, DecodeRequest{Attempt: "a.1"}, func(Token) error { return nil })
@@ -146,7 +150,7 @@
 			for _, body := range []string{"", "pay"} {
 				t.Run(fmt.Sprintf("%d once %t body %q", status, once, body), func(t *testing.T) {
 					c := qt.New(t)
-					e := newRawEndpoint(t, func(_ *rawEndpoint, run int) string {
+					e := newRawEndpoint(t, func(_ *rawEndpoint, run, _ int) string {
 						if run > 1 {
 							return wholeAnswer
 						}
@@ -163,3 +167,85 @@
 		}
 	}
 }
+
+// Guards against a rejection that the endpoint sends twice, of which the second one comes in place
+// of the answer to the next send on its connection.
+func TestRepeatedRejectionIsNotOfTheNextSend(t *testing.T) {
+	sends := []struct {
+		name string
+		send func(*Client, netip.AddrPort) error
+	}{
+		{"call", func(client *Client, to netip.AddrPort) error {
+			_, err := client.Call(context.Background(), to, Call{Attempt: "a.1", Method: http.MethodPost, Path: "x", Header: http.Header{}, Body: []byte("body")})
+			return err
+		}},
+		{"call without a body", func(client *Client, to netip.AddrPort) error {
+			_, err := client.Call(context.Background(), to, Call{Attempt: "a.1", Method: http.MethodGet, Path: "x", Header: http.Header{}})
+			return err
+		}},
+		{"prefill", func(client *Client, to netip.AddrPort) error {
+			_, err := client.Prefill(context.Background(), to, PrefillRequest{Attempt: "a.1"})
+			return err
+		}},
+	}
+	rejections := []struct{ name, text string }{
+		{"short", rejection(429, "1")},
+		{"empty", "HTTP/1.1 429 Too Many Requests\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"},
+		{"long", "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 3000\r\n\r\n" + strings.Repeat("x", 3000)},
+	}
+	for _, rejection := range rejections {
+		for _, test := range sends {
+			t.Run(rejection.name+", "+test.name, func(t *testing.T) {
+				c := qt.New(t)
+				e := newRawEndpoint(t, func(_ *rawEndpoint, run, nth int) string {
+					switch {
+					case run == 1:
+						return rejection.text
+					case nth > 1:
+						return rejection.text + wholeAnswer
+					default:
+						return wholeAnswer
+					}
+				})
+				client := NewClient()
+				c.Check(errors.Is(test.send(client, e.address), ErrNotRun), qt.IsTrue)
+				c.Check(test.send(client, e.address), qt.IsNil)
+				c.Check(e.runs, qt.HasLen, 2)
+			})
+		}
+	}
+}
+
+// Guards against the same if the next send was written before the rejection was read.
+func TestRepeatedRejectionAfterTheNextSendBegan(t *testing.T) {
+	c := qt.New(t)
+	const rejection = "HTTP/1.1 429 Too Many Requests\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	began, rejected, next := make(chan struct{}), make(chan struct{}), make(chan error)
+	e := newRawEndpoint(t, func(_ *rawEndpoint, run, _ int) string {
+		if run == 2 {
+			close(began)
+		}
+		return rejection
+	})
+	client := NewClient()
+	call := Call{Attempt: "a.1", Method: http.MethodGet, Path: "x", Header: http.Header{}}
+	responses := 0
+	client.OnNotice = func(netip.AddrPort, notice.Notice, bool, time.Time) {
+		responses++
+		if responses > 1 {
+			<-rejected
+			return
+		}
+		go func() {
+			_, err := client.Call(context.Background(), e.address, call)
+			next <- err
+		}()
+		<-began
+	}
+	_, err := client.Call(context.Background(), e.address, call)
+	c.Check(errors.Is(err, ErrNotRun), qt.IsTrue)
+	close(rejected)
+	err = <-next
+	c.Check(errors.Is(err, ErrMayHaveRun), qt.IsTrue, qt.Commentf("%v", err))
+	c.Check(errors.Is(err, ErrNotRun), qt.IsFalse)
+}
