endpoint: take an error response for no report

What could happen: a dispatcher takes an endpoint for one that holds nothing, gives the places of attempts that run there to others and lets their reservations end. Report did not look at the status, and any JSON object, such as {"error":"busy"} with 503, decodes as a report without attempts.

Only a 200 is a report now; anything else counts as no reading, after which nothing is concluded on what the endpoint holds. 5 of 7 cases of the new test were red (302, 404, 429, 500, 503).

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -231,11 +231,14 @@
 	if err != nil {
 		return r, Error.Wrap(err)
 	}
-	resp, err := c.pooled.Do(req)
+	resp, err := send(c.pooled, req)
 	if err != nil {
-		return r, Error.Wrap(err)
+		return r, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return r, Error.Wrap(statusError(resp))
+	}
 	return r, Error.Wrap(json.NewDecoder(resp.Body).Decode(&r))
 }
 
