caller: end the connection of a caller who is taken for gone

What callers could see: an empty 200, or a stream that ends without [DONE] but like a whole response, for a request that was broken off. Net/http takes a caller for gone who closes only the sending side of the connection; the handlers of serve then returned without a word, and the server completed the response for them. A caller who confirms by the status alone takes the payment for made.

The handlers panic with http.ErrAbortHandler now, as the gateway's do, so that the connection ends within the response.

--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -47,6 +47,7 @@
 	}
 	switch o.Result {
 	case entry.CallerGone:
+		endConnection()
 	case entry.Answered:
 		writeAnswer(w, answer)
 	default:
@@ -54,6 +55,10 @@
 	}
 }
 
+// endConnection ends the handler of a request that is not answered. The server would complete the
+// response if the handler returned: with an empty 200 if nothing was written.
+func endConnection() { panic(http.ErrAbortHandler) }
+
 // endToEndHeaders returns the headers without hopHeaders.
 func endToEndHeaders(h http.Header) http.Header {
 	h = h.Clone()
--- a/internal/caller/writer.go
+++ b/internal/caller/writer.go
@@ -90,6 +90,7 @@
 	stop := "stop"
 	switch {
 	case outcome.Result == entry.CallerGone:
+		endConnection()
 	case outcome.Result != entry.Answered && cw.started:
 		_ = cw.writeEvent(map[string]*problem{"error": outcomeProblem(outcome)})
 	case outcome.Result != entry.Answered:
