--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -130,9 +130,11 @@
 	return resp, nil
 }
 
+// readNotice reads what an endpoint says of itself. An application may answer 429 to one of its users:
+// only with the endpoint's mark is the delay one that the endpoint asks for.
 func readNotice(r *http.Response) notice.Notice {
 	n := notice.Notice{Leaving: r.Header.Get(headerLeaving) == "1", Limit: notice.ParseLimit(r.Header.Get(headerLimit))}
-	if r.StatusCode == http.StatusTooManyRequests || r.StatusCode == http.StatusServiceUnavailable {
+	if r.StatusCode == http.StatusServiceUnavailable || isMarkedNotRun(r) {
 		n.Backoff = notice.ParseRetryAfter(r.Header)
 	}
 	return n
