claim: a key of another call does not give its answer

What callers could see: 200 with the answer of another call, for one that was not run: the same key and body, sent to another path, such as transfer/2 after transfer/1. A claim had a digest of the body only.

A claim now has one of kind, method, path and query as well, and a key that is used for something else is refused with 422, key_used_for_another_request. A claim of an earlier build has none and is compared by the body as before, and an earlier build drops the field unread. TestKeyOfAnotherCall was red at both nodes, for another path and another query.

--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -40,9 +40,16 @@
 type Claim struct {
 	Key           Key            `cbor:"1,keyasint"`
 	Request       string         `cbor:"2,keyasint"`
-	Holder        netip.AddrPort `cbor:"3,keyasint"` // entry that runs it
-	ExpiresAt     clock.Millis   `cbor:"4,keyasint"` // when the claim expires
-	RequestDigest uint64         `cbor:"5,keyasint"` // digest of the request, to detect one key used for two requests
+	Holder        netip.AddrPort `cbor:"3,keyasint"`           // entry that runs it
+	ExpiresAt     clock.Millis   `cbor:"4,keyasint"`           // when the claim expires
+	RequestDigest uint64         `cbor:"5,keyasint"`           // digest of the request's body, to detect one key used for two requests
+	TargetDigest  uint64         `cbor:"6,keyasint,omitempty"` // digest of what the request is sent to; 0 in claims of earlier builds
+}
+
+// SameRequest reports whether two claims of a key are for one request, which its caller repeats.
+func (c Claim) SameRequest(o Claim) bool {
+	known := c.TargetDigest != 0 && o.TargetDigest != 0
+	return c.RequestDigest == o.RequestDigest && (!known || c.TargetDigest == o.TargetDigest)
 }
 
 // Decision is the decision on a claim.
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -33,7 +33,7 @@
 	reasonDispatcherSilent = "dispatcher_silent"
 	reasonClaimUnavailable = "claim_unavailable"
 	reasonKeyTaken         = "key_taken"
-	reasonBodyDiffers      = "key_used_for_another_request"
+	reasonOtherRequest     = "key_used_for_another_request"
 	reasonEndpointFailed   = "endpoint_failed"
 	reasonEndpointStatus   = "endpoint_status" // a rejection that does not state whether the request ran
 	reasonFenced           = "entry_was_silent"
@@ -53,9 +53,9 @@
 
 // keyTaken returns the outcome of a request whose key is claimed by an earlier request.
 // This request did not run; the earlier one may have run.
-func keyTaken(c claim.Claim, digest uint64) Outcome {
-	if c.RequestDigest != digest {
-		return Outcome{Result: RefusedNotRun, Reason: reasonBodyDiffers}
+func keyTaken(earlier, own claim.Claim) Outcome {
+	if !earlier.SameRequest(own) {
+		return Outcome{Result: RefusedNotRun, Reason: reasonOtherRequest}
 	}
-	return Outcome{Result: FailedMayHaveRun, Reason: reasonKeyTaken, EarlierClaim: &c}
+	return Outcome{Result: FailedMayHaveRun, Reason: reasonKeyTaken, EarlierClaim: &earlier}
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/trailshed/trailshed/internal/catalog"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
@@ -52,4 +55,9 @@
 	return r.Arrived.Add(r.class.TTFT).Sub(r.now())
 }
 
+// targetDigest returns a digest of what the request is sent to, which is not 0.
+func (r *request) targetDigest() uint64 {
+	return max(xxhash.Sum64String(strings.Join([]string{r.Kind, r.Method, r.Path}, "\x00")), 1)
+}
+
 func (r *request) repeatable() bool { return r.kind.Repeat == catalog.RepeatAllowed }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -220,6 +220,7 @@
 	return claim.Claim{
 		Key: claim.NewKey(r.Workspace, r.Key), Request: r.ID, Holder: e.options.Owner.Address,
 		ExpiresAt: e.options.Now().Add(r.kind.Window), RequestDigest: r.Digest,
+		TargetDigest: r.targetDigest(),
 	}
 }
 
@@ -240,7 +241,7 @@
 		r.claimed = true
 		return nil
 	case claim.Taken:
-		return claimError{keyTaken(answer.Claim, r.Digest)}
+		return claimError{keyTaken(answer.Claim, c)}
 	default:
 		return claimError{refused(reasonClaimUnavailable, defaultRetryAfter)}
 	}
--- a/internal/node/promise_test.go
+++ b/internal/node/promise_test.go
@@ -101,3 +101,32 @@
 		}
 	}
 }
+
+// Guards against the answer of another call for a caller who uses a key again with the same body:
+// the caller would take the second call for one that was run.
+func TestKeyOfAnotherCall(t *testing.T) {
+	c := qt.New(t)
+	s := open(t)
+	first := call{"/v1/services/bank/transfer/1", "key-w", "confirm", "k", "pay"}
+	a, err := first.send(context.Background(), s.Nodes[0])
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.status, qt.Equals, http.StatusOK)
+	tests := []struct {
+		name, path, kind string
+		want             int
+	}{
+		{"same call", "/v1/services/bank/transfer/1", "confirm", http.StatusOK},
+		{"other path", "/v1/services/bank/transfer/2", "confirm", http.StatusUnprocessableEntity},
+		{"other query", "/v1/services/bank/transfer/1?to=x", "confirm", http.StatusUnprocessableEntity},
+	}
+	for _, test := range tests {
+		for i, n := range s.Nodes {
+			again := first
+			again.path, again.kind = test.path, test.kind
+			a, err := again.send(context.Background(), n)
+			c.Assert(err, qt.IsNil)
+			c.Check(a.status, qt.Equals, test.want, qt.Commentf("%s at node %d: %s", test.name, i, a.body))
+		}
+	}
+	c.Check(len(s.Engines["a-service"].Runs())+len(s.Engines["b-service"].Runs()), qt.Equals, 1)
+}
