--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -12,8 +12,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,6 +33,9 @@
 	ErrNotRun = errors.New("not run")
 	// ErrMayHaveRun means that the endpoint may have run the request.
 	ErrMayHaveRun = errors.New("may have run")
+	// ErrRejected means that the endpoint answered with a rejection and did not state whether it
+	// ran the request. It comes with ErrMayHaveRun.
+	ErrRejected = errors.New("rejected")
 	// ErrTruncated means that a stream ended before its last line.
 	ErrTruncated = errors.New("incomplete response")
 )
@@ -48,6 +53,8 @@
 	// headerLimit is set in all responses of an endpoint that accepts only so many requests
 	// per second from all processes together.
 	headerLimit = "Limit"
+	// headerNotRun is set in the rejection of a request that the endpoint did not run.
+	headerNotRun = "Not-Run"
 )
 
 // Client calls endpoints over HTTP.
@@ -56,14 +63,13 @@
 	// whether the response was successful; sent is when the request was sent.
 	OnNotice func(at netip.AddrPort, n notice.Notice, good bool, sent time.Time)
 
-	// Dial opens a connection to an endpoint; its errors are net.OpErrors. Ended reports
+	// Dial opens a connection to an endpoint. Ended reports
 	// whether the endpoint's process has ended. Both may be replaced before the first call.
 	Dial  func(ctx context.Context, at netip.AddrPort) (net.Conn, error)
 	Ended func(ctx context.Context, at netip.AddrPort) bool
 
 	pooled *http.Client // reuses connections
-	// unpooled opens a connection for each call, so that a failure to connect proves that
-	// nothing was sent.
+	// unpooled opens a connection for each call. net/http repeats no request on a new connection.
 	unpooled *http.Client
 }
 
@@ -80,18 +86,31 @@
 		if err != nil {
 			return nil, Error.Wrap(err)
 		}
-		return c.Dial(ctx, at)
+		inner, err := c.Dial(ctx, at)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: inner}, nil
 	}
-	c.pooled = &http.Client{Transport: noticeTransport{c, &http.Transport{
+	c.pooled = c.newHTTPClient(&http.Transport{
 		DialContext: dialEndpoint, MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout: idleTimeout, DisableCompression: true,
-	}}}
-	c.unpooled = &http.Client{Transport: noticeTransport{c, &http.Transport{
+	})
+	c.unpooled = c.newHTTPClient(&http.Transport{
 		DialContext: dialEndpoint, DisableKeepAlives: true, DisableCompression: true,
-	}}}
+	})
 	return c
 }
 
+// newHTTPClient returns a client that takes redirects for answers. To follow one is to send the
+// request again.
+func (c *Client) newHTTPClient(t *http.Transport) *http.Client {
+	return &http.Client{
+		Transport:     noticeTransport{c, t},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // noticeTransport is a RoundTripper that reports the notice in each response.
 type noticeTransport struct {
 	client    *Client
@@ -111,9 +130,11 @@
 	return resp, nil
 }
 
+// readNotice reads what an endpoint says of itself. An application may answer 429 to one of its users:
+// only with the endpoint's mark is the delay one that the endpoint asks for.
 func readNotice(r *http.Response) notice.Notice {
 	n := notice.Notice{Leaving: r.Header.Get(headerLeaving) == "1", Limit: notice.ParseLimit(r.Header.Get(headerLimit))}
-	if r.StatusCode == http.StatusTooManyRequests || r.StatusCode == http.StatusServiceUnavailable {
+	if r.StatusCode == http.StatusServiceUnavailable || isMarkedNotRun(r) {
 		n.Backoff = notice.ParseRetryAfter(r.Header)
 	}
 	return n
@@ -212,11 +233,14 @@
 	if err != nil {
 		return r, Error.Wrap(err)
 	}
-	resp, err := c.pooled.Do(req)
+	resp, err := send(c.pooled, req)
 	if err != nil {
-		return r, Error.Wrap(err)
+		return r, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return r, Error.Wrap(statusError(resp))
+	}
 	return r, Error.Wrap(json.NewDecoder(resp.Body).Decode(&r))
 }
 
@@ -246,8 +270,12 @@
 	Body   []byte      `cbor:"3,keyasint"`
 }
 
+// Rejects reports whether the response must not be passed on to a caller: its status means there
+// that the request did not run.
+func (r Response) Rejects() bool { return isRejection(r.Status) }
+
 // Call sends a request to a plain service and reads the whole response. A call that must
-// not be repeated is sent once, on a connection of its own.
+// not be repeated is sent once, on a connection of its own. A rejection is an error.
 func (c *Client) Call(ctx context.Context, to netip.AddrPort, call Call) (Response, error) {
 	url := "http://" + to.String() + "/call/" + call.Path
 	req, err := http.NewRequestWithContext(ctx, call.Method, url, bytes.NewReader(call.Body))
@@ -261,19 +289,20 @@
 		client = c.unpooled
 		req.GetBody = nil // net/http must not send it again
 	}
-	resp, err := client.Do(req)
+	resp, err := send(client, req)
 	if err != nil {
-		return Response{}, sendError(err)
+		return Response{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode == http.StatusTooManyRequests && resp.Header.Get("Not-Run") != "" {
-		return Response{}, wrapError(ErrNotRun, errors.New(resp.Status))
-	}
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return Response{}, wrapError(ErrMayHaveRun, err)
 	}
-	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	answer := Response{Status: resp.StatusCode, Header: resp.Header, Body: body}
+	if answer.Rejects() {
+		return Response{}, wrapError(ErrMayHaveRun, fmt.Errorf("%w: %s", ErrRejected, resp.Status))
+	}
+	return answer, nil
 }
 
 func (c *Client) post(ctx context.Context, client *http.Client, to netip.AddrPort, path string, v any) (*http.Response, error) {
@@ -285,30 +314,83 @@
 	if err != nil {
 		return nil, wrapError(ErrNotRun, err)
 	}
-	resp, err := client.Do(req)
+	resp, err := send(client, req)
 	if err != nil {
-		return nil, sendError(err)
+		return nil, err
 	}
 	if resp.StatusCode == http.StatusOK {
 		return resp, nil
 	}
-	reason, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
-	_ = resp.Body.Close()
-	cause := fmt.Errorf("%s: %s", resp.Status, bytes.TrimSpace(reason))
-	if resp.StatusCode == http.StatusTooManyRequests {
-		return nil, wrapError(ErrNotRun, cause)
+	defer func() { _ = resp.Body.Close() }()
+	return nil, wrapError(ErrMayHaveRun, statusError(resp))
+}
+
+// statusError returns an error with the status and the beginning of the body of a response.
+func statusError(r *http.Response) error {
+	reason, _ := io.ReadAll(io.LimitReader(r.Body, 1024))
+	return fmt.Errorf("%s: %s", r.Status, bytes.TrimSpace(reason))
+}
+
+// isMarkedNotRun reports whether a response is a rejection with the endpoint's own word that it did
+// not run the request. A rejection without it says nothing: the endpoint may have run the request
+// and have been rejected by another service.
+func isMarkedNotRun(r *http.Response) bool {
+	return isRejection(r.StatusCode) && r.Header.Get(headerNotRun) == "1"
+}
+
+// isRejection reports whether a status means, in answers to callers, that the request did not run.
+func isRejection(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// send sends a request. Its error is ErrNotRun only with evidence of this very send: it was given
+// no connection, so that nothing of it was written, or the endpoint marked its rejection. The error
+// of net/http is no evidence: net/http repeats some requests by itself, and its last error may be
+// the one of a later send.
+func send(client *http.Client, r *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+	var last atomic.Pointer[conn] // nil if it was retired, so that nothing was written on it
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		c, ok := info.Conn.(*conn)
+		if ok && c.retired.Load() {
+			c = nil
+		}
+		last.Store(c)
+		if c != nil {
+			connected.Store(true)
+		}
+	}}
+	resp, err := client.Do(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err == nil && last.Load() == nil {
+		_ = resp.Body.Close()
+		err = errors.New("response without a request")
+	}
+	switch {
+	case err != nil && !connected.Load():
+		return nil, wrapError(ErrNotRun, err)
+	case err != nil:
+		return nil, wrapError(ErrMayHaveRun, err)
+	case !isMarkedNotRun(resp):
+		return resp, nil
+	default:
+		defer func() { _ = resp.Body.Close() }()
+		return nil, rejectedError(last.Load(), resp)
 	}
-	return nil, wrapError(ErrMayHaveRun, cause)
 }
 
-// sendError distinguishes a failure to connect, after which the request certainly did not
-// run, from a connection that broke.
-func sendError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return wrapError(ErrNotRun, err)
+// rejectedError returns the error of a marked rejection. Responses do not name their request, and an
+// endpoint may reject one twice. So no request follows on the connection; if one was written
+// already, its response is no evidence.
+func rejectedError(used *conn, r *http.Response) error {
+	if !used.retire() {
+		return wrapError(ErrMayHaveRun, statusError(r))
 	}
-	return wrapError(ErrMayHaveRun, err)
+	return wrapError(ErrNotRun, statusError(r))
 }
 
 func wrapError(kind, cause error) error {
