forward: an attempt beside a silent one keeps its place among the runs

Seen: three sends that may have run where the route allows two. Since a proof that a send did not run freed its place at once, also while the attempt that made it looked for its next endpoint, and a further attempt took it; both sent.

An attempt beside another one now plans its next send in the same critical section in which its last one ends, and a plan is made only within the route's attempts.

--- a/internal/attempts/record.go
+++ b/internal/attempts/record.go
@@ -47,8 +47,9 @@
 // Record holds the sends of one request, also those of attempts beside each other. It is safe for concurrent use; its
 // lock is the last one that is taken. The zero value is an empty record.
 type Record struct {
-	mu    sync.Mutex
-	sends []*Send
+	mu     sync.Mutex
+	sends  []*Send
+	closed bool // see Close
 }
 
 // Send is one send of the request, or one that is planned.
@@ -59,8 +60,36 @@
 	end      End
 }
 
-// Plan records a send for which there is no endpoint yet. It counts like one that may have run, until it ends.
-func (r *Record) Plan() *Send { return r.add(&Send{record: r}) }
+// Plan records a send for which there is no endpoint yet, or returns nil if as many sends as limit may have run. Until it
+// ends, it counts like one that may have run.
+func (r *Record) Plan(limit int) *Send {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.mayHaveRun() >= limit {
+		return nil
+	}
+	return r.plan()
+}
+
+// plan is Plan without a limit. r.mu must be held.
+func (r *Record) plan() *Send {
+	s := &Send{record: r}
+	if r.closed {
+		s.end = Unwritten
+	}
+	r.sends = append(r.sends, s)
+	return s
+}
+
+// Close ends all planned sends. None is made any more, of those that are planned later neither.
+func (r *Record) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	for _, s := range r.sends {
+		s.withdraw()
+	}
+}
 
 // Begin records a send to an endpoint. It is called before the first byte is written.
 func (r *Record) Begin(endpoint string) *Send { return r.add(&Send{record: r, endpoint: endpoint}) }
@@ -77,11 +106,41 @@
 	return s
 }
 
-// At makes a planned send one to an endpoint.
-func (s *Send) At(endpoint string) {
+// At makes a planned send one to an endpoint. It returns false if the send has ended: it must not be made.
+func (s *Send) At(endpoint string) bool {
 	s.record.mu.Lock()
 	defer s.record.mu.Unlock()
+	if s.end != Open {
+		return false
+	}
 	s.endpoint = endpoint
+	return true
+}
+
+// Withdraw ends the send if it is planned.
+func (s *Send) Withdraw() {
+	s.record.mu.Lock()
+	defer s.record.mu.Unlock()
+	s.withdraw()
+}
+
+// withdraw is Withdraw for a caller that holds the record's lock.
+func (s *Send) withdraw() {
+	if s.planned() {
+		s.end = Unwritten
+	}
+}
+
+// Replan is Finish for a send that did not run the request, and plans the next one of the same attempt in its stead, so
+// that no other attempt takes its place in between.
+func (s *Send) Replan(end End) (next *Send) {
+	s.record.mu.Lock()
+	defer s.record.mu.Unlock()
+	if s.end != Open || !end.provesNotRun() {
+		return s
+	}
+	s.end = end
+	return s.record.plan()
 }
 
 // Finish records how the send ended. What it proves can't be taken back: only a send of which nothing is known yet
@@ -99,6 +158,11 @@
 func (r *Record) MayHaveRun() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.mayHaveRun()
+}
+
+// mayHaveRun is MayHaveRun for a caller that holds r.mu.
+func (r *Record) mayHaveRun() int {
 	n := 0
 	for _, s := range r.sends {
 		if !s.prompt && !s.end.provesNotRun() {
@@ -112,7 +176,17 @@
 func (s *Send) Planned() bool {
 	s.record.mu.Lock()
 	defer s.record.mu.Unlock()
-	return s.endpoint == "" && s.end == Open
+	return s.planned()
+}
+
+// planned is Planned for a caller that holds the record's lock.
+func (s *Send) planned() bool { return s.endpoint == "" && s.end == Open }
+
+// MayHaveRun reports whether the send may have run the request.
+func (s *Send) MayHaveRun() bool {
+	s.record.mu.Lock()
+	defer s.record.mu.Unlock()
+	return !s.prompt && !s.end.provesNotRun()
 }
 
 // Reached reports whether some of the request may have been written to an endpoint.
--- a/internal/attempts/record_test.go
+++ b/internal/attempts/record_test.go
@@ -56,11 +56,12 @@
 	r.BeginPrompt("p1").Finish(attempts.Answered)
 	c.Assert(r.MayHaveRun(), qt.Equals, 0) // a prompt that is read is no run
 	c.Assert(r.Evidence(), qt.Equals, "no_send")
-	planned := r.Plan()
+	planned := r.Plan(1)
 	c.Assert(r.MayHaveRun(), qt.Equals, 1)
 	c.Assert(planned.Planned(), qt.IsTrue)
 	c.Assert(r.String(), qt.Equals, "prompt at p1 answered")
-	planned.At("d1")
+	c.Assert(r.Plan(1), qt.IsNil)
+	c.Assert(planned.At("d1"), qt.IsTrue)
 	c.Assert(planned.Planned(), qt.IsFalse)
 	planned.Finish(attempts.Unwritten)
 	c.Assert(r.MayHaveRun(), qt.Equals, 0)
@@ -72,6 +73,37 @@
 	c.Assert(r.Evidence(), qt.Equals, "rejected")
 }
 
+// Guards against more runs than a route allows: an attempt whose send did not run keeps its place for the next one.
+func TestReplan(t *testing.T) {
+	c := qt.New(t)
+	var r attempts.Record
+	r.Begin("d1")
+	s := r.Plan(2)
+	c.Assert(s.At("d2"), qt.IsTrue)
+	next := s.Replan(attempts.Rejected)
+	c.Assert(next.Planned(), qt.IsTrue)
+	c.Assert(r.Plan(2), qt.IsNil)
+	c.Assert(next.At("d3"), qt.IsTrue)
+	c.Assert(next.Replan(attempts.Answered), qt.Equals, next) // it may have run
+	next.Finish(attempts.BrokenOff)
+	c.Assert(next.Replan(attempts.Unwritten), qt.Equals, next)
+	c.Assert(r.String(), qt.Equals, "d1 open; d2 rejected; d3 broken_off")
+}
+
+func TestClose(t *testing.T) {
+	c := qt.New(t)
+	var r attempts.Record
+	running, planned := r.Plan(3), r.Plan(3)
+	c.Assert(running.At("d1"), qt.IsTrue)
+	r.Close()
+	c.Assert(planned.At("d2"), qt.IsFalse)
+	c.Assert(r.MayHaveRun(), qt.Equals, 1)
+	next := running.Replan(attempts.Unwritten)
+	c.Assert(next.At("d3"), qt.IsFalse)
+	c.Assert(r.MayHaveRun(), qt.Equals, 0)
+	c.Assert(r.String(), qt.Equals, "d1 unwritten")
+}
+
 func TestLongRecord(t *testing.T) {
 	c := qt.New(t)
 	var r attempts.Record
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -112,7 +112,7 @@
 		p.reportNoLimit(a.reservation.Endpoint, head, sent)
 	}
 	if head.NotRun {
-		p.attempt.Finish(attempts.Rejected)
+		p.finishNotRun(attempts.Rejected)
 		exchange.Discard()
 		p.endpointRejected(a.reservation, head)
 		return false
@@ -161,10 +161,13 @@
 		Endpoint: r.Endpoint, Wait: max(p.left(), 0), LastEventID: p.lastEventID, Priority: p.priority(), Workspace: p.workspaceName(),
 		KVHandle: p.prefill.handle,
 	})
+	if !p.beginSend(r.Endpoint.ID) {
+		p.returnUnsent(r.Endpoint.ID, p.sends)
+		return nil, ResponseHead{}, Error.Wrap(uplink.ErrNotSent)
+	}
 	p.logResend()
 	p.startTiming()
 	p.sends++
-	p.beginSend(r.Endpoint.ID)
 	p.ownLinkLost = false
 	p.events, p.wroteOn, p.sentAt = 0, false, p.Now()
 	p.heardAt = p.sentAt
@@ -179,7 +182,7 @@
 	})
 	if errors.Is(err, uplink.ErrNotSent) {
 		p.sends--
-		p.attempt.Finish(attempts.Unwritten)
+		p.finishNotRun(attempts.Unwritten)
 		p.returnUnsent(r.Endpoint.ID, p.sends)
 	}
 	p.throughPeer = exchange != nil && exchange.Peer() != "" || errors.Is(err, uplink.ErrThroughPeer)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -50,7 +50,7 @@
 	pauses        int              // waits of a stream that has begun for an endpoint
 	beside        *successor       // the attempt that this is; nil for the caller's request
 	record        *attempts.Record // of all sends, shared with the attempts beside each other
-	planned       *attempts.Send   // the first send of an attempt beside another one; nil for the caller's request
+	planned       *attempts.Send   // the next send of an attempt beside another one; nil for the caller's request
 
 	readLock sync.Mutex // guards reading and the deadline of reads
 	reading  bool       // the body
@@ -174,6 +174,7 @@
 			}
 		case stepRetry, stepGiveUp:
 			if ctx.Err() != nil {
+				p.record.Close()
 				p.spend(p.hedge.running())
 				p.contextEnded(ctx)
 				return
@@ -273,14 +274,32 @@
 	return runs
 }
 
-// beginSend records a send to an endpoint.
-func (p *proxyRequest) beginSend(endpoint string) {
-	if p.planned != nil && p.planned.Planned() {
-		p.attempt = p.planned
-		p.attempt.At(endpoint)
+// beginSend records a send to an endpoint. It returns false if the send must not be made, since the request has ended
+// without this attempt beside it.
+func (p *proxyRequest) beginSend(endpoint string) bool {
+	if p.planned == nil {
+		p.attempt = p.record.Begin(endpoint)
+		return true
+	}
+	if !p.planned.Planned() && p.planned.MayHaveRun() {
+		next := p.record.Plan(p.route.Attempts)
+		if next == nil {
+			return false
+		}
+		p.planned = next
+	}
+	p.attempt = p.planned
+	return p.attempt.At(endpoint)
+}
+
+// finishNotRun records that the last send did not run the request. An attempt beside another one keeps its place for
+// its next send.
+func (p *proxyRequest) finishNotRun(end attempts.End) {
+	if p.planned == nil {
+		p.attempt.Finish(end)
 		return
 	}
-	p.attempt = p.record.Begin(endpoint)
+	p.planned = p.attempt.Replan(end)
 }
 
 // maySend reports whether the request may be sent, for the first time or again.
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -106,7 +106,7 @@
 		}
 	} else {
 		s.spent.add(x.spending())
-		x.endPlanned()
+		x.request.planned.Withdraw()
 	}
 	s.settle()
 	s.mu.Unlock()
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strconv"
 
-	"github.com/trailshed/trailshed/internal/attempts"
 	"github.com/trailshed/trailshed/internal/balance"
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
@@ -64,13 +63,6 @@
 	return x.request.seek(x.ctx) == stepBegun
 }
 
-// endPlanned ends the successor's first send if it was never made.
-func (x *successor) endPlanned() {
-	if x.request.planned.Planned() {
-		x.request.planned.Finish(attempts.Unwritten)
-	}
-}
-
 // successorStarter returns a function that starts a successor of an attempt at an endpoint. The function may run in
 // another goroutine than the attempt, so what it needs is captured here, and the rest is in the watch.
 func (p *proxyRequest) successorStarter(parent context.Context, current *directory.Endpoint) func(s *silenceWatch) *successor {
@@ -83,14 +75,18 @@
 		minLeft = minAnswerTime
 	}
 	return func(s *silenceWatch) *successor {
-		if p.left() <= minLeft || p.record.MayHaveRun() >= p.route.Attempts {
+		if p.left() <= minLeft {
+			return nil
+		}
+		planned := p.record.Plan(p.route.Attempts)
+		if planned == nil {
 			return nil
 		}
 		x := &successor{}
 		x.ctx, x.cancel = context.WithCancel(parent)
 		q := &proxyRequest{
 			Forwarder: p.Forwarder, arrived: p.arrived, requestLog: p.requestLog, call: p.call, route: p.route, workspace: p.workspace,
-			share: p.share, service: p.service, routes: p.routes, deadline: p.deadline, message: p.message, sample: p.sample, beside: x, record: p.record, planned: p.record.Plan(), progress: base,
+			share: p.share, service: p.service, routes: p.routes, deadline: p.deadline, message: p.message, sample: p.sample, beside: x, record: p.record, planned: planned, progress: base,
 		}
 		others := len(s.successors) // count as having been sent
 		q.sends, q.prefill.sends = q.sends+s.spent.sends+others, q.prefill.sends+s.spent.prefills
