forward: judge a prefill by the response to it only

Seen: an engine that broke off a prefill was told to its planner as full and its process was not looked for, or it was taken for gone, after a late rejection of another request on the kept connection. Now only that of the accepted one is kept.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -176,10 +176,7 @@
 	p.requestLog.Write(n)
 	counted()
 	var head ResponseHead
-	exchange, err := p.Pool.Do(ctx, m, func(resp *http.Response) bool {
-		head = p.Codec.ReadHead(resp)
-		return head.RequestID == p.call.ID
-	})
+	exchange, err := p.Pool.Do(ctx, m, p.acceptInto(&head))
 	if errors.Is(err, uplink.ErrNotSent) {
 		p.sends--
 		p.finishNotRun(attempts.Unwritten)
@@ -191,6 +188,19 @@
 	return exchange, head, err
 }
 
+// acceptInto returns a function that accepts the response to the request and keeps its head. What the head of another
+// response says belongs to another request.
+func (p *proxyRequest) acceptInto(head *ResponseHead) func(*http.Response) bool {
+	return func(r *http.Response) bool {
+		h := p.Codec.ReadHead(r)
+		if h.RequestID != p.call.ID {
+			return false
+		}
+		*head = h
+		return true
+	}
+}
+
 // logTunnel logs that a send went through a peer.
 func (p *proxyRequest) logTunnel(x *uplink.Exchange, e *directory.Endpoint) {
 	if x == nil || x.Peer() == "" {
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -399,10 +399,7 @@
 
 func (p *proxyRequest) requestPrefill(ctx context.Context, m uplink.Message, e *directory.Endpoint) (string, ResponseHead, error) {
 	var head ResponseHead
-	x, err := p.Pool.Do(ctx, m, func(resp *http.Response) bool {
-		head = p.Codec.ReadHead(resp)
-		return head.RequestID == p.call.ID
-	})
+	x, err := p.Pool.Do(ctx, m, p.acceptInto(&head))
 	if err != nil {
 		return "", head, err
 	}
