--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -96,7 +96,7 @@
 	}
 	a.exchange, a.head = exchange, head
 	p.heard(a.reservation)
-	if head.HasLoad {
+	if head.HasLoad && !head.addressReused(a.reservation.Endpoint) {
 		a.reservation.ReportLoad(p.Now(), head.Load)
 		p.recordLoad(a.reservation.Endpoint, head)
 		if p.place != nil && !head.NotRun {
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -69,7 +69,7 @@
 
 // addressReused reports whether another endpoint than the one that was meant has its address now, as far as is known.
 func (h ResponseHead) addressReused(meant *directory.Endpoint) bool {
-	return h.Misdirected && h.Sender != meant.Entry
+	return h.Misdirected && (h.Sender == "" || h.Sender != meant.Entry)
 }
 
 // Codec maps the types above to and from HTTP headers.
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -301,7 +301,7 @@
 		p.prefill.sends--
 		p.returnUnsent(r.Endpoint.ID, p.prefill.sends)
 	}
-	if head.HasLoad {
+	if head.HasLoad && !head.addressReused(r.Endpoint) {
 		r.ReportLoad(p.Now(), head.Load)
 	}
 	if err == nil {
