uplink: send nothing once the context has ended

Its caller got 502, "may have run", where nothing had to be sent and 503 could promise it. Attempts beside another one that had been cancelled were sent, too, and ran for nothing. The closing of a connection at the end of a context runs in a goroutine of its own.

--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -67,12 +67,19 @@
 
 // Do sends m and reads responses until accept takes one; responses that it rejects belong
 // to earlier requests and are skipped. When ctx ends, the connection is closed, which makes
-// the endpoint stop.
+// the endpoint stop; nothing is sent any more if it has ended before.
 func (p *Pool) Do(ctx context.Context, m Message, accept func(*http.Response) bool) (*Exchange, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, Error.Wrap(errors.Join(ErrNotSent, err))
+	}
 	c, err := p.get(ctx, m)
 	if err != nil {
 		return nil, Error.Wrap(errors.Join(ErrNotSent, err))
 	}
+	if err := ctx.Err(); err != nil {
+		_ = c.Close() // fails only if it is closed
+		return nil, Error.Wrap(errors.Join(ErrNotSent, err))
+	}
 	e := &Exchange{pool: p, conn: c, writeDone: make(chan error, 1)}
 	e.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := e.send(m); err != nil {
