--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -96,7 +96,7 @@
 	}
 	a.exchange, a.head = exchange, head
 	p.heard(a.reservation)
-	if head.HasLoad {
+	if head.HasLoad && !head.addressReused(a.reservation.Endpoint) {
 		a.reservation.ReportLoad(p.Now(), head.Load)
 		p.recordLoad(a.reservation.Endpoint, head)
 		if p.place != nil && !head.NotRun {
@@ -112,7 +112,7 @@
 		p.reportNoLimit(a.reservation.Endpoint, head, sent)
 	}
 	if head.NotRun {
-		p.attempt.Finish(attempts.Rejected)
+		p.finishNotRun(attempts.Rejected)
 		exchange.Discard()
 		p.endpointRejected(a.reservation, head)
 		return false
@@ -161,10 +161,13 @@
 		Endpoint: r.Endpoint, Wait: max(p.left(), 0), LastEventID: p.lastEventID, Priority: p.priority(), Workspace: p.workspaceName(),
 		KVHandle: p.prefill.handle,
 	})
+	if !p.beginSend(r.Endpoint.ID) {
+		p.returnUnsent(r.Endpoint.ID, p.sends)
+		return nil, ResponseHead{}, Error.Wrap(uplink.ErrNotSent)
+	}
 	p.logResend()
 	p.startTiming()
 	p.sends++
-	p.beginSend(r.Endpoint.ID)
 	p.ownLinkLost = false
 	p.events, p.wroteOn, p.sentAt = 0, false, p.Now()
 	p.heardAt = p.sentAt
@@ -173,13 +176,10 @@
 	p.requestLog.Write(n)
 	counted()
 	var head ResponseHead
-	exchange, err := p.Pool.Do(ctx, m, func(resp *http.Response) bool {
-		head = p.Codec.ReadHead(resp)
-		return head.RequestID == p.call.ID
-	})
+	exchange, err := p.Pool.Do(ctx, m, p.acceptInto(&head))
 	if errors.Is(err, uplink.ErrNotSent) {
 		p.sends--
-		p.attempt.Finish(attempts.Unwritten)
+		p.finishNotRun(attempts.Unwritten)
 		p.returnUnsent(r.Endpoint.ID, p.sends)
 	}
 	p.throughPeer = exchange != nil && exchange.Peer() != "" || errors.Is(err, uplink.ErrThroughPeer)
@@ -188,6 +188,19 @@
 	return exchange, head, err
 }
 
+// acceptInto returns a function that accepts the response to the request and keeps its head. What the head of another
+// response says belongs to another request.
+func (p *proxyRequest) acceptInto(head *ResponseHead) func(*http.Response) bool {
+	return func(r *http.Response) bool {
+		h := p.Codec.ReadHead(r)
+		if h.RequestID != p.call.ID {
+			return false
+		}
+		*head = h
+		return true
+	}
+}
+
 // logTunnel logs that a send went through a peer.
 func (p *proxyRequest) logTunnel(x *uplink.Exchange, e *directory.Endpoint) {
 	if x == nil || x.Peer() == "" {
@@ -287,7 +300,7 @@
 func (p *proxyRequest) endpointRejected(r *balance.Reservation, head ResponseHead) {
 	p.failure = "endpoints_full"
 	p.fullEngine = r.Endpoint.ID
-	if head.AddressReused {
+	if head.addressReused(r.Endpoint) {
 		p.failure = "address_reused"
 		p.ReportGone(r.Endpoint.ID)
 	}
@@ -339,9 +352,10 @@
 func (p *proxyRequest) unmarkedStatus(a *answer) {
 	a.exchange.Close(!a.long)
 	p.failure = reasonEndpointStatus
-	result := balance.Succeeded // as of any answer below 500
-	if a.exchange.Response.StatusCode >= http.StatusInternalServerError {
-		result = balance.Failed
+	result := balance.Failed
+	if a.exchange.Response.StatusCode < http.StatusInternalServerError {
+		// An application answers so to some of its callers, which says nothing of its endpoint or of others.
+		result, p.final = balance.Succeeded, true
 	}
 	p.endpointFailed(a.reservation, result, Error.New("%s, without stating that the request did not run", a.exchange.Response.Status))
 }
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -240,7 +240,7 @@
 	switch {
 	case len(p.prefill.rejected) >= maxHandleRejections:
 		p.fullEngine, p.failedEngine = "", p.prefill.engine
-	case p.ownLinkLost, p.failure == reasonLate, p.failure == reasonSilent, p.failure == reasonCanceled: // says nothing about the engine
+	case p.final, p.ownLinkLost, p.failure == reasonLate, p.failure == reasonSilent, p.failure == reasonCanceled: // says nothing about the engine
 	case p.fullEngine == "":
 		p.failedEngine = decode
 	}
@@ -301,7 +301,7 @@
 		p.prefill.sends--
 		p.returnUnsent(r.Endpoint.ID, p.prefill.sends)
 	}
-	if head.HasLoad {
+	if head.HasLoad && !head.addressReused(r.Endpoint) {
 		r.ReportLoad(p.Now(), head.Load)
 	}
 	if err == nil {
@@ -364,7 +364,7 @@
 func (p *proxyRequest) classifyPrefill(parent context.Context, e *directory.Endpoint, head ResponseHead, err error, timedOut string) balance.Result {
 	p.failedEngine = e.ID
 	switch {
-	case head.AddressReused:
+	case head.addressReused(e):
 		p.ReportGone(e.ID)
 		return balance.Rejected
 	case head.NotRun:
@@ -399,10 +399,7 @@
 
 func (p *proxyRequest) requestPrefill(ctx context.Context, m uplink.Message, e *directory.Endpoint) (string, ResponseHead, error) {
 	var head ResponseHead
-	x, err := p.Pool.Do(ctx, m, func(resp *http.Response) bool {
-		head = p.Codec.ReadHead(resp)
-		return head.RequestID == p.call.ID || head.RequestID == ""
-	})
+	x, err := p.Pool.Do(ctx, m, p.acceptInto(&head))
 	if err != nil {
 		return "", head, err
 	}
@@ -429,7 +426,9 @@
 
 // freeHandle frees a KV cache that will not be used. The cache expires by itself if the
 // call fails, so a failure is only counted. No call is made to an engine that backs off,
-// whose zone is evacuated or that has no permit left.
+// whose zone is evacuated or that has no permit left. The call and its response have no ID:
+// an engine takes one with an ID for a request to run. So the call has a connection of its
+// own, on which no other response can come first and none is left for another request.
 func (p *proxyRequest) freeHandle() {
 	h := p.prefill.handle
 	if h == nil {
@@ -447,12 +446,12 @@
 		}
 		method, target := p.Codec.FreeRequest(*h)
 		x, err := p.Pool.Do(ctx, uplink.Message{
-			Address: h.Address, EndpointID: h.EndpointID, Method: method, Target: target, Host: h.Address.String(), MaxIdle: repeatableMaxIdle,
+			Address: h.Address, EndpointID: h.EndpointID, Method: method, Target: target, Host: h.Address.String(),
 		}, func(*http.Response) bool { return true })
 		if err != nil {
 			p.Scope.Counter("handle_free_failed").Inc(1)
 			return
 		}
-		x.Discard()
+		x.Close(false)
 	}()
 }
