forward: play attempts beside silent ones more often

A third of the plays is now about requests that may be repeated, at three endpoints of which the first is silent, with waits for places and permits, connections that fail and an early EndAll.

--- a/internal/forward/promise_test.go
+++ b/internal/forward/promise_test.go
@@ -49,13 +49,13 @@
 	gap       time.Duration
 	timeout   time.Duration
 	requests  int
-	pause     time.Duration // between two requests
-	stop      time.Duration // when the instance ends all; 0: never
-	leave     time.Duration // after which callers leave; 0: they do not
-	excess    bool          // their workspace asks for more than its share of a plain service, whose endpoints have queues
-	peer      bool          // a peer carries the connections
-	refusals  []bool        // of places
-	placeWait time.Duration // for a place
+	pause     time.Duration   // between two requests
+	stop      time.Duration   // when the instance ends all; 0: never
+	leave     time.Duration   // after which callers leave; 0: they do not
+	excess    bool            // their workspace asks for more than its share of a plain service, whose endpoints have queues
+	peer      bool            // a peer carries the connections
+	refusals  []bool          // of places
+	waits     []time.Duration // for places and for permits
 	acts      []scriptedAct
 	dials     []scriptedDial
 }
@@ -82,12 +82,20 @@
 		timeout:   rapid.SampledFrom([]time.Duration{100 * time.Millisecond, time.Second, 5 * time.Second, 20 * time.Second}).Draw(t, "timeout"),
 		requests:  rapid.IntRange(1, 3).Draw(t, "requests"),
 		pause:     positive.Draw(t, "pause"),
-		placeWait: times.Draw(t, "wait for a place"),
 		refusals:  rapid.SliceOfN(rarely, 0, 8).Draw(t, "refusals"),
 	}
-	p.engines = p.engines && p.kind == route.Streaming
 	kinds := rapid.SampledFrom([][]string{actKinds, actKinds, {"reject the KV cache"}, {"reject the KV cache", "serve", "hang"}}).Draw(t, "kinds of acts")
-	if rarely.Draw(t, "stops") {
+	silent := rapid.SampledFrom([]bool{false, false, true}).Draw(t, "silent endpoints") // so that there are attempts beside others
+	if silent {
+		p.kind, p.resumable, p.endpoints, p.timeout = rapid.SampledFrom([]route.Kind{route.Idempotent, route.Streaming}).Draw(t, "repeatable kind"), true, 3, 20*time.Second
+		p.engines, p.attempts = rapid.Bool().Draw(t, "engines of streams"), rapid.IntRange(2, 3).Draw(t, "attempts of the repeatable")
+		kinds = []string{"hang", "reject", "serve", "break off before"}
+		times = rapid.SampledFrom([]time.Duration{0, 700 * time.Millisecond, 2 * time.Second, 3 * time.Second})
+	}
+	p.engines = p.engines && p.kind == route.Streaming
+	p.waits = rapid.SliceOfN(times, 0, 8).Draw(t, "waits for places")
+	often := rapid.Bool()
+	if rarely.Draw(t, "stops") || silent && often.Draw(t, "stops beside others") {
 		p.stop = positive.Draw(t, "stop")
 	}
 	p.excess, p.peer = rarely.Draw(t, "excess"), rarely.Draw(t, "through a peer")
@@ -104,9 +112,12 @@
 		}
 		p.acts = append(p.acts, a)
 	}
+	if silent && len(p.acts) > 0 {
+		p.acts[0].kind = "hang"
+	}
 	for range rapid.IntRange(0, 6).Draw(t, "dials") {
 		d := scriptedDial{}
-		if rarely.Draw(t, "bad dial") {
+		if rarely.Draw(t, "bad dial") || silent && often.Draw(t, "bad dial beside others") {
 			d = scriptedDial{rapid.SampledFrom([]string{"", "refused", "unwritten", "half written", "written"}).Draw(t, "dial"), times.Draw(t, "wait")}
 		}
 		p.dials = append(p.dials, d)
@@ -166,6 +177,7 @@
 	body    string
 	aborted bool
 	left    bool // the caller left first
+	sending bool // a send of the request was in progress when its caller was answered
 }
 
 // run plays and returns how the requests ended, what the endpoints did, and the log.
@@ -191,6 +203,11 @@
 	pool.Close()
 	s.close()
 	qt.Check(t, log.Close(), qt.IsNil)
+	for i, o := range outcomes {
+		outcomes[i].sending = slices.ContainsFunc(strings.Split(out.String(), "\n"), func(line string) bool {
+			return strings.Contains(line, `"request":"`+o.id+`"`) && strings.Contains(line, `"event":"gave_up"`) && strings.Contains(line, " open")
+		})
+	}
 	for _, c := range scope.Snapshot().Counters() {
 		if c.Name() == "promises_withheld" {
 			s.withheld = c.Value()
@@ -237,6 +254,8 @@
 		return fmt.Errorf("%d promises were withheld at the last moment", s.withheld)
 	case runs > 0 && promisesNotRun(o.status):
 		return fmt.Errorf("%s: status %d after %d runs", o.id, o.status, runs)
+	case o.status >= http.StatusInternalServerError && !o.signed && !promisesNotRun(o.status) && !s.written[o.id] && !o.sending:
+		return fmt.Errorf("%s: status %d, and nothing of it was written", o.id, o.status)
 	case runs > 1 && !p.repeatable():
 		return fmt.Errorf("%s: %d runs", o.id, runs)
 	case runs > p.attempts && p.repeatable():
@@ -301,6 +320,7 @@
 			return uplink.Path{Conn: c, Peer: "n2", Finish: func() { _ = c.Close() }}, err
 		}
 	}
+	var permits atomic.Int64
 	f := New(Options{
 		Codec: scriptedCodec(prompt), Directory: d, Balancer: balance.New("a", nil), Pool: pool, Log: log, Scope: scope, Now: now,
 		Retry: budget.Rule{Ratio: 1, Slack: 10_000, Window: 10 * time.Second}, BodyMemory: 1 << 20, WriteTimeout: time.Minute,
@@ -312,7 +332,11 @@
 			RecordAnswer: func(string, string, balance.Load, time.Duration) {},
 		},
 		Permits: Permits{
-			Take: func(context.Context, string, int) time.Duration { return 0 }, Return: func(string) {},
+			Take: func(ctx context.Context, _ string, _ int) time.Duration {
+				ticker.Sleep(ctx, p.wait(&permits))
+				return 0
+			},
+			Return:   func(string) {},
 			Withheld: func(int) map[string]time.Duration { return nil }, ReportNoLimit: func(string, clock.Millis) {},
 		},
 		FindPlace: p.planner(d), ReleasePlace: func(*broker.Place, string, string, *placement.Observation) {},
@@ -358,12 +382,21 @@
 	d.Apply(now, directory.Seen{Endpoint: e})
 }
 
+// wait returns the next wait, of which asked counts those so far.
+func (p promisePlay) wait(asked *atomic.Int64) time.Duration {
+	n := int(asked.Add(1))
+	if n > len(p.waits) {
+		return 0
+	}
+	return p.waits[n-1]
+}
+
 // planner returns a function that finds places at the engines that a request does not exclude.
 func (p promisePlay) planner(d *directory.Directory) func(context.Context, placement.Request, residency.Area) (*broker.Place, *placement.Refusal) {
 	var asked atomic.Int64
 	return func(ctx context.Context, req placement.Request, _ residency.Area) (*broker.Place, *placement.Refusal) {
-		n := int(asked.Add(1))
-		ticker.Sleep(ctx, p.placeWait)
+		ticker.Sleep(ctx, p.wait(&asked))
+		n := int(asked.Load())
 		refusal := &placement.Refusal{Reason: "full", RetryAfter: 50 * time.Millisecond}
 		if n <= len(p.refusals) && p.refusals[n-1] {
 			return nil, refusal
--- a/internal/forward/scripted_endpoint_test.go
+++ b/internal/forward/scripted_endpoint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -53,6 +54,7 @@
 	sends    int
 	withheld int64            // promises that the instance kept back at the last moment
 	runs     map[string]int   // by request
+	written  map[string]bool  // whether a part of a request was written
 	given    map[string][]int // statuses of signed answers, by request
 	ends     sync.WaitGroup   // of the connections
 	notes    []string         // what happened
@@ -60,7 +62,7 @@
 }
 
 func newScriptedEndpoints(acts []scriptedAct, dials []scriptedDial) *scriptedEndpoints {
-	return &scriptedEndpoints{acts: acts, dials: dials, runs: map[string]int{}, given: map[string][]int{}, began: time.Now()}
+	return &scriptedEndpoints{acts: acts, dials: dials, runs: map[string]int{}, written: map[string]bool{}, given: map[string][]int{}, began: time.Now()}
 }
 
 // note adds to what happened. The lock must be held.
@@ -79,15 +81,33 @@
 	s.ends.Wait()
 }
 
-// brokenConn fails in its first write, of which it passes on a part.
-type brokenConn struct {
+// scriptedConn is an instance's end of a connection.
+type scriptedConn struct {
 	net.Conn
-	part int // percent
+	endpoints *scriptedEndpoints
+	fails     bool // in its first write, of which it passes on a part
+	part      int  // percent
 }
 
-func (c brokenConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b[:len(b)*c.part/100])
-	return n, errors.Join(errors.New("the write fails"), err)
+func (c scriptedConn) Write(b []byte) (int, error) {
+	part := b
+	if c.fails {
+		part = b[:len(b)*c.part/100]
+	}
+	n, err := c.Conn.Write(part)
+	if r, unreadable := http.ReadRequest(bufio.NewReader(bytes.NewReader(b))); n > 0 && unreadable == nil {
+		c.endpoints.noteWritten(r.Header.Get(scriptedID))
+	}
+	if c.fails {
+		err = errors.Join(errors.New("the write fails"), err)
+	}
+	return n, err
+}
+
+func (s *scriptedEndpoints) noteWritten(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.written[id] = true
 }
 
 // dial connects to the endpoint at an address.
@@ -115,16 +135,8 @@
 	requests := make(chan *http.Request, 8)
 	s.ends.Go(func() { receiveScripted(theirs, requests) })
 	s.ends.Go(func() { s.answer(theirs, to, requests) })
-	switch d.kind {
-	case "unwritten":
-		return brokenConn{ours, 0}, nil
-	case "half written":
-		return brokenConn{ours, 50}, nil
-	case "written":
-		return brokenConn{ours, 100}, nil
-	default:
-		return ours, nil
-	}
+	part, fails := map[string]int{"unwritten": 0, "half written": 50, "written": 100}[d.kind]
+	return scriptedConn{ours, s, fails, part}, nil
 }
 
 // receiveScripted reads requests as they arrive, also while an answer is being written.
