uplink: a connection remembers which requests it has carried

Only the connections that have carried the request are passed over now; a peer, which does not know them, still opens a new one.

TestSecondSendUsesOtherKeptConnection failed before, each run.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -100,6 +100,9 @@
 // the endpoint.
 func (d *Dialer) Connect(ctx context.Context, m uplink.Message) (uplink.Path, error) {
 	to := tunnel.Destination{Address: m.Address, EndpointID: m.EndpointID, Request: m.Request, MaxIdle: m.MaxIdle, Service: d.ServiceOf(m.EndpointID)}
+	if m.Again {
+		to.MaxIdle = 0 // a peer does not know which requests its connections have carried
+	}
 	if d.Bypassed(m.EndpointID) {
 		return d.throughPeer(ctx, to)
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -130,16 +130,6 @@
 	return p.readPlain(parent, a)
 }
 
-// maxIdle returns the longest idle time of a connection that is used for the next send to an endpoint: 0, for a new one,
-// if the endpoint was sent the request before. Responses are matched by the ID of the request, and a second response to
-// the earlier send, which may come late, would be taken for that to the next one.
-func (p *proxyRequest) maxIdle(endpoint string, maxIdle time.Duration) time.Duration {
-	if p.record.Reached(endpoint) {
-		return 0
-	}
-	return maxIdle
-}
-
 // countUnmarked counts statuses that promise a caller that its request did not run, of responses whose endpoints do not
 // state that.
 func (p *proxyRequest) countUnmarked(status int) {
@@ -152,11 +142,10 @@
 func (p *proxyRequest) send(ctx context.Context, r *balance.Reservation, counted func()) (*uplink.Exchange, ResponseHead, error) {
 	m := p.message
 	m.Address, m.EndpointID, m.Request = r.Endpoint.Address, r.Endpoint.ID, p.call.ID
-	maxIdle := onceMaxIdle
+	m.MaxIdle, m.Again = onceMaxIdle, p.record.Reached(r.Endpoint.ID)
 	if p.route.Kind == route.Idempotent {
-		maxIdle = repeatableMaxIdle
+		m.MaxIdle = repeatableMaxIdle
 	}
-	m.MaxIdle = p.maxIdle(r.Endpoint.ID, maxIdle)
 	m.Header = p.Codec.EncodeHeader(p.call, Send{
 		Endpoint: r.Endpoint, Wait: max(p.left(), 0), LastEventID: p.lastEventID, Priority: p.priority(), Workspace: p.workspaceName(),
 		KVHandle: p.prefill.handle,
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -283,7 +283,8 @@
 	ctx, cancel := context.WithTimeout(parent, prefillTimeoutSlack+prefillTimeoutFactor*p.place.PrefillTime+2*p.place.PrefillWait)
 	defer cancel()
 	m := p.message
-	m.Address, m.EndpointID, m.MaxIdle, m.Request = r.Endpoint.Address, r.Endpoint.ID, p.maxIdle(r.Endpoint.ID, onceMaxIdle), p.call.ID
+	m.Address, m.EndpointID, m.MaxIdle, m.Request = r.Endpoint.Address, r.Endpoint.ID, onceMaxIdle, p.call.ID
+	m.Again = p.record.Reached(r.Endpoint.ID)
 	m.Header = p.Codec.EncodeHeader(p.call, Send{
 		Endpoint: r.Endpoint, Wait: max(p.left(), 0), Priority: p.priority(), Workspace: p.workspaceName(), Stage: directory.Prefill,
 	})
--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -53,6 +53,10 @@
 	// Request is the ID of the caller's request, for the log lines of a peer that carries the
 	// connection.
 	Request string
+	// Again says that the endpoint was sent this request before. A connection that has carried it is not
+	// used: responses are matched by ID, and a second one to the earlier send, which may come late, would be
+	// taken for that to this one.
+	Again bool
 }
 
 // Exchange is a request whose response is being read.
@@ -80,6 +84,7 @@
 		_ = c.Close() // fails only if it is closed
 		return nil, Error.Wrap(errors.Join(ErrNotSent, err))
 	}
+	c.carry(m.Request)
 	e := &Exchange{pool: p, conn: c, writeDone: make(chan error, 1)}
 	e.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := e.send(m); err != nil {
--- a/internal/uplink/lent.go
+++ b/internal/uplink/lent.go
@@ -22,7 +22,7 @@
 func (p *Pool) Lend(ctx context.Context, to netip.AddrPort, endpointID string, maxIdle time.Duration) (*Lent, error) {
 	key := connKey{to, endpointID}
 	if maxIdle > 0 {
-		if c := p.popUsable(key, maxIdle); c != nil {
+		if c := p.popUsable(key, maxIdle, func(*conn) bool { return true }); c != nil {
 			return &Lent{conn: c, pool: p}, nil
 		}
 	}
--- a/internal/uplink/pool.go
+++ b/internal/uplink/pool.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -82,6 +83,7 @@
 	reader      *bufio.Reader // reads from head
 	maxIdle     time.Duration
 	idleSince   clock.Millis  // end of the last exchange
+	carried     []string      // IDs of the last requests, at most maxCarried
 	connectTime time.Duration // that opening it took
 	peer        string        // instance that carries the connection; empty: it is this instance's own
 	finish      func()        // see Path
@@ -125,7 +127,7 @@
 func (p *Pool) get(ctx context.Context, m Message) (*conn, error) {
 	key := connKey{m.Address, m.EndpointID}
 	if m.MaxIdle > 0 && !p.Bypassed(m.EndpointID) {
-		if c := p.popUsable(key, m.MaxIdle); c != nil {
+		if c := p.popUsable(key, m.MaxIdle, func(c *conn) bool { return !m.Again || !c.hasCarried(m.Request) }); c != nil {
 			return c, nil
 		}
 	}
@@ -152,11 +154,26 @@
 	return raw, nil
 }
 
-// popUsable removes and returns a connection that has been idle for less than maxIdle and is
-// still open, or nil. It closes the others that it finds.
-func (p *Pool) popUsable(key connKey, maxIdle time.Duration) *conn {
+// maxCarried bounds the requests that a connection remembers. A second response comes at the latest in place of that
+// to the next request.
+const maxCarried = 8
+
+// carry notes that the connection carries a request.
+func (c *conn) carry(request string) {
+	if len(c.carried) == maxCarried {
+		c.carried = append(c.carried[:0], c.carried[1:]...)
+	}
+	c.carried = append(c.carried, request)
+}
+
+// hasCarried reports whether the request was one of the last on the connection.
+func (c *conn) hasCarried(request string) bool { return slices.Contains(c.carried, request) }
+
+// popUsable removes and returns a connection that fits, has been idle for less than maxIdle and is
+// still open, or nil. It closes the others that fit.
+func (p *Pool) popUsable(key connKey, maxIdle time.Duration, fits func(*conn) bool) *conn {
 	for {
-		c := p.pop(key)
+		c := p.pop(key, fits)
 		if c == nil {
 			return nil
 		}
@@ -192,20 +209,24 @@
 	p.scope.Tagged(map[string]string{"cause": cause}).Counter("uplink_dial_failures").Inc(1)
 }
 
-func (p *Pool) pop(key connKey) *conn {
+// pop removes and returns the last connection that fits, or nil.
+func (p *Pool) pop(key connKey, fits func(*conn) bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[key]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	if len(list) == 1 {
-		delete(p.idle, key)
-	} else {
-		p.idle[key] = list[:len(list)-1]
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if !fits(c) {
+			continue
+		}
+		if len(list) == 1 {
+			delete(p.idle, key)
+		} else {
+			p.idle[key] = slices.Delete(list, i, i+1)
+		}
+		return c
 	}
-	return c
+	return nil
 }
 
 func (p *Pool) put(c *conn) {
