--- a/internal/forward/prefill_answers_test.go
+++ b/internal/forward/prefill_answers_test.go
@@ -74,7 +74,12 @@
 	if id != "" {
 		head = "Id: " + id + "\r\n"
 	}
-	return fmt.Sprintf("HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", status, head, len(body), body)
+	return fmt.Sprintf("HTTP/1.1 %d X\r\n%s%s", status, head, bodyOf(body))
+}
+
+// bodyOf returns the end of a head and a body.
+func bodyOf(body string) string {
+	return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 }
 
 // another makes g a request with another ID.
