caller: pass the path of a call on with its escapes

What callers could see: the answer of another call, for a path with an escaped # or ?: a%23b reached the service as a, a%3Fb as a with a query. With %25 they got 503 no_endpoint, as the URL could not be built, which was reported to the dispatcher as a failure of the endpoint.

The decoded path was put into the URL of the call; now the escaped one is. 4 of 10 paths of the new test were red.

--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/url"
+	"strings"
 
 	"github.com/go-chi/chi/v5"
 
@@ -33,7 +35,7 @@
 		return
 	}
 	req.Method, req.Body, req.Header = r.Method, body, endToEndHeaders(r.Header)
-	req.Path = chi.URLParam(r, "*")
+	req.Path = servicePath(r.URL)
 	if r.URL.RawQuery != "" {
 		req.Path += "?" + r.URL.RawQuery
 	}
@@ -55,6 +57,15 @@
 	}
 }
 
+// servicePath returns the part of a path after /v1/services/NAME/, with its escapes.
+func servicePath(u *url.URL) string {
+	parts := strings.SplitN(u.EscapedPath(), "/", 5)
+	if len(parts) < 5 {
+		return ""
+	}
+	return parts[4]
+}
+
 // endConnection ends the handler of a request that is not answered. The server would complete the
 // response if the handler returned: with an empty 200 if nothing was written.
 func endConnection() { panic(http.ErrAbortHandler) }
--- a/internal/node/promise_test.go
+++ b/internal/node/promise_test.go
@@ -130,3 +130,15 @@
 	}
 	c.Check(len(s.Engines["a-service"].Runs())+len(s.Engines["b-service"].Runs()), qt.Equals, 1)
 }
+
+// Guards against another call than the caller's, and against a path that cannot be sent, which
+// counted as a failure of each endpoint it was meant for.
+func TestPathReachesTheServiceAsItIs(t *testing.T) {
+	s := open(t)
+	addTill(t, s, func(w http.ResponseWriter, r *http.Request) { _, _ = fmt.Fprint(w, r.RequestURI) })
+	for _, path := range []string{"a%23b", "a%3Fb", "a%25b", "%25", "a%2Fb", "a%20b", "a//b", "a+b?c=%25&d", "", "?a"} {
+		a, err := call{path: "/v1/services/till/" + path, key: "key-w", kind: "look"}.send(context.Background(), s.Nodes[0])
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, a.body, qt.Equals, "/call/"+path)
+	}
+}
