soak: steps in which endpoints refuse what they ran

A step `refuse` makes a share of the endpoints do so: plain ones and decode engines give a fraction of requests such a status of their own after the run, signed or not; engines reject KV caches, or all, and repeat the rejection in front of the next answer on the connection. Its callers send streams that can't be resumed, requests that may run once, and a third of others. With `--only refuse` stops, kills and pauses of instances, pauses of endpoints and cuts of links on either side come beside it; else the other steps do. Such runs have an ample retry budget.

A refusal must be true for every kind now, not only for what may run once. No fault excuses either check; the checker's tests have all scopes of faults in force beside them.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -158,8 +158,8 @@
 		o.Zones = append(o.Zones, string(rune('a'+zone)))
 	}
 	r, err := fleet.Run(ctx, o)
-	fmt.Printf("seed %d: %d steps, %d of %d requests answered well, %d of %d shortly before an exit answered or refused, %d of %d streams went on after a kill of all, %d violations\n",
-		seed, r.Steps, r.Succeeded, r.Requests, r.LateAnswered, r.Late, r.WentOn, r.Rejoined, len(r.Violations))
+	fmt.Printf("seed %d: %d steps, %d of %d requests answered well, %d of %d shortly before an exit answered or refused, %d of %d streams went on after a kill of all, %d requests failed by endpoints that ran them, %d rejections repeated, %d violations\n",
+		seed, r.Steps, r.Succeeded, r.Requests, r.LateAnswered, r.Late, r.WentOn, r.Rejoined, r.Failed, r.Repeated, len(r.Violations))
 	for _, v := range r.Violations {
 		fmt.Printf("  %s: %s: %s\n%s", v.Promise, v.ID, v.What, r.Faults.Describe(v.At.Add(-4*time.Second), v.At.Add(time.Second)))
 	}
--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -105,6 +105,18 @@
 	}
 }
 
+// RefusalKinds returns the kinds of requests that are sent while endpoints refuse what they ran. Two in three must run
+// at most once.
+func RefusalKinds() []Kind {
+	resumable, once := streamKind(), Kind{Path: "/once/x", Method: http.MethodPost, Service: "llm", Stream: true, AtMostOnce: true, Workspace: secondWorkspace}
+	return []Kind{
+		once, once, resumable,
+		{Path: "/unsafe/x", Method: http.MethodPost, Service: "web", AtMostOnce: true, Workspace: firstWorkspace},
+		{Path: "/unsafe/x", Method: http.MethodPost, Service: "web", AtMostOnce: true, Workspace: secondWorkspace},
+		{Path: "/safe/x", Method: http.MethodGet, Service: "web", Workspace: secondWorkspace},
+	}
+}
+
 // PacedPrefix is the prefix of the route of PacedStream, MaxPacedTime the time that it allows.
 const (
 	PacedPrefix  = "/paced/"
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -1,7 +1,7 @@
 // Package checker checks what callers and endpoints observed against the promises:
 //
-//   - a request that must not be repeated runs at most once, and one that was answered as
-//     not run did not run;
+//   - a request that must not be repeated runs at most once, and one of any kind that was
+//     answered as not run did not run;
 //   - answers are complete and belong to their request, streams have no missing and no
 //     repeated event, also where the caller takes one up, and come from one software
 //     version;
@@ -264,14 +264,11 @@
 			ran++
 		}
 	}
-	if !call.Kind.AtMostOnce {
-		return
-	}
-	if ran > 1 {
+	if call.Kind.AtMostOnce && ran > 1 {
 		c.violated("at most once", call.ID, call.Sent, "ran %d times", ran)
 	}
 	if ran > 0 && promisesNotRun(call.Reply.Status) {
-		c.violated("true refusal", call.ID, call.Ended, "%s answered %d, but it ran", call.Gateway.Name, call.Reply.Status)
+		c.violated("true refusal", call.ID, call.Ended, "%s answered %d to %s, but it ran %d times", call.Gateway.Name, call.Reply.Status, call.Kind.Path, ran)
 	}
 }
 
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -138,6 +138,42 @@
 	return s
 }
 
+// refusedAfterRun returns a scenario of a call that its endpoint runs and answers with a failure of its own, which its
+// caller gets, while faults of all kinds affect the endpoint and the instance.
+func refusedAfterRun(path string, status int, signed bool) scenario {
+	s := singleCall(path, func(c *caller.Call, r *checker.Run) {
+		c.Reply, r.OwnStatus = standin.Response{Status: status, Signed: signed}, status
+	})
+	return disturbed(s)
+}
+
+// rejectedTwice returns a scenario of a stream that can't be resumed and that an endpoint rejects twice, with a number
+// of runs after the first rejection, while faults of all kinds affect the endpoint and the instance.
+func rejectedTwice(status, runs int) scenario {
+	s := singleCall("/once/x", func(c *caller.Call, r *checker.Run) {
+		r.Ran, r.Repeated = false, true
+		if status != http.StatusOK {
+			c.Reply = standin.Response{Status: status}
+		}
+	})
+	for range runs {
+		s.runs = append(s.runs, run(s.calls[0]))
+	}
+	return disturbed(s)
+}
+
+// disturbed adds faults that affect everything in a scenario until its end.
+func disturbed(s scenario) scenario {
+	s.beginFaults = func(f *timeline.Timeline) {
+		for _, scope := range []timeline.Scope{
+			timeline.Refusal, timeline.Endpoint, timeline.Silence, timeline.Kill, timeline.Frozen, timeline.Planned, timeline.Links, timeline.Peers, timeline.Store,
+		} {
+			f.Begin(scope, "", "trouble")
+		}
+	}
+	return s
+}
+
 // viaOther sends all calls of a scenario but the first through another instance.
 func viaOther(s scenario) scenario {
 	for n := range s.calls[1:] {
@@ -204,6 +240,20 @@
 		{"rejected as not run, but ran", "true refusal", singleCall("/once/x", func(c *caller.Call, _ *checker.Run) {
 			c.Reply = standin.Response{Status: http.StatusServiceUnavailable}
 		})},
+		{"rejected as not run, but ran, of a kind that may run again", "true refusal", singleCall("/safe/x", func(c *caller.Call, _ *checker.Run) {
+			c.Reply = standin.Response{Status: http.StatusServiceUnavailable}
+		})},
+		{"an endpoint's own 408 passed on", "true refusal", refusedAfterRun("/unsafe/x", http.StatusRequestTimeout, false)},
+		{"an endpoint's own 429 passed on, signed", "true refusal", refusedAfterRun("/once/x", http.StatusTooManyRequests, true)},
+		{"an endpoint's own 503 passed on, of a resumable stream", "true refusal", refusedAfterRun("/stream/x", http.StatusServiceUnavailable, true)},
+		{"rejection repeated, refused after a run", "true refusal", rejectedTwice(http.StatusServiceUnavailable, 1)},
+		{"rejection repeated, run twice", "at most once", rejectedTwice(http.StatusOK, 2)},
+		{"rejection repeated, run once", "", rejectedTwice(http.StatusOK, 1)},
+		{"rejected and refused, never run", "", rejectedTwice(http.StatusServiceUnavailable, 0)},
+		{"failed after a run, not promised", "", refusedAfterRun("/once/x", http.StatusBadGateway, false)},
+		{"prompt read apart, then refused", "", singleCall("/once/x", func(c *caller.Call, r *checker.Run) {
+			c.Reply, r.Prefill = standin.Response{Status: http.StatusServiceUnavailable}, true
+		})},
 		{"answer without an endpoint's signature", "own answer", singleCall("/safe/x", func(c *caller.Call, _ *checker.Run) { c.Reply.Signed = false })},
 		{"answer to another request", "whole answer", singleCall("/safe/x", func(c *caller.Call, _ *checker.Run) { c.Reply.Body = standin.AnswerBody("r2") })},
 		{"stream without its last event", "whole answer", singleCall("/stream/x", func(c *caller.Call, _ *checker.Run) {
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -95,6 +95,8 @@
 	LateAnswered, Late int
 	// WentOn of Rejoined streams that callers took up after a kill of all instances went on.
 	WentOn, Rejoined int
+	// Endpoints gave Failed requests that they had run a failure of their own, and Repeated rejections twice.
+	Failed, Repeated int
 	Faults           *timeline.Timeline
 }
 
@@ -120,6 +122,7 @@
 	r.Succeeded, r.Requests = f.checker.Served()
 	r.LateAnswered, r.Late = f.checker.LateCalls()
 	r.WentOn, r.Rejoined = f.checker.Rejoined()
+	r.Failed, r.Repeated = f.checker.Refused()
 	return r, err
 }
 
--- a/internal/soak/fleet/instance.go
+++ b/internal/soak/fleet/instance.go
@@ -76,7 +76,7 @@
 
 // retryBudget returns the retry budget of a run.
 func (o Options) retryBudget() (ratio, slack float64) {
-	if o.OnlyKind == schedule.Endless {
+	if o.OnlyKind == schedule.Endless || o.OnlyKind == schedule.Refuse {
 		return ampleRatio, ampleSlack
 	}
 	return retryRatio, retrySlack
--- a/internal/soak/fleet/silence.go
+++ b/internal/soak/fleet/silence.go
@@ -45,7 +45,7 @@
 	calling, stopCalls := context.WithCancel(ctx)
 	defer stopCalls()
 	for range silenceCallers {
-		callers.Go(func() { f.callDuringSilence(calling) })
+		callers.Go(func() { f.callKinds(calling, silencePause, caller.SilenceKinds()) })
 	}
 	var failure error
 	group.Go(func() { failure = f.operate(ctx, s.Variant, i) })
@@ -83,12 +83,12 @@
 	return list
 }
 
-// callDuringSilence sends requests of SilenceKinds until ctx ends; the last one is not abandoned.
-func (f *Fleet) callDuringSilence(ctx context.Context) {
+// callKinds sends requests of some kinds until ctx ends, with random pauses of gap on average; the last one is not
+// abandoned.
+func (f *Fleet) callKinds(ctx context.Context, gap time.Duration, kinds []caller.Kind) {
 	c := &caller.Caller{NextID: f.nextID}
 	defer c.Close()
-	kinds := caller.SilenceKinds()
-	for sleep(ctx, rand.N(2*silencePause)) {
+	for sleep(ctx, rand.N(2*gap)) {
 		if g, ok := f.pickInstance(); ok {
 			f.checker.RecordCall(c.Call(context.WithoutCancel(ctx), g, kinds[rand.IntN(len(kinds))]))
 		}
--- a/internal/soak/fleet/steps.go
+++ b/internal/soak/fleet/steps.go
@@ -50,6 +50,8 @@
 		schedule.Evacuate, schedule.Cold, schedule.Unlink, schedule.Release, schedule.Restore, schedule.Parts,
 		schedule.Flood, schedule.Silence, schedule.Overload, schedule.Stop, schedule.Endless, schedule.Outage, schedule.Rejoin:
 		return f.applyExtra(ctx, s, i)
+	case schedule.Refuse:
+		return f.refuse(ctx, s)
 	case schedule.Kill:
 		return f.kill(ctx, s.Duration, i)
 	case schedule.KillAll:
--- a/internal/soak/fleet/unlink.go
+++ b/internal/soak/fleet/unlink.go
@@ -22,7 +22,7 @@
 // all but one of the fleet.
 func (f *Fleet) unlink(ctx context.Context, s schedule.Step, first *instance) error {
 	fault := linkFaults[s.Variant%len(linkFaults)]
-	var failures []error
+	var chosen []*instance
 	for _, i := range f.allInstances() {
 		switch s.Variant / len(linkFaults) % 3 {
 		case 0:
@@ -38,12 +38,21 @@
 				continue
 			}
 		}
+		chosen = append(chosen, i)
+	}
+	return f.cutLinks(ctx, max(s.Duration, minUnlinkTime), fault, chosen...)
+}
+
+// cutLinks makes instances lose their connections to all endpoints for a time.
+func (f *Fleet) cutLinks(ctx context.Context, length time.Duration, fault standin.LinkFault, instances ...*instance) error {
+	var failures []error
+	for _, i := range instances {
 		end := f.faults.Begin(timeline.Links, i.name, "unlink")
 		defer end()
 		failures = append(failures, f.setLinks(i, fault, 1))
 		defer func() { _ = f.setLinks(i, standin.LinksUp, -1) }() // fails only if the run's folder is gone
 	}
-	sleep(ctx, max(s.Duration, minUnlinkTime))
+	sleep(ctx, length)
 	return errors.Join(failures...)
 }
 
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -91,6 +91,8 @@
 	Outage Kind = "outage"
 	// Another software version is released, and instances are killed meanwhile, mostly all at once.
 	Rejoin Kind = "rejoin"
+	// Endpoints answer requests that they ran with 408, 429 or 503, or repeat rejections late.
+	Refuse Kind = "refuse"
 )
 
 // weights are the relative frequencies of the kinds drawn by New.
@@ -170,6 +172,7 @@
 	{0x7fb5d329728ea185, []Kind{Endless}, false},
 	{0x6c62272e07bb0142, []Kind{Outage}, false},
 	{0x452821e638d01377, []Kind{Rejoin}, true},
+	{0xa4093822299f31d0, []Kind{Refuse}, false},
 }
 
 // Extra draws additional steps of a run, independently of those of New. If only is not empty, it returns
--- a/internal/soak/schedule/schedule_test.go
+++ b/internal/soak/schedule/schedule_test.go
@@ -26,7 +26,7 @@
 	for _, s := range extra {
 		kinds[s.Kind] = true
 	}
-	c.Assert(kinds, qt.HasLen, 41)
+	c.Assert(kinds, qt.HasLen, 42)
 	c.Assert(schedule.Merge(schedule.New(7, time.Minute, ""), extra), qt.HasLen, len(schedule.New(7, time.Minute, ""))+len(extra))
 	for _, s := range schedule.New(7, time.Minute, schedule.Retire) {
 		c.Assert(s.Kind, qt.Equals, schedule.Retire)
--- a/internal/soak/timeline/timeline.go
+++ b/internal/soak/timeline/timeline.go
@@ -26,12 +26,13 @@
 	Endpoint      Scope = "endpoint" // an endpoint or the link to it
 	Silence       Scope = "silence"  // an endpoint is silent and goes on; part of Endpoint
 	Endless       Scope = "endless"  // an endpoint's answers have no end; part of Endpoint
+	Refusal       Scope = "refusal"  // an endpoint refuses requests that it ran, or repeats rejections; part of Endpoint
 	Load          Scope = "load"     // an endpoint rejects requests and asks for a backoff
 	Flood         Scope = "flood"    // a workspace sends more than a service can serve
 )
 
 // parents are the scopes of which others are parts.
-var parents = map[Scope]Scope{Kill: Process, Frozen: Process, Silence: Endpoint, Endless: Endpoint}
+var parents = map[Scope]Scope{Kill: Process, Frozen: Process, Silence: Endpoint, Endless: Endpoint, Refusal: Endpoint}
 
 // Fault is one fault.
 type Fault struct {
