--- a/internal/soak/fleet/refuse.go
+++ b/internal/soak/fleet/refuse.go
@@ -45,9 +45,8 @@
 	for range refusalCallers {
 		callers.Go(func() { f.callKinds(calling, refusalPause, caller.RefusalKinds()) })
 	}
-	chosen := append(f.drawRefusing(r, ""), f.drawRefusing(r, "decode")...)
-	for n, e := range chosen {
-		b := drawRefusal(r, e.Stage, n)
+	chosen := f.drawRefusals(r)
+	for e, b := range chosen {
 		defer f.faults.Begin(timeline.Refusal, e.ID, describeRefusal(b))()
 		e.SetBehaviour(b)
 	}
@@ -58,7 +57,7 @@
 		failure = f.disturb(ctx, lasting, r)
 	}
 	<-lasting.Done()
-	for _, e := range chosen {
+	for e := range chosen {
 		e.SetBehaviour(normalBehaviour())
 	}
 	sleep(ctx, recoveryTime)
@@ -67,8 +66,29 @@
 	return failure
 }
 
-// drawRefusing draws the endpoints of a stage that refuse.
-func (f *Fleet) drawRefusing(r *rand.Rand, stage string) (list []*endpoint) {
+// drawRefusals draws which endpoints refuse, and how. In half of the steps all engines refuse most KV caches: after several
+// of such rejections one of them is sent the same request again, without a cache.
+func (f *Fleet) drawRefusals(r *rand.Rand) map[*endpoint]standin.Behaviour {
+	drawn := map[*endpoint]standin.Behaviour{}
+	for n, e := range f.drawRefusing(r, "", refusingShares...) {
+		drawn[e] = drawRefusal(r, e.Stage, n == 0)
+	}
+	if r.IntN(2) == 0 {
+		for _, e := range f.drawRefusing(r, "decode", 1) {
+			b := normalBehaviour()
+			b.NoHandle, b.RepeatRejection, b.Fraction = true, true, 0.8+0.2*r.Float64()
+			drawn[e] = b
+		}
+		return drawn
+	}
+	for _, e := range f.drawRefusing(r, "decode", refusingShares...) {
+		drawn[e] = drawRefusal(r, e.Stage, false)
+	}
+	return drawn
+}
+
+// drawRefusing draws the endpoints of a stage that refuse, one of the given shares of them.
+func (f *Fleet) drawRefusing(r *rand.Rand, stage string, shares ...float64) (list []*endpoint) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, e := range f.endpoints {
@@ -77,17 +97,17 @@
 		}
 	}
 	r.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	share := refusingShares[r.IntN(len(refusingShares))]
+	share := shares[r.IntN(len(shares))]
 	return list[:min(max(int(share*float64(len(list))), 1), len(list))]
 }
 
-// drawRefusal draws how the n-th endpoint of a step refuses. Engines mostly reject KV caches.
-func drawRefusal(r *rand.Rand, stage string, n int) standin.Behaviour {
+// drawRefusal draws how an endpoint refuses: with a status of its own, as it does in any case if own is set, or by
+// rejections that it repeats. Engines mostly reject KV caches.
+func drawRefusal(r *rand.Rand, stage string, own bool) standin.Behaviour {
 	b := normalBehaviour()
 	b.Fraction = refusedFractions[r.IntN(len(refusedFractions))]
-	own := n == 0 || r.IntN(2) == 0
 	switch {
-	case own && (stage == "" || r.IntN(3) > 0):
+	case own || r.IntN(3) == 0:
 		b.Status, b.Unsigned = ownStatuses[r.IntN(len(ownStatuses))], r.IntN(2) == 0
 	case stage == "" || r.IntN(4) == 0:
 		b.Reject, b.RepeatRejection = true, true
@@ -100,9 +120,9 @@
 // describeRefusal returns the description of a behaviour in the timeline.
 func describeRefusal(b standin.Behaviour) string {
 	if b.Status != 0 {
-		return fmt.Sprintf("own status %d, unsigned: %t, of %g", b.Status, b.Unsigned, b.Fraction)
+		return fmt.Sprintf("own status %d, unsigned: %t, of %.2f", b.Status, b.Unsigned, b.Fraction)
 	}
-	return fmt.Sprintf("repeats rejections, of KV caches: %t, of %g", b.NoHandle, b.Fraction)
+	return fmt.Sprintf("repeats rejections, of KV caches: %t, of %.2f", b.NoHandle, b.Fraction)
 }
 
 // disturb stops, kills and pauses instances, pauses endpoints, and cuts their links from both sides, in series and
