soak: a run that checks nothing is no success

A command with `--only rejoin` now fails if no stream went on in any of its runs, one with `--only refuse` if no endpoint failed a request that it had run or none repeated a rejection.

Its share of streams that go on is judged with `--timed` only, as before.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,8 @@
 soak: build
 	build/soak --seeds 2 --seconds 8 --zones 2 --callers 12
 	build/soak --only stop --from 3 --seconds 3 --zones 2 --callers 12
-	build/soak --only rejoin --from 5 --seconds 3 --zones 2 --callers 12
+	build/soak --only rejoin --from 14 --seconds 3 --zones 2 --callers 12
+	build/soak --only refuse --from 1 --seconds 3 --zones 2 --callers 12
 
 .PHONY: demo
 demo: build
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -96,19 +96,26 @@
 	}()
 	var group sync.WaitGroup
 	var mu sync.Mutex
+	var shown coverage
 	failed := 0
 	for job := range max(c.Jobs, 1) {
 		group.Go(func() {
 			for r := range next {
-				if !c.runSeed(ctx, job, r) {
-					mu.Lock()
+				result, good := c.runSeed(ctx, job, r)
+				mu.Lock()
+				shown.add(result)
+				if !good {
 					failed++
-					mu.Unlock()
 				}
+				mu.Unlock()
 			}
 		})
 	}
 	group.Wait()
+	if gap := shown.gap(schedule.Kind(c.Only)); gap != "" {
+		fmt.Println(gap)
+		failed++
+	}
 	return failed
 }
 
@@ -142,7 +149,7 @@
 
 // runSeed executes the run of one seed and prints the result. It reports whether the fleet
 // recovered and all promises were kept.
-func (c *command) runSeed(ctx context.Context, job int, run seededRun) bool {
+func (c *command) runSeed(ctx context.Context, job int, run seededRun) (r fleet.Result, good bool) {
 	seed := run.seed
 	o := fleet.Options{
 		Program: c.Program, Dir: c.Dir, Seed: seed, FaultDuration: time.Duration(c.Seconds) * time.Second,
@@ -166,11 +173,11 @@
 	if err != nil {
 		fmt.Printf("  recovery: %v\n", err)
 	}
-	good := err == nil && len(r.Violations) == 0
+	good = err == nil && len(r.Violations) == 0
 	if good {
 		_ = os.RemoveAll(o.LogDir())
 	}
-	return good
+	return r, good
 }
 
 // network returns a loopback network for a job. Jobs and concurrent soak processes use
