--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -165,7 +165,7 @@
 	p.requestLog.Write(n)
 	counted()
 	var head ResponseHead
-	exchange, err := p.Pool.Do(ctx, m, p.acceptInto(&head))
+	exchange, err := p.Pool.Do(ctx, m, p.acceptInto(&head)) //nolint:bodyclose // Exchange.Close closes the connection, or reuses it once the body was read
 	if errors.Is(err, uplink.ErrNotSent) {
 		p.sends--
 		p.finishNotRun(attempts.Unwritten)
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -400,7 +400,7 @@
 
 func (p *proxyRequest) requestPrefill(ctx context.Context, m uplink.Message, e *directory.Endpoint) (string, ResponseHead, error) {
 	var head ResponseHead
-	x, err := p.Pool.Do(ctx, m, p.acceptInto(&head))
+	x, err := p.Pool.Do(ctx, m, p.acceptInto(&head)) //nolint:bodyclose // Exchange.Close closes the connection, or reuses it once the body was read
 	if err != nil {
 		return "", head, err
 	}
