tunnel: do not keep a connection of which more was passed back than read

What callers could see: 502 for a request that may run once and that its endpoint ran, after a peer had lent it a connection.

Bytes that a peer passes back while the exchange ends are never read by the instance that asked for the connection, so that it can't see them, and the peer knows no responses. If these are a part of a second response, its rest comes in front of the next response on the connection.

Fix: the end of an exchange carries the number of bytes that were read, as the code of QUIC's STOP_SENDING; a peer that passed back another number closes its connection. An earlier build sends 0, which is taken for unknown, and ignores the number: all is as before then.

Ruled out: closing each connection that was lent, which costs one for each exchange through a peer, and reading responses at the peer.

--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 
@@ -53,12 +54,30 @@
 
 // Finish ends the stream. What was written is still delivered; nothing more is read. It must not
 // be called during a Write.
-func (s *Stream) Finish() {
+func (s *Stream) Finish() { s.FinishAfter(0) }
+
+// FinishAfter is Finish, and tells the peer how many bytes of its were read.
+func (s *Stream) FinishAfter(read int64) {
 	_ = s.Close() // fails only if the peer has ended the stream
-	s.CancelRead(0)
+	s.CancelRead(quic.StreamErrorCode(read))
 	s.ended.Do(s.uncount)
 }
 
+// ReadByPeer waits until the peer reads no more and returns how many bytes of this side's it says to have read, or 0 if
+// it does not say so, as an earlier build does not.
+func (s *Stream) ReadByPeer(ctx context.Context) int64 {
+	select {
+	case <-ctx.Done():
+		return 0
+	case <-s.Context().Done():
+	}
+	var end *quic.StreamError
+	if !errors.As(context.Cause(s.Context()), &end) || !end.Remote {
+		return 0
+	}
+	return int64(end.ErrorCode)
+}
+
 // Abort ends the stream at once, also for the peer. What was written may be lost.
 func (s *Stream) Abort() {
 	s.CancelRead(0)
--- a/internal/peer/stream_test.go
+++ b/internal/peer/stream_test.go
@@ -111,3 +111,35 @@
 	_, err = a.OpenStream(t.Context(), b.Address())
 	c.Assert(err, qt.IsNotNil)
 }
+
+// Guards against a number of bytes that a peer did not read: only one that ends the stream in order tells it.
+func TestReadByPeer(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(s *peer.Stream)
+		read int64
+	}{
+		{"told", func(s *peer.Stream) { s.FinishAfter(4) }, 4},
+		{"not told", (*peer.Stream).Finish, 0},
+		{"aborted", (*peer.Stream).Abort, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			a, b := streamPair(t)
+			read := make(chan int64, 1)
+			b.HandleStreams(func(_ string, s *peer.Stream) {
+				defer s.Finish()
+				_, _ = s.Write([]byte("some bytes"))
+				read <- s.ReadByPeer(t.Context())
+			})
+			s, err := a.OpenStream(t.Context(), b.Address())
+			c.Assert(err, qt.IsNil)
+			c.Assert(s.WriteMessage("hello"), qt.IsNil)
+			_, err = io.ReadFull(s, make([]byte, 4))
+			c.Assert(err, qt.IsNil)
+			test.end(s)
+			c.Assert(<-read, qt.Equals, test.read)
+		})
+	}
+}
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/trailshed/trailshed/internal/peer"
@@ -15,6 +16,7 @@
 	peerName string
 	peer     netip.AddrPort
 	endpoint netip.AddrPort
+	read     atomic.Int64 // bytes that were read
 	end      sync.Once
 	ended    func()
 }
@@ -23,7 +25,11 @@
 func (c *Conn) Peer() string { return c.peerName }
 
 // Read implements net.Conn.
-func (c *Conn) Read(b []byte) (int, error) { return c.stream.Read(b) }
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.stream.Read(b)
+	c.read.Add(int64(n))
+	return n, err
+}
 
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) { return c.stream.Write(b) }
@@ -41,7 +47,7 @@
 // endpoint for another request.
 func (c *Conn) Finish() {
 	c.end.Do(func() {
-		c.stream.Finish()
+		c.stream.FinishAfter(c.read.Load())
 		c.ended()
 	})
 }
--- a/internal/tunnel/serve.go
+++ b/internal/tunnel/serve.go
@@ -105,11 +105,19 @@
 	t.Scope.Tagged(map[string]string{"outcome": o.String()}).Counter("tunnels_served").Inc(1)
 }
 
+// readTimeout bounds the wait for how much a peer has read, which comes with its end of the stream.
+const readTimeout = 50 * time.Millisecond
+
 // carry passes bytes on in both directions until the peer ends the exchange or breaks it off.
 func carry(s *peer.Stream, l *uplink.Lent) error {
 	back := make(chan error, 1)
-	go func() { back <- passBack(s, l) }()
-	readErr, writeErr := pass(l, s)
+	var passedBack int64
+	go func() {
+		var err error
+		passedBack, err = passBack(s, l)
+		back <- err
+	}()
+	_, readErr, writeErr := pass(l, s)
 	if writeErr != nil {
 		s.CancelRead(0) // the endpoint reads no more, but may have answered
 		err := <-back
@@ -128,24 +136,31 @@
 		s.Finish()
 		return err
 	}
-	l.Return()
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	if read := s.ReadByPeer(ctx); read != 0 && read != passedBack {
+		l.Close() // part of a second response may have been passed back
+	} else {
+		l.Return()
+	}
 	s.Finish()
 	return nil
 }
 
-// passBack passes on what the endpoint sends. An endpoint that resets the connection must not
-// look as if it had closed it, since the end of some answers is the end of the connection.
-func passBack(s *peer.Stream, l *uplink.Lent) error {
-	readErr, writeErr := pass(s, l)
+// passBack passes on what the endpoint sends and returns the number of bytes. An endpoint that
+// resets the connection must not look as if it had closed it, since the end of some answers is
+// the end of the connection.
+func passBack(s *peer.Stream, l *uplink.Lent) (int64, error) {
+	n, readErr, writeErr := pass(s, l)
 	switch {
 	case writeErr != nil:
-		return writeErr
+		return n, writeErr
 	case readErr == nil:
-		return s.Close()
+		return n, s.Close()
 	case !isTimeout(readErr): // a timeout is an Interrupt
 		s.CancelWrite(0)
 	}
-	return readErr
+	return n, readErr
 }
 
 func isTimeout(err error) bool {
@@ -153,21 +168,22 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// pass copies until from ends, which is no error, or one side fails.
-func pass(to io.Writer, from io.Reader) (readErr, writeErr error) {
+// pass copies until from ends, which is no error, or one side fails. It returns the number of bytes that it copied.
+func pass(to io.Writer, from io.Reader) (copied int64, readErr, writeErr error) {
 	buffer := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
 			if _, writeErr = to.Write(buffer[:n]); writeErr != nil {
-				return nil, writeErr
+				return copied, nil, writeErr
 			}
+			copied += int64(n)
 		}
 		if errors.Is(err, io.EOF) {
-			return nil, nil
+			return copied, nil, nil
 		}
 		if err != nil {
-			return err, nil
+			return copied, err, nil
 		}
 	}
 }
