--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -96,7 +96,7 @@
 	}
 	a.exchange, a.head = exchange, head
 	p.heard(a.reservation)
-	if head.HasLoad {
+	if head.HasLoad && !head.addressReused(a.reservation.Endpoint) {
 		a.reservation.ReportLoad(p.Now(), head.Load)
 		p.recordLoad(a.reservation.Endpoint, head)
 		if p.place != nil && !head.NotRun {
@@ -112,7 +112,7 @@
 		p.reportNoLimit(a.reservation.Endpoint, head, sent)
 	}
 	if head.NotRun {
-		p.attempt.Finish(attempts.Rejected)
+		p.finishNotRun(attempts.Rejected)
 		exchange.Discard()
 		p.endpointRejected(a.reservation, head)
 		return false
@@ -130,16 +130,6 @@
 	return p.readPlain(parent, a)
 }
 
-// maxIdle returns the longest idle time of a connection that is used for the next send to an endpoint: 0, for a new one,
-// if the endpoint was sent the request before. Responses are matched by the ID of the request, and a second response to
-// the earlier send, which may come late, would be taken for that to the next one.
-func (p *proxyRequest) maxIdle(endpoint string, maxIdle time.Duration) time.Duration {
-	if p.record.Reached(endpoint) {
-		return 0
-	}
-	return maxIdle
-}
-
 // countUnmarked counts statuses that promise a caller that its request did not run, of responses whose endpoints do not
 // state that.
 func (p *proxyRequest) countUnmarked(status int) {
@@ -152,19 +142,21 @@
 func (p *proxyRequest) send(ctx context.Context, r *balance.Reservation, counted func()) (*uplink.Exchange, ResponseHead, error) {
 	m := p.message
 	m.Address, m.EndpointID, m.Request = r.Endpoint.Address, r.Endpoint.ID, p.call.ID
-	maxIdle := onceMaxIdle
+	m.MaxIdle, m.Again = onceMaxIdle, p.record.Reached(r.Endpoint.ID)
 	if p.route.Kind == route.Idempotent {
-		maxIdle = repeatableMaxIdle
+		m.MaxIdle = repeatableMaxIdle
 	}
-	m.MaxIdle = p.maxIdle(r.Endpoint.ID, maxIdle)
 	m.Header = p.Codec.EncodeHeader(p.call, Send{
 		Endpoint: r.Endpoint, Wait: max(p.left(), 0), LastEventID: p.lastEventID, Priority: p.priority(), Workspace: p.workspaceName(),
 		KVHandle: p.prefill.handle,
 	})
+	if !p.beginSend(r.Endpoint.ID) {
+		p.returnUnsent(r.Endpoint.ID, p.sends)
+		return nil, ResponseHead{}, Error.Wrap(uplink.ErrNotSent)
+	}
 	p.logResend()
 	p.startTiming()
 	p.sends++
-	p.beginSend(r.Endpoint.ID)
 	p.ownLinkLost = false
 	p.events, p.wroteOn, p.sentAt = 0, false, p.Now()
 	p.heardAt = p.sentAt
@@ -173,13 +165,10 @@
 	p.requestLog.Write(n)
 	counted()
 	var head ResponseHead
-	exchange, err := p.Pool.Do(ctx, m, func(resp *http.Response) bool {
-		head = p.Codec.ReadHead(resp)
-		return head.RequestID == p.call.ID
-	})
+	exchange, err := p.Pool.Do(ctx, m, p.acceptInto(&head)) //nolint:bodyclose // Exchange.Close closes the connection, or reuses it once the body was read
 	if errors.Is(err, uplink.ErrNotSent) {
 		p.sends--
-		p.attempt.Finish(attempts.Unwritten)
+		p.finishNotRun(attempts.Unwritten)
 		p.returnUnsent(r.Endpoint.ID, p.sends)
 	}
 	p.throughPeer = exchange != nil && exchange.Peer() != "" || errors.Is(err, uplink.ErrThroughPeer)
@@ -188,6 +177,19 @@
 	return exchange, head, err
 }
 
+// acceptInto returns a function that accepts the response to the request and keeps its head. What the head of another
+// response says belongs to another request.
+func (p *proxyRequest) acceptInto(head *ResponseHead) func(*http.Response) bool {
+	return func(r *http.Response) bool {
+		h := p.Codec.ReadHead(r)
+		if h.RequestID != p.call.ID {
+			return false
+		}
+		*head = h
+		return true
+	}
+}
+
 // logTunnel logs that a send went through a peer.
 func (p *proxyRequest) logTunnel(x *uplink.Exchange, e *directory.Endpoint) {
 	if x == nil || x.Peer() == "" {
@@ -339,9 +341,10 @@
 func (p *proxyRequest) unmarkedStatus(a *answer) {
 	a.exchange.Close(!a.long)
 	p.failure = reasonEndpointStatus
-	result := balance.Succeeded // as of any answer below 500
-	if a.exchange.Response.StatusCode >= http.StatusInternalServerError {
-		result = balance.Failed
+	result := balance.Failed
+	if a.exchange.Response.StatusCode < http.StatusInternalServerError {
+		// An application answers so to some of its callers, which says nothing of its endpoint or of others.
+		result, p.final = balance.Succeeded, true
 	}
 	p.endpointFailed(a.reservation, result, Error.New("%s, without stating that the request did not run", a.exchange.Response.Status))
 }
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -240,7 +240,7 @@
 	switch {
 	case len(p.prefill.rejected) >= maxHandleRejections:
 		p.fullEngine, p.failedEngine = "", p.prefill.engine
-	case p.ownLinkLost, p.failure == reasonLate, p.failure == reasonSilent, p.failure == reasonCanceled: // says nothing about the engine
+	case p.final, p.ownLinkLost, p.failure == reasonLate, p.failure == reasonSilent, p.failure == reasonCanceled: // says nothing about the engine
 	case p.fullEngine == "":
 		p.failedEngine = decode
 	}
@@ -283,7 +283,8 @@
 	ctx, cancel := context.WithTimeout(parent, prefillTimeoutSlack+prefillTimeoutFactor*p.place.PrefillTime+2*p.place.PrefillWait)
 	defer cancel()
 	m := p.message
-	m.Address, m.EndpointID, m.MaxIdle, m.Request = r.Endpoint.Address, r.Endpoint.ID, p.maxIdle(r.Endpoint.ID, onceMaxIdle), p.call.ID
+	m.Address, m.EndpointID, m.MaxIdle, m.Request = r.Endpoint.Address, r.Endpoint.ID, onceMaxIdle, p.call.ID
+	m.Again = p.record.Reached(r.Endpoint.ID)
 	m.Header = p.Codec.EncodeHeader(p.call, Send{
 		Endpoint: r.Endpoint, Wait: max(p.left(), 0), Priority: p.priority(), Workspace: p.workspaceName(), Stage: directory.Prefill,
 	})
@@ -301,7 +302,7 @@
 		p.prefill.sends--
 		p.returnUnsent(r.Endpoint.ID, p.prefill.sends)
 	}
-	if head.HasLoad {
+	if head.HasLoad && !head.addressReused(r.Endpoint) {
 		r.ReportLoad(p.Now(), head.Load)
 	}
 	if err == nil {
@@ -399,10 +400,7 @@
 
 func (p *proxyRequest) requestPrefill(ctx context.Context, m uplink.Message, e *directory.Endpoint) (string, ResponseHead, error) {
 	var head ResponseHead
-	x, err := p.Pool.Do(ctx, m, func(resp *http.Response) bool {
-		head = p.Codec.ReadHead(resp)
-		return head.RequestID == p.call.ID
-	})
+	x, err := p.Pool.Do(ctx, m, p.acceptInto(&head)) //nolint:bodyclose // Exchange.Close closes the connection, or reuses it once the body was read
 	if err != nil {
 		return "", head, err
 	}
