node: end callers' connections at a stop without losing a request

What callers saw: the end of the connection (EOF, a reset) in place of an answer, for a request sent on an open connection as serve begins a planned stop.

Cause: http.Server.Shutdown takes a connection for idle until it has parsed the header of the next request, and closes it with the request unread; until then no answer says that it is the last one. The gateway uses keepalive for this since long, serve did not.

Serve uses it now: answers from the beginning of the stop on are the last ones on their connections, and what has been idle for a second with nothing arrived is ended. Keepalive takes an ended context for a caller who has left, so that the context by which requests are ended at the drain timeout is not the server's any more.

What stays: the listener is closed as before, so a connection that was not accepted yet is reset.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/trailshed/trailshed/internal/dispatcher"
 	"github.com/trailshed/trailshed/internal/endpoint"
 	"github.com/trailshed/trailshed/internal/entry"
+	"github.com/trailshed/trailshed/internal/keepalive"
 	"github.com/trailshed/trailshed/internal/ledger"
 	"github.com/trailshed/trailshed/internal/member"
 	"github.com/trailshed/trailshed/internal/notice"
@@ -48,10 +49,6 @@
 
 const reconcileInterval = 100 * time.Millisecond
 
-// lastAnswersTime is the part of the drain timeout in which the requests that are still running are
-// ended and their answers are written.
-const lastAnswersTime = 500 * time.Millisecond
-
 // leavingTimeout is how long an endpoint counts as leaving after its last response that
 // said so. The endpoint ends within that time. The entry has to expire because a new
 // process at the same address cannot be distinguished from the endpoint here.
@@ -80,6 +77,8 @@
 	executor   *operator.Executor
 	api        *caller.API
 
+	connections *keepalive.Connections // of callers; set by Run
+
 	mu      sync.Mutex // guards table
 	table   *member.Table
 	leaving atomic.Bool
@@ -216,17 +215,15 @@
 
 	requests, endRequests := context.WithCancelCause(context.Background())
 	defer endRequests(nil)
-	callerServer := &http.Server{
-		Handler: n.api.Handler(), ReadHeaderTimeout: 5 * time.Second,
-		BaseContext: func(net.Listener) context.Context { return requests },
-	}
+	callerServer := n.openCallers(requests)
 	adminServer := &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: 5 * time.Second}
-	group.Go(func() { serve(callerServer, n.callers, n.log) })
+	group.Go(func() { serve(callerServer, n.connections.Listener(n.callers), n.log) })
+	group.Go(func() { n.sweepCallers(serving) })
 	group.Go(func() { serve(adminServer, n.admin, n.log) })
 	n.log.Info().Stringer("callers", n.callers.Addr()).Stringer("peers", n.transport.Address()).Msg("serving")
 
 	<-ctx.Done()
-	n.leave(callerServer, func() { endRequests(entry.ErrLeaving) })
+	n.leave(callerServer, endRequests)
 	_ = adminServer.Close()
 	stop()
 	_ = n.transport.Close()
@@ -247,8 +244,8 @@
 
 // leave announces that this process leaves, which hands over its roles, and waits for
 // running requests until the drain timeout. Those that are still running shortly before it are
-// ended with endRequests, so that they are answered.
-func (n *Node) leave(callers *http.Server, endRequests func()) {
+// ended with endRequests.
+func (n *Node) leave(callers *http.Server, endRequests func(error)) {
 	n.log.Info().Msg("leaving")
 	n.leaving.Store(true)
 	n.dialer.Tunnels.Refuse()
@@ -260,21 +257,12 @@
 	time.Sleep(n.settings.Callers.LeaveDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Callers.DrainTimeout)
 	defer cancel()
-	running, stopWaiting := context.WithTimeout(ctx, n.settings.Callers.DrainTimeout-lastAnswersTime)
-	defer stopWaiting()
-	if err := callers.Shutdown(running); err != nil {
-		n.log.Warn().Int("attempts", n.entry.AttemptCount()).Msg("drain timeout expires with requests running, which are ended")
-		endRequests()
-		if err := callers.Shutdown(ctx); err != nil {
-			n.log.Warn().Msg("drain timeout expired before all answers were written")
-			_ = callers.Close()
-		}
-	}
+	n.drainCallers(ctx, callers, endRequests)
 	n.dialer.Tunnels.Drain(ctx)
 }
 
 func serve(s *http.Server, l net.Listener, log zerolog.Logger) {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		log.Error().Err(err).Msg("listener failed")
 	}
 }
