--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -96,7 +96,7 @@
 	}
 	a.exchange, a.head = exchange, head
 	p.heard(a.reservation)
-	if head.HasLoad {
+	if head.HasLoad && !head.addressReused(a.reservation.Endpoint) {
 		a.reservation.ReportLoad(p.Now(), head.Load)
 		p.recordLoad(a.reservation.Endpoint, head)
 		if p.place != nil && !head.NotRun {
@@ -112,7 +112,7 @@
 		p.reportNoLimit(a.reservation.Endpoint, head, sent)
 	}
 	if head.NotRun {
-		p.attempt.Finish(attempts.Rejected)
+		p.finishNotRun(attempts.Rejected)
 		exchange.Discard()
 		p.endpointRejected(a.reservation, head)
 		return false
@@ -142,7 +142,7 @@
 func (p *proxyRequest) send(ctx context.Context, r *balance.Reservation, counted func()) (*uplink.Exchange, ResponseHead, error) {
 	m := p.message
 	m.Address, m.EndpointID, m.Request = r.Endpoint.Address, r.Endpoint.ID, p.call.ID
-	m.MaxIdle = onceMaxIdle
+	m.MaxIdle, m.Again = onceMaxIdle, p.record.Reached(r.Endpoint.ID)
 	if p.route.Kind == route.Idempotent {
 		m.MaxIdle = repeatableMaxIdle
 	}
@@ -150,10 +150,13 @@
 		Endpoint: r.Endpoint, Wait: max(p.left(), 0), LastEventID: p.lastEventID, Priority: p.priority(), Workspace: p.workspaceName(),
 		KVHandle: p.prefill.handle,
 	})
+	if !p.beginSend(r.Endpoint.ID) {
+		p.returnUnsent(r.Endpoint.ID, p.sends)
+		return nil, ResponseHead{}, Error.Wrap(uplink.ErrNotSent)
+	}
 	p.logResend()
 	p.startTiming()
 	p.sends++
-	p.beginSend(r.Endpoint.ID)
 	p.ownLinkLost = false
 	p.events, p.wroteOn, p.sentAt = 0, false, p.Now()
 	p.heardAt = p.sentAt
@@ -162,13 +165,10 @@
 	p.requestLog.Write(n)
 	counted()
 	var head ResponseHead
-	exchange, err := p.Pool.Do(ctx, m, func(resp *http.Response) bool {
-		head = p.Codec.ReadHead(resp)
-		return head.RequestID == p.call.ID
-	})
+	exchange, err := p.Pool.Do(ctx, m, p.acceptInto(&head)) //nolint:bodyclose // Exchange.Close closes the connection, or reuses it once the body was read
 	if errors.Is(err, uplink.ErrNotSent) {
 		p.sends--
-		p.attempt.Finish(attempts.Unwritten)
+		p.finishNotRun(attempts.Unwritten)
 		p.returnUnsent(r.Endpoint.ID, p.sends)
 	}
 	p.throughPeer = exchange != nil && exchange.Peer() != "" || errors.Is(err, uplink.ErrThroughPeer)
@@ -177,6 +177,19 @@
 	return exchange, head, err
 }
 
+// acceptInto returns a function that accepts the response to the request and keeps its head. What the head of another
+// response says belongs to another request.
+func (p *proxyRequest) acceptInto(head *ResponseHead) func(*http.Response) bool {
+	return func(r *http.Response) bool {
+		h := p.Codec.ReadHead(r)
+		if h.RequestID != p.call.ID {
+			return false
+		}
+		*head = h
+		return true
+	}
+}
+
 // logTunnel logs that a send went through a peer.
 func (p *proxyRequest) logTunnel(x *uplink.Exchange, e *directory.Endpoint) {
 	if x == nil || x.Peer() == "" {
@@ -276,7 +289,7 @@
 func (p *proxyRequest) endpointRejected(r *balance.Reservation, head ResponseHead) {
 	p.failure = "endpoints_full"
 	p.fullEngine = r.Endpoint.ID
-	if head.AddressReused {
+	if head.addressReused(r.Endpoint) {
 		p.failure = "address_reused"
 		p.ReportGone(r.Endpoint.ID)
 	}
@@ -304,9 +317,13 @@
 		p.sendFailed(parent, a.reservation, err)
 		return false
 	}
-	if resp.StatusCode >= http.StatusInternalServerError {
+	switch {
+	case promisesNotRun(resp.StatusCode):
+		p.unmarkedStatus(a)
+		return false
+	case resp.StatusCode >= http.StatusInternalServerError:
 		a.exchange.Close(!a.long)
-		p.failure = "endpoint_status"
+		p.failure = reasonEndpointStatus
 		if !a.long {
 			p.fallback = &bufferedResponse{status: resp.StatusCode, header: p.Codec.CallerHeader(resp.Header), body: a.body}
 		}
@@ -316,6 +333,22 @@
 	return true
 }
 
+// reasonEndpointStatus is the failure reason of a send that the endpoint answered with a failure of its own.
+const reasonEndpointStatus = "endpoint_status"
+
+// unmarkedStatus ends an attempt whose endpoint answered with a status that promises a caller that its request did not
+// run, and did not state that. Such a response is never passed on: the endpoint may have run the request.
+func (p *proxyRequest) unmarkedStatus(a *answer) {
+	a.exchange.Close(!a.long)
+	p.failure = reasonEndpointStatus
+	result := balance.Failed
+	if a.exchange.Response.StatusCode < http.StatusInternalServerError {
+		// An application answers so to some of its callers, which says nothing of its endpoint or of others.
+		result, p.final = balance.Succeeded, true
+	}
+	p.endpointFailed(a.reservation, result, Error.New("%s, without stating that the request did not run", a.exchange.Response.Status))
+}
+
 // readBeginning reads a body to its end, or more than maxBufferedBytes of it, or as much as there is memory for. It
 // reports whether there may be more.
 func (p *proxyRequest) readBeginning(r io.Reader) (body []byte, more bool, err error) {
--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -48,11 +48,15 @@
 	Body       []byte
 	// HasBody distinguishes an empty body from none.
 	HasBody bool
-	// MaxIdle is the longest time that a reused connection may have been idle.
+	// MaxIdle is the longest time that a reused connection may have been idle; 0: only a new one is used.
 	MaxIdle time.Duration
 	// Request is the ID of the caller's request, for the log lines of a peer that carries the
 	// connection.
 	Request string
+	// Again says that the endpoint was sent this request before. A connection that has carried it is not
+	// used: responses are matched by ID, and a second one to the earlier send, which may come late, would be
+	// taken for that to this one.
+	Again bool
 }
 
 // Exchange is a request whose response is being read.
@@ -67,12 +71,20 @@
 
 // Do sends m and reads responses until accept takes one; responses that it rejects belong
 // to earlier requests and are skipped. When ctx ends, the connection is closed, which makes
-// the endpoint stop.
+// the endpoint stop; nothing is sent any more if it has ended before.
 func (p *Pool) Do(ctx context.Context, m Message, accept func(*http.Response) bool) (*Exchange, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, Error.Wrap(errors.Join(ErrNotSent, err))
+	}
 	c, err := p.get(ctx, m)
 	if err != nil {
 		return nil, Error.Wrap(errors.Join(ErrNotSent, err))
 	}
+	if err := ctx.Err(); err != nil {
+		_ = c.Close() // fails only if it is closed
+		return nil, Error.Wrap(errors.Join(ErrNotSent, err))
+	}
+	c.carry(m.Request)
 	e := &Exchange{pool: p, conn: c, writeDone: make(chan error, 1)}
 	e.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := e.send(m); err != nil {
@@ -209,8 +221,8 @@
 }
 
 // Close ends the exchange. The connection is reused only if whole is true, the request was
-// written completely, the response had a defined end, and the endpoint did not ask to close
-// the connection.
+// written completely, the response had a defined end, nothing came after it, and the endpoint
+// did not ask to close the connection.
 func (e *Exchange) Close(whole bool) {
 	if e.closed {
 		return
@@ -249,8 +261,8 @@
 
 func (e *Exchange) reusable() bool {
 	r := e.Response
-	if r == nil || r.Close || e.EndsWithConnection() {
-		return false
+	if r == nil || r.Close || e.EndsWithConnection() || e.conn.reader.Buffered() > 0 {
+		return false // or part of a second response was read, whose rest may be still to come
 	}
 	select {
 	case err := <-e.writeDone:
