forward: a send that is not made blames no endpoint

An attempt beside a silent one that finds all runs of its route taken by others did not send, and its endpoint counted as unreachable and was ejected. TestWithdrawnSendBlamesNobody failed before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -152,7 +152,7 @@
 	})
 	if !p.beginSend(r.Endpoint.ID) {
 		p.returnUnsent(r.Endpoint.ID, p.sends)
-		return nil, ResponseHead{}, Error.Wrap(uplink.ErrNotSent)
+		return nil, ResponseHead{}, Error.Wrap(errWithdrawn)
 	}
 	p.logResend()
 	p.startTiming()
@@ -177,6 +177,10 @@
 	return exchange, head, err
 }
 
+// errWithdrawn is the error of a send that is not made since the request has ended, or may not be sent any more, without
+// this attempt beside it.
+var errWithdrawn = errors.New("the send was withdrawn")
+
 // acceptInto returns a function that accepts the response to the request and keeps its head. What the head of another
 // response says belongs to another request.
 func (p *proxyRequest) acceptInto(head *ResponseHead) func(*http.Response) bool {
@@ -227,7 +231,7 @@
 	switch {
 	case p.cancelledHeld.Load():
 		result, p.failure = balance.Canceled, reasonCrashingPart
-	case parent.Err() != nil && (p.beside != nil || !errors.Is(context.Cause(parent), context.DeadlineExceeded)):
+	case errors.Is(err, errWithdrawn), parent.Err() != nil && (p.beside != nil || !errors.Is(context.Cause(parent), context.DeadlineExceeded)):
 		p.failure = reasonCanceled
 		p.history.add(r.Endpoint.ID + ": " + p.failure)
 		r.Done(p.Now(), balance.Canceled)
--- a/internal/forward/evidence_test.go
+++ b/internal/forward/evidence_test.go
@@ -178,6 +178,27 @@
 	c.Check(g.record.String(), qt.Equals, "silent open; d1 broken_off; d2 open")
 }
 
+// Guards against an endpoint that is blamed for a send that this instance has not made: another attempt has taken the last
+// run that the route allows.
+func TestWithdrawnSendBlamesNobody(t *testing.T) {
+	c := qt.New(t)
+	g := newSentRequest(t)
+	limited := *g.route
+	limited.Attempts = 3
+	g.route = &limited
+	g.beginSilent()
+	q := g.startBeside(t)
+	c.Assert(q.beginSend("d2"), qt.IsTrue)
+	q.attempt.Finish(attempts.BrokenOff)
+	g.record.Begin("d3")
+	c.Assert(q.begin(t.Context(), q.Balancer.ReserveAt(q.Now(), q.view.Find(decodeEngine))), qt.IsFalse)
+	q.recordFailedEngine(decodeEngine)
+	c.Check(q.failedEngine, qt.Equals, "")
+	c.Check(q.Balancer.Ejected(q.Now()), qt.HasLen, 0)
+	c.Check(g.dials.Load(), qt.Equals, int64(0))
+	c.Check(g.record.String(), qt.Equals, "silent open; d2 broken_off; d3 open")
+}
+
 // What a prefill engine is judged by is the response to its own send. Another request's, late on a kept connection, says
 // nothing of this one.
 func TestForeignHeadIsNoEvidenceOnPrefill(t *testing.T) {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -275,8 +275,8 @@
 	return runs
 }
 
-// beginSend records a send to an endpoint. It returns false if the send must not be made, since the request has ended
-// without this attempt beside it.
+// beginSend records a send to an endpoint. It returns false if the send must not be made: the request has ended without
+// this attempt beside it, or as many other sends as its route allows may have run.
 func (p *proxyRequest) beginSend(endpoint string) bool {
 	if p.planned == nil {
 		p.attempt = p.record.Begin(endpoint)
