--- a/internal/forward/evidence_test.go
+++ b/internal/forward/evidence_test.go
@@ -38,8 +38,8 @@
 func readTestHead(r *http.Response) ResponseHead {
 	gone := r.StatusCode == http.StatusMisdirectedRequest
 	return ResponseHead{
-		RequestID: r.Header.Get("X-Request-Id"), Signed: r.Header.Get("X-Server-Stamp") != "", Misdirected: gone,
-		NotRun: r.Header.Get("X-Not-Run") != "" || gone,
+		RequestID: r.Header.Get("Request"), Signed: r.Header.Get("Signature") != "", Misdirected: gone,
+		NotRun: r.Header.Get("Not-Run") != "" || gone,
 	}
 }
 
@@ -96,7 +96,7 @@
 	silent := dialSilent(arrived)
 	g.Pool.Dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 		if to.Port() == 1 { // d1
-			return script("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nX-Request-Id: r1\r\nX-Not-Run: 1\r\n\r\n"), nil
+			return script("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRequest: r1\r\nNot-Run: 1\r\n\r\n"), nil
 		}
 		return silent(ctx, to)
 	}
@@ -202,10 +202,10 @@
 // What a prefill engine is judged by is the response to its own send. Another request's, late on a kept connection, says
 // nothing of this one.
 func TestForeignHeadIsNoEvidenceOnPrefill(t *testing.T) {
-	const foreign = "\r\nContent-Length: 0\r\nX-Request-Id: other\r\n"
+	const foreign = "\r\nContent-Length: 0\r\nRequest: other\r\n"
 	tests := []struct{ name, text string }{
 		{"nothing", ""},
-		{"rejection of another request", "HTTP/1.1 503 Service Unavailable" + foreign + "X-Not-Run: 1\r\n\r\n"},
+		{"rejection of another request", "HTTP/1.1 503 Service Unavailable" + foreign + "Not-Run: 1\r\n\r\n"},
 		{"421 for another request", "HTTP/1.1 421 Misdirected Request" + foreign + "\r\n"},
 	}
 	for _, test := range tests {
@@ -258,7 +258,7 @@
 					_, _ = io.WriteString(theirs, freed)
 					again = freed // in front of the next answer on this connection
 				default:
-					_, _ = io.WriteString(theirs, again+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Request-Id: r1\r\n\r\nk2")
+					_, _ = io.WriteString(theirs, again+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nRequest: r1\r\n\r\nk2")
 				}
 			}
 		}()
@@ -305,7 +305,7 @@
 			c := qt.New(t)
 			g := newSentRequest(t)
 			g.Pool.Dial = func(context.Context, netip.AddrPort) (net.Conn, error) {
-				return script("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\nX-Request-Id: r1\r\nX-Server-Stamp: s\r\n\r\n"), nil
+				return script("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\nRequest: r1\r\nSignature: s\r\n\r\n"), nil
 			}
 			g.FindPlace = func(context.Context, placement.Request, residency.Area) (*broker.Place, *placement.Refusal) {
 				return &broker.Place{Grant: placement.Grant{Decode: decodeEngine}, Zone: "a"}, nil
@@ -363,7 +363,7 @@
 	g.Shares.RecordAnswer = func(string, string, balance.Load, time.Duration) { recorded++ }
 	g.service = "plain"
 	g.Pool.Dial = func(context.Context, netip.AddrPort) (net.Conn, error) {
-		return script("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\nX-Request-Id: r1\r\n\r\n"), nil
+		return script("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\nRequest: r1\r\n\r\n"), nil
 	}
 	r := g.Balancer.ReserveAt(g.Now(), &directory.Endpoint{ID: "e", Slots: 8})
 	c.Assert(g.begin(t.Context(), r), qt.IsFalse)
@@ -383,7 +383,7 @@
 		dials++
 		return scriptThenClose(""), nil // reset
 	}
-	rejection := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nX-Request-Id: r1\r\nX-Not-Run: 1\r\n\r\n"
+	rejection := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRequest: r1\r\nNot-Run: 1\r\n\r\n"
 	g.Pool.Keep(script(rejection), e.Address, e.ID)
 	g.Pool.Keep(script(rejection), e.Address, e.ID)
 	for range 2 {
