--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -130,16 +130,6 @@
 	return p.readPlain(parent, a)
 }
 
-// maxIdle returns the longest idle time of a connection that is used for the next send to an endpoint: 0, for a new one,
-// if the endpoint was sent the request before. Responses are matched by the ID of the request, and a second response to
-// the earlier send, which may come late, would be taken for that to the next one.
-func (p *proxyRequest) maxIdle(endpoint string, maxIdle time.Duration) time.Duration {
-	if p.record.Reached(endpoint) {
-		return 0
-	}
-	return maxIdle
-}
-
 // countUnmarked counts statuses that promise a caller that its request did not run, of responses whose endpoints do not
 // state that.
 func (p *proxyRequest) countUnmarked(status int) {
@@ -152,18 +142,17 @@
 func (p *proxyRequest) send(ctx context.Context, r *balance.Reservation, counted func()) (*uplink.Exchange, ResponseHead, error) {
 	m := p.message
 	m.Address, m.EndpointID, m.Request = r.Endpoint.Address, r.Endpoint.ID, p.call.ID
-	maxIdle := onceMaxIdle
+	m.MaxIdle, m.Again = onceMaxIdle, p.record.Reached(r.Endpoint.ID)
 	if p.route.Kind == route.Idempotent {
-		maxIdle = repeatableMaxIdle
+		m.MaxIdle = repeatableMaxIdle
 	}
-	m.MaxIdle = p.maxIdle(r.Endpoint.ID, maxIdle)
 	m.Header = p.Codec.EncodeHeader(p.call, Send{
 		Endpoint: r.Endpoint, Wait: max(p.left(), 0), LastEventID: p.lastEventID, Priority: p.priority(), Workspace: p.workspaceName(),
 		KVHandle: p.prefill.handle,
 	})
 	if !p.beginSend(r.Endpoint.ID) {
 		p.returnUnsent(r.Endpoint.ID, p.sends)
-		return nil, ResponseHead{}, Error.Wrap(uplink.ErrNotSent)
+		return nil, ResponseHead{}, Error.Wrap(errWithdrawn)
 	}
 	p.logResend()
 	p.startTiming()
@@ -176,7 +165,7 @@
 	p.requestLog.Write(n)
 	counted()
 	var head ResponseHead
-	exchange, err := p.Pool.Do(ctx, m, p.acceptInto(&head))
+	exchange, err := p.Pool.Do(ctx, m, p.acceptInto(&head)) //nolint:bodyclose // Exchange.Close closes the connection, or reuses it once the body was read
 	if errors.Is(err, uplink.ErrNotSent) {
 		p.sends--
 		p.finishNotRun(attempts.Unwritten)
@@ -188,6 +177,10 @@
 	return exchange, head, err
 }
 
+// errWithdrawn is the error of a send that is not made since the request has ended, or may not be sent any more, without
+// this attempt beside it.
+var errWithdrawn = errors.New("the send was withdrawn")
+
 // acceptInto returns a function that accepts the response to the request and keeps its head. What the head of another
 // response says belongs to another request.
 func (p *proxyRequest) acceptInto(head *ResponseHead) func(*http.Response) bool {
@@ -238,7 +231,7 @@
 	switch {
 	case p.cancelledHeld.Load():
 		result, p.failure = balance.Canceled, reasonCrashingPart
-	case parent.Err() != nil && (p.beside != nil || !errors.Is(context.Cause(parent), context.DeadlineExceeded)):
+	case errors.Is(err, errWithdrawn), parent.Err() != nil && (p.beside != nil || !errors.Is(context.Cause(parent), context.DeadlineExceeded)):
 		p.failure = reasonCanceled
 		p.history.add(r.Endpoint.ID + ": " + p.failure)
 		r.Done(p.Now(), balance.Canceled)
--- a/internal/forward/prefill.go
+++ b/internal/forward/prefill.go
@@ -283,7 +283,8 @@
 	ctx, cancel := context.WithTimeout(parent, prefillTimeoutSlack+prefillTimeoutFactor*p.place.PrefillTime+2*p.place.PrefillWait)
 	defer cancel()
 	m := p.message
-	m.Address, m.EndpointID, m.MaxIdle, m.Request = r.Endpoint.Address, r.Endpoint.ID, p.maxIdle(r.Endpoint.ID, onceMaxIdle), p.call.ID
+	m.Address, m.EndpointID, m.MaxIdle, m.Request = r.Endpoint.Address, r.Endpoint.ID, onceMaxIdle, p.call.ID
+	m.Again = p.record.Reached(r.Endpoint.ID)
 	m.Header = p.Codec.EncodeHeader(p.call, Send{
 		Endpoint: r.Endpoint, Wait: max(p.left(), 0), Priority: p.priority(), Workspace: p.workspaceName(), Stage: directory.Prefill,
 	})
@@ -399,7 +400,7 @@
 
 func (p *proxyRequest) requestPrefill(ctx context.Context, m uplink.Message, e *directory.Endpoint) (string, ResponseHead, error) {
 	var head ResponseHead
-	x, err := p.Pool.Do(ctx, m, p.acceptInto(&head))
+	x, err := p.Pool.Do(ctx, m, p.acceptInto(&head)) //nolint:bodyclose // Exchange.Close closes the connection, or reuses it once the body was read
 	if err != nil {
 		return "", head, err
 	}
