changelog: a change that was accepted is not refused

What operators saw: "exists already" for a command that had just created it. Submit looks for its own change first now.

--- a/internal/changelog/log.go
+++ b/internal/changelog/log.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -140,6 +141,9 @@
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval, delay.MaxInterval = initialSubmitDelay, retryDelay
 	for range maxSubmitAttempts {
+		if accepted, ok := l.acceptedChange(ch.ID); ok {
+			return accepted, nil // by an attempt whose outcome was unknown
+		}
 		if other, ok := l.conflictingChange(base, ch); ok {
 			return ch, Error.Wrap(fmt.Errorf("%w: revision %d by %s", ErrConflict, other.Revision, other.Actor))
 		}
@@ -206,6 +210,16 @@
 	return nil
 }
 
+// acceptedChange returns the change with an ID, if this process has applied it.
+func (l *Log) acceptedChange(id string) (catalog.Change, bool) {
+	history := l.History()
+	i := slices.IndexFunc(history, func(ch catalog.Change) bool { return ch.ID == id })
+	if i < 0 {
+		return catalog.Change{}, false
+	}
+	return history[i], true
+}
+
 // conflictingChange returns a change of the same aggregate that is newer than base.
 func (l *Log) conflictingChange(base int64, ch catalog.Change) (catalog.Change, bool) {
 	for _, other := range l.History() {
--- a/internal/changelog/log_test.go
+++ b/internal/changelog/log_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -183,3 +185,33 @@
 	c.Assert(other.Current().Rows(), qt.DeepEquals, peer.Current().Rows())
 	c.Assert(other.Delta(changelog.Pull{After: 2}).Revision, qt.Equals, int64(5))
 }
+
+// Guards against an operator who is told that a command was refused, as what it creates exists already, when the command
+// itself has created it: the response to its write was lost, and so was that of the read that would have told.
+func TestAcceptedChangeIsNotRefused(t *testing.T) {
+	for lost := range 3 { // reads after the write
+		t.Run(fmt.Sprint(lost, " reads lost"), func(t *testing.T) {
+			c := qt.New(t)
+			p := standin.New(5000, 5000, 0)
+			var writes, reads atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodPut && writes.Add(1) == 1 {
+					p.Handler().ServeHTTP(httptest.NewRecorder(), r)
+					panic(http.ErrAbortHandler)
+				}
+				if r.Method == http.MethodGet && writes.Load() == 1 && reads.Add(1) <= int64(lost) {
+					panic(http.ErrAbortHandler)
+				}
+				p.Handler().ServeHTTP(w, r)
+			}))
+			defer server.Close()
+			f := &fixture{store: platform.Connect(netip.MustParseAddrPort(server.Listener.Addr().String()), time.Second, tally.NoopScope)}
+			accepted, err := f.log().Submit(t.Context(), zone("a", "a"), 0)
+			c.Assert(err, qt.IsNil)
+			c.Assert(accepted.Revision, qt.Equals, int64(1))
+			fresh := f.log()
+			c.Assert(fresh.CatchUp(t.Context()), qt.IsNil)
+			c.Assert(fresh.Current().Revision, qt.Equals, int64(1))
+		})
+	}
+}
