forward: tell a send in progress by its time in the property test

Seed 301 with 20,000 plays, now and then: 502 to a request of which nothing was written, and the last line names no open send. It is decided while an attempt beside the first one is still connecting; the same EndAll ends that one before the line is written. The model read the line, so a send that begins or a connection that is being opened at that moment counts as in progress now, by the clock of the play. The checks of promises and runs are as before.

--- a/internal/forward/scripted_endpoint_test.go
+++ b/internal/forward/scripted_endpoint_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -58,7 +59,9 @@
 	given    map[string][]int // statuses of signed answers, by request
 	ends     sync.WaitGroup   // of the connections
 	notes    []string         // what happened
-	began    time.Time
+	// dialTimes are when the opening of connections began and ended.
+	dialTimes [][2]time.Time
+	began     time.Time
 }
 
 func newScriptedEndpoints(acts []scriptedAct, dials []scriptedDial) *scriptedEndpoints {
@@ -70,6 +73,11 @@
 	s.notes = append(s.notes, fmt.Sprintf("%v ", time.Since(s.began))+fmt.Sprintf(format, args...))
 }
 
+// dialedAt reports whether a connection was being opened at a time, to the end of that time.
+func (s *scriptedEndpoints) dialedAt(at time.Time) bool {
+	return slices.ContainsFunc(s.dialTimes, func(d [2]time.Time) bool { return !at.Before(d[0]) && !at.After(d[1]) })
+}
+
 // close ends all connections and waits until nothing acts any more.
 func (s *scriptedEndpoints) close() {
 	s.mu.Lock()
@@ -120,6 +128,12 @@
 	s.dialed++
 	s.note("dial %v: %+v", to, d)
 	s.mu.Unlock()
+	began := time.Now()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.dialTimes = append(s.dialTimes, [2]time.Time{began, time.Now()})
+	}()
 	select {
 	case <-time.After(d.wait):
 	case <-ctx.Done():
