attempts: one predicate for the statuses that promise

The writer to the caller has one function in place of two, and a send one predicate for what the record counts. Behaviour is unchanged; tests of attempts, forward, endpoint and entry pass with the race detector.

--- a/internal/forward/promise.go
+++ b/internal/attempts/promise.go
@@ -1,10 +1,10 @@
-package forward
+package attempts
 
 import "net/http"
 
-// promisesNotRun reports whether a status of an answer to a caller promises that the request did not run and never
+// PromisesNotRun reports whether a status of an answer to a caller promises that the request did not run and never
 // will.
-func promisesNotRun(status int) bool {
+func PromisesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
--- a/internal/attempts/record.go
+++ b/internal/attempts/record.go
@@ -165,7 +165,7 @@
 func (r *Record) mayHaveRun() int {
 	n := 0
 	for _, s := range r.sends {
-		if !s.prompt && !s.end.provesNotRun() {
+		if s.mayHaveRun() {
 			n++
 		}
 	}
@@ -186,9 +186,12 @@
 func (s *Send) MayHaveRun() bool {
 	s.record.mu.Lock()
 	defer s.record.mu.Unlock()
-	return !s.prompt && !s.end.provesNotRun()
+	return s.mayHaveRun()
 }
 
+// mayHaveRun is MayHaveRun for a caller that holds the record's lock.
+func (s *Send) mayHaveRun() bool { return !s.prompt && !s.end.provesNotRun() }
+
 // Reached reports whether some of the request may have been written to an endpoint.
 func (r *Record) Reached(endpoint string) bool {
 	r.mu.Lock()
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -21,6 +21,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/trailshed/trailshed/internal/attempts"
 	"github.com/trailshed/trailshed/internal/notice"
 )
 
@@ -275,7 +276,7 @@
 
 // Rejects reports whether the response must not be passed on to a caller: its status means there
 // that the request did not run.
-func (r Response) Rejects() bool { return isRejection(r.Status) }
+func (r Response) Rejects() bool { return attempts.PromisesNotRun(r.Status) }
 
 // Call sends a request to a plain service and reads the whole response. A call that must
 // not be repeated is sent once, on a connection of its own. A rejection is an error.
@@ -338,7 +339,7 @@
 // not run the request. A rejection without it says nothing: the endpoint may have run the request
 // and have been rejected by another service.
 func isMarkedNotRun(r *http.Response) bool {
-	return isRejection(r.StatusCode) && r.Header.Get(headerNotRun) == "1"
+	return attempts.PromisesNotRun(r.StatusCode) && r.Header.Get(headerNotRun) == "1"
 }
 
 // rejectionError returns the error of a rejection without the endpoint's mark.
@@ -350,16 +351,6 @@
 	return wrapError(ErrMayHaveRun, cause)
 }
 
-// isRejection reports whether a status means, in answers to callers, that the request did not run.
-func isRejection(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	default:
-		return false
-	}
-}
-
 // send sends a request. Its error is ErrNotRun only with evidence of this very send: it was given
 // no connection, so that nothing of it was written, or the endpoint marked its rejection. The error
 // of net/http is no evidence: net/http repeats some requests by itself, and its last error may be
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -133,7 +133,7 @@
 // countUnmarked counts statuses that promise a caller that its request did not run, of responses whose endpoints do not
 // state that.
 func (p *proxyRequest) countUnmarked(status int) {
-	if promisesNotRun(status) {
+	if attempts.PromisesNotRun(status) {
 		p.Scope.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("unmarked_statuses").Inc(1)
 	}
 }
@@ -322,7 +322,7 @@
 		return false
 	}
 	switch {
-	case promisesNotRun(resp.StatusCode):
+	case attempts.PromisesNotRun(resp.StatusCode):
 		p.unmarkedStatus(a)
 		return false
 	case resp.StatusCode >= http.StatusInternalServerError:
--- a/internal/forward/ending.go
+++ b/internal/forward/ending.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/trailshed/trailshed/internal/attempts"
 	"github.com/trailshed/trailshed/internal/directory"
 	"github.com/trailshed/trailshed/internal/eventlog"
 	"github.com/trailshed/trailshed/internal/keepalive"
@@ -118,6 +119,15 @@
 	http.Error(p.w, "not run: "+n.Reason, status)
 }
 
+// withholds reports whether a status promises that the request did not run, though it may have run, and counts that.
+func (p *proxyRequest) withholds(status int) bool {
+	if !attempts.PromisesNotRun(status) || p.record.MayHaveRun() == 0 {
+		return false
+	}
+	p.Scope.Counter("promises_withheld").Inc(1)
+	return true
+}
+
 // fail tells the caller that the request may have run.
 func (p *proxyRequest) fail(status int) {
 	n := p.logLine(eventlog.GaveUp, p.failure, nil)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -171,8 +171,7 @@
 		Forwarder: f, w: newTimeoutWriter(w, f.WriteTimeout), arrived: f.Now(), progress: progress{view: f.Directory.View(), placeLimit: maxPlaceRequests}, requestLog: f.Log.NewRequestLog(),
 		sample: rand.Float64(), outcome: eventlog.Panicked, record: &attempts.Record{},
 	}
-	p.w.mayHaveRun = func() bool { return p.record.MayHaveRun() > 0 }
-	p.w.onWithheld = func() { f.Scope.Counter("promises_withheld").Inc(1) }
+	p.w.withholds = p.withholds
 	defer func() {
 		if p.headSent.Load() {
 			f.begun.Add(-1)
--- a/internal/forward/promise_test.go
+++ b/internal/forward/promise_test.go
@@ -20,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 	"pgregory.net/rapid"
 
+	"github.com/trailshed/trailshed/internal/attempts"
 	"github.com/trailshed/trailshed/internal/balance"
 	"github.com/trailshed/trailshed/internal/broker"
 	"github.com/trailshed/trailshed/internal/budget"
@@ -261,9 +262,9 @@
 	switch {
 	case s.withheld > 0:
 		return fmt.Errorf("%d promises were withheld at the last moment", s.withheld)
-	case runs > 0 && promisesNotRun(o.status):
+	case runs > 0 && attempts.PromisesNotRun(o.status):
 		return fmt.Errorf("%s: status %d after %d runs", o.id, o.status, runs)
-	case o.status >= http.StatusInternalServerError && !o.signed && !promisesNotRun(o.status) && !s.written[o.id] && !o.sending && !s.dialedAt(o.at):
+	case o.status >= http.StatusInternalServerError && !o.signed && !attempts.PromisesNotRun(o.status) && !s.written[o.id] && !o.sending && !s.dialedAt(o.at):
 		return fmt.Errorf("%s: status %d, and nothing of it was written", o.id, o.status)
 	case runs > 1 && !p.repeatable():
 		return fmt.Errorf("%s: %d runs", o.id, runs)
--- a/internal/forward/timeout_writer.go
+++ b/internal/forward/timeout_writer.go
@@ -10,12 +10,11 @@
 // would otherwise hold the request, and its endpoint, without bound. It keeps back promises that are not true.
 type timeoutWriter struct {
 	http.ResponseWriter
-	control    *http.ResponseController
-	timeout    time.Duration
-	failure    error       // of the last write, which the caller's connection is the reason for
-	mayHaveRun func() bool // the request; nil: no
-	onWithheld func()      // called when a promise was kept back
-	withheld   bool
+	control   *http.ResponseController
+	timeout   time.Duration
+	failure   error                 // of the last write, which the caller's connection is the reason for
+	withholds func(status int) bool // reports whether a status is a promise that is not true; nil: none is
+	withheld  bool
 }
 
 func newTimeoutWriter(w http.ResponseWriter, timeout time.Duration) *timeoutWriter {
@@ -25,11 +24,10 @@
 // WriteHeader sends the head of the response. In place of the promise that a request did not run which may have run, it
 // sends 502 with a body of its own: whatever decided on the status did not look at what was sent.
 func (w *timeoutWriter) WriteHeader(status int) {
-	if !promisesNotRun(status) || w.mayHaveRun == nil || !w.mayHaveRun() {
+	if w.withholds == nil || !w.withholds(status) {
 		w.ResponseWriter.WriteHeader(status)
 		return
 	}
-	w.onWithheld()
 	clear(w.Header())
 	w.ResponseWriter.WriteHeader(http.StatusBadGateway)
 	_, _ = io.WriteString(w, "may have run\n") // a failure is that of the connection, which the server sees, too
