keepalive: count unanswered requests in one place

serve's new server for callers had a copy of the gateway's counter of requests that end without an answer. Both use keepalive.CountUnanswered. Names and tags of the metrics are as before; the tests of gateway and keepalive, and those of node's stops, pass.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -100,7 +100,7 @@
 	callers := &http.Server{
 		Addr: set.Callers.Listen, Handler: g.forwarder, MaxHeaderBytes: maxHeaderBytes, ConnState: g.limitSendBuffer,
 	}
-	g.connections = &keepalive.Connections{Now: g.now, Last: g.lastAnswers, OnPanic: g.logPanic, OnUnanswered: g.countUnanswered}
+	g.connections = &keepalive.Connections{Now: g.now, Last: g.lastAnswers, OnPanic: g.logPanic, OnUnanswered: keepalive.CountUnanswered(g.counters.Scope)}
 	g.connections.Attach(callers)
 	ready := &http.Server{Addr: set.Callers.Ready, Handler: g.readiness(), ReadHeaderTimeout: headerTimeout}
 	admin := &http.Server{Addr: set.Admin.Listen, Handler: g.admin(), ReadHeaderTimeout: headerTimeout}
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -29,15 +29,6 @@
 	return call.ID
 }
 
-// countUnanswered counts a request that ended without an answer, or with a part of one.
-func (g *Gateway) countUnanswered(reason string, begun bool) {
-	name := "requests_unanswered"
-	if begun {
-		name = "answers_cut"
-	}
-	g.counters.Scope.Tagged(map[string]string{"reason": reason}).Counter(name).Inc(1)
-}
-
 // serverErrors writes what a http.Server reports to the log.
 type serverErrors struct{ log *eventlog.Log }
 
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -30,7 +30,7 @@
 // openCallers creates the server for callers. The contexts of its requests end with requests.
 func (n *Node) openCallers(requests context.Context) *http.Server {
 	n.connections = &keepalive.Connections{
-		Now: n.now, Last: n.leaving.Load, OnPanic: n.logPanic, OnUnanswered: n.countUnanswered,
+		Now: n.now, Last: n.leaving.Load, OnPanic: n.logPanic, OnUnanswered: keepalive.CountUnanswered(n.counters.Scope),
 	}
 	s := &http.Server{Handler: endWith(requests, n.api.Handler())} //nolint:gosec // Expire bounds the time of headers
 	n.connections.Attach(s)
@@ -90,12 +90,3 @@
 	n.counters.Scope.Counter("requests_panicked").Inc(1)
 	n.log.Error().Str("path", r.URL.Path).Interface("panic", value).Bytes("stack", stack).Msg("request panicked")
 }
-
-// countUnanswered counts a request that ended without an answer, or with a part of one.
-func (n *Node) countUnanswered(reason string, begun bool) {
-	name := "requests_unanswered"
-	if begun {
-		name = "answers_cut"
-	}
-	n.counters.Scope.Tagged(map[string]string{"reason": reason}).Counter(name).Inc(1)
-}
