--- a/review/lab/driver/main.go
+++ b/review/lab/driver/main.go
@@ -17,7 +17,7 @@
 
 func main() {
 	flag.Parse()
-	plays := map[string]func(*record) []string{"crash-in-stream": crashInStream}
+	plays := map[string]func(*record) []string{"crash-in-stream": crashInStream, "crash-in-answer": crashInAnswer}
 	play := plays[*which]
 	if play == nil {
 		cannotRun("no case " + *which)
--- a/review/lab/engine/main.go
+++ b/review/lab/engine/main.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/trailshed/trailshed/review/lab/names"
+	"github.com/trailshed/trailshed/review/lab/plain"
 )
 
 var (
@@ -29,7 +30,8 @@
 	slots    = flag.Int("slots", 128, "requests at a time")
 	gap      = flag.Duration("gap", 40*time.Millisecond, "between two events of a stream")
 	work     = flag.Duration("work", 60*time.Millisecond, "before an answer begins")
-	unframed = flag.Float64("unframed", 0, "share of the streams without a length")
+	unframed = flag.Float64("unframed", 0, "share of the answers without a length")
+	pieces   = flag.Int("pieces", 1, "in which a plain replica writes an answer, while it works")
 )
 
 var (
@@ -100,6 +102,10 @@
 	if !prefill {
 		say("runs %s", request)
 	}
+	if *changed.Load() == "" && *pieces > 1 {
+		answerInPieces(w, request)
+		return
+	}
 	select {
 	case <-time.After(*work):
 	case <-r.Context().Done():
@@ -118,6 +124,53 @@
 	stream(w, r, request)
 }
 
+// answerInPieces writes a plain answer while the request is worked on.
+func answerInPieces(w http.ResponseWriter, request string) {
+	body := plain.Body(request)
+	w.Header().Set(names.Of["stamp"], *id+".stamp")
+	w.Header().Set("Content-Type", "text/plain")
+	control := http.NewResponseController(w)
+	var out io.Writer = w
+	flush := control.Flush
+	if lacksLength(request) {
+		conn, _, err := control.Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		say("answers %s without a length", request)
+		out, flush = conn, func() error { return nil }
+		body = "HTTP/1.1 200 OK\r\n" + headerLines(w) + "Connection: close\r\n\r\n" + body
+	} else {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	for left := *pieces; left > 0; left-- {
+		size := len(body) / left
+		if _, err := io.WriteString(out, body[:size]); err != nil || flush() != nil {
+			return
+		}
+		body = body[size:]
+		time.Sleep(*work / time.Duration(*pieces))
+	}
+	if out != w {
+		say("ends %s, all of it sent", request)
+	}
+}
+
+func headerLines(w http.ResponseWriter) (text string) {
+	for name, values := range w.Header() {
+		text += name + ": " + values[0] + "\r\n"
+	}
+	return text
+}
+
+// lacksLength draws whether the answer to a request has no length.
+func lacksLength(request string) bool {
+	hash := fnv.New32()
+	_, _ = hash.Write([]byte(request + *id))
+	return float64(hash.Sum32()%1000) < *unframed*1000
+}
+
 // order takes an order to change the stage, and carries it out at once.
 func order(w http.ResponseWriter, r *http.Request) {
 	var o struct {
@@ -143,9 +196,7 @@
 	total, _ := strconv.Atoi(strings.TrimSpace(out))
 	first, _ := strconv.Atoi(r.Header.Get(names.Of["last_event"]))
 	w.Header().Set("Content-Type", "text/event-stream")
-	hash := fnv.New32()
-	_, _ = hash.Write([]byte(request + *id))
-	if float64(hash.Sum32()%1000) < *unframed*1000 {
+	if lacksLength(request) {
 		streamUnframed(w, request, first, total)
 		return
 	}
@@ -164,10 +215,7 @@
 
 // streamUnframed sends a stream that has no length and ends with its connection.
 func streamUnframed(w http.ResponseWriter, request string, first, total int) {
-	head := "HTTP/1.1 200 OK\r\n"
-	for name, values := range w.Header() {
-		head += name + ": " + values[0] + "\r\n"
-	}
+	head := "HTTP/1.1 200 OK\r\n" + headerLines(w)
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
