uplink: tell a reset from the end of an answer while a request is written

What callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was being written. The caller got that part as a complete answer.

Cause: the kernel reports a reset once. The exchange writes the rest of a long body beside the read of its response; when the write was given ECONNRESET, the read was given the end of the connection, which ends an answer without a length. A peer that carries the connection concluded the same and ended its stream in order; a connection that the kernel gave up (ETIMEDOUT) it took for an interrupted read, and ended the stream, too.

Change: socket.Conn keeps the first error that the kernel reports. At the end of the connection a read first ends a write in progress, so that its error is known, and then fails with the kept error if there is one. Every connection of uplink is one: own, kept and lent ones, and those through a peer. EPIPE is not kept: it follows an orderly close.

--- a/internal/tunnel/serve.go
+++ b/internal/tunnel/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"syscall"
 	"time"
 
@@ -163,10 +164,9 @@
 	return n, readErr
 }
 
-func isTimeout(err error) bool {
-	var timeout interface{ Timeout() bool }
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
+// isTimeout reports whether an error is that of a deadline that this instance has set. A connection that the kernel gave
+// up for lost fails with a timeout of another kind.
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
 // pass copies until from ends, which is no error, or one side fails. It returns the number of bytes that it copied.
 func pass(to io.Writer, from io.Reader) (copied int64, readErr, writeErr error) {
--- a/internal/tunnel/tunnels_test.go
+++ b/internal/tunnel/tunnels_test.go
@@ -44,14 +44,23 @@
 type fleet struct {
 	t         *testing.T
 	instances []*instance
+	dial      func(ctx context.Context, to netip.AddrPort) (net.Conn, error) // to endpoints, if not nil
 }
 
 func newFleet(t *testing.T, names ...string) *fleet {
+	t.Helper()
+	f := &fleet{t: t}
+	f.start(names...)
+	return f
+}
+
+// start starts instances.
+func (f *fleet) start(names ...string) {
+	t := f.t
 	t.Helper()
 	dir := t.TempDir()
 	authority, err := cert.NewAuthority(dir)
 	qt.Assert(t, err, qt.IsNil)
-	f := &fleet{t: t}
 	for _, name := range names {
 		qt.Assert(t, authority.Issue(name), qt.IsNil)
 		file := filepath.Join(dir, name)
@@ -62,7 +71,6 @@
 		t.Cleanup(func() { _ = transport.Close() })
 		f.add(name, transport, 2)
 	}
-	return f
 }
 
 // add starts an instance that carries at most limit connections.
@@ -73,6 +81,9 @@
 	i.knows.Store(true)
 	i.sound.Store(true)
 	i.pool = uplink.NewPool(tally.NoopScope, now)
+	if f.dial != nil {
+		i.pool.Dial = f.dial
+	}
 	i.Tunnels = tunnel.New(tunnel.Options{
 		Transport: transport, Candidates: func() []tunnel.Peer { return f.others(name) },
 		Find: func(wanted string) (tunnel.Peer, bool) {
--- a/internal/uplink/pool.go
+++ b/internal/uplink/pool.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
 
+	"github.com/trailshed/trailshed/internal/socket"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
 
@@ -77,7 +78,7 @@
 
 // conn is a pooled connection.
 type conn struct {
-	net.Conn
+	*socket.Conn
 	key         connKey
 	head        *headReader
 	reader      *bufio.Reader // reads from head
@@ -186,8 +187,9 @@
 }
 
 func newConn(raw net.Conn, key connKey) *conn {
-	head := &headReader{Reader: raw}
-	return &conn{Conn: raw, key: key, head: head, reader: bufio.NewReaderSize(head, readBufferSize), maxIdle: defaultMaxIdle}
+	c := socket.Wrap(raw)
+	head := &headReader{Reader: c}
+	return &conn{Conn: c, key: key, head: head, reader: bufio.NewReaderSize(head, readBufferSize), maxIdle: defaultMaxIdle}
 }
 
 // countDialFailure counts a failed dial by its cause: an instance that has lost its links to all
--- a/internal/uplink/usable.go
+++ b/internal/uplink/usable.go
@@ -1,6 +1,7 @@
 package uplink
 
 import (
+	"errors"
 	"syscall"
 )
 
@@ -11,11 +12,10 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	control, err := c.SyscallConn()
+	if errors.Is(err, errors.ErrUnsupported) {
 		return true // a net.Pipe in a test
 	}
-	control, err := raw.SyscallConn()
 	if err != nil {
 		return false
 	}
