endpoint: fail a call whose connection is reset while it is written

A plain service answered a long call at once, without a length, and reset the connection; the part that had come was the answer.

Prefill, Decode and the other calls end with JSON or a last line, which shows a cut.

Change: the client's connections are socket.Conns.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -23,6 +23,7 @@
 
 	"github.com/trailshed/trailshed/internal/attempts"
 	"github.com/trailshed/trailshed/internal/notice"
+	"github.com/trailshed/trailshed/internal/socket"
 )
 
 // Error marks every error of this package.
@@ -94,7 +95,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: inner}, nil
+		return &conn{Conn: socket.Wrap(inner)}, nil
 	}
 	c.pooled = c.newHTTPClient(&http.Transport{
 		DialContext: dialEndpoint, MaxIdleConnsPerHost: maxIdlePerHost,
