response: reject statuses that HTTP/1.1 does not have

What callers saw: an endpoint answered with status 000. `trailshed serve` took that for an answer (status 0, which net/http can't write: the caller's connection broke off) and a write to its store, or a removal, for done. The gateway took it for an interim response: with a length, its body was read as the next head, so that the caller waited until the time was over (504, no other endpoint was asked), and an answer behind it was passed on. The same with 099 and "+20". After a 101 a call of `serve` did not end; the gateway passed 101, 600 and 999 on.

Cause: net/http takes any three characters for a status that strconv.Atoi reads and that are not negative; each reader of responses compares ranges.

Change: response.Check allows 100 to 599 without 101, which no request asks for. uplink calls it for each head, interim ones too; response.Transport does for the clients of endpoints and store in `serve`, and closes the connection. What it rejects is no response: the request may have run.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -23,6 +23,7 @@
 
 	"github.com/trailshed/trailshed/internal/attempts"
 	"github.com/trailshed/trailshed/internal/notice"
+	"github.com/trailshed/trailshed/internal/response"
 	"github.com/trailshed/trailshed/internal/socket"
 )
 
@@ -111,7 +112,7 @@
 // request again.
 func (c *Client) newHTTPClient(t *http.Transport) *http.Client {
 	return &http.Client{
-		Transport:     noticeTransport{c, t},
+		Transport:     noticeTransport{c, response.Transport{Transport: t}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -19,6 +19,8 @@
 
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
+
+	"github.com/trailshed/trailshed/internal/response"
 )
 
 // Error marks every error of this package.
@@ -82,7 +84,7 @@
 func Connect(address netip.AddrPort, timeout time.Duration, scope tally.Scope) *Store {
 	c := &client{
 		base: "http://" + address.String(), timeout: timeout, scope: scope,
-		httpClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}},
+		httpClient: &http.Client{Transport: response.Transport{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}},
 	}
 	return &Store{
 		Get: c.get, Put: c.put, Delete: c.remove,
--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/trailshed/trailshed/internal/response"
 )
 
 // ErrNotSent means that no byte of the request left this instance, so the request certainly
@@ -199,8 +201,11 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := response.Check(resp); err != nil {
+			return nil, err
+		}
 		e.pool.OnResponse(e.conn.key.endpointID, resp)
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 	}
