platform: reject statuses that HTTP/1.1 does not have in own calls

What was seen in tests: a call of the gateway to a store that answered 101 and kept the connection did not end, whatever its timeout. What an engine said of itself in a response with status 000 to a call for its load, or with an order, counted as its notice.

The body of a 101 is the connection itself, which no context ends. Notices are read before the status is looked at.

Change: the clients of the store and of engines use response.Transport.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -17,6 +17,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/trailshed/trailshed/internal/reachability"
+	"github.com/trailshed/trailshed/internal/response"
 	"github.com/trailshed/trailshed/internal/tunnel"
 	"github.com/trailshed/trailshed/internal/uplink"
 	"github.com/trailshed/trailshed/pkg/clock"
@@ -157,9 +158,9 @@
 		p, err := d.Connect(ctx, uplink.Message{Address: address, EndpointID: endpoint})
 		return p.Conn, err
 	}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: response.Transport{Transport: &http.Transport{
 		DisableKeepAlives: true, DialContext: dial, MaxResponseHeaderBytes: uplink.MaxHeadBytes,
-	}}
+	}}}
 }
 
 // Bypassed reports whether an endpoint is to be reached through a peer.
