response: reject fields whose name holds a blank

What callers saw: an endpoint answered with a field "X Filler" or "X-Filler ", and the answer was passed on. With "Content-Length " the body had no end: on a kept connection the caller waited until the time was over, and got a part. With "Transfer-Encoding " the caller got the body with its chunk sizes as an answer, signed and with status 200. A rejection with such a field counted as "not run".

Cause: net/http takes names with blanks and keeps them as they are, so that one that ends with a blank is another field than the one without.

Change: response.Check, which all readers of responses call, allows names that httpguts, of a module that quic-go brings already, takes for names.

Handled before, the tests stay: control bytes in a name, a tab among them, are an error of net/http, for gateway and `serve`.

--- a/internal/endpoint/malformed_test.go
+++ b/internal/endpoint/malformed_test.go
@@ -20,6 +20,10 @@
 		{"status 000, marked as not run", "HTTP/1.1 000 None\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"},
 		{"status +20", "HTTP/1.1 +20 OK\r\nContent-Length: 2\r\n\r\n{}"},
 		{"status 999", "HTTP/1.1 999 None\r\nContent-Length: 2\r\n\r\n{}"},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nX Filler: 1\r\nContent-Length: 2\r\n\r\n{}"},
+		{"blank after the name of the length", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\nConnection: close\r\n\r\n{}"},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Filler: 1\r\nContent-Length: 2\r\n\r\n{}"},
+		{"blank in a name, marked as not run", "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nX Filler: 1\r\nContent-Length: 2\r\n\r\n{}"},
 		{"status 101", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n"},
 	}
 	for _, test := range tests {
--- a/internal/platform/malformed_test.go
+++ b/internal/platform/malformed_test.go
@@ -19,6 +19,7 @@
 	tests := []struct{ name, response string }{
 		{"status 000", "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}"},
 		{"status 999", "HTTP/1.1 999 None\r\nContent-Length: 2\r\n\r\n{}"},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nX Filler: 1\r\nContent-Length: 2\r\n\r\n{}"},
 		{"status 101", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n{}"},
 	}
 	for _, test := range tests {
--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 
 	"github.com/zeebo/errs"
+	"golang.org/x/net/http/httpguts"
 )
 
 // Error marks the errors of responses that are none of HTTP/1.1.
@@ -17,10 +18,17 @@
 
 // Check returns nil if a response that net/http has parsed is an interim or a final one of HTTP/1.1, and else why not.
 // net/http takes any three characters that strconv.Atoi reads for a status. No request asks for a change of protocols.
+// It also takes names with blanks, and one that ends with a blank has another meaning than the one without: a length that
+// is named so does not end the body.
 func Check(r *http.Response) error {
 	if r.StatusCode < http.StatusContinue || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
 		return Error.New("status %q", r.Status)
 	}
+	for name := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return Error.New("field name %q", name)
+		}
+	}
 	return nil
 }
 
--- a/internal/response/response_test.go
+++ b/internal/response/response_test.go
@@ -45,11 +45,38 @@
 	}
 }
 
+// parseFields returns the response that net/http parses from a head with a line of a field.
+func parseFields(c *qt.C, line string) *http.Response {
+	return parse(c, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n")
+}
+
+func TestCheckOfNames(t *testing.T) {
+	tests := []struct {
+		line  string
+		valid bool
+	}{
+		{"X-Filler: 1", true},
+		{"x_filler!#$%&'*+.^`|~9: 1", true},
+		{"X Filler: 1", false},
+		{"X-Filler : 1", false},
+		{"Content-Length : 0", false},
+		{"Transfer-Encoding : chunked", false},
+	}
+	for _, test := range tests {
+		t.Run(test.line, func(t *testing.T) {
+			c := qt.New(t)
+			err := response.Check(parseFields(c, test.line))
+			c.Check(err == nil, qt.Equals, test.valid, qt.Commentf("%v", err))
+		})
+	}
+}
+
 // A connection that brought a malformed response is not used again.
 func TestTransport(t *testing.T) {
 	tests := []string{
 		"HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nX Filler: 1\r\nContent-Length: 2\r\n\r\nok",
 	}
 	for _, answer := range tests {
 		t.Run(answer, func(t *testing.T) {
