obsfold: reject heads with lines that begin with a blank

What callers saw: an endpoint answered with a line " Content-Length: 43" after another field. Without the length the body had no end: the caller got a 200 that was open until the time was over, or a part. Any such line was passed on as the end of the value of the field before it.

Cause: a line that begins with a blank is obsolete line folding, which net/http joins. RFC 9112, section 5.2, lets a gateway replace it or answer 502; a line that is meant as a field of its own is not told from a folded one.

Change: obsfold.Reader fails at such a line in a head. uplink reads through it, and the connections of `serve` to endpoints are on top of it. Its error stays, as net/http's parser passes over one within folded lines, and comes after the bytes before, as net/http sends some requests again if it can't read the first byte of a response. Clients of stores and reports, whose JSON shows where it ends, still join folded lines.

Evidence, before the change: TestMalformedHeads failed in "length in a line that continues another", kept and closed, TestMalformedHeadsByConnection in 12 of 15 cases (those of prefills passed), each in two of two runs, and TestMalformedResponses in its two new cases, one after 5 s. After it all pass, two runs with the race detector.

Ruled out: an error in place of the bytes before the line. In `serve` calls waited until their time was over, as the parser read on.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -24,7 +24,6 @@
 	"github.com/trailshed/trailshed/internal/attempts"
 	"github.com/trailshed/trailshed/internal/notice"
 	"github.com/trailshed/trailshed/internal/response"
-	"github.com/trailshed/trailshed/internal/socket"
 )
 
 // Error marks every error of this package.
@@ -96,7 +95,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: socket.Wrap(inner)}, nil
+		return newConn(inner), nil
 	}
 	c.pooled = c.newHTTPClient(&http.Transport{
 		DialContext: dialEndpoint, MaxIdleConnsPerHost: maxIdlePerHost,
@@ -367,6 +366,7 @@
 		}
 		last.Store(c)
 		if c != nil {
+			c.expectResponse()
 			connected.Store(true)
 		}
 	}}
--- a/internal/endpoint/malformed_test.go
+++ b/internal/endpoint/malformed_test.go
@@ -22,6 +22,8 @@
 		{"status 999", "HTTP/1.1 999 None\r\nContent-Length: 2\r\n\r\n{}"},
 		{"blank in a name", "HTTP/1.1 200 OK\r\nX Filler: 1\r\nContent-Length: 2\r\n\r\n{}"},
 		{"blank after the name of the length", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\nConnection: close\r\n\r\n{}"},
+		{"blank before a name", "HTTP/1.1 200 OK\r\nX-Filler: 1\r\n Content-Length: 2\r\n\r\n{}"},
+		{"blank before a name, behind an interim response", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-Filler: 1\r\n Y: 2\r\nContent-Length: 2\r\n\r\n{}"},
 		{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Filler: 1\r\nContent-Length: 2\r\n\r\n{}"},
 		{"blank in a name, marked as not run", "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nX Filler: 1\r\nContent-Length: 2\r\n\r\n{}"},
 		{"status 101", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n"},
--- a/internal/uplink/exchange.go
+++ b/internal/uplink/exchange.go
@@ -194,7 +194,9 @@
 
 // readHead reads interim responses and then the head of a final one.
 func (e *Exchange) readHead(request *http.Request) (*http.Response, error) {
-	e.conn.head.begin()
+	if err := e.conn.beginHead(); err != nil {
+		return nil, err
+	}
 	defer e.conn.head.end()
 	for {
 		resp, err := http.ReadResponse(e.conn.reader, request)
--- a/internal/uplink/head.go
+++ b/internal/uplink/head.go
@@ -1,6 +1,6 @@
 package uplink
 
-import "io"
+import "github.com/trailshed/trailshed/internal/obsfold"
 
 // MaxHeadBytes bounds the head of a response together with the interim responses before it. Parsed, a head
 // of short lines takes about ten times the memory.
@@ -12,13 +12,16 @@
 // headReader reads from a connection and bounds what is read for a head. A buffered reader on top of it reads
 // ahead, so the bound includes up to readBufferSize bytes of the body.
 type headReader struct {
-	io.Reader
+	*obsfold.Reader
 	inHead bool
 	left   int // bytes that may be read while inHead is set
 }
 
-// begin is called before a head is read, and end after it.
-func (h *headReader) begin() { h.inHead, h.left = true, MaxHeadBytes }
+// begin is called before a head is read, and end after it. buffered is what was read ahead of it.
+func (h *headReader) begin(buffered []byte) error {
+	h.inHead, h.left = true, MaxHeadBytes
+	return h.ExpectHead(buffered)
+}
 
 func (h *headReader) end() { h.inHead = false }
 
--- a/internal/uplink/pool.go
+++ b/internal/uplink/pool.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
 
+	"github.com/trailshed/trailshed/internal/obsfold"
 	"github.com/trailshed/trailshed/internal/socket"
 	"github.com/trailshed/trailshed/pkg/clock"
 )
@@ -188,10 +189,19 @@
 
 func newConn(raw net.Conn, key connKey) *conn {
 	c := socket.Wrap(raw)
-	head := &headReader{Reader: c}
+	head := &headReader{Reader: obsfold.NewReader(c)}
 	return &conn{Conn: c, key: key, head: head, reader: bufio.NewReaderSize(head, readBufferSize), maxIdle: defaultMaxIdle}
 }
 
+// beginHead prepares the reading of a head.
+func (c *conn) beginHead() error {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.head.begin(buffered)
+}
+
 // countDialFailure counts a failed dial by its cause: an instance that has lost its links to all
 // endpoints shows as one cause for all of them.
 func (p *Pool) countDialFailure(err error) {
