--- a/internal/response/response_test.go
+++ b/internal/response/response_test.go
@@ -45,11 +45,6 @@
 	}
 }
 
-// parseFields returns the response that net/http parses from a head with a line of a field.
-func parseFields(c *qt.C, line string) *http.Response {
-	return parse(c, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n")
-}
-
 func TestCheckOfNames(t *testing.T) {
 	tests := []struct {
 		line  string
@@ -65,7 +60,7 @@
 	for _, test := range tests {
 		t.Run(test.line, func(t *testing.T) {
 			c := qt.New(t)
-			err := response.Check(parseFields(c, test.line))
+			err := response.Check(parse(c, "HTTP/1.1 200 OK\r\n"+test.line+"\r\n\r\n"))
 			c.Check(err == nil, qt.Equals, test.valid, qt.Commentf("%v", err))
 		})
 	}
@@ -81,7 +76,7 @@
 	for _, answer := range tests {
 		t.Run(answer, func(t *testing.T) {
 			c := qt.New(t)
-			address, accepted := serve(t, answer)
+			address, accepted := newServer(t, answer)
 			client := &http.Client{Transport: response.Transport{Transport: &http.Transport{}}}
 			for n := range int64(3) {
 				_, err := client.Get("http://" + address)
@@ -92,8 +87,8 @@
 	}
 }
 
-// serve gives the same answer to all requests and counts their connections.
-func serve(t *testing.T, answer string) (address string, accepted *atomic.Int64) {
+// newServer starts a server that gives the same answer to all requests, and counts its connections.
+func newServer(t *testing.T, answer string) (address string, accepted *atomic.Int64) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = l.Close() })
